--- /dev/null
+++ b/internal/state/model/config.go
@@ -0,0 +1,112 @@
+package model
+
+import (
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Config is one version of the configuration. It is safe for concurrent use.
+type Config struct {
+	version       uint64
+	organisations map[string]OrganisationSpec
+	keys          map[string]KeySpec
+	routes        map[string]RouteSpec
+	adapters      map[string]AdapterSpec
+	upstreams     map[string]UpstreamSpec
+	fleet         FleetSpec
+}
+
+// New returns the empty configuration, version 0.
+func New() *Config {
+	return &Config{
+		organisations: map[string]OrganisationSpec{},
+		keys:          map[string]KeySpec{},
+		routes:        map[string]RouteSpec{},
+		adapters:      map[string]AdapterSpec{},
+		upstreams:     map[string]UpstreamSpec{},
+	}
+}
+
+// Version returns the number of the configuration.
+func (config *Config) Version() uint64 { return config.version }
+
+// Organisation returns an organisation by name.
+func (config *Config) Organisation(name string) (OrganisationSpec, bool) {
+	organisation, ok := config.organisations[name]
+	return organisation, ok
+}
+
+// Organisations returns all organisations by name.
+func (config *Config) Organisations() []OrganisationSpec {
+	return sorted(config.organisations)
+}
+
+// Key returns a key by its id.
+func (config *Config) Key(id string) (KeySpec, bool) {
+	key, ok := config.keys[id]
+	return key, ok
+}
+
+// Keys returns all keys by id.
+func (config *Config) Keys() []KeySpec { return sorted(config.keys) }
+
+// Route returns a route by name.
+func (config *Config) Route(name string) (RouteSpec, bool) {
+	route, ok := config.routes[name]
+	return route, ok
+}
+
+// Routes returns all routes by name.
+func (config *Config) Routes() []RouteSpec { return sorted(config.routes) }
+
+// PlainRoute returns the route of a plain service with the longest prefix of
+// path that admits method.
+func (config *Config) PlainRoute(service, method, path string) (RouteSpec, bool) {
+	var best RouteSpec
+	found := false
+	for _, route := range config.routes {
+		if !route.Plain || route.Service != service || !strings.HasPrefix(path, route.PathPrefix) {
+			continue
+		}
+		if len(route.Methods) > 0 && !slices.Contains(route.Methods, method) {
+			continue
+		}
+		longer := len(route.PathPrefix) > len(best.PathPrefix)
+		same := len(route.PathPrefix) == len(best.PathPrefix)
+		if !found || longer || same && route.Name < best.Name {
+			best, found = route, true
+		}
+	}
+	return best, found
+}
+
+// Adapter returns an adapter by name.
+func (config *Config) Adapter(name string) (AdapterSpec, bool) {
+	adapter, ok := config.adapters[name]
+	return adapter, ok
+}
+
+// Adapters returns all adapters by name.
+func (config *Config) Adapters() []AdapterSpec { return sorted(config.adapters) }
+
+// Upstream returns an upstream by id.
+func (config *Config) Upstream(id string) (UpstreamSpec, bool) {
+	upstream, ok := config.upstreams[id]
+	return upstream, ok
+}
+
+// Upstreams returns all upstreams by id.
+func (config *Config) Upstreams() []UpstreamSpec { return sorted(config.upstreams) }
+
+// Fleet returns the settings that the whole fleet shares.
+func (config *Config) Fleet() FleetSpec { return config.fleet }
+
+func sorted[T any](items map[string]T) []T {
+	names := slices.Sorted(maps.Keys(items))
+	list := make([]T, 0, len(names))
+	for _, name := range names {
+		list = append(list, items[name])
+	}
+	return list
+}
--- /dev/null
+++ b/internal/state/model/editor.go
@@ -0,0 +1,104 @@
+package model
+
+import "maps"
+
+// Editor derives a new configuration from a base. Maps are copied when they
+// are first written, so that the base stays unchanged.
+type Editor struct {
+	next   Config
+	copied [5]bool
+}
+
+const (
+	organisationsCopied = iota
+	keysCopied
+	routesCopied
+	adaptersCopied
+	upstreamsCopied
+)
+
+// Edit starts an Editor on this configuration.
+func (config *Config) Edit() *Editor { return &Editor{next: *config} }
+
+// Current returns the configuration as edited so far. It is valid until the
+// next edit.
+func (editor *Editor) Current() *Config { return &editor.next }
+
+// PutOrganisation adds or replaces an organisation.
+func (editor *Editor) PutOrganisation(organisation OrganisationSpec) {
+	put(editor, organisationsCopied, &editor.next.organisations, organisation.Name, organisation)
+}
+
+// RemoveOrganisation removes an organisation.
+func (editor *Editor) RemoveOrganisation(name string) {
+	remove(editor, organisationsCopied, &editor.next.organisations, name)
+}
+
+// PutKey adds or replaces a key.
+func (editor *Editor) PutKey(key KeySpec) {
+	put(editor, keysCopied, &editor.next.keys, key.ID, key)
+}
+
+// WithdrawKey removes a key.
+func (editor *Editor) WithdrawKey(id string) {
+	remove(editor, keysCopied, &editor.next.keys, id)
+}
+
+// PutRoute adds or replaces a route.
+func (editor *Editor) PutRoute(route RouteSpec) {
+	put(editor, routesCopied, &editor.next.routes, route.Name, route)
+}
+
+// RemoveRoute removes a route.
+func (editor *Editor) RemoveRoute(name string) {
+	remove(editor, routesCopied, &editor.next.routes, name)
+}
+
+// PutAdapter adds or replaces an adapter.
+func (editor *Editor) PutAdapter(adapter AdapterSpec) {
+	put(editor, adaptersCopied, &editor.next.adapters, adapter.Name, adapter)
+}
+
+// RemoveAdapter removes an adapter.
+func (editor *Editor) RemoveAdapter(name string) {
+	remove(editor, adaptersCopied, &editor.next.adapters, name)
+}
+
+// PutUpstream adds or replaces an upstream.
+func (editor *Editor) PutUpstream(upstream UpstreamSpec) {
+	put(editor, upstreamsCopied, &editor.next.upstreams, upstream.ID, upstream)
+}
+
+// RemoveUpstream removes an upstream.
+func (editor *Editor) RemoveUpstream(id string) {
+	remove(editor, upstreamsCopied, &editor.next.upstreams, id)
+}
+
+// PutFleet replaces the fleet's settings.
+func (editor *Editor) PutFleet(fleet FleetSpec) { editor.next.fleet = fleet }
+
+// Commit returns the edited configuration under a version number.
+func (editor *Editor) Commit(version uint64) *Config {
+	config := editor.next
+	config.version = version
+	editor.copied = [5]bool{}
+	return &config
+}
+
+func put[T any](editor *Editor, index int, items *map[string]T, name string, item T) {
+	own(editor, index, items)
+	(*items)[name] = item
+}
+
+func remove[T any](editor *Editor, index int, items *map[string]T, name string) {
+	own(editor, index, items)
+	delete(*items, name)
+}
+
+func own[T any](editor *Editor, index int, items *map[string]T) {
+	if editor.copied[index] {
+		return
+	}
+	*items = maps.Clone(*items)
+	editor.copied[index] = true
+}
