Add connection pool, TLS reload, settings and telemetry

Cause: the daemons need one way to talk, to be configured and to report. Change: internal/wire/conns (drpc pool, mutual TLS, certificates reloaded), internal/base/setup (TOML with checks that name file, key, value and remedy), internal/base/telem (zap logger, expvar maps, histograms).

--- /dev/null
+++ b/internal/base/setup/check.go
@@ -0,0 +1,95 @@
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+// checks collects what is wrong with a settings file.
+type checks struct {
+	file     string
+	problems []string
+}
+
+func (process Process) checks(file string) *checks {
+	checks := &checks{file: file}
+	checks.present("instance", process.Instance)
+	checks.present("failure-domain", process.FailureDomain)
+	checks.address("listen.peers", process.Listen.Peers)
+	checks.address("listen.operators", process.Listen.Operators)
+	checks.url("platform.log-url", process.Platform.LogURL)
+	checks.url("platform.instances-url", process.Platform.InstancesURL)
+	checks.oneOf("log.level", process.Log.Level, "debug", "info", "warn", "error")
+	checks.oneOf("log.format", process.Log.Format, "json", "text")
+	checks.positive("shutdown.drain-limit", process.Shutdown.DrainLimit)
+	checks.positive("isolation-limit", process.IsolationLimit)
+	checks.positive("log-retention", process.LogRetention)
+	if process.TLS.CertFile == "" && (process.TLS.KeyFile != "" || process.TLS.CAFile != "") {
+		checks.add("tls.cert-file", "", "write the certificate's file, or remove the table tls")
+	}
+	if process.TLS.Enabled() {
+		checks.present("tls.key-file", process.TLS.KeyFile)
+		checks.present("tls.ca-file", process.TLS.CAFile)
+	}
+	return checks
+}
+
+func (checks *checks) add(key, given, remedy string) {
+	checks.problems = append(checks.problems, fmt.Sprintf("%s is %q; %s", key, given, remedy))
+}
+
+func (checks *checks) present(key, value string) {
+	if value == "" {
+		checks.add(key, value, "write a value that is not empty")
+	}
+}
+
+func (checks *checks) address(key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		checks.add(key, value, "write IP:port, such as 127.0.0.1:8080")
+	}
+}
+
+func (checks *checks) url(key, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		checks.add(key, value, "write an http or https URL, such as http://127.0.0.1:7000")
+	}
+}
+
+func (checks *checks) oneOf(key, value string, choices ...string) {
+	if !slices.Contains(choices, value) {
+		checks.add(key, value, "write "+strings.Join(choices, " or "))
+	}
+}
+
+func (checks *checks) positive(key string, value time.Duration) {
+	if value <= 0 {
+		checks.add(key, value.String(), "write a duration above 0, such as \"5s\"")
+	}
+}
+
+func (checks *checks) atLeast(key string, value, least int64) {
+	if value < least {
+		checks.add(key, fmt.Sprint(value), fmt.Sprintf("write a whole number of at least %d", least))
+	}
+}
+
+func (checks *checks) longer(key string, value time.Duration, otherKey string, other time.Duration) {
+	if value <= other {
+		checks.add(key, value.String(), fmt.Sprintf("write more than %s, which is %s", otherKey, other))
+	}
+}
+
+func (checks *checks) err() error {
+	if len(checks.problems) == 0 {
+		return nil
+	}
+	return fault.New(fault.Invalid, fault.NotRun, "%s: %s", checks.file, strings.Join(checks.problems, "; "))
+}
--- /dev/null
+++ b/internal/base/setup/side.go
@@ -0,0 +1,89 @@
+package setup
+
+import "time"
+
+// Upstream configures the engine or plain service beside a side process.
+type Upstream struct {
+	// ID is the upstream's name in the configuration.
+	ID string `toml:"id"`
+	// URL is its HTTP address.
+	URL string `toml:"url"`
+	// Kind is engine or plain.
+	Kind string `toml:"kind"`
+	// Fencing is ignored or checked.
+	Fencing string `toml:"fencing"`
+	// Concurrency is the largest number of requests running at a time; 0 takes
+	// the engine's batch limit.
+	Concurrency int `toml:"concurrency"`
+}
+
+// Queue bounds the queue of a side process.
+type Queue struct {
+	// Requests is the largest number of queued requests.
+	Requests int `toml:"requests"`
+	// PerOrganisation is the largest number of queued requests of one organisation.
+	PerOrganisation int `toml:"per-organisation"`
+}
+
+// Claims configures idempotency claims.
+type Claims struct {
+	// Partitions is the number of claim streams; all processes must agree.
+	Partitions int `toml:"partitions"`
+	// Window is how long an idempotency key holds.
+	Window time.Duration `toml:"window"`
+}
+
+// Side holds the settings of a side process.
+type Side struct {
+	Process
+	Upstream Upstream `toml:"upstream"`
+	Queue    Queue    `toml:"queue"`
+	Claims   Claims   `toml:"claims"`
+	// RequestLimit is the longest time that one request may take.
+	RequestLimit time.Duration `toml:"request-limit"`
+	// Seed makes jitter reproducible; 0 takes a random seed.
+	Seed uint64 `toml:"seed"`
+}
+
+const (
+	defaultQueueRequests        = 1024
+	defaultQueuePerOrganisation = 512
+	defaultClaimPartitions      = 256
+	defaultClaimWindow          = 24 * time.Hour
+)
+
+// DefaultSide returns the defaults of a side process.
+func DefaultSide() Side {
+	return Side{
+		Process:      defaultProcess(),
+		Upstream:     Upstream{Kind: "engine", Fencing: "ignored"},
+		Queue:        Queue{Requests: defaultQueueRequests, PerOrganisation: defaultQueuePerOrganisation},
+		Claims:       Claims{Partitions: defaultClaimPartitions, Window: defaultClaimWindow},
+		RequestLimit: defaultRequestLimit,
+	}
+}
+
+// LoadSide reads and checks the settings of a side process.
+func LoadSide(file string) (Side, error) {
+	side := DefaultSide()
+	if err := load(file, &side); err != nil {
+		return Side{}, err
+	}
+	return side, side.check(file)
+}
+
+func (side Side) check(file string) error {
+	checks := side.checks(file)
+	checks.present("upstream.id", side.Upstream.ID)
+	checks.url("upstream.url", side.Upstream.URL)
+	checks.oneOf("upstream.kind", side.Upstream.Kind, "engine", "plain")
+	checks.oneOf("upstream.fencing", side.Upstream.Fencing, "ignored", "checked")
+	checks.atLeast("upstream.concurrency", int64(side.Upstream.Concurrency), 0)
+	checks.atLeast("queue.requests", int64(side.Queue.Requests), 1)
+	checks.atLeast("queue.per-organisation", int64(side.Queue.PerOrganisation), 1)
+	checks.atLeast("claims.partitions", int64(side.Claims.Partitions), 1)
+	checks.positive("request-limit", side.RequestLimit)
+	checks.longer("shutdown.drain-limit", side.Shutdown.DrainLimit, "request-limit", side.RequestLimit)
+	checks.longer("log-retention", side.LogRetention, "claims.window", side.Claims.Window)
+	return checks.err()
+}
--- /dev/null
+++ b/internal/wire/conns/serve.go
@@ -0,0 +1,27 @@
+package conns
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Register adds services to the mux of a server.
+type Register func(mux drpc.Mux) error
+
+// Serve accepts connections until ctx ends. A nil config serves without TLS.
+func Serve(ctx context.Context, listener net.Listener, config *tls.Config, register Register) error {
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return err
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return server.Serve(ctx, listener)
+}
