Add seeded load generator that checks every answer

Cause: the four measures and the promises need an observer outside the daemons. Change: internal/bench/load sends letters, chats, bookings and checks per organisation, compares texts with the expected ones and counts wrongful refusals against one reference bucket per organisation.

--- /dev/null
+++ b/internal/bench/load/plan.go
@@ -0,0 +1,173 @@
+// Package load generates a seeded load of letters, chats, bookings and status
+// checks against entry instances, and checks every answer.
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Kind is a kind of request.
+type Kind int
+
+const (
+	// Letter is patient model work.
+	Letter Kind = iota
+	// Chat is interactive model work.
+	Chat
+	// Booking is non-idempotent work at the plain service.
+	Booking
+	// Check is idempotent interactive work at the plain service.
+	Check
+)
+
+// String returns the kind as written in reports.
+func (kind Kind) String() string {
+	return [...]string{"letter", "chat", "booking", "check"}[kind]
+}
+
+// Model reports whether the kind runs on an adapter.
+func (kind Kind) Model() bool { return kind == Letter || kind == Chat }
+
+// Organisation is one source of load.
+type Organisation struct {
+	Name  string
+	Key   string
+	Rate  model.Tokens
+	Burst model.Tokens
+	// Requests is the mean number of requests a second.
+	Requests float64
+	// Adapters is the number of adapters, named by AdapterName.
+	Adapters int
+}
+
+// Surge multiplies the load of one organisation for a time.
+type Surge struct {
+	Organisation string
+	Factor       float64
+	From         time.Duration
+	Until        time.Duration
+}
+
+// Plan describes a load.
+type Plan struct {
+	ModelService  string
+	PlainService  string
+	Organisations []Organisation
+	// Mix weighs the kinds, in the order of their constants.
+	Mix [4]float64
+	// Skew is the exponent of the Zipf distribution of adapters; above 1.
+	Skew float64
+	// ShiftAfter moves popularity to other adapters at this time; 0 never.
+	ShiftAfter time.Duration
+	Surge      Surge
+	// PromptTokens and MaxTokens are inclusive ranges.
+	PromptTokens [2]int
+	MaxTokens    [2]int
+	// RepeatBookings is the part of bookings that the caller sends twice with
+	// the same Idempotency-Key.
+	RepeatBookings float64
+}
+
+// AdapterName returns the name of an organisation's adapter.
+func AdapterName(organisation string, index int) string {
+	return fmt.Sprintf("%s-%04d", organisation, index)
+}
+
+// request is one planned request.
+type request struct {
+	id           int
+	kind         Kind
+	organisation Organisation
+	adapter      string
+	prompt       string
+	promptTokens int
+	maxTokens    int
+	repeat       bool
+	limited      bool
+}
+
+// source draws the requests of one organisation.
+type source struct {
+	plan         Plan
+	organisation Organisation
+	random       *rand.Rand
+	zipf         *rand.Zipf
+	next         int
+}
+
+func newSource(plan Plan, index int, seed uint64) *source {
+	random := rand.New(rand.NewPCG(seed, uint64(index)))
+	organisation := plan.Organisations[index]
+	return &source{
+		plan:         plan,
+		organisation: organisation,
+		random:       random,
+		zipf:         rand.NewZipf(random, plan.Skew, 1, uint64(organisation.Adapters-1)),
+		next:         index,
+	}
+}
+
+// gap returns the time until the next request of a Poisson process.
+func (source *source) gap(elapsed time.Duration) time.Duration {
+	rate := source.organisation.Requests
+	surge := source.plan.Surge
+	if surge.Organisation == source.organisation.Name && elapsed >= surge.From && elapsed < surge.Until {
+		rate *= surge.Factor
+	}
+	return time.Duration(source.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+func (source *source) draw(elapsed time.Duration) request {
+	drawn := request{
+		id:           source.next,
+		kind:         source.kind(),
+		organisation: source.organisation,
+		promptTokens: source.between(source.plan.PromptTokens),
+		maxTokens:    source.between(source.plan.MaxTokens),
+	}
+	source.next += len(source.plan.Organisations)
+	drawn.repeat = drawn.kind == Booking && source.random.Float64() < source.plan.RepeatBookings
+	rank := int(source.zipf.Uint64())
+	if source.plan.ShiftAfter > 0 && elapsed >= source.plan.ShiftAfter {
+		rank = (rank + source.organisation.Adapters/2) % source.organisation.Adapters
+	}
+	drawn.adapter = AdapterName(source.organisation.Name, rank)
+	drawn.prompt = promptText(drawn.id, drawn.promptTokens)
+	return drawn
+}
+
+func (source *source) kind() Kind {
+	total := 0.0
+	for _, weight := range source.plan.Mix {
+		total += weight
+	}
+	point := source.random.Float64() * total
+	for kind, weight := range source.plan.Mix {
+		if point < weight {
+			return Kind(kind)
+		}
+		point -= weight
+	}
+	return Check
+}
+
+func (source *source) between(limits [2]int) int {
+	return limits[0] + source.random.IntN(limits[1]-limits[0]+1)
+}
+
+// bytesPerToken is the ratio by which entry instances estimate prompt tokens.
+const bytesPerToken = 4
+
+// promptText returns a prompt of the given estimated length that differs for
+// each request.
+func promptText(id, tokens int) string {
+	text := fmt.Sprintf("request %d: ", id)
+	for len(text) < tokens*bytesPerToken {
+		text += "describe the bench "
+	}
+	return text[:tokens*bytesPerToken]
+}
--- /dev/null
+++ b/internal/bench/load/report.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
+)
+
+// Series sums up the requests of one organisation and kind.
+type Series struct {
+	Sent      int64
+	Completed int64
+	// Refused counts answers that say not-run.
+	Refused int64
+	// Wrongful counts refusals of requests within the organisation's rate.
+	Wrongful int64
+	// Unknown counts answers whose effect is unknown.
+	Unknown int64
+	// Broken counts answers that ended without their end or an error.
+	Broken int64
+	// Wrong counts complete answers with another text than expected.
+	Wrong      int64
+	FirstToken *telem.Histogram
+	Gaps       *telem.Histogram
+}
+
+// SeriesKey names a Series.
+type SeriesKey struct {
+	Organisation string
+	Kind         Kind
+}
+
+// Report collects the results of a run. It is safe for concurrent use.
+type Report struct {
+	mu       sync.Mutex
+	series   map[SeriesKey]*Series
+	refusals map[string]int64
+	// notRun lists bookings that were refused as not-run.
+	notRun   map[string]bool
+	bookings map[string]int
+	problems []string
+}
+
+const maxProblems = 20
+
+func newReport() *Report {
+	return &Report{
+		series:   map[SeriesKey]*Series{},
+		refusals: map[string]int64{},
+		notRun:   map[string]bool{},
+		bookings: map[string]int{},
+	}
+}
+
+// Series returns a copy of the counts of each organisation and kind.
+func (report *Report) Series() map[SeriesKey]Series {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	result := make(map[SeriesKey]Series, len(report.series))
+	for key, series := range report.series {
+		result[key] = *series
+	}
+	return result
+}
+
+// Total sums the counts of all series; its histograms are nil.
+func (report *Report) Total() Series {
+	var total Series
+	for _, series := range report.Series() {
+		total.Sent += series.Sent
+		total.Completed += series.Completed
+		total.Refused += series.Refused
+		total.Wrongful += series.Wrongful
+		total.Unknown += series.Unknown
+		total.Broken += series.Broken
+		total.Wrong += series.Wrong
+	}
+	return total
+}
+
+// Refusals returns the number of errors by kind.
+func (report *Report) Refusals() map[string]int64 {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	result := make(map[string]int64, len(report.refusals))
+	for kind, count := range report.refusals {
+		result[kind] = count
+	}
+	return result
+}
+
+// Bookings returns, for each booking, the number of successful answers.
+func (report *Report) Bookings() map[string]int {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	result := make(map[string]int, len(report.bookings))
+	for booking, count := range report.bookings {
+		result[booking] = count
+	}
+	return result
+}
+
+// NotRun returns the bookings for which every answer said not-run.
+func (report *Report) NotRun() []string {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	var result []string
+	for booking, only := range report.notRun {
+		if only {
+			result = append(result, booking)
+		}
+	}
+	return result
+}
+
+// Problems returns the first unexpected answers in words.
+func (report *Report) Problems() []string {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	return append([]string(nil), report.problems...)
+}
+
+// entry returns the series of a request; the caller holds the lock.
+func (report *Report) entry(request request) *Series {
+	key := SeriesKey{Organisation: request.organisation.Name, Kind: request.kind}
+	series, ok := report.series[key]
+	if !ok {
+		series = &Series{FirstToken: telem.NewHistogram(), Gaps: telem.NewHistogram()}
+		report.series[key] = series
+	}
+	return series
+}
+
+func (report *Report) addBooking(name string, answer *answer) {
+	if answer.complete {
+		report.bookings[name]++
+	}
+	if only, seen := report.notRun[name]; !seen || only {
+		report.notRun[name] = answer.refused()
+	}
+}
+
+func (report *Report) addProblem(text string) {
+	if len(report.problems) < maxProblems {
+		report.problems = append(report.problems, text)
+	}
+}
+
+func (report *Report) observe(series *Series, answer *answer) {
+	series.FirstToken.Observe(max(answer.firstToken, time.Microsecond))
+	for _, gap := range answer.gaps {
+		series.Gaps.Observe(gap)
+	}
+}
