--- /dev/null
+++ b/internal/link/engine/plain.go
@@ -0,0 +1,49 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+// PlainRequest is a call of a plain service.
+type PlainRequest struct {
+	RequestID string
+	Method    string
+	// Path is the path with its query, beginning with a slash.
+	Path    string
+	Headers http.Header
+	Body    []byte
+}
+
+// PlainResponse is the answer of a plain service, of any status.
+type PlainResponse struct {
+	Status  int
+	Headers http.Header
+	Body    []byte
+}
+
+// Call sends one call to a plain service. An answer of any status is a response;
+// a fault means that no complete answer came.
+func (client *Client) Call(ctx context.Context, request PlainRequest) (*PlainResponse, error) {
+	if !strings.HasPrefix(request.Path, "/") {
+		return nil, fault.New(fault.BadRequest, fault.NotRun, "path %q does not begin with a slash; correct the call", request.Path)
+	}
+	headers := request.Headers.Clone()
+	if headers == nil {
+		headers = http.Header{}
+	}
+	headers.Set("X-Request-Id", request.RequestID)
+	response, err := client.send(ctx, request.Method, request.Path, headers, request.Body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readBounded(ctx, response.Body, client.maxResponse)
+	if err != nil {
+		return nil, err
+	}
+	return &PlainResponse{Status: response.StatusCode, Headers: response.Header, Body: body}, nil
+}
