--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -99,6 +100,28 @@
 // Upstreams returns all upstreams by id.
 func (config *Config) Upstreams() []UpstreamSpec { return sorted(config.upstreams) }
 
+// AllOrganisations iterates over all organisations in no particular order, without
+// copying them.
+func (config *Config) AllOrganisations() iter.Seq[OrganisationSpec] {
+	return maps.Values(config.organisations)
+}
+
+// AllKeys iterates over all keys in no particular order, without
+// copying them.
+func (config *Config) AllKeys() iter.Seq[KeySpec] { return maps.Values(config.keys) }
+
+// AllRoutes iterates over all routes in no particular order, without
+// copying them.
+func (config *Config) AllRoutes() iter.Seq[RouteSpec] { return maps.Values(config.routes) }
+
+// AllAdapters iterates over all adapters in no particular order, without
+// copying them.
+func (config *Config) AllAdapters() iter.Seq[AdapterSpec] { return maps.Values(config.adapters) }
+
+// AllUpstreams iterates over all upstreams in no particular order, without
+// copying them.
+func (config *Config) AllUpstreams() iter.Seq[UpstreamSpec] { return maps.Values(config.upstreams) }
+
 // Fleet returns the settings that the whole fleet shares.
 func (config *Config) Fleet() FleetSpec { return config.fleet }
 
--- /dev/null
+++ b/internal/wire/codec/record.go
@@ -0,0 +1,98 @@
+package codec
+
+import (
+	"crypto/sha256"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfront.dev/jacinthfront/internal/state/fold"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// Class is the errs class of malformed records and states.
+var Class = errs.Class("codec")
+
+// MaxRecord bounds a log record in bytes.
+const MaxRecord = 1 << 20
+
+// Record is one entry of the stream "config": a patch or a snapshot chunk.
+type Record struct {
+	Patch *patch.Patch
+	Chunk *fold.Chunk
+}
+
+// EncodePatch encodes a patch as a log record.
+func EncodePatch(record patch.Patch) ([]byte, error) {
+	return encodeRecord(&wirepb.Record{Body: &wirepb.Record_Patch{Patch: PatchToWire(record)}})
+}
+
+// EncodeChunk encodes a snapshot chunk as a log record.
+func EncodeChunk(chunk fold.Chunk) ([]byte, error) {
+	return encodeRecord(&wirepb.Record{Body: &wirepb.Record_Chunk{Chunk: ChunkToWire(chunk)}})
+}
+
+func encodeRecord(record *wirepb.Record) ([]byte, error) {
+	data, err := proto.Marshal(record)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	if len(data) > MaxRecord {
+		return nil, Class.New("the record has %d bytes, at most %d are admitted; split the patch", len(data), MaxRecord)
+	}
+	return data, nil
+}
+
+// DecodeRecord decodes a log record. A malformed one is void in every process,
+// so the decision depends on the bytes alone.
+func DecodeRecord(data []byte) (Record, error) {
+	if len(data) > MaxRecord {
+		return Record{}, Class.New("the record has %d bytes, at most %d are admitted", len(data), MaxRecord)
+	}
+	var wire wirepb.Record
+	if err := proto.Unmarshal(data, &wire); err != nil {
+		return Record{}, Class.Wrap(err)
+	}
+	switch body := wire.GetBody().(type) {
+	case *wirepb.Record_Patch:
+		record := PatchFromWire(body.Patch)
+		return Record{Patch: &record}, nil
+	case *wirepb.Record_Chunk:
+		chunk, err := ChunkFromWire(body.Chunk)
+		return Record{Chunk: &chunk}, err
+	default:
+		return Record{}, Class.New("the record is neither a patch nor a snapshot chunk")
+	}
+}
+
+// ChunkToWire converts a snapshot chunk.
+func ChunkToWire(chunk fold.Chunk) *wirepb.SnapshotChunk {
+	return &wirepb.SnapshotChunk{
+		Version: chunk.Version,
+		Digest:  chunk.Digest[:],
+		Index:   chunk.Index,
+		Count:   chunk.Count,
+		Data:    chunk.Data,
+		Next:    chunk.Next,
+	}
+}
+
+// ChunkFromWire converts a snapshot chunk and refuses inconsistent numbers.
+func ChunkFromWire(wire *wirepb.SnapshotChunk) (fold.Chunk, error) {
+	if len(wire.GetDigest()) != sha256.Size {
+		return fold.Chunk{}, Class.New("the snapshot chunk has a digest of %d bytes", len(wire.GetDigest()))
+	}
+	chunk := fold.Chunk{
+		Version: wire.GetVersion(),
+		Digest:  [sha256.Size]byte(wire.GetDigest()),
+		Index:   wire.GetIndex(),
+		Count:   wire.GetCount(),
+		Data:    wire.GetData(),
+		Next:    wire.GetNext(),
+	}
+	if !chunk.Valid() {
+		return fold.Chunk{}, Class.New("snapshot chunk %d of %d of version %d is inconsistent", chunk.Index, chunk.Count, chunk.Version)
+	}
+	return chunk, nil
+}
--- /dev/null
+++ b/internal/wire/codec/spec.go
@@ -0,0 +1,149 @@
+// Package codec converts the configuration between its model and its wire and
+// JSON forms.
+package codec
+
+import (
+	"math"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+func organisationToWire(organisation model.OrganisationSpec) *wirepb.Organisation {
+	return &wirepb.Organisation{
+		Name:   organisation.Name,
+		Half:   string(organisation.Half),
+		Rate:   int64(organisation.Rate),
+		Burst:  int64(organisation.Burst),
+		Shards: organisation.Shards,
+	}
+}
+
+func organisationFromWire(organisation *wirepb.Organisation) model.OrganisationSpec {
+	return model.OrganisationSpec{
+		Name:   organisation.GetName(),
+		Half:   model.Half(organisation.GetHalf()),
+		Rate:   model.Tokens(organisation.GetRate()),
+		Burst:  model.Tokens(organisation.GetBurst()),
+		Shards: organisation.GetShards(),
+	}
+}
+
+func keyToWire(key model.KeySpec) *wirepb.Key {
+	return &wirepb.Key{Id: key.ID, Organisation: key.Organisation, Salt: key.Salt, Digest: key.Digest[:]}
+}
+
+// keyFromWire leaves the digest empty, which patches refuse, when it does not
+// have the right length.
+func keyFromWire(key *wirepb.Key) model.KeySpec {
+	spec := model.KeySpec{ID: key.GetId(), Organisation: key.GetOrganisation(), Salt: key.GetSalt()}
+	if len(key.GetDigest()) == model.DigestSize {
+		copy(spec.Digest[:], key.GetDigest())
+	}
+	return spec
+}
+
+func routeToWire(route model.RouteSpec) *wirepb.Route {
+	return &wirepb.Route{
+		Name:             route.Name,
+		Service:          route.Service,
+		Plain:            route.Plain,
+		PathPrefix:       route.PathPrefix,
+		Methods:          route.Methods,
+		Class:            wirepb.Class(route.Class),
+		LongestWaitUs:    route.LongestWait.Microseconds(),
+		Idempotent:       route.Idempotent,
+		Open:             route.Open,
+		DefaultMaxTokens: int64(route.DefaultMaxTokens),
+		Cost:             int64(route.Cost),
+	}
+}
+
+func routeFromWire(route *wirepb.Route) model.RouteSpec {
+	return model.RouteSpec{
+		Name:             route.GetName(),
+		Service:          route.GetService(),
+		Plain:            route.GetPlain(),
+		PathPrefix:       route.GetPathPrefix(),
+		Methods:          route.GetMethods(),
+		Class:            classFromWire(route.GetClass()),
+		LongestWait:      microseconds(route.GetLongestWaitUs()),
+		Idempotent:       route.GetIdempotent(),
+		Open:             route.GetOpen(),
+		DefaultMaxTokens: model.Tokens(route.GetDefaultMaxTokens()),
+		Cost:             model.Tokens(route.GetCost()),
+	}
+}
+
+// classFromWire keeps classes that do not fit the model's type out of range,
+// so that patches refuse them.
+func classFromWire(class wirepb.Class) model.Class {
+	if class < 0 || class > math.MaxUint8 {
+		return math.MaxUint8
+	}
+	return model.Class(class)
+}
+
+// microseconds converts a duration; one that overflows stays out of range, so
+// that patches refuse it.
+func microseconds(count int64) time.Duration {
+	if count > math.MaxInt64/int64(time.Microsecond) || count < 0 {
+		return -1
+	}
+	return time.Duration(count) * time.Microsecond
+}
+
+func adapterToWire(adapter model.AdapterSpec) *wirepb.Adapter {
+	return &wirepb.Adapter{
+		Name:           adapter.Name,
+		Organisation:   adapter.Organisation,
+		Service:        adapter.Service,
+		Versions:       adapter.Versions,
+		DefaultVersion: adapter.DefaultVersion,
+	}
+}
+
+func adapterFromWire(adapter *wirepb.Adapter) model.AdapterSpec {
+	return model.AdapterSpec{
+		Name:           adapter.GetName(),
+		Organisation:   adapter.GetOrganisation(),
+		Service:        adapter.GetService(),
+		Versions:       adapter.GetVersions(),
+		DefaultVersion: adapter.GetDefaultVersion(),
+	}
+}
+
+func upstreamToWire(upstream model.UpstreamSpec) *wirepb.Upstream {
+	return &wirepb.Upstream{
+		Id:             upstream.ID,
+		Service:        upstream.Service,
+		Plain:          upstream.Plain,
+		Half:           string(upstream.Half),
+		FailureDomain:  upstream.FailureDomain,
+		FencingChecked: upstream.FencingChecked,
+	}
+}
+
+func upstreamFromWire(upstream *wirepb.Upstream) model.UpstreamSpec {
+	return model.UpstreamSpec{
+		ID:             upstream.GetId(),
+		Service:        upstream.GetService(),
+		Plain:          upstream.GetPlain(),
+		Half:           model.Half(upstream.GetHalf()),
+		FailureDomain:  upstream.GetFailureDomain(),
+		FencingChecked: upstream.GetFencingChecked(),
+	}
+}
+
+func fleetToWire(fleet model.FleetSpec) *wirepb.Fleet {
+	return &wirepb.Fleet{LoadRateMilli: fleet.LoadRateMilli, LoadBurst: fleet.LoadBurst, LoadShards: fleet.LoadShards}
+}
+
+func fleetFromWire(fleet *wirepb.Fleet) model.FleetSpec {
+	return model.FleetSpec{
+		LoadRateMilli: fleet.GetLoadRateMilli(),
+		LoadBurst:     fleet.GetLoadBurst(),
+		LoadShards:    fleet.GetLoadShards(),
+	}
+}
--- /dev/null
+++ b/internal/wire/codec/state.go
@@ -0,0 +1,155 @@
+package codec
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfront.dev/jacinthfront/internal/state/fold"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// Field numbers of wirepb.State.
+const (
+	stateVersion       protowire.Number = 1
+	stateOffset        protowire.Number = 2
+	stateOrganisations protowire.Number = 3
+	stateKeys          protowire.Number = 4
+	stateRoutes        protowire.Number = 5
+	stateAdapters      protowire.Number = 6
+	stateUpstreams     protowire.Number = 7
+	stateFleet         protowire.Number = 8
+	stateAccepted      protowire.Number = 10
+)
+
+// EncodeState encodes a state as a wirepb.State, entry by entry, so that no
+// second copy of the whole configuration is built. Equal states have equal
+// encodings.
+func EncodeState(state fold.State) ([]byte, error) {
+	config := state.Config
+	encoder := encoder{}
+	encoder.varint(stateVersion, config.Version())
+	encoder.varint(stateOffset, state.Offset)
+	for _, organisation := range config.Organisations() {
+		encoder.message(stateOrganisations, organisationToWire(organisation))
+	}
+	for _, key := range config.Keys() {
+		encoder.message(stateKeys, keyToWire(key))
+	}
+	for _, route := range config.Routes() {
+		encoder.message(stateRoutes, routeToWire(route))
+	}
+	for _, adapter := range config.Adapters() {
+		encoder.message(stateAdapters, adapterToWire(adapter))
+	}
+	for _, upstream := range config.Upstreams() {
+		encoder.message(stateUpstreams, upstreamToWire(upstream))
+	}
+	encoder.message(stateFleet, fleetToWire(config.Fleet()))
+	for _, id := range state.Accepted {
+		encoder.data = protowire.AppendTag(encoder.data, stateAccepted, protowire.BytesType)
+		encoder.data = protowire.AppendString(encoder.data, id)
+	}
+	return encoder.data, encoder.err
+}
+
+type encoder struct {
+	data []byte
+	err  error
+}
+
+func (encoder *encoder) varint(field protowire.Number, value uint64) {
+	encoder.data = protowire.AppendTag(encoder.data, field, protowire.VarintType)
+	encoder.data = protowire.AppendVarint(encoder.data, value)
+}
+
+func (encoder *encoder) message(field protowire.Number, message proto.Message) {
+	if encoder.err != nil {
+		return
+	}
+	options := proto.MarshalOptions{Deterministic: true}
+	encoder.data = protowire.AppendTag(encoder.data, field, protowire.BytesType)
+	encoder.data = protowire.AppendVarint(encoder.data, uint64(options.Size(message)))
+	data, err := options.MarshalAppend(encoder.data, message)
+	encoder.data, encoder.err = data, Class.Wrap(err)
+}
+
+// DecodeState decodes a state, entry by entry.
+func DecodeState(data []byte) (fold.State, error) {
+	decoder := decoder{editor: model.New().Edit()}
+	for len(data) > 0 {
+		field, kind, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return fold.State{}, Class.Wrap(protowire.ParseError(size))
+		}
+		value := protowire.ConsumeFieldValue(field, kind, data[size:])
+		if value < 0 {
+			return fold.State{}, Class.Wrap(protowire.ParseError(value))
+		}
+		if err := decoder.field(field, kind, data[size:size+value]); err != nil {
+			return fold.State{}, err
+		}
+		data = data[size+value:]
+	}
+	if uint64(len(decoder.accepted)) > min(decoder.version, fold.Remembered) {
+		return fold.State{}, Class.New("version %d cannot have %d accepted patches", decoder.version, len(decoder.accepted))
+	}
+	return fold.State{
+		Config: decoder.editor.Commit(decoder.version), Offset: decoder.offset, Accepted: decoder.accepted,
+	}, nil
+}
+
+type decoder struct {
+	editor   *model.Editor
+	version  uint64
+	offset   uint64
+	accepted []string
+}
+
+func (decoder *decoder) field(field protowire.Number, kind protowire.Type, value []byte) error {
+	switch kind {
+	case protowire.VarintType:
+		number, _ := protowire.ConsumeVarint(value)
+		switch field {
+		case stateVersion:
+			decoder.version = number
+		case stateOffset:
+			decoder.offset = number
+		}
+		return nil
+	case protowire.BytesType:
+		content, _ := protowire.ConsumeBytes(value)
+		return decoder.entry(field, content)
+	default:
+		return nil
+	}
+}
+
+func (decoder *decoder) entry(field protowire.Number, content []byte) error {
+	editor := decoder.editor
+	switch field {
+	case stateOrganisations:
+		return entry(content, &wirepb.Organisation{}, organisationFromWire, editor.PutOrganisation)
+	case stateKeys:
+		return entry(content, &wirepb.Key{}, keyFromWire, editor.PutKey)
+	case stateRoutes:
+		return entry(content, &wirepb.Route{}, routeFromWire, editor.PutRoute)
+	case stateAdapters:
+		return entry(content, &wirepb.Adapter{}, adapterFromWire, editor.PutAdapter)
+	case stateUpstreams:
+		return entry(content, &wirepb.Upstream{}, upstreamFromWire, editor.PutUpstream)
+	case stateFleet:
+		return entry(content, &wirepb.Fleet{}, fleetFromWire, editor.PutFleet)
+	case stateAccepted:
+		decoder.accepted = append(decoder.accepted, string(content))
+	}
+	return nil
+}
+
+func entry[W proto.Message, T any](content []byte, wire W, convert func(W) T, put func(T)) error {
+	if err := proto.Unmarshal(content, wire); err != nil {
+		return Class.Wrap(err)
+	}
+	put(convert(wire))
+	return nil
+}
