--- /dev/null
+++ b/internal/bench/model/config.go
@@ -0,0 +1,94 @@
+package model
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Weights is where an engine gets adapters from.
+type Weights interface {
+	Fetch(ctx context.Context, adapter string, version uint32) error
+}
+
+// How an engine treats fencing tokens.
+const (
+	FencingChecked = "checked"
+	FencingIgnored = "ignored"
+)
+
+// What an engine does with an order to unload an adapter in use.
+const (
+	UnloadRefuse  = "refuse"
+	UnloadPerform = "perform"
+)
+
+// Config configures an Engine. DefaultConfig holds the defaults.
+type Config struct {
+	Seed uint64
+	// Weights is the weight store; nil stands for one that takes 250 ms per load.
+	Weights Weights
+	// Slots is the number of adapters that can be loaded.
+	Slots int
+	// BatchLimit is the most requests that run at once; more wait.
+	BatchLimit int
+	// WaitLimit is the most requests that wait; more are refused.
+	WaitLimit int
+
+	// StepBase, StepPerRequest and StepPerAdapter make up the time of a step.
+	StepBase       time.Duration
+	StepPerRequest time.Duration
+	StepPerAdapter time.Duration
+	// PromptTokenTime is the additional time for each prompt token that is not in
+	// the prefix cache; a step processes at most PromptChunk of them.
+	PromptTokenTime time.Duration
+	PromptChunk     int64
+	// CacheBlocks is the size of the prefix cache in blocks of 16 tokens.
+	CacheBlocks int
+
+	// ReportLag is the age of the load figures in GET /v1/state.
+	ReportLag time.Duration
+	// EventLag is the delay of cache events, EventLoss the part that is lost.
+	EventLag  time.Duration
+	EventLoss float64
+
+	// Fencing is FencingChecked or FencingIgnored.
+	Fencing string
+	// UnloadInUse is UnloadRefuse or UnloadPerform.
+	UnloadInUse string
+	// ResumeRetention is how long a request whose connection closed can be
+	// resumed; 0 means never.
+	ResumeRetention time.Duration
+}
+
+// DefaultConfig returns the figures of a small engine.
+func DefaultConfig() Config {
+	return Config{
+		Seed: 1, Slots: 8, BatchLimit: 32, WaitLimit: 1024,
+		StepBase: 20 * time.Millisecond, StepPerRequest: 100 * time.Microsecond, StepPerAdapter: 50 * time.Microsecond,
+		PromptTokenTime: 50 * time.Microsecond, PromptChunk: 512, CacheBlocks: 4096,
+		ReportLag: 200 * time.Millisecond, EventLag: 500 * time.Millisecond, EventLoss: 0.02,
+		Fencing: FencingChecked, UnloadInUse: UnloadRefuse, ResumeRetention: 30 * time.Second,
+	}
+}
+
+// check returns an error that names a value that cannot be used.
+func (config Config) check() error {
+	switch {
+	case config.Slots <= 0 || config.BatchLimit <= 0 || config.WaitLimit < 0:
+		return fmt.Errorf("slots %d, batch limit %d, wait limit %d; write numbers above 0", config.Slots, config.BatchLimit, config.WaitLimit)
+	case config.StepBase <= 0 || config.StepPerRequest < 0 || config.StepPerAdapter < 0 || config.PromptTokenTime < 0:
+		return fmt.Errorf("step times %v, %v, %v, %v; write a base above 0 and others of at least 0", config.StepBase, config.StepPerRequest, config.StepPerAdapter, config.PromptTokenTime)
+	case config.PromptChunk <= 0 || config.CacheBlocks < 0:
+		return fmt.Errorf("prompt chunk %d, cache blocks %d; write a chunk above 0 and a cache of at least 0", config.PromptChunk, config.CacheBlocks)
+	case config.ReportLag < 0 || config.EventLag < 0 || config.ResumeRetention < 0:
+		return fmt.Errorf("report lag %v, event lag %v, resume retention %v; write times of at least 0", config.ReportLag, config.EventLag, config.ResumeRetention)
+	case config.EventLoss < 0 || config.EventLoss > 1:
+		return fmt.Errorf("event loss %v; write a part between 0 and 1", config.EventLoss)
+	case config.Fencing != FencingChecked && config.Fencing != FencingIgnored:
+		return fmt.Errorf("fencing %q; write checked or ignored", config.Fencing)
+	case config.UnloadInUse != UnloadRefuse && config.UnloadInUse != UnloadPerform:
+		return fmt.Errorf("unload in use %q; write refuse or perform", config.UnloadInUse)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/plat/list.go
@@ -0,0 +1,220 @@
+package plat
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// The states of instances.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// The faults of the instance list.
+const (
+	// ModeStale shows the list as it was when the fault began.
+	ModeStale = "stale"
+	// ModeReturning shows removed instances again, with their last state.
+	ModeReturning = "returning"
+)
+
+// Instance is one entry of the instance list.
+type Instance struct {
+	ID            string `json:"id"`
+	Role          string `json:"role"`
+	Upstream      string `json:"upstream,omitempty"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure-domain"`
+	State         string `json:"state"`
+}
+
+// change is one change of the list, seen by readers from a later time on.
+type change struct {
+	visible  time.Time
+	sequence int
+	instance Instance
+	removed  bool
+}
+
+// entry is an instance as readers see it.
+type entry struct {
+	change
+	order int
+}
+
+// instanceList shows changes late. Entries are listed in the order in which
+// they were first announced.
+type instanceList struct {
+	lag, spread time.Duration
+	faults      *Faults
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	sequence int
+	pending  []change
+	entries  map[string]entry
+}
+
+// newInstanceList returns an empty list.
+func newInstanceList(config Config) *instanceList {
+	return &instanceList{
+		lag: config.ListLag, spread: config.ListLagSpread,
+		faults:  NewFaults(config.Seed+2, ModeDown, ModeRefusing, ModeSlow, ModeStale, ModeReturning),
+		random:  rand.New(rand.NewPCG(config.Seed, 2)),
+		entries: map[string]entry{},
+	}
+}
+
+// put records a change.
+func (list *instanceList) put(instance Instance, removed bool) {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	lag := list.lag
+	if list.spread > 0 {
+		lag += time.Duration(list.random.Int64N(int64(list.spread)))
+	}
+	list.sequence++
+	list.pending = append(list.pending, change{time.Now().Add(lag), list.sequence, instance, removed})
+}
+
+// advance makes the changes visible whose time has come. A change never undoes
+// a later one of the same instance.
+func (list *instanceList) advance() {
+	now := time.Now()
+	if since, stale := list.faults.Since(ModeStale); stale {
+		now = since
+	}
+	list.pending = slices.DeleteFunc(list.pending, func(change change) bool {
+		if change.visible.After(now) {
+			return false
+		}
+		list.apply(change)
+		return true
+	})
+}
+
+// apply makes one change visible.
+func (list *instanceList) apply(change change) {
+	id := change.instance.ID
+	known, ok := list.entries[id]
+	if ok && known.sequence > change.sequence {
+		return
+	}
+	order := change.sequence
+	if ok && !known.removed {
+		order = known.order
+	}
+	if change.removed {
+		change.instance = known.instance
+		change.instance.ID = id
+	}
+	list.entries[id] = entry{change, order}
+}
+
+// view returns what readers see.
+func (list *instanceList) view() []Instance {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.advance()
+	shown := make([]entry, 0, len(list.entries))
+	for id, entry := range list.entries {
+		if entry.removed {
+			if _, returns := list.faults.Hit(ModeReturning, id); !returns || entry.instance.Role == "" {
+				continue
+			}
+		}
+		shown = append(shown, entry)
+	}
+	slices.SortFunc(shown, func(a, b entry) int { return cmp.Compare(a.order, b.order) })
+	instances := make([]Instance, 0, len(shown))
+	for _, entry := range shown {
+		instances = append(instances, entry.instance)
+	}
+	return instances
+}
+
+// disturb applies the faults of all calls.
+func (list *instanceList) disturb(writer http.ResponseWriter, request *http.Request) bool {
+	if _, hit := list.faults.Hit(ModeDown, ""); hit {
+		Cut()
+	}
+	if _, hit := list.faults.Hit(ModeRefusing, ""); hit {
+		RefuseFor(writer, http.StatusServiceUnavailable, time.Second, "the instance list is unavailable")
+		return false
+	}
+	if fault, hit := list.faults.Hit(ModeSlow, ""); hit {
+		return Pause(request, time.Duration(fault.Delay))
+	}
+	return true
+}
+
+// serveList handles GET /v1/instances.
+func (list *instanceList) serveList(writer http.ResponseWriter, request *http.Request) {
+	if !list.disturb(writer, request) {
+		return
+	}
+	data, err := json.Marshal(map[string][]Instance{"instances": list.view()})
+	if err != nil {
+		Refuse(writer, http.StatusInternalServerError, "%v", err)
+		return
+	}
+	tag := fmt.Sprintf("\"%016x\"", xxh3.Hash(data))
+	writer.Header().Set("ETag", tag)
+	if request.Header.Get("If-None-Match") == tag {
+		writer.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_, _ = writer.Write(data)
+}
+
+// servePut handles PUT /v1/instances/ID.
+func (list *instanceList) servePut(writer http.ResponseWriter, request *http.Request) {
+	var instance Instance
+	if !Decode(writer, request, &instance) || !list.disturb(writer, request) {
+		return
+	}
+	instance.ID = request.PathValue("id")
+	if err := instance.check(); err != nil {
+		Refuse(writer, http.StatusBadRequest, "instance %q: %v", instance.ID, err)
+		return
+	}
+	list.put(instance, false)
+	Answer(writer, instance)
+}
+
+// check returns an error if a field has no usable value.
+func (instance *Instance) check() error {
+	if instance.State == "" {
+		instance.State = StateLive
+	}
+	switch {
+	case instance.State != StateLive && instance.State != StateLeaving:
+		return fmt.Errorf("state %q; write live or leaving", instance.State)
+	case instance.Role != "entry" && instance.Role != "side":
+		return fmt.Errorf("role %q; write entry or side", instance.Role)
+	case instance.Role == "side" && instance.Upstream == "":
+		return fmt.Errorf("a side process needs its upstream")
+	case instance.Address == "":
+		return fmt.Errorf("the address is missing")
+	}
+	return nil
+}
+
+// serveDelete handles DELETE /v1/instances/ID.
+func (list *instanceList) serveDelete(writer http.ResponseWriter, request *http.Request) {
+	if !list.disturb(writer, request) {
+		return
+	}
+	list.put(Instance{ID: request.PathValue("id")}, true)
+	Answer(writer, map[string]string{"id": request.PathValue("id")})
+}
--- /dev/null
+++ b/internal/bench/plat/loopback.go
@@ -0,0 +1,93 @@
+package plat
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// Loopback is an in-memory network for tests in virtual time.
+type Loopback struct {
+	mutex     sync.Mutex
+	listeners map[string]*loopbackListener
+}
+
+// NewLoopback returns a network without listeners.
+func NewLoopback() *Loopback {
+	return &Loopback{listeners: map[string]*loopbackListener{}}
+}
+
+// Listen binds an address until the listener is closed.
+func (loopback *Loopback) Listen(address string) (net.Listener, error) {
+	loopback.mutex.Lock()
+	defer loopback.mutex.Unlock()
+	if _, bound := loopback.listeners[address]; bound {
+		return nil, fmt.Errorf("address %s is in use", address)
+	}
+	listener := &loopbackListener{loopback: loopback, address: address, connections: make(chan net.Conn), closed: make(chan struct{})}
+	loopback.listeners[address] = listener
+	return listener, nil
+}
+
+// DialContext connects to an address; the network name is not used. It is
+// refused when nobody listens.
+func (loopback *Loopback) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	loopback.mutex.Lock()
+	listener, bound := loopback.listeners[address]
+	loopback.mutex.Unlock()
+	if !bound {
+		return nil, fmt.Errorf("dial %s: connection refused", address)
+	}
+	near, far := net.Pipe()
+	select {
+	case listener.connections <- far:
+		return near, nil
+	case <-listener.closed:
+		return nil, fmt.Errorf("dial %s: connection refused", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// loopbackListener hands one end of each pipe to its server.
+type loopbackListener struct {
+	loopback    *Loopback
+	address     string
+	connections chan net.Conn
+	once        sync.Once
+	closed      chan struct{}
+}
+
+// Accept implements net.Listener.
+func (listener *loopbackListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-listener.connections:
+		return connection, nil
+	case <-listener.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener and frees the address.
+func (listener *loopbackListener) Close() error {
+	listener.once.Do(func() {
+		listener.loopback.mutex.Lock()
+		delete(listener.loopback.listeners, listener.address)
+		listener.loopback.mutex.Unlock()
+		close(listener.closed)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (listener *loopbackListener) Addr() net.Addr { return loopbackAddress(listener.address) }
+
+// loopbackAddress is the address of a listener.
+type loopbackAddress string
+
+// Network implements net.Addr.
+func (loopbackAddress) Network() string { return "loopback" }
+
+// String implements net.Addr.
+func (address loopbackAddress) String() string { return string(address) }
--- /dev/null
+++ b/internal/bench/plat/plat.go
@@ -0,0 +1,167 @@
+// Package plat stands in for the platform: its log service, weight store and
+// instance list. It serves the protocols of section 14 of the design page.
+package plat
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Config configures a Platform. DefaultConfig holds the defaults.
+type Config struct {
+	Seed uint64
+	// Retention is the age at which records of the log expire.
+	Retention time.Duration
+	// AppendRate limits appends per second over all streams.
+	AppendRate float64
+	// LoadRate limits the loads started per second, LoadBurst those at once.
+	LoadRate  float64
+	LoadBurst int
+	// LoadTime is the duration of a load while at most LoadsAtFullSpeed are in
+	// flight.
+	LoadTime         time.Duration
+	LoadsAtFullSpeed int
+	// ListLag is the least time after which a change of the instance list can be
+	// seen; ListLagSpread is the range of what each change takes longer.
+	ListLag, ListLagSpread time.Duration
+}
+
+// DefaultConfig returns the figures of section 1 of the design page.
+func DefaultConfig() Config {
+	return Config{
+		Seed: 1, Retention: 7 * 24 * time.Hour, AppendRate: 300,
+		LoadRate: 3, LoadBurst: 8, LoadTime: 250 * time.Millisecond, LoadsAtFullSpeed: 8,
+		ListLag: 500 * time.Millisecond,
+	}
+}
+
+// check returns an error that names a value that cannot be used.
+func (config Config) check() error {
+	switch {
+	case config.Retention <= 0:
+		return fmt.Errorf("retention %v; write a time above 0", config.Retention)
+	case config.AppendRate <= 0:
+		return fmt.Errorf("append rate %v; write a rate above 0", config.AppendRate)
+	case config.LoadRate <= 0 || config.LoadBurst <= 0:
+		return fmt.Errorf("load rate %v with burst %d; write values above 0", config.LoadRate, config.LoadBurst)
+	case config.LoadTime <= 0 || config.LoadsAtFullSpeed <= 0:
+		return fmt.Errorf("load time %v for up to %d loads; write values above 0", config.LoadTime, config.LoadsAtFullSpeed)
+	case config.ListLag < 0 || config.ListLagSpread < 0:
+		return fmt.Errorf("list lag %v with spread %v; write times of at least 0", config.ListLag, config.ListLagSpread)
+	}
+	return nil
+}
+
+// Platform is an http.Handler for all three services.
+type Platform struct {
+	mux    *http.ServeMux
+	counts *counts
+	log    *logService
+	store  *weightStore
+	list   *instanceList
+}
+
+// New returns a Platform without records and instances.
+func New(config Config) (*Platform, error) {
+	if err := config.check(); err != nil {
+		return nil, fmt.Errorf("platform stand-in: %w", err)
+	}
+	counts := &counts{}
+	platform := &Platform{
+		mux: http.NewServeMux(), counts: counts,
+		log: newLogService(config, counts), store: newWeightStore(config, counts), list: newInstanceList(config),
+	}
+	platform.mux.HandleFunc("POST /v1/streams/{name}/records", platform.log.serveAppend)
+	platform.mux.HandleFunc("GET /v1/streams/{name}/records", platform.log.serveRead)
+	platform.mux.HandleFunc("GET /v1/weights/{adapter}/{version}", platform.store.serve)
+	platform.mux.HandleFunc("GET /v1/instances", platform.list.serveList)
+	platform.mux.HandleFunc("PUT /v1/instances/{id}", platform.list.servePut)
+	platform.mux.HandleFunc("DELETE /v1/instances/{id}", platform.list.serveDelete)
+	platform.mux.HandleFunc("POST /control", platform.serveControl)
+	platform.mux.HandleFunc("GET /observed", func(writer http.ResponseWriter, _ *http.Request) {
+		Answer(writer, platform.Observed())
+	})
+	return platform, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (platform *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	platform.mux.ServeHTTP(writer, request)
+}
+
+// Fetch loads an adapter from the weight store without HTTP.
+func (platform *Platform) Fetch(ctx context.Context, adapter string, version uint32) error {
+	return platform.store.fetch(ctx, adapter, version)
+}
+
+// Append adds a record to a stream without HTTP, rate limit and faults.
+func (platform *Platform) Append(stream string, data []byte) uint64 {
+	return platform.log.append(stream, slices.Clone(data))
+}
+
+// Records returns the records that a stream holds.
+func (platform *Platform) Records(stream string) []Record {
+	platform.log.mutex.Lock()
+	defer platform.log.mutex.Unlock()
+	return slices.Clone(platform.log.open(stream).records)
+}
+
+// Announce adds or changes an instance, seen after the lag.
+func (platform *Platform) Announce(instance Instance) error {
+	if err := instance.check(); err != nil {
+		return fmt.Errorf("instance %q: %w", instance.ID, err)
+	}
+	platform.list.put(instance, false)
+	return nil
+}
+
+// Remove removes an instance, seen after the lag.
+func (platform *Platform) Remove(id string) { platform.list.put(Instance{ID: id}, true) }
+
+// Instances returns the list as readers see it now.
+func (platform *Platform) Instances() []Instance { return platform.list.view() }
+
+// Control sets faults; nil parts keep theirs.
+type Control struct {
+	Log   *Fault `json:"log,omitempty"`
+	Store *Fault `json:"store,omitempty"`
+	List  *Fault `json:"list,omitempty"`
+}
+
+// Control sets the faults of all parts or, if one cannot be set, of none.
+func (platform *Platform) Control(control Control) error {
+	parts := []struct {
+		name   string
+		faults *Faults
+		fault  *Fault
+	}{
+		{"log", platform.log.faults, control.Log},
+		{"store", platform.store.faults, control.Store},
+		{"list", platform.list.faults, control.List},
+	}
+	for _, part := range parts {
+		if err := part.faults.Check(part.fault); err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+	}
+	for _, part := range parts {
+		part.faults.Set(part.fault)
+	}
+	return nil
+}
+
+// serveControl handles POST /control.
+func (platform *Platform) serveControl(writer http.ResponseWriter, request *http.Request) {
+	var control Control
+	if !Decode(writer, request, &control) {
+		return
+	}
+	if err := platform.Control(control); err != nil {
+		Refuse(writer, http.StatusBadRequest, "%v", err)
+		return
+	}
+	Answer(writer, control)
+}
