--- a/internal/state/patch/service.go
+++ b/internal/state/patch/service.go
@@ -66,7 +66,7 @@
 	return nil
 }
 
-func (op PutRoute) apply(draft *draft) *Problem {
+func (op PutRoute) apply(draft *draft) *Problem { //nolint:unparam // Op requires the result
 	current, exists := draft.now().Route(op.Route.Name)
 	draft.topology = draft.topology || !exists || current.Service != op.Route.Service
 	draft.editor.PutRoute(op.Route)
@@ -110,7 +110,7 @@
 	return nil
 }
 
-func (op PutAdapter) apply(draft *draft) *Problem {
+func (op PutAdapter) apply(draft *draft) *Problem { //nolint:unparam // Op requires the result
 	draft.editor.PutAdapter(op.Adapter)
 	return nil
 }
--- a/internal/state/patch/upstream.go
+++ b/internal/state/patch/upstream.go
@@ -36,7 +36,7 @@
 
 func (op RemoveUpstream) apply(draft *draft) *Problem {
 	_, exists := draft.now().Upstream(op.ID)
-	if !exists && !(op.Ended && draft.hosts(op.ID)) {
+	if !exists && (!op.Ended || !draft.hosts(op.ID)) {
 		return refuse("id", "upstream %q does not exist", op.ID)
 	}
 	draft.editor.RemoveUpstream(op.ID)
@@ -121,9 +121,7 @@
 			}
 		}
 	}
-	slices.SortFunc(missing, func(left, right served) int {
-		return compareServed(left, right)
-	})
+	slices.SortFunc(missing, compareServed)
 	return slices.Compact(missing)
 }
 
