Add entry instance with relaying, retries and a rotating policy

Cause: callers had no interface; the whole path from HTTP to a side process was missing. Change: internal/daemon/entry serves the model endpoints, plain services, /v1/models and /v1/requests/ID, relays Run streams and retries within a budget. internal/flow/route defines Policy with a round-robin baseline, internal/flow/place the adapter hash and the rendezvous order.

--- a/internal/base/fault/kinds.go
+++ b/internal/base/fault/kinds.go
@@ -4,6 +4,9 @@
 const (
 	BadRequest           Kind = "bad-request"
 	BodyTooLarge         Kind = "body-too-large"
+	HeadersTooLarge      Kind = "headers-too-large"
+	BodyTimeout          Kind = "body-timeout"
+	MethodNotAllowed     Kind = "method-not-allowed"
 	Unauthenticated      Kind = "unauthenticated"
 	KeyInRequest         Kind = "key-in-request"
 	KeyWithdrawn         Kind = "key-withdrawn"
@@ -34,6 +37,9 @@
 var statuses = map[Kind]int{
 	BadRequest:           400,
 	BodyTooLarge:         413,
+	HeadersTooLarge:      431,
+	BodyTimeout:          408,
+	MethodNotAllowed:     405,
 	Unauthenticated:      401,
 	KeyInRequest:         400,
 	KeyWithdrawn:         401,
--- /dev/null
+++ b/internal/daemon/entry/choose.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/place"
+	"jacinthfront.dev/jacinthfront/internal/flow/route"
+)
+
+// nextAttempt chooses the upstream of the next attempt.
+func (job *job) nextAttempt(number uint32) (*attempt, *fault.Fault) {
+	entry := job.exchange.entry
+	// An upstream whose side process vanishes from the instance list between
+	// two refreshes is chosen once and then avoided.
+	for range entry.config.Limits.Attempts {
+		decision, ok := job.choose()
+		if !ok {
+			entry.config.Counters.Add("no-upstream", 1)
+			return nil, noUpstream(job.service.name)
+		}
+		instance, ok := entry.config.Roster.Side(decision.Upstream)
+		if !ok {
+			job.service.policy.Ended(decision.Upstream)
+			job.tried = append(job.tried, decision.Upstream)
+			job.rank++
+			continue
+		}
+		job.place(decision.Upstream)
+		job.logDecision(&decision, number)
+		return &attempt{
+			job:         job,
+			number:      number,
+			upstream:    decision.Upstream,
+			address:     instance.Address,
+			incarnation: job.expected(&decision),
+			from:        job.next,
+		}, nil
+	}
+	return nil, noUpstream(job.service.name)
+}
+
+// expected returns the incarnation that the attempt is bound to. Work that may
+// run twice accepts any.
+func (job *job) expected(decision *route.Decision) uint64 {
+	if job.idempotent() {
+		return 0
+	}
+	return decision.Incarnation
+}
+
+func (job *job) choose() (route.Decision, bool) {
+	now := time.Now()
+	job.routing.Avoid = job.tried
+	if len(job.claim) > 0 {
+		return job.chooseByClaim(now)
+	}
+	if job.resumeAt != "" {
+		pinned := job.routing
+		pinned.Only, pinned.Avoid = job.resumeAt, nil
+		if decision, ok := job.service.policy.Choose(now, pinned); ok {
+			return decision, true
+		}
+	}
+	return job.service.policy.Choose(now, job.routing)
+}
+
+// chooseByClaim takes the first usable upstream in the rendezvous order of the
+// Idempotency-Key, so that copies of a request meet.
+func (job *job) chooseByClaim(now time.Time) (route.Decision, bool) {
+	var ids []string
+	for _, spec := range job.service.specs {
+		if spec.Half.Shares(job.routing.Half) {
+			ids = append(ids, spec.ID)
+		}
+	}
+	for ; ; job.rank++ {
+		index := place.Rendezvous(job.claim, ids, job.rank)
+		if index < 0 {
+			return route.Decision{}, false
+		}
+		pinned := job.routing
+		pinned.Only, pinned.Avoid = ids[index], nil
+		if decision, ok := job.service.policy.Choose(now, pinned); ok {
+			return decision, true
+		}
+	}
+}
+
+// place notes where the request goes. The first upstream becomes a part of the
+// request id, so that any instance can ask it for the outcome.
+func (job *job) place(upstream string) {
+	exchange := job.exchange
+	if !exchange.placed {
+		exchange.placed = true
+		exchange.id += "-" + placeMark(upstream)
+	}
+	if !job.idempotent() {
+		exchange.entry.places.add(exchange.id, upstream)
+	}
+}
+
+// placeMark returns the part of a request id that stands for an upstream.
+func placeMark(upstream string) string {
+	return fmt.Sprintf("%08x", uint32(xxh3.HashString(upstream)))
+}
+
+// alternatives writes the scores of a decision to the log.
+type alternatives []route.Alternative
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (alternatives alternatives) MarshalLogArray(encoder zapcore.ArrayEncoder) error {
+	for _, alternative := range alternatives {
+		encoder.AppendString(fmt.Sprintf("%s=%.1f", alternative.Upstream, alternative.Score))
+	}
+	return nil
+}
+
+func (job *job) logDecision(decision *route.Decision, number uint32) {
+	exchange := job.exchange
+	exchange.entry.config.Counters.Add("decisions-"+decision.Reason.String(), 1)
+	exchange.entry.config.Logger.Info("route: chose upstream",
+		zap.String("request-id", exchange.id),
+		zap.Uint32("attempt", number),
+		zap.String("upstream", decision.Upstream),
+		zap.Stringer("reason", decision.Reason),
+		zap.Array("scores", alternatives(decision.Alternatives())),
+		zap.String("adapter", exchange.adapter),
+		zap.Uint32("version", exchange.version),
+		zap.String("organisation", exchange.organisation.Name),
+	)
+}
--- /dev/null
+++ b/internal/daemon/entry/entry.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+// Entry is an entry instance.
+type Entry struct {
+	config   Config
+	server   *http.Server
+	fleet    *fleet
+	places   *memory
+	inFlight atomic.Int64
+	draining atomic.Bool
+	// background counts cancellations that outlive their requests.
+	background sync.WaitGroup
+}
+
+// New returns an Entry.
+func New(config Config) (*Entry, error) {
+	if err := config.complete(); err != nil {
+		return nil, err
+	}
+	entry := &Entry{config: config, fleet: newFleet(&config), places: newMemory(memorySize)}
+	handler, err := entry.handler()
+	if err != nil {
+		return nil, err
+	}
+	entry.server = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: config.Limits.HeaderTime,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    config.Limits.Headers,
+	}
+	entry.fleet.update()
+	return entry, nil
+}
+
+// Serve serves callers on the listener until Drain or the end of ctx.
+func (entry *Entry) Serve(ctx context.Context, listener net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go entry.fleet.run(ctx, entry.config.Refresh)
+	stop := context.AfterFunc(ctx, func() { _ = entry.server.Close() })
+	defer stop()
+	err := entry.server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Ready reports whether the load balancer may send requests.
+func (entry *Entry) Ready() bool {
+	return !entry.draining.Load() && entry.config.Configs.Current().Version() > 0
+}
+
+// Drain makes the instance unready, keeps serving until the load balancer has
+// noticed, and then waits for the requests in flight, within the drain limit.
+func (entry *Entry) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, entry.config.Limits.Drain)
+	defer cancel()
+	entry.draining.Store(true)
+	entry.server.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(entry.config.Limits.DrainDelay):
+	case <-ctx.Done():
+	}
+	err := entry.server.Shutdown(ctx)
+	if err != nil {
+		_ = entry.server.Close()
+	}
+	entry.background.Wait()
+	return err
+}
+
+// admit takes one of the places for requests in flight.
+func (entry *Entry) admit() *fault.Fault {
+	if entry.inFlight.Add(1) > int64(entry.config.Limits.InFlight) {
+		entry.inFlight.Add(-1)
+		entry.config.Counters.Add("refused-in-flight", 1)
+		return fault.New(fault.Overloaded, fault.NotRun,
+			"this instance serves as many requests as it may; come back after the time in Retry-After").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+func (entry *Entry) leave() { entry.inFlight.Add(-1) }
--- /dev/null
+++ b/internal/daemon/entry/fleet.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// service is the view of one service's upstreams.
+type service struct {
+	name   string
+	policy route.Policy
+	health Health
+	specs  []model.UpstreamSpec
+	ids    []string
+}
+
+// fleet keeps the policies' members in step with the configuration and the
+// instance list.
+type fleet struct {
+	config *Config
+
+	mutex    sync.RWMutex
+	current  *model.Config
+	services map[string]*service
+}
+
+func newFleet(config *Config) *fleet {
+	fleet := &fleet{config: config, services: map[string]*service{}}
+	return fleet
+}
+
+// run updates the members until ctx ends.
+func (fleet *fleet) run(ctx context.Context, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			fleet.update()
+		}
+	}
+}
+
+func (fleet *fleet) service(name string) (*service, bool) {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	service, ok := fleet.services[name]
+	return service, ok
+}
+
+func (fleet *fleet) update() {
+	current := fleet.config.Configs.Current()
+	fleet.mutex.Lock()
+	if current != fleet.current {
+		fleet.current = current
+		fleet.regroup(current)
+	}
+	services := make([]*service, 0, len(fleet.services))
+	for _, service := range fleet.services {
+		services = append(services, service)
+	}
+	fleet.mutex.Unlock()
+	for _, service := range services {
+		service.policy.SetMembers(fleet.members(service))
+	}
+}
+
+// regroup sorts the configured upstreams by service.
+func (fleet *fleet) regroup(current *model.Config) {
+	groups := map[string][]model.UpstreamSpec{}
+	for _, upstream := range current.Upstreams() {
+		groups[upstream.Service] = append(groups[upstream.Service], upstream)
+	}
+	next := map[string]*service{}
+	for name, specs := range groups {
+		group := &service{name: name, specs: specs}
+		if old, ok := fleet.services[name]; ok {
+			group.policy, group.health = old.policy, old.health
+		} else {
+			group.health = fleet.config.NewHealth(name)
+			group.policy = fleet.config.NewPolicy(name, specs[0].Plain, group.health)
+		}
+		for _, spec := range specs {
+			group.ids = append(group.ids, spec.ID)
+		}
+		next[name] = group
+	}
+	fleet.services = next
+}
+
+func (fleet *fleet) members(service *service) []route.Member {
+	members := make([]route.Member, 0, len(service.specs))
+	for _, spec := range service.specs {
+		instance, listed := fleet.config.Roster.Side(spec.ID)
+		members = append(members, route.Member{
+			ID:            spec.ID,
+			FailureDomain: spec.FailureDomain,
+			Half:          spec.Half,
+			Leaving:       !listed || instance.Leaving,
+		})
+	}
+	return members
+}
--- /dev/null
+++ b/internal/daemon/entry/http.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+// serve handles one exchange. A returned fault is written as the answer unless
+// the answer has begun.
+type serve func(*exchange) *fault.Fault
+
+// handler returns the HTTP interface of callers.
+func (entry *Entry) handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithConfiguration(iris.Configuration{
+		DisableStartupLog:         true,
+		DisableInterruptHandler:   true,
+		DisablePathCorrection:     true,
+		DisableAutoFireStatusCode: true,
+		FireMethodNotAllowed:      true,
+	}))
+	for _, prefix := range []string{"/v1", "/routes/{route}/v1"} {
+		app.Post(prefix+"/chat/completions", entry.wrap((*exchange).serveChat))
+		app.Post(prefix+"/completions", entry.wrap((*exchange).serveCompletion))
+		app.Get(prefix+"/models", entry.wrap((*exchange).serveModels))
+	}
+	app.Get("/v1/requests/{id}", entry.wrap((*exchange).serveOutcome))
+	app.Any("/services/{path:path}", entry.wrap((*exchange).servePlain))
+	app.OnAnyErrorCode(entry.wrap((*exchange).serveNothing))
+	if err := app.Build(); err != nil {
+		return nil, fault.New(fault.Internal, fault.NotRun, "the HTTP interface does not build: %v; report it", err)
+	}
+	return app, nil
+}
+
+func (entry *Entry) wrap(serve serve) iris.Handler {
+	return func(ctx iris.Context) {
+		exchange := newExchange(entry, ctx)
+		if fault := exchange.guarded(serve); fault != nil {
+			exchange.writeFault(fault)
+		}
+	}
+}
+
+func (exchange *exchange) guarded(serve serve) *fault.Fault {
+	if fault := exchange.entry.admit(); fault != nil {
+		return fault
+	}
+	defer exchange.entry.leave()
+	if fault := exchange.checkTransport(); fault != nil {
+		return fault
+	}
+	return serve(exchange)
+}
+
+// serveNothing answers what no other handler does.
+func (exchange *exchange) serveNothing() *fault.Fault {
+	if exchange.status == http.StatusMethodNotAllowed {
+		return fault.New(fault.MethodNotAllowed, fault.NotRun, "the path does not take this method; the header Allow names those that it does")
+	}
+	return fault.New(fault.UnknownRoute, fault.NotRun,
+		"nothing is served at this path; use /v1/chat/completions, /v1/completions, /v1/models, /routes/ROUTE/v1/... or /services/SERVICE/...")
+}
+
+// routeName returns the route that the path names.
+func (exchange *exchange) routeName() string {
+	rest, named := strings.CutPrefix(exchange.request.URL.Path, "/routes/")
+	if !named {
+		return "default"
+	}
+	name, _, _ := strings.Cut(rest, "/")
+	return name
+}
--- /dev/null
+++ b/internal/daemon/entry/keyscan.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/url"
+	"strings"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+const keyPrefix = "jf_"
+
+// secretLength is the least length of a secret: 32 bytes in unpadded base64.
+const secretLength = 43
+
+// wellFormed reports whether text has the form jf_<id>_<secret>.
+func wellFormed(text string) bool {
+	rest, ok := strings.CutPrefix(text, keyPrefix)
+	return ok && keyLength(rest) == len(rest)
+}
+
+// keyLength returns the length of the id and secret at the start of text, or 0
+// when it does not start with them.
+func keyLength[T string | []byte](text T) int {
+	id := 0
+	for id < len(text) && text[id] != '_' && keyByte(text[id]) {
+		id++
+	}
+	if id == 0 || id == len(text) || text[id] != '_' {
+		return 0
+	}
+	end := id + 1
+	for end < len(text) && keyByte(text[end]) {
+		end++
+	}
+	if end-id-1 < secretLength {
+		return 0
+	}
+	return end
+}
+
+func keyByte(char byte) bool {
+	return char >= '0' && char <= '9' || char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z' || char == '-' || char == '_'
+}
+
+// holdsKey reports whether something of the form of a key occurs in text.
+func holdsKey(text []byte) bool {
+	for {
+		at := bytes.Index(text, []byte(keyPrefix))
+		if at < 0 {
+			return false
+		}
+		text = text[at+len(keyPrefix):]
+		if keyLength(text) > 0 {
+			return true
+		}
+	}
+}
+
+// holdsKeyEncoded also finds keys behind percent encoding.
+func holdsKeyEncoded(text string) bool {
+	if holdsKey([]byte(text)) {
+		return true
+	}
+	for range 3 {
+		if !strings.ContainsRune(text, '%') {
+			return false
+		}
+		plain, err := url.QueryUnescape(text)
+		if err != nil || plain == text {
+			return false
+		}
+		if holdsKey([]byte(plain)) {
+			return true
+		}
+		text = plain
+	}
+	return false
+}
+
+// holdsKeyJSON also finds keys behind JSON escapes.
+func holdsKeyJSON(body []byte) bool {
+	if holdsKey(body) {
+		return true
+	}
+	if !bytes.ContainsRune(body, '\\') {
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	for {
+		token, err := decoder.Token()
+		if err != nil {
+			return false
+		}
+		if text, ok := token.(string); ok && holdsKey([]byte(text)) {
+			return true
+		}
+	}
+}
+
+func keyInRequest(place string) *fault.Fault {
+	return fault.New(fault.KeyInRequest, fault.NotRun,
+		"the %s holds a key; send keys in the header Authorization only, and replace this one", place)
+}
+
+// checkTransport checks what needs no configuration: the size of the headers
+// and keys outside the header Authorization.
+func (exchange *exchange) checkTransport() *fault.Fault {
+	size := 0
+	for name, values := range exchange.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+			if holdsKeyEncoded(name) || name != "Authorization" && holdsKeyEncoded(value) {
+				return keyInRequest("header")
+			}
+		}
+	}
+	if limit := exchange.entry.config.Limits.Headers; size > limit {
+		return fault.New(fault.HeadersTooLarge, fault.NotRun, "the headers exceed %d bytes; send fewer or shorter ones", limit)
+	}
+	if holdsKeyEncoded(exchange.request.URL.RawQuery) {
+		return keyInRequest("query")
+	}
+	if holdsKeyEncoded(exchange.request.URL.EscapedPath()) {
+		return keyInRequest("path")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/entry/ports.go
@@ -0,0 +1,92 @@
+// Package entry is the entry instance: the HTTP interface to callers, the
+// choice of an upstream, relaying, retries and shutdown.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Configs provides the configuration in force.
+type Configs interface {
+	// Current returns the newest configuration, never nil.
+	Current() *model.Config
+	// Isolated reports whether withdrawals may not reach this instance.
+	Isolated() bool
+	// Hint says that another process has shown this version.
+	Hint(version uint64)
+}
+
+// Instance is the side process of an upstream as the instance list shows it.
+type Instance struct {
+	Address string
+	Leaving bool
+}
+
+// Roster provides the side processes.
+type Roster interface {
+	// Side returns the side process of an upstream.
+	Side(upstream string) (Instance, bool)
+}
+
+// Authenticator checks callers' keys.
+type Authenticator interface {
+	// Authenticate returns the key that the secret text belongs to.
+	Authenticate(config *model.Config, key string) (model.KeySpec, bool)
+}
+
+// Conn carries one call to a side process.
+type Conn interface {
+	drpc.Conn
+	// Release gives the connection back.
+	Release()
+}
+
+// Sides opens calls to side processes.
+type Sides interface {
+	Open(ctx context.Context, address string) (Conn, error)
+}
+
+// Budget bounds the retries.
+type Budget interface {
+	// Deposit counts a request.
+	Deposit(now time.Time)
+	// Withdraw takes a retry from the budget if one is left.
+	Withdraw(now time.Time) bool
+	// Backoff returns the jittered pause before the given retry, from 1.
+	Backoff(retry int) time.Duration
+}
+
+// Health records the results of requests to the upstreams of one service.
+type Health interface {
+	route.Health
+	// Succeeded records an answer.
+	Succeeded(upstream string, now time.Time)
+	// Failed records a lost or failed answer.
+	Failed(upstream string, now time.Time)
+}
+
+// Counters counts events by kebab-case names. *expvar.Map implements it.
+type Counters interface {
+	Add(name string, delta int64)
+}
+
+type freeBudget struct{}
+
+func (freeBudget) Deposit(time.Time)         {}
+func (freeBudget) Withdraw(time.Time) bool   { return true }
+func (freeBudget) Backoff(int) time.Duration { return 10 * time.Millisecond }
+
+type noHealth struct{ route.Healthy }
+
+func (noHealth) Succeeded(string, time.Time) {}
+func (noHealth) Failed(string, time.Time)    {}
+
+type noCounters struct{}
+
+func (noCounters) Add(string, int64) {}
--- /dev/null
+++ b/internal/daemon/entry/prompt.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// bytesPerToken is the usual mean for English text in subword vocabularies.
+const bytesPerToken = 4
+
+// prefixBytes is how much of a prompt identifies its beginning: long enough to
+// tell system prompts apart, short enough not to reach the varying part.
+const prefixBytes = 256
+
+// maxTokensLimit bounds max_tokens, so that sums of costs cannot overflow.
+const maxTokensLimit = 1 << 24
+
+// prompt is a validated body of a model endpoint.
+type prompt struct {
+	model        string
+	text         string
+	stream       bool
+	includeUsage bool
+	maxTokens    model.Tokens
+	fields       map[string]json.RawMessage
+}
+
+// completionBody has the fields of the public API that are checked; the others
+// pass unchecked.
+type completionBody struct {
+	Model               *string          `json:"model"`
+	Prompt              json.RawMessage  `json:"prompt"`
+	Messages            []messageBody    `json:"messages"`
+	Stream              bool             `json:"stream"`
+	StreamOptions       *streamOptions   `json:"stream_options"`
+	MaxTokens           *int64           `json:"max_tokens"`
+	MaxCompletionTokens *int64           `json:"max_completion_tokens"`
+	N                   *int64           `json:"n"`
+	BestOf              *int64           `json:"best_of"`
+	Echo                bool             `json:"echo"`
+	Temperature         *float64         `json:"temperature"`
+	TopP                *float64         `json:"top_p"`
+	Seed                *int64           `json:"seed"`
+	User                *string          `json:"user"`
+	Stop                *json.RawMessage `json:"stop"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type messageBody struct {
+	Role    *string         `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func badRequest(format string, args ...any) *fault.Fault {
+	return fault.New(fault.BadRequest, fault.NotRun, format, args...)
+}
+
+// parsePrompt validates the body of a chat or text completion.
+func parsePrompt(data []byte, chat bool) (*prompt, *fault.Fault) {
+	var body completionBody
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil || fields == nil {
+		return nil, badRequest("the body is not a JSON object; send one with the fields of the public API")
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, badRequest("the field %s has the wrong type; see the public API for its type", wrongField(err))
+	}
+	result := &prompt{fields: fields, stream: body.Stream}
+	result.includeUsage = body.StreamOptions != nil && body.StreamOptions.IncludeUsage
+	if body.Model == nil || *body.Model == "" {
+		return nil, badRequest("the field model is missing; set it to ADAPTER or ADAPTER@VERSION")
+	}
+	result.model = *body.Model
+	if body.N != nil && *body.N != 1 || body.BestOf != nil && *body.BestOf != 1 || body.Echo {
+		return nil, badRequest("only one answer without echo is served; leave out n, best_of and echo")
+	}
+	if fault := result.setMaxTokens(&body); fault != nil {
+		return nil, fault
+	}
+	var fault *fault.Fault
+	if chat {
+		result.text, fault = chatText(body.Messages)
+	} else {
+		result.text, fault = promptText(body.Prompt)
+	}
+	return result, fault
+}
+
+func wrongField(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) && wrong.Field != "" {
+		return wrong.Field
+	}
+	return "(unknown)"
+}
+
+func (prompt *prompt) setMaxTokens(body *completionBody) *fault.Fault {
+	limit := body.MaxTokens
+	if limit == nil {
+		limit = body.MaxCompletionTokens
+	}
+	if limit == nil {
+		return nil
+	}
+	if *limit < 1 || *limit > maxTokensLimit {
+		return badRequest("the field max_tokens is out of range; send 1 to %d", maxTokensLimit)
+	}
+	prompt.maxTokens = model.Tokens(*limit)
+	return nil
+}
+
+func chatText(messages []messageBody) (string, *fault.Fault) {
+	if len(messages) == 0 {
+		return "", badRequest("the field messages is missing or empty; send at least one message")
+	}
+	var text strings.Builder
+	for index, message := range messages {
+		if message.Role == nil || *message.Role == "" {
+			return "", badRequest("messages[%d].role is missing; set it to system, user or assistant", index)
+		}
+		content, ok := contentText(message.Content)
+		if !ok {
+			return "", badRequest("messages[%d].content is neither a string nor a list of text parts; send one of them", index)
+		}
+		text.WriteString(*message.Role)
+		text.WriteByte('\n')
+		text.WriteString(content)
+		text.WriteByte('\n')
+	}
+	return text.String(), nil
+}
+
+func contentText(raw json.RawMessage) (string, bool) {
+	var text string
+	if isNull(raw) {
+		return "", false
+	}
+	if json.Unmarshal(raw, &text) == nil {
+		return text, true
+	}
+	var parts []struct {
+		Type string  `json:"type"`
+		Text *string `json:"text"`
+	}
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", false
+	}
+	for _, part := range parts {
+		if part.Type != "text" || part.Text == nil {
+			return "", false
+		}
+		text += *part.Text
+	}
+	return text, len(parts) > 0
+}
+
+func promptText(raw json.RawMessage) (string, *fault.Fault) {
+	var text string
+	if isNull(raw) || json.Unmarshal(raw, &text) != nil {
+		return "", badRequest("the field prompt is missing or no string; send one string")
+	}
+	return text, nil
+}
+
+func isNull(raw json.RawMessage) bool {
+	return len(raw) == 0 || bytes.Equal(raw, []byte("null"))
+}
+
+// tokens estimates the prompt's length: its text's bytes by four, rounded up,
+// and at least one.
+func (prompt *prompt) tokens() model.Tokens {
+	return max(1, model.Tokens((len(prompt.text)+bytesPerToken-1)/bytesPerToken))
+}
+
+// prefixHash identifies the beginning of the prompt for one adapter.
+func (prompt *prompt) prefixHash(adapter uint64) uint64 {
+	return xxh3.HashStringSeed(prompt.text[:min(len(prompt.text), prefixBytes)], adapter)
+}
+
+// encode returns the body for the upstream: the caller's with the resolved
+// model and the limit that the request is charged for.
+func (prompt *prompt) encode(adapter string, version uint32) ([]byte, *fault.Fault) {
+	delete(prompt.fields, "max_completion_tokens")
+	delete(prompt.fields, "stream_options")
+	for name, value := range map[string]any{"model": modelName(adapter, version), "max_tokens": prompt.maxTokens, "stream": true} {
+		raw, err := json.Marshal(value)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.NotRun)
+		}
+		prompt.fields[name] = raw
+	}
+	data, err := json.Marshal(prompt.fields)
+	if err != nil {
+		return nil, badRequest("the body cannot be encoded again; send plain JSON")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/daemon/entry/world_test.go
@@ -0,0 +1,391 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+const (
+	ashKey   = "jf_ash1_0123456789012345678901234567890123456789abc"
+	birchKey = "jf_birch1_0123456789012345678901234567890123456789abc"
+)
+
+// pipes connects clients to servers by address without a network.
+type pipes struct {
+	mutex   sync.Mutex
+	servers map[string]func(net.Conn)
+}
+
+func (pipes *pipes) listen(address string, serve func(net.Conn)) {
+	pipes.mutex.Lock()
+	defer pipes.mutex.Unlock()
+	pipes.servers[address] = serve
+}
+
+func (pipes *pipes) dial(address string) (net.Conn, error) {
+	pipes.mutex.Lock()
+	serve := pipes.servers[address]
+	pipes.mutex.Unlock()
+	if serve == nil {
+		return nil, net.ErrClosed
+	}
+	near, far := net.Pipe()
+	go serve(far)
+	return near, nil
+}
+
+// Open implements Sides.
+func (pipes *pipes) Open(_ context.Context, address string) (Conn, error) {
+	conn, err := pipes.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return testConn{drpcconn.New(conn)}, nil
+}
+
+type testConn struct{ *drpcconn.Conn }
+
+func (conn testConn) Release() { _ = conn.Close() }
+
+// pipeListener is the listener of the entry instance.
+type pipeListener struct {
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+func (listener *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-listener.conns:
+		return conn, nil
+	case <-listener.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (listener *pipeListener) Close() error {
+	listener.once.Do(func() { close(listener.done) })
+	return nil
+}
+
+func (listener *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe"} }
+
+// side is a fake side process that answers by script.
+type side struct {
+	wirepb.DRPCSideUnimplementedServer
+	incarnation uint64
+	// run answers the attempts in turn; the last one answers all that follow.
+	run []func(*wirepb.RunRequest, wirepb.DRPCSide_RunStream) error
+	// ran answers Cancel and Outcome.
+	ran wirepb.Ran
+	// deaf keeps Outcome and Cancel from answering.
+	deaf bool
+
+	mutex   sync.Mutex
+	runs    []*wirepb.RunRequest
+	cancels []*wirepb.CancelRequest
+}
+
+func (side *side) Run(request *wirepb.RunRequest, stream wirepb.DRPCSide_RunStream) error {
+	side.mutex.Lock()
+	script := side.run[min(len(side.runs), len(side.run)-1)]
+	side.runs = append(side.runs, request)
+	side.mutex.Unlock()
+	return script(request, stream)
+}
+
+func (side *side) Cancel(ctx context.Context, request *wirepb.CancelRequest) (*wirepb.CancelResponse, error) {
+	side.mutex.Lock()
+	if request.GetAttempt() > 0 {
+		side.cancels = append(side.cancels, request)
+	}
+	side.mutex.Unlock()
+	if side.deaf && request.GetAttempt() > 0 {
+		<-ctx.Done()
+	}
+	return &wirepb.CancelResponse{Ran: side.ran, Incarnation: side.incarnation}, nil
+}
+
+func (side *side) Outcome(ctx context.Context, _ *wirepb.OutcomeRequest) (*wirepb.OutcomeResponse, error) {
+	if side.deaf {
+		<-ctx.Done()
+	}
+	return &wirepb.OutcomeResponse{Ran: side.ran, Status: http.StatusOK}, nil
+}
+
+func (side *side) seen() (runs []*wirepb.RunRequest, cancels []*wirepb.CancelRequest) {
+	side.mutex.Lock()
+	defer side.mutex.Unlock()
+	return side.runs, side.cancels
+}
+
+// script sends events of one attempt.
+type script struct {
+	request *wirepb.RunRequest
+	stream  wirepb.DRPCSide_RunStream
+}
+
+func (script script) send(event *wirepb.RunEvent) {
+	event.RequestId, event.Attempt = script.request.GetRequestId(), script.request.GetAttempt()
+	_ = script.stream.Send(event)
+}
+
+func (script script) started() {
+	script.send(&wirepb.RunEvent{
+		Event: &wirepb.RunEvent_Started{Started: &wirepb.Started{
+			Adapter: script.request.GetAdapter(), AdapterVersion: script.request.GetAdapterVersion(), Status: http.StatusOK,
+			Headers: []*wirepb.Header{{Name: "content-type", Value: "text/plain"}, {Name: "set-cookie", Value: "x=y"}},
+		}},
+		Load: &wirepb.LoadReport{Incarnation: 7, ConfigVersion: 3},
+	})
+}
+
+func (script script) chunk(index int64, text string) {
+	script.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Chunk{Chunk: &wirepb.Chunk{Index: index, Data: []byte(text)}}})
+}
+
+func (script script) done() {
+	script.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Done{Done: &wirepb.Done{
+		Adapter: script.request.GetAdapter(), AdapterVersion: script.request.GetAdapterVersion(),
+		PromptTokens: script.request.GetPromptTokens(), GeneratedTokens: 3, FinishReason: "stop",
+	}}})
+}
+
+func (script script) refuse(kind fault.Kind, elsewhere bool) {
+	script.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Refused{Refused: &wirepb.Refused{
+		Kind: string(kind), Message: "try later", RetryAfterUs: 2_500_000, TryElsewhere: elsewhere,
+	}}})
+}
+
+func (script script) fail(kind fault.Kind, ran wirepb.Ran) {
+	script.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Failed{Failed: &wirepb.Failed{Kind: string(kind), Message: "engine failed", Ran: ran}}})
+}
+
+// act returns a script from steps; it ends the stream without an end marker
+// unless a step sends one.
+func act(steps ...func(script)) func(*wirepb.RunRequest, wirepb.DRPCSide_RunStream) error {
+	return func(request *wirepb.RunRequest, stream wirepb.DRPCSide_RunStream) error {
+		for _, step := range steps {
+			step(script{request, stream})
+		}
+		return nil
+	}
+}
+
+func chunks(from int64, texts ...string) func(script) {
+	return func(script script) {
+		for offset, text := range texts {
+			script.chunk(from+int64(offset), text)
+		}
+	}
+}
+
+func refuse(kind fault.Kind, elsewhere bool) func(script) {
+	return func(script script) { script.refuse(kind, elsewhere) }
+}
+
+func fail(kind fault.Kind, ran wirepb.Ran) func(script) {
+	return func(script script) { script.fail(kind, ran) }
+}
+
+func pause(length time.Duration) func(script) {
+	return func(script) { time.Sleep(length) }
+}
+
+// answer is the script of an attempt that goes well.
+var answer = act(script.started, chunks(0, "a", "b", "c"), script.done)
+
+// world is an entry instance with fake side processes.
+type world struct {
+	t        *testing.T
+	entry    *Entry
+	config   *Config
+	pipes    *pipes
+	listener *pipeListener
+	client   *http.Client
+	sides    map[string]*side
+	logs     *observer.ObservedLogs
+	counts   *counts
+	isolated bool
+	leaving  map[string]bool
+	current  *model.Config
+}
+
+func (world *world) Current() *model.Config { return world.current }
+func (world *world) Isolated() bool         { return world.isolated }
+func (world *world) Hint(uint64)            {}
+
+// Side implements Roster: upstreams listen at their ids.
+func (world *world) Side(upstream string) (Instance, bool) {
+	return Instance{Address: upstream, Leaving: world.leaving[upstream]}, true
+}
+
+// Authenticate implements Authenticator.
+func (world *world) Authenticate(config *model.Config, key string) (model.KeySpec, bool) {
+	id, _, _ := strings.Cut(strings.TrimPrefix(key, keyPrefix), "_")
+	return config.Key(id)
+}
+
+type counts struct {
+	mutex  sync.Mutex
+	values map[string]int64
+}
+
+func (counts *counts) Add(name string, delta int64) {
+	counts.mutex.Lock()
+	defer counts.mutex.Unlock()
+	counts.values[name] += delta
+}
+
+func (counts *counts) get(name string) int64 {
+	counts.mutex.Lock()
+	defer counts.mutex.Unlock()
+	return counts.values[name]
+}
+
+// run runs test against an entry instance in virtual time.
+func run(t *testing.T, setup func(*world), test func(*world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t)
+		if setup != nil {
+			setup(world)
+		}
+		world.start()
+		test(world)
+		world.client.CloseIdleConnections()
+		_ = world.entry.server.Close()
+		// Lets scripts that sleep come to their end.
+		time.Sleep(2 * time.Hour)
+		synctest.Wait()
+	})
+}
+
+func newWorld(t *testing.T) *world {
+	core, logs := observer.New(zapcore.DebugLevel)
+	world := &world{
+		t: t, pipes: &pipes{servers: map[string]func(net.Conn){}},
+		listener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})},
+		sides:    map[string]*side{}, logs: logs, leaving: map[string]bool{},
+		counts: &counts{values: map[string]int64{}}, current: testConfig(),
+	}
+	for _, upstream := range world.current.Upstreams() {
+		world.sides[upstream.ID] = &side{incarnation: 7, run: []func(*wirepb.RunRequest, wirepb.DRPCSide_RunStream) error{answer}}
+	}
+	world.config = &Config{
+		Configs: world, Roster: world, Authenticator: world, Sides: world.pipes, Logger: zap.New(core), Counters: world.counts,
+		NewPolicy: func(_ string, _ bool, health route.Health) route.Policy { return route.NewRoundRobin(health) },
+		Limits:    DefaultLimits(),
+	}
+	return world
+}
+
+func (world *world) start() {
+	for address, side := range world.sides {
+		world.pipes.listen(address, func(conn net.Conn) {
+			mux := drpcmux.New()
+			_ = wirepb.DRPCRegisterSide(mux, side)
+			_ = drpcserver.New(mux).ServeOne(context.Background(), conn)
+		})
+	}
+	entry, err := New(*world.config)
+	if err != nil {
+		world.t.Fatal(err)
+	}
+	world.entry = entry
+	go func() { _ = entry.Serve(world.t.Context(), world.listener) }()
+	world.client = &http.Client{Transport: &http.Transport{
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			select {
+			case world.listener.conns <- far:
+				return near, nil
+			case <-world.listener.done:
+				return nil, net.ErrClosed
+			}
+		},
+	}}
+}
+
+// reply is what a caller received.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (world *world) request(ctx context.Context, method, path, key, body string, headers ...string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, "http://entry"+path, strings.NewReader(body))
+	if err != nil {
+		world.t.Fatal(err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Add(headers[index], headers[index+1])
+	}
+	return request
+}
+
+func (world *world) send(request *http.Request) reply {
+	response, err := world.client.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func (world *world) post(path, key, body string, headers ...string) reply {
+	return world.send(world.request(world.t.Context(), http.MethodPost, path, key, body, headers...))
+}
+
+// chat posts a chat completion of organisation ash.
+func (world *world) chat(fields string, headers ...string) reply {
+	return world.post("/v1/chat/completions", ashKey, `{"model":"oak","messages":[{"role":"user","content":"hello"}]`+fields+`}`, headers...)
+}
+
+func testConfig() *model.Config {
+	editor := model.New().Edit()
+	editor.PutOrganisation(model.OrganisationSpec{Name: "ash", Half: "north"})
+	editor.PutOrganisation(model.OrganisationSpec{Name: "birch"})
+	editor.PutKey(model.KeySpec{ID: "ash1", Organisation: "ash"})
+	editor.PutKey(model.KeySpec{ID: "birch1", Organisation: "birch"})
+	editor.PutAdapter(model.AdapterSpec{Name: "oak", Organisation: "ash", Service: "advisor", Versions: []uint32{1, 2}, DefaultVersion: 2})
+	editor.PutAdapter(model.AdapterSpec{Name: "pine", Service: "advisor", Versions: []uint32{1}, DefaultVersion: 1})
+	wait := 20 * time.Second
+	editor.PutRoute(model.RouteSpec{Name: "default", Service: "advisor", Idempotent: true, LongestWait: wait, DefaultMaxTokens: 100})
+	editor.PutRoute(model.RouteSpec{Name: "once", Service: "advisor", LongestWait: wait, DefaultMaxTokens: 100, Class: model.Patient})
+	editor.PutRoute(model.RouteSpec{Name: "orders", Service: "counter", Plain: true, PathPrefix: "/orders", Methods: []string{"POST"}, LongestWait: wait, Cost: 5})
+	editor.PutRoute(model.RouteSpec{Name: "stock", Service: "counter", Plain: true, PathPrefix: "/stock", Idempotent: true, Open: true, LongestWait: wait, Cost: 1})
+	for _, id := range []string{"engine-a", "engine-b"} {
+		editor.PutUpstream(model.UpstreamSpec{ID: id, Service: "advisor", Half: "north"})
+	}
+	editor.PutUpstream(model.UpstreamSpec{ID: "engine-c", Service: "advisor", Half: "south"})
+	for _, id := range []string{"plain-a", "plain-b"} {
+		editor.PutUpstream(model.UpstreamSpec{ID: id, Service: "counter", Plain: true})
+	}
+	return editor.Commit(3)
+}
--- /dev/null
+++ b/internal/flow/route/rotate.go
@@ -0,0 +1,74 @@
+package route
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// RoundRobin is the naive Policy for comparison: it takes the healthy
+// upstreams in turn and knows neither adapters nor load.
+type RoundRobin struct {
+	health Health
+
+	mutex        sync.Mutex
+	members      []Member
+	incarnations map[string]uint64
+	next         int
+}
+
+// NewRoundRobin returns a RoundRobin. A nil health ejects nothing.
+func NewRoundRobin(health Health) *RoundRobin {
+	if health == nil {
+		health = Healthy{}
+	}
+	return &RoundRobin{health: health, incarnations: map[string]uint64{}}
+}
+
+// SetMembers implements Policy.
+func (roundRobin *RoundRobin) SetMembers(members []Member) {
+	roundRobin.mutex.Lock()
+	defer roundRobin.mutex.Unlock()
+	roundRobin.members = slices.Clone(members)
+}
+
+// Choose implements Policy.
+func (roundRobin *RoundRobin) Choose(now time.Time, request Request) (Decision, bool) {
+	roundRobin.mutex.Lock()
+	defer roundRobin.mutex.Unlock()
+	var last Decision
+	for range roundRobin.members {
+		member := &roundRobin.members[roundRobin.next%len(roundRobin.members)]
+		roundRobin.next++
+		if !roundRobin.usable(now, member, &request) {
+			continue
+		}
+		decision := Decision{Upstream: member.ID, Reason: Rotation, Incarnation: roundRobin.incarnations[member.ID]}
+		decision.alternatives[0], decision.count = Alternative{Upstream: member.ID}, 1
+		if !slices.Contains(request.Avoid, member.ID) {
+			return decision, true
+		}
+		last = decision
+	}
+	return last, last.Upstream != ""
+}
+
+func (roundRobin *RoundRobin) usable(now time.Time, member *Member, request *Request) bool {
+	if member.Leaving || !member.Half.Shares(request.Half) {
+		return false
+	}
+	if request.Only != "" && request.Only != member.ID {
+		return false
+	}
+	return roundRobin.health.Usable(member.ID, now)
+}
+
+// Ended implements Policy.
+func (*RoundRobin) Ended(string) {}
+
+// Report implements Policy.
+func (roundRobin *RoundRobin) Report(_ time.Time, upstream string, load Load) {
+	roundRobin.mutex.Lock()
+	defer roundRobin.mutex.Unlock()
+	roundRobin.incarnations[upstream] = load.Incarnation
+}
