--- /dev/null
+++ b/internal/daemon/side/cancel.go
@@ -0,0 +1,51 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// Cancel implements wirepb.DRPCSideServer.
+func (server *Server) Cancel(_ context.Context, request *wirepb.CancelRequest) (*wirepb.CancelResponse, error) {
+	attempt := once.Attempt{RequestID: request.GetRequestId(), Number: request.GetAttempt()}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	ran := server.records.Cancel(time.Now(), attempt, request.GetIncarnation())
+	if ran == fault.NotRun {
+		server.count("cancelled-before-dispatch")
+		server.pull(attempt)
+	}
+	return &wirepb.CancelResponse{Ran: wireRan(ran), Incarnation: server.config.Incarnation}, nil
+}
+
+// pull takes a cancelled attempt out of the queue.
+func (server *Server) pull(attempt once.Attempt) {
+	var waiting *ticket
+	server.queue.All(func(entry *queue.Entry[*ticket]) bool {
+		if entry.Value.attempt == attempt {
+			waiting = entry.Value
+		}
+		return waiting == nil
+	})
+	if waiting != nil {
+		server.refuse(waiting, fault.New(fault.Cancelled, fault.NotRun, "the attempt was cancelled; send the request anew"))
+	}
+}
+
+// Outcome implements wirepb.DRPCSideServer.
+func (server *Server) Outcome(_ context.Context, request *wirepb.OutcomeRequest) (*wirepb.OutcomeResponse, error) {
+	record, ok := server.lookup(request.GetRequestId())
+	if !ok || record.Organisation != request.GetOrganisation() {
+		return &wirepb.OutcomeResponse{Ran: wirepb.Ran_RAN_UNKNOWN}, nil
+	}
+	return &wirepb.OutcomeResponse{
+		Ran:     wireRan(record.Ran),
+		Running: record.Phase == once.Waiting || record.Phase == once.Running,
+		Status:  record.Status,
+	}, nil
+}
--- /dev/null
+++ b/internal/daemon/side/fakes_test.go
@@ -0,0 +1,496 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// fakeConfigs is a configuration that tests change.
+type fakeConfigs struct {
+	mu       sync.Mutex
+	config   *model.Config
+	changed  chan struct{}
+	isolated bool
+	hinted   uint64
+}
+
+func (configs *fakeConfigs) Current() *model.Config {
+	configs.mu.Lock()
+	defer configs.mu.Unlock()
+	return configs.config
+}
+
+func (configs *fakeConfigs) Changed() <-chan struct{} {
+	configs.mu.Lock()
+	defer configs.mu.Unlock()
+	return configs.changed
+}
+
+func (configs *fakeConfigs) Hint(version uint64) {
+	configs.mu.Lock()
+	defer configs.mu.Unlock()
+	configs.hinted = version
+}
+
+func (configs *fakeConfigs) Isolated() bool {
+	configs.mu.Lock()
+	defer configs.mu.Unlock()
+	return configs.isolated
+}
+
+func (configs *fakeConfigs) edit(change func(*model.Editor)) {
+	configs.mu.Lock()
+	defer configs.mu.Unlock()
+	editor := configs.config.Edit()
+	change(editor)
+	configs.config = editor.Commit(configs.config.Version() + 1)
+	close(configs.changed)
+	configs.changed = make(chan struct{})
+}
+
+// newFakeConfigs returns two organisations of different halves, a model
+// service and a plain one.
+func newFakeConfigs() *fakeConfigs {
+	configs := &fakeConfigs{config: model.New(), changed: make(chan struct{})}
+	configs.edit(func(editor *model.Editor) {
+		for _, name := range []string{"oak", "ash"} {
+			editor.PutOrganisation(model.OrganisationSpec{Name: name, Half: model.Half(name + "-half"), Rate: 10000, Burst: 10000, Shards: []string{"up", "else"}})
+			editor.PutKey(model.KeySpec{ID: name + "-key", Organisation: name})
+		}
+		editor.PutRoute(model.RouteSpec{Name: "chat", Service: "advisor", LongestWait: 2 * time.Second, Idempotent: true, DefaultMaxTokens: 50})
+		editor.PutRoute(model.RouteSpec{Name: "book", Service: "counter", Plain: true, LongestWait: time.Second, Cost: 10})
+		editor.PutRoute(model.RouteSpec{Name: "open", Service: "advisor", LongestWait: time.Second, Open: true})
+		for _, name := range []string{"a", "b", "c", "d"} {
+			editor.PutAdapter(model.AdapterSpec{Name: name, Service: "advisor", Versions: []uint32{1, 2}})
+		}
+		editor.PutAdapter(model.AdapterSpec{Name: "private", Organisation: "ash", Service: "advisor", Versions: []uint32{1}})
+		editor.PutUpstream(model.UpstreamSpec{ID: "up", Service: "advisor"})
+		editor.PutUpstream(model.UpstreamSpec{ID: "shop", Service: "counter", Plain: true})
+	})
+	return configs
+}
+
+// fakeEngine is an engine and a plain service whose behaviour tests replace.
+type fakeEngine struct {
+	mu       sync.Mutex
+	epoch    string
+	slots    int
+	fence    uint64
+	loaded   map[slots.Ref]bool
+	inUse    map[slots.Ref]int
+	running  int
+	calls    []string
+	loadTime time.Duration
+	loadErr  error
+	// tokens is the length of an answer, pace the time between tokens.
+	tokens int64
+	pace   time.Duration
+	// token changes the token at an index; an error breaks the stream.
+	token func(generation Generation, token *Token) error
+	// call answers a plain call.
+	call func(ctx context.Context, call Call) (*Reply, error)
+	// faults are violations that the engine saw.
+	faults []string
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		epoch: "e1", slots: 2, loaded: map[slots.Ref]bool{}, inUse: map[slots.Ref]int{},
+		loadTime: 100 * time.Millisecond, tokens: 3, pace: 10 * time.Millisecond,
+	}
+}
+
+func (engine *fakeEngine) note(format string, args ...any) {
+	engine.calls = append(engine.calls, fmt.Sprintf(format, args...))
+}
+
+// seen returns the calls with a prefix.
+func (engine *fakeEngine) seen(prefix string) []string {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	var list []string
+	for _, call := range engine.calls {
+		if strings.HasPrefix(call, prefix) {
+			list = append(list, call)
+		}
+	}
+	return list
+}
+
+func (engine *fakeEngine) restart() {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.epoch += "+"
+	clear(engine.loaded)
+	clear(engine.inUse)
+	engine.running = 0
+}
+
+func (engine *fakeEngine) State(context.Context) (State, error) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	return State{Epoch: engine.epoch, Slots: engine.slots, Fence: engine.fence, Running: engine.running,
+		Loaded: slices.Collect(maps.Keys(engine.loaded))}, nil
+}
+
+func (engine *fakeEngine) Load(ctx context.Context, adapter string, version uint32) error {
+	engine.mu.Lock()
+	wait, err := engine.loadTime, engine.loadErr
+	engine.note("load %s@%d", adapter, version)
+	engine.mu.Unlock()
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	if err == nil {
+		engine.loaded[slots.Ref{Adapter: adapter, Version: version}] = true
+		if len(engine.loaded) > engine.slots {
+			engine.faults = append(engine.faults, "too many adapters")
+		}
+	}
+	return err
+}
+
+func (engine *fakeEngine) Unload(_ context.Context, adapter string, version uint32) error {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	ref := slots.Ref{Adapter: adapter, Version: version}
+	engine.note("unload %s", ref)
+	if engine.inUse[ref] > 0 {
+		engine.faults = append(engine.faults, "evicted in use: "+ref.String())
+	}
+	delete(engine.loaded, ref)
+	return nil
+}
+
+func (engine *fakeEngine) Generate(ctx context.Context, generation Generation) (Stream, error) {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	engine.note("generate %s/%d %s from %d", generation.RequestID, generation.Attempt, generation.Ref, generation.ResumeFrom)
+	if !engine.loaded[generation.Ref] {
+		engine.faults = append(engine.faults, "not loaded: "+generation.Ref.String())
+	}
+	for _, header := range generation.Headers {
+		engine.note("header %s=%s", header.Name, header.Value)
+	}
+	engine.inUse[generation.Ref]++
+	engine.running++
+	return &fakeStream{engine: engine, ctx: ctx, generation: generation, next: generation.ResumeFrom}, nil
+}
+
+type fakeStream struct {
+	engine     *fakeEngine
+	ctx        context.Context
+	generation Generation
+	next       int64
+	ended      bool
+}
+
+func (stream *fakeStream) Next() (Token, error) {
+	select {
+	case <-time.After(stream.engine.pace):
+	case <-stream.ctx.Done():
+		return Token{}, stream.ctx.Err()
+	}
+	stream.engine.mu.Lock()
+	defer stream.engine.mu.Unlock()
+	if stream.next >= stream.engine.tokens {
+		stream.end()
+		return Token{}, io.EOF
+	}
+	token := Token{Index: stream.next, Text: fmt.Sprintf("t%d ", stream.next), RequestID: stream.generation.RequestID,
+		Attempt: stream.generation.Attempt, Model: stream.generation.Ref.String()}
+	if stream.engine.token != nil {
+		if err := stream.engine.token(stream.generation, &token); err != nil {
+			return Token{}, err
+		}
+	}
+	stream.next = max(stream.next, token.Index) + 1
+	return token, nil
+}
+
+func (stream *fakeStream) end() {
+	if !stream.ended {
+		stream.ended = true
+		stream.engine.inUse[stream.generation.Ref]--
+		stream.engine.running--
+	}
+}
+
+func (stream *fakeStream) Finish() string { return "stop" }
+
+// Close cancels the request; the engine works on for a while.
+func (stream *fakeStream) Close() {
+	stream.engine.mu.Lock()
+	defer stream.engine.mu.Unlock()
+	if !stream.ended {
+		stream.engine.note("cancel %s", stream.generation.RequestID)
+		time.AfterFunc(300*time.Millisecond, func() {
+			stream.engine.mu.Lock()
+			defer stream.engine.mu.Unlock()
+			stream.end()
+		})
+	}
+}
+
+func (engine *fakeEngine) Call(ctx context.Context, call Call) (*Reply, error) {
+	engine.mu.Lock()
+	engine.note("call %s %s %s", call.RequestID, call.Method, call.Path)
+	answer := engine.call
+	engine.mu.Unlock()
+	if answer != nil {
+		return answer(ctx, call)
+	}
+	return &Reply{Status: 201, Body: io.NopCloser(strings.NewReader("booked"))}, nil
+}
+
+// fakeLimiter refuses organisations that have no tokens.
+type fakeLimiter struct {
+	mu      sync.Mutex
+	level   map[string]model.Tokens
+	settled []model.Tokens
+	wait    time.Duration
+}
+
+type fakeDebit struct {
+	limiter      *fakeLimiter
+	organisation string
+	tokens       model.Tokens
+}
+
+func (limiter *fakeLimiter) Take(_ context.Context, organisation string, tokens model.Tokens) (Debit, error) {
+	time.Sleep(limiter.wait)
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	if limiter.level[organisation] < tokens {
+		return nil, fault.New(fault.RateExceeded, fault.NotRun, "no tokens").WithRetryAfter(30 * time.Millisecond)
+	}
+	limiter.level[organisation] -= tokens
+	return fakeDebit{limiter, organisation, tokens}, nil
+}
+
+func (debit fakeDebit) Settle(used model.Tokens) {
+	debit.limiter.mu.Lock()
+	defer debit.limiter.mu.Unlock()
+	debit.limiter.level[debit.organisation] += debit.tokens - used
+	debit.limiter.settled = append(debit.limiter.settled, used)
+}
+
+// fakeLog is a log that can be out or lose replies.
+type fakeLog struct {
+	mu      sync.Mutex
+	records map[string][]LogRecord
+	out     bool
+	lose    int
+}
+
+var errOut = errors.New("log out")
+
+func (log *fakeLog) Append(_ context.Context, stream string, record []byte) (uint64, error) {
+	time.Sleep(time.Millisecond)
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.out {
+		return 0, errOut
+	}
+	if log.records == nil {
+		log.records = map[string][]LogRecord{}
+	}
+	offset := uint64(len(log.records[stream]))
+	log.records[stream] = append(log.records[stream], LogRecord{Offset: offset, Time: time.Now(), Data: record})
+	if log.lose > 0 {
+		log.lose--
+		return 0, errOut
+	}
+	return offset, nil
+}
+
+func (log *fakeLog) Read(_ context.Context, stream string, from uint64, _ time.Duration) (LogPage, error) {
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	if log.out {
+		return LogPage{}, errOut
+	}
+	records := log.records[stream]
+	if from >= uint64(len(records)) {
+		return LogPage{Next: from}, nil
+	}
+	return LogPage{Records: records[from:], Next: uint64(len(records))}, nil
+}
+
+// fakeRoster says whether the upstream is leaving.
+type fakeRoster struct{ leaving bool }
+
+func (roster *fakeRoster) Leaving(string) bool { return roster.leaving }
+
+// fakeMetrics counts events.
+type fakeMetrics struct {
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func (metrics *fakeMetrics) Add(name string, delta int64) {
+	metrics.mu.Lock()
+	defer metrics.mu.Unlock()
+	metrics.counts[name] += delta
+}
+
+// rig is a Server with its fakes, served over net.Pipe.
+type rig struct {
+	*Server
+	t       testing.TB
+	ctx     context.Context
+	configs *fakeConfigs
+	fake    *fakeEngine
+	limiter *fakeLimiter
+	log     *fakeLog
+	roster  *fakeRoster
+	metrics *fakeMetrics
+	serial  int
+}
+
+// inRig runs a test in virtual time.
+func inRig(t *testing.T, change func(*Config), test func(rig *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		rig := newRig(t, change)
+		rig.ctx = ctx
+		over := make(chan struct{})
+		go func() { defer close(over); _ = rig.Serve(ctx) }()
+		time.Sleep(time.Millisecond)
+		test(rig)
+		cancel()
+		<-over
+		for _, seen := range rig.fake.faults {
+			t.Errorf("engine saw: %s", seen)
+		}
+	})
+}
+
+func newRig(t testing.TB, change func(*Config)) *rig {
+	t.Helper()
+	rig := &rig{
+		t: t, configs: newFakeConfigs(), fake: newFakeEngine(), log: &fakeLog{}, roster: &fakeRoster{},
+		limiter: &fakeLimiter{level: map[string]model.Tokens{"oak": 1e6, "ash": 1e6}},
+		metrics: &fakeMetrics{counts: map[string]int64{}},
+	}
+	config := Config{
+		Upstream: "up", Configs: rig.configs, Engine: rig.fake, Limiter: rig.limiter, Log: rig.log,
+		Roster: rig.roster, Metrics: rig.metrics, Incarnation: 77,
+	}
+	if change != nil {
+		change(&config)
+	}
+	server, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rig.Server = server
+	return rig
+}
+
+// client returns a new drpc connection to the server.
+func (rig *rig) client(ctx context.Context) wirepb.DRPCSideClient {
+	near, far := net.Pipe()
+	mux := drpcmux.New()
+	if err := wirepb.DRPCRegisterSide(mux, rig.Server); err != nil {
+		rig.t.Fatal(err)
+	}
+	go func() { _ = drpcserver.New(mux).ServeOne(rig.ctx, far) }()
+	conn := drpcconn.New(near)
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return wirepb.NewDRPCSideClient(conn)
+}
+
+// request returns a model request of the organisation oak.
+func (rig *rig) request(change ...func(*wirepb.RunRequest)) *wirepb.RunRequest {
+	rig.serial++
+	request := &wirepb.RunRequest{
+		RequestId: fmt.Sprintf("r%d", rig.serial), Attempt: 1, Organisation: "oak", KeyId: "oak-key", Route: "chat",
+		Adapter: "a", AdapterVersion: 1, PromptTokens: 10, MaxTokens: 20, Idempotent: true, Stream: true,
+	}
+	for _, edit := range change {
+		edit(request)
+	}
+	return request
+}
+
+// result is what the caller of one attempt saw.
+type result struct {
+	Text    string
+	Refused string
+	Failed  string
+	Ran     wirepb.Ran
+	Done    bool
+	status  uint32
+	events  []*wirepb.RunEvent
+	took    time.Duration
+	err     error
+}
+
+// start runs a request and delivers its result.
+func (rig *rig) start(ctx context.Context, request *wirepb.RunRequest) <-chan result {
+	results := make(chan result, 1)
+	go func() { results <- rig.do(ctx, request) }()
+	return results
+}
+
+func (rig *rig) do(ctx context.Context, request *wirepb.RunRequest) (seen result) {
+	began := time.Now()
+	defer func() { seen.took = time.Since(began) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := rig.client(ctx).Run(ctx, request)
+	if err != nil {
+		return result{err: err}
+	}
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				seen.err = err
+			}
+			return seen
+		}
+		seen.add(event)
+	}
+}
+
+func (seen *result) add(event *wirepb.RunEvent) {
+	seen.events = append(seen.events, event)
+	switch event.GetEvent().(type) {
+	case *wirepb.RunEvent_Refused:
+		seen.Refused, seen.Ran = event.GetRefused().GetKind(), wirepb.Ran_RAN_NOT_RUN
+	case *wirepb.RunEvent_Failed:
+		seen.Failed, seen.Ran = event.GetFailed().GetKind(), event.GetFailed().GetRan()
+	case *wirepb.RunEvent_Started:
+		seen.status = event.GetStarted().GetStatus()
+	case *wirepb.RunEvent_Chunk:
+		seen.Text += string(event.GetChunk().GetData())
+	case *wirepb.RunEvent_Done:
+		seen.Done, seen.Ran = true, wirepb.Ran_RAN_RAN
+	}
+}
--- /dev/null
+++ b/internal/daemon/side/flights.go
@@ -0,0 +1,162 @@
+package side
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"net/http"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// flightKey is an organisation and a hashed idempotency key.
+type flightKey struct{ organisation, hash string }
+
+// flight is one run that all copies of a request share.
+type flight struct {
+	digest []byte
+	over   chan struct{}
+	// outcome or reason is set when over is closed.
+	outcome *once.Outcome
+	reason  *fault.Fault
+}
+
+// recorder keeps the answer of a run for its copies.
+type recorder struct {
+	status   uint32
+	body     []byte
+	oversize bool
+	complete bool
+	reason   *fault.Fault
+	digest   hashWriter
+}
+
+func (recorder *recorder) start(status int) { recorder.status = uint32(status) }
+
+func (recorder *recorder) write(data []byte) {
+	recorder.digest.write(data)
+	if recorder.oversize || len(recorder.body)+len(data) > once.MemoryBody {
+		recorder.oversize, recorder.body = true, nil
+		return
+	}
+	recorder.body = append(recorder.body, data...)
+}
+
+func (recorder *recorder) done() { recorder.complete = true }
+
+func (recorder *recorder) fail(reason *fault.Fault) {
+	if recorder.reason == nil {
+		recorder.reason = reason
+	}
+}
+
+// outcome returns the recorded answer, or nil if there is none that is whole.
+func (recorder *recorder) outcome() *once.Outcome {
+	switch {
+	case !recorder.complete:
+		return nil
+	case recorder.oversize:
+		return &once.Outcome{Status: recorder.status, Body: recorder.digest.sum(), Truncated: true}
+	default:
+		return &once.Outcome{Status: recorder.status, Body: recorder.body}
+	}
+}
+
+// runKeyed runs a request with an idempotency key, or answers it with the run
+// of the same request.
+func (server *Server) runKeyed(ctx context.Context, ticket *ticket, answer *answer) error {
+	flight, leads := server.join(ticket)
+	if !leads {
+		return server.follows(ctx, ticket, answer, flight)
+	}
+	defer server.land(ticket, flight)
+	stored, refusal := server.claims.claim(ctx, ticket)
+	switch {
+	case refusal != nil:
+		flight.reason = refusal
+		return server.turnDown(ticket, answer, refusal)
+	case stored != nil:
+		flight.outcome = stored
+		return server.replay(ticket, answer, stored)
+	}
+	answer.recorder = &recorder{digest: newHashWriter()}
+	err := server.runTicket(ctx, ticket, answer)
+	flight.outcome, flight.reason = answer.recorder.outcome(), answer.recorder.reason
+	if flight.outcome == nil && flight.reason == nil {
+		flight.reason = outcomeUnknown()
+	}
+	server.claims.settle(ticket, flight.outcome, flight.reason)
+	return err
+}
+
+func outcomeUnknown() *fault.Fault {
+	return fault.New(fault.OutcomeUnknown, fault.Unknown, "the request was run before and its outcome is not known; query it by its id")
+}
+
+func keyReused() *fault.Fault {
+	return fault.New(fault.IdempotencyKeyReused, fault.NotRun, "the idempotency key was used for another request; use a new key")
+}
+
+// join returns the run of the same idempotency key, and whether the caller
+// leads it.
+func (server *Server) join(ticket *ticket) (*flight, bool) {
+	key := flightKey{ticket.organisation, string(ticket.request.GetIdempotencyKeyHash())}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if known, ok := server.flights[key]; ok {
+		return known, false
+	}
+	leading := &flight{digest: ticket.request.GetRequestDigest(), over: make(chan struct{})}
+	server.flights[key] = leading
+	return leading, true
+}
+
+func (server *Server) land(ticket *ticket, flight *flight) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	delete(server.flights, flightKey{ticket.organisation, string(ticket.request.GetIdempotencyKeyHash())})
+	close(flight.over)
+}
+
+// follows waits for the run of an earlier copy and answers with its outcome.
+func (server *Server) follows(ctx context.Context, ticket *ticket, answer *answer, flight *flight) error {
+	if !bytes.Equal(flight.digest, ticket.request.GetRequestDigest()) {
+		return server.turnDown(ticket, answer, keyReused())
+	}
+	ctx, cancel := context.WithDeadline(ctx, server.deadline(ticket))
+	defer cancel()
+	select {
+	case <-flight.over:
+	case <-ctx.Done():
+		return server.turnDown(ticket, answer, outcomeUnknown())
+	}
+	if flight.outcome != nil {
+		return server.replay(ticket, answer, flight.outcome)
+	}
+	return server.turnDown(ticket, answer, flight.reason)
+}
+
+// replay answers with a stored outcome. Of an answer that was too large, only
+// the status and the digest are left.
+func (server *Server) replay(ticket *ticket, answer *answer, outcome *once.Outcome) error {
+	server.count("replayed")
+	server.mu.Lock()
+	server.records.End(time.Now(), ticket.attempt, fault.DidRun, outcome.Status)
+	server.mu.Unlock()
+	var headers []Header
+	if outcome.Truncated {
+		headers = append(headers, Header{Name: "X-Answer-Digest", Value: "sha-256=" + hex.EncodeToString(outcome.Body)})
+	}
+	if err := answer.started(ticket, int(outcome.Status), headers); err != nil {
+		return err
+	}
+	if !outcome.Truncated && len(outcome.Body) > 0 {
+		if err := answer.chunk(0, outcome.Body); err != nil {
+			return err
+		}
+	}
+	return answer.done(&wirepb.Done{Replayed: true, FinishReason: http.StatusText(int(outcome.Status))})
+}
--- /dev/null
+++ b/internal/daemon/side/ports.go
@@ -0,0 +1,89 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Configs gives the current configuration.
+type Configs interface {
+	// Current is never nil and never goes back.
+	Current() *model.Config
+	// Changed is closed at the next change.
+	Changed() <-chan struct{}
+	// Hint says that somebody showed this version.
+	Hint(version uint64)
+	// Isolated says that withdrawals may not reach this process.
+	Isolated() bool
+}
+
+// Debit is what a request took from its organisation's tokens.
+type Debit interface {
+	// Settle returns the tokens that were not used.
+	Settle(used model.Tokens)
+}
+
+// Limiter debits the tokens of organisations.
+type Limiter interface {
+	// Take debits tokens or fails when ctx ends. A fault with retry-after says
+	// when it is worth asking again.
+	Take(ctx context.Context, organisation string, tokens model.Tokens) (Debit, error)
+}
+
+// unlimited is the default Limiter.
+type unlimited struct{}
+
+func (unlimited) Take(context.Context, string, model.Tokens) (Debit, error) { return unlimited{}, nil }
+func (unlimited) Settle(model.Tokens)                                       {}
+
+// LogRecord is one record of a log stream.
+type LogRecord struct {
+	Offset uint64
+	Time   time.Time
+	Data   []byte
+}
+
+// LogPage is a run of records. First is the oldest offset that the stream
+// still has; Next is the offset to read from next.
+type LogPage struct {
+	Records     []LogRecord
+	First, Next uint64
+}
+
+// Log is the platform's log service.
+type Log interface {
+	Append(ctx context.Context, stream string, record []byte) (uint64, error)
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (LogPage, error)
+}
+
+// Roster knows which instances are leaving.
+type Roster interface {
+	Leaving(upstream string) bool
+}
+
+// staying is the default Roster.
+type staying struct{}
+
+func (staying) Leaving(string) bool { return false }
+
+// Permits bounds adapter loads across the fleet.
+type Permits interface {
+	Acquire(ctx context.Context) error
+}
+
+// unbounded is the default Permits.
+type unbounded struct{}
+
+func (unbounded) Acquire(context.Context) error { return nil }
+
+// Metrics counts events; *expvar.Map is one.
+type Metrics interface {
+	Add(name string, delta int64)
+}
+
+// uncounted is the default Metrics.
+type uncounted struct{}
+
+func (uncounted) Add(string, int64) {}
--- /dev/null
+++ b/internal/daemon/side/pump.go
@@ -0,0 +1,173 @@
+package side
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
+)
+
+// engineView is what this process knows of its engine.
+type engineView struct {
+	epoch string
+	// generation counts the epochs seen; pins and loads of earlier ones are void.
+	generation uint64
+	known      bool
+}
+
+// tick runs the pump at the time for which it was scheduled.
+func (server *Server) tick() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.pump()
+}
+
+// pump starts what can start: waiting requests and adapter loads. It is called
+// with the lock held after each change.
+func (server *Server) pump() {
+	if server.background.Err() != nil {
+		return
+	}
+	now := time.Now()
+	if !server.moving() {
+		for len(server.running) < server.config.MaxRunning {
+			entry := server.queue.Pop(now, server.ready)
+			if entry == nil {
+				break
+			}
+			server.commit(now, entry.Value)
+		}
+	}
+	server.queue.SetBusy(now, len(server.running) >= server.config.MaxRunning && server.queue.Len() > 0)
+	demands := server.planLoads(now)
+	server.schedule(now, demands)
+}
+
+// ready reports whether a waiting request could be sent at once.
+func (server *Server) ready(entry *queue.Entry[*ticket]) bool {
+	return entry.Value.plain || server.table.Ready(entry.Value.ref)
+}
+
+// commit gives a popped ticket its place at the upstream and pins its adapter.
+func (server *Server) commit(now time.Time, ticket *ticket) {
+	if !ticket.plain {
+		server.table.Pin(now, ticket.ref)
+	}
+	ticket.committed = true
+	ticket.generation = server.engine.generation
+	server.running[ticket] = true
+	ticket.verdict <- nil
+}
+
+// moving reports whether work of another half still runs, in which case new
+// work waits.
+func (server *Server) moving() bool {
+	upstream, ok := server.current().Upstream(server.config.Upstream)
+	if !ok {
+		return true
+	}
+	for ticket := range server.running {
+		if !ticket.half.Shares(upstream.Half) {
+			return true
+		}
+	}
+	return false
+}
+
+// demand collects the waiting requests of one adapter.
+type demand struct {
+	slots.Demand
+	organisation string
+}
+
+// planLoads gives the engine the orders for adapters that requests wait for.
+func (server *Server) planLoads(now time.Time) []slots.Demand {
+	if !server.engine.known || server.queue.Len() == 0 || server.moving() {
+		return nil
+	}
+	byRef := server.demands(now)
+	list := make([]slots.Demand, 0, len(byRef))
+	for _, demand := range byRef {
+		list = append(list, demand.Demand)
+	}
+	for _, order := range server.table.Plan(now, list) {
+		if demand, ok := byRef[order.Load]; ok {
+			server.queue.Charge(demand.organisation, queue.LoadCost)
+		}
+		server.loads.Add(1)
+		go server.execute(order, server.engine.generation)
+	}
+	return list
+}
+
+// demands returns what requests wait for, except for organisations that have
+// no tokens at present.
+func (server *Server) demands(now time.Time) map[slots.Ref]*demand {
+	byRef := map[slots.Ref]*demand{}
+	server.queue.All(func(entry *queue.Entry[*ticket]) bool {
+		ticket := entry.Value
+		if ticket.plain || server.queue.Blocked(ticket.organisation, now) {
+			return true
+		}
+		known, ok := byRef[ticket.ref]
+		if !ok {
+			known = &demand{Demand: slots.Demand{Ref: ticket.ref, Class: entry.Class, Oldest: ticket.arrived}}
+			known.organisation = ticket.organisation
+			byRef[ticket.ref] = known
+		}
+		known.Waiters++
+		if entry.Urgent(now) {
+			known.Class = 0
+		}
+		if ticket.arrived.Before(known.Oldest) {
+			known.Oldest, known.organisation = ticket.arrived, ticket.organisation
+		}
+		return true
+	})
+	return byRef
+}
+
+// schedule sets the timer for the next moment at which the pump may do more
+// although nothing happened.
+func (server *Server) schedule(now time.Time, demands []slots.Demand) {
+	next, ok := server.queue.NextUnblock(now)
+	if plan, planned := server.table.NextPlan(now, demands); planned && (!ok || plan.Before(next)) {
+		next, ok = plan, true
+	}
+	if ok {
+		server.timer.Reset(next.Sub(now))
+	}
+}
+
+// review checks every waiting ticket anew after the configuration or the list
+// of instances changed.
+func (server *Server) review() {
+	var refused []*ticket
+	var reasons []*fault.Fault
+	server.queue.All(func(entry *queue.Entry[*ticket]) bool {
+		if reason := server.gate(entry.Value); reason != nil {
+			refused, reasons = append(refused, entry.Value), append(reasons, reason)
+		}
+		return true
+	})
+	for index, ticket := range refused {
+		server.refuse(ticket, reasons[index])
+	}
+	server.pump()
+}
+
+// place logs a placement decision.
+func (server *Server) place(message string, ticket *ticket, fields ...zap.Field) {
+	server.config.Logger.Info("place: "+message, append(ticket.fields(), fields...)...)
+}
+
+// fields names the request in the log, without its key or prompt.
+func (ticket *ticket) fields() []zap.Field {
+	return []zap.Field{
+		zap.String("request-id", ticket.attempt.RequestID), zap.Uint32("attempt", ticket.attempt.Number),
+		zap.String("organisation", ticket.organisation), zap.Stringer("adapter", ticket.ref),
+	}
+}
--- /dev/null
+++ b/internal/daemon/side/run.go
@@ -0,0 +1,225 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// Run implements wirepb.DRPCSideServer.
+func (server *Server) Run(request *wirepb.RunRequest, stream wirepb.DRPCSide_RunStream) error {
+	ctx := stream.Context()
+	answer := &answer{server: server, request: request, stream: stream}
+	ticket, refusal := server.arrive(ctx, request)
+	if refusal != nil {
+		return answer.refuse(refusal)
+	}
+	defer server.depart(ticket)
+	if ticket.keyed() {
+		return server.runKeyed(ctx, ticket, answer)
+	}
+	return server.runTicket(ctx, ticket, answer)
+}
+
+// arrive checks a request on arrival and records its attempt.
+func (server *Server) arrive(ctx context.Context, request *wirepb.RunRequest) (*ticket, *fault.Fault) {
+	if refusal := server.freshen(ctx, request); refusal != nil {
+		return nil, refusal
+	}
+	route, ok := server.current().Route(request.GetRoute())
+	if !ok {
+		return nil, fault.New(fault.UnknownRoute, fault.NotRun, "the route %q does not exist; list the routes", request.GetRoute())
+	}
+	ticket := server.newTicket(request, route)
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	incarnation := request.GetIncarnation()
+	if incarnation != 0 && incarnation != server.config.Incarnation {
+		return nil, fault.New(fault.NoUpstream, fault.NotRun, "the side process was started anew; send the request again")
+	}
+	if refusal := server.gate(ticket); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := server.begin(ticket); refusal != nil {
+		return nil, refusal
+	}
+	server.live++
+	return ticket, nil
+}
+
+// begin records an attempt unless it must not run.
+func (server *Server) begin(ticket *ticket) *fault.Fault {
+	now := time.Now()
+	if !ticket.idempotent && server.records.Full(now) {
+		return fault.New(fault.Overloaded, fault.NotRun,
+			"too many recent requests are remembered; come back after the time in retry-after").WithRetryAfter(time.Second)
+	}
+	switch server.records.Begin(now, ticket.attempt, ticket.organisation, ticket.repeat()) {
+	case once.Tombstoned:
+		return fault.New(fault.Cancelled, fault.NotRun, "the attempt was cancelled; send the request anew")
+	case once.Duplicate, once.Spent:
+		return fault.New(fault.OutcomeUnknown, fault.Unknown, "the request was dispatched before; query its outcome by its id")
+	case once.Fresh:
+	}
+	return nil
+}
+
+// freshen waits until this process has the configuration version with which
+// the entry instance accepted the request.
+func (server *Server) freshen(ctx context.Context, request *wirepb.RunRequest) *fault.Fault {
+	version := request.GetConfigVersion()
+	if server.current().Version() >= version {
+		return nil
+	}
+	server.config.Configs.Hint(version)
+	timer := time.NewTimer(shorter(freshWait, time.Duration(request.GetWaitBudgetUs())*time.Microsecond))
+	defer timer.Stop()
+	for {
+		changed := server.config.Configs.Changed()
+		if server.current().Version() >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return fault.New(fault.Stale, fault.NotRun,
+				"this side process has not received configuration %d yet; send the request to another upstream", version)
+		case <-ctx.Done():
+			return cancelled()
+		}
+	}
+}
+
+func cancelled() *fault.Fault {
+	return fault.New(fault.Cancelled, fault.NotRun, "the caller went away while the request waited")
+}
+
+// runTicket queues a ticket, sends it when its turn comes and relays the answer.
+func (server *Server) runTicket(ctx context.Context, ticket *ticket, answer *answer) error {
+	if refusal := server.enqueue(ticket); refusal != nil {
+		return server.turnDown(ticket, answer, refusal)
+	}
+	if refusal := server.await(ctx, ticket); refusal != nil {
+		return server.turnDown(ticket, answer, refusal)
+	}
+	ctx, cancel := server.runContext(ctx, ticket)
+	defer cancel()
+	if ticket.plain {
+		return server.runPlain(ctx, ticket, answer)
+	}
+	return server.runModel(ctx, ticket, answer)
+}
+
+// runContext bounds the time of a run. A run with an idempotency key goes on
+// when its caller leaves, so that a repeated request finds its answer.
+func (server *Server) runContext(ctx context.Context, ticket *ticket) (context.Context, context.CancelFunc) {
+	if ticket.keyed() {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithDeadline(ctx, server.deadline(ticket))
+}
+
+// deadline is when a request has taken as long as it may.
+func (server *Server) deadline(ticket *ticket) time.Time {
+	budget := time.Duration(ticket.request.GetTimeBudgetUs()) * time.Microsecond
+	return ticket.arrived.Add(shorter(budget, server.config.RequestLimit))
+}
+
+// enqueue admits a ticket to the queue or refuses it on arrival.
+func (server *Server) enqueue(ticket *ticket) *fault.Fault {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	now := time.Now()
+	if refusal := server.gate(ticket); refusal != nil {
+		return refusal
+	}
+	if after, failed := server.table.Refuses(now, ticket.ref); failed && !ticket.plain {
+		return loadFailed(ticket).WithRetryAfter(after)
+	}
+	organisation, _ := server.current().Organisation(ticket.organisation)
+	share := queue.Share{Rate: organisation.Rate, Burst: organisation.Burst}
+	if refusal := server.queue.Admit(now, ticket.entry, share); refusal != nil {
+		return refusal
+	}
+	server.count("admitted")
+	server.queue.Push(ticket.entry)
+	server.pump()
+	return nil
+}
+
+// await waits until the ticket is dispatched. Its longest wait and the end of
+// its caller take it out of the queue at once.
+func (server *Server) await(ctx context.Context, ticket *ticket) *fault.Fault {
+	var expired <-chan time.Time
+	if ticket.longest > 0 {
+		timer := time.NewTimer(time.Until(ticket.arrived.Add(ticket.longest)))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	for {
+		select {
+		case refusal := <-ticket.verdict:
+			if refusal != nil {
+				return refusal
+			}
+			if sent, refusal := server.dispatch(ctx, ticket); sent || refusal != nil {
+				return refusal
+			}
+		case <-expired:
+			return server.withdraw(ticket, fault.New(fault.WaitExceeded, fault.NotRun,
+				"the request waited for its longest wait of %v; come back after the time in retry-after", ticket.longest).
+				WithRetryAfter(time.Second))
+		case <-ctx.Done():
+			return server.withdraw(ticket, cancelled())
+		}
+	}
+}
+
+// withdraw takes a ticket that was not dispatched out of the queue or out of
+// its place at the upstream.
+func (server *Server) withdraw(ticket *ticket, reason *fault.Fault) *fault.Fault {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.queue.Remove(ticket.entry)
+	server.release(ticket)
+	server.pump()
+	return reason
+}
+
+// turnDown records and answers that a ticket was not sent to the upstream.
+func (server *Server) turnDown(ticket *ticket, answer *answer, refusal *fault.Fault) error {
+	server.mu.Lock()
+	server.records.End(time.Now(), ticket.attempt, refusal.Ran(), uint32(refusal.Status()))
+	server.mu.Unlock()
+	return answer.refuse(refusal)
+}
+
+// depart ends the stay of a ticket.
+func (server *Server) depart(ticket *ticket) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.records.End(time.Now(), ticket.attempt, fault.NotRun, 0)
+	server.live--
+	if server.live == 0 {
+		select {
+		case server.empty <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// logRefusal logs why a request was refused.
+func (server *Server) logRefusal(request *wirepb.RunRequest, refusal *fault.Fault) {
+	server.count("refused-" + string(refusal.Kind()))
+	server.config.Logger.Info("admit: refused request",
+		zap.String("request-id", request.GetRequestId()), zap.Uint32("attempt", request.GetAttempt()),
+		zap.String("organisation", request.GetOrganisation()), zap.String("adapter", request.GetAdapter()),
+		zap.String("reason", string(refusal.Kind())), zap.String("ran", string(refusal.Ran())),
+		zap.Duration("retry-after", refusal.RetryAfter()))
+}
--- /dev/null
+++ b/internal/daemon/side/side.go
@@ -0,0 +1,182 @@
+// Package side is the side process of one upstream: the last gate before it.
+// It queues requests fairly, loads adapters, debits tokens, and sends each
+// request when all checks hold at that moment.
+package side
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Config sets up a Server. Upstream, Configs and Engine are required.
+type Config struct {
+	// Upstream is the id of the upstream in the configuration.
+	Upstream string
+	Configs  Configs
+	Engine   Upstream
+	Limiter  Limiter
+	// Log keeps idempotency claims; without it, requests with an idempotency
+	// key are refused.
+	Log     Log
+	Roster  Roster
+	Permits Permits
+	// NewShard makes the quota shards that this process hosts.
+	NewShard func(ShardConfig) Shard
+	Metrics  Metrics
+	Logger   *zap.Logger
+
+	// Incarnation is the start time in ms; it is the first fencing token too.
+	Incarnation uint64
+	Queue       queue.Config
+	Slots       slots.Config
+	Records     once.RecordsConfig
+	// MaxRunning bounds the requests at the upstream.
+	MaxRunning int
+	// Partitions is the number of claim streams.
+	Partitions  int
+	ClaimWindow time.Duration
+	// RequestLimit is the longest a request may take.
+	RequestLimit time.Duration
+	// DrainLimit is the longest that a planned stop waits for running work.
+	DrainLimit time.Duration
+	// GrantLifetime and GrantMargin apply to the hosted quota shards.
+	GrantLifetime time.Duration
+	GrantMargin   time.Duration
+}
+
+const (
+	defaultMaxRunning   = 32
+	defaultPartitions   = 64
+	defaultRequestLimit = 5 * time.Minute
+	defaultDrainLimit   = 6 * time.Minute
+	defaultLifetime     = 500 * time.Millisecond
+	defaultMargin       = 100 * time.Millisecond
+	// freshWait bounds how long a request waits for a configuration version
+	// that its entry instance has and this process does not. Versions are in
+	// force everywhere within 2 s at p99.
+	freshWait = 2 * time.Second
+	// takeWait bounds how long a request that is about to be sent holds its
+	// slot while its organisation's tokens are drawn: a few round trips within
+	// a region.
+	takeWait = 20 * time.Millisecond
+	// statePoll is how often the engine is asked for its state. An engine that
+	// restarted cold is noticed within that time.
+	statePoll = 250 * time.Millisecond
+	// reportLag is how far an engine's report may lag behind.
+	reportLag = time.Second
+	// loadTimeout bounds one order to the engine.
+	loadTimeout = 30 * time.Second
+)
+
+func orDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+func (config Config) withDefaults() Config {
+	orDefault[Limiter](&config.Limiter, unlimited{})
+	orDefault[Roster](&config.Roster, staying{})
+	orDefault[Permits](&config.Permits, unbounded{})
+	orDefault[Metrics](&config.Metrics, uncounted{})
+	orDefault(&config.Logger, zap.NewNop())
+	orDefault(&config.Incarnation, uint64(time.Now().UnixMilli()))
+	orDefault(&config.MaxRunning, defaultMaxRunning)
+	orDefault(&config.Partitions, defaultPartitions)
+	orDefault(&config.RequestLimit, defaultRequestLimit)
+	orDefault(&config.DrainLimit, defaultDrainLimit)
+	orDefault(&config.GrantLifetime, defaultLifetime)
+	orDefault(&config.GrantMargin, defaultMargin)
+	config.Records.Incarnation = config.Incarnation
+	return config
+}
+
+func (config Config) check() error {
+	switch {
+	case config.Upstream == "":
+		return fault.New(fault.Invalid, fault.NotRun, "side: upstream is empty; set it to the id in the configuration")
+	case config.Configs == nil:
+		return fault.New(fault.Invalid, fault.NotRun, "side: no source of configurations; set Configs")
+	case config.Engine == nil:
+		return fault.New(fault.Invalid, fault.NotRun, "side: no client of the upstream; set Engine")
+	case config.DrainLimit <= config.RequestLimit:
+		return fault.New(fault.Invalid, fault.NotRun,
+			"side: drain limit %v does not exceed request limit %v; raise it", config.DrainLimit, config.RequestLimit)
+	}
+	return nil
+}
+
+// Server implements wirepb.DRPCSideServer.
+type Server struct {
+	config Config
+	claims *claimer
+	shards *shards
+
+	mu       sync.Mutex
+	queue    *queue.Queue[*ticket]
+	table    *slots.Table
+	records  *once.Records
+	flights  map[flightKey]*flight
+	engine   engineView
+	lingers  []linger
+	running  map[*ticket]bool
+	live     int
+	draining bool
+	empty    chan struct{}
+	timer    *time.Timer
+	fence    uint64
+	// background is the context of loads; it ends when Serve does.
+	background context.Context
+	stop       context.CancelFunc
+	loads      sync.WaitGroup
+}
+
+// New returns a Server. Serve must run for it to load adapters and to follow
+// the configuration.
+func New(config Config) (*Server, error) {
+	config = config.withDefaults()
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	background, stop := context.WithCancel(context.Background())
+	server := &Server{
+		config:     config,
+		claims:     newClaimer(config),
+		shards:     newShards(config),
+		queue:      queue.New[*ticket](config.Queue),
+		table:      slots.New(config.Slots),
+		records:    once.NewRecords(config.Records),
+		flights:    map[flightKey]*flight{},
+		running:    map[*ticket]bool{},
+		empty:      make(chan struct{}, 1),
+		fence:      config.Incarnation,
+		background: background,
+		stop:       stop,
+	}
+	server.timer = time.AfterFunc(time.Hour, server.tick)
+	return server, nil
+}
+
+// FencingToken returns the token that orders to the engine carry.
+func (server *Server) FencingToken() uint64 {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return server.fence
+}
+
+// Incarnation returns the start of this process as its callers see it.
+func (server *Server) Incarnation() uint64 { return server.config.Incarnation }
+
+func (server *Server) current() *model.Config { return server.config.Configs.Current() }
+
+func (server *Server) count(name string) { server.config.Metrics.Add(name, 1) }
--- /dev/null
+++ b/internal/daemon/side/ticket.go
@@ -0,0 +1,136 @@
+package side
+
+import (
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// ticket is one attempt of a request on its way through this process. The
+// server's lock guards its mutable fields.
+type ticket struct {
+	request      *wirepb.RunRequest
+	attempt      once.Attempt
+	organisation string
+	route        model.RouteSpec
+	ref          slots.Ref
+	plain        bool
+	idempotent   bool
+	maxTokens    model.Tokens
+	cost         model.Tokens
+	arrived      time.Time
+	longest      time.Duration
+
+	entry *queue.Entry[*ticket]
+	// verdict tells the waiting handler to go on, or why not.
+	verdict   chan *fault.Fault
+	committed bool
+	// generation is the engine's at the time of the pin.
+	generation uint64
+	half       model.Half
+	debit      Debit
+	// claim is what this process put on the log for an idempotency key.
+	claim once.Holder
+	// waited is the time until the dispatch; loadWait is the part of it until
+	// the adapter was loaded.
+	waited   time.Duration
+	loadWait time.Duration
+	// firstToken is when the engine was seen to work on the request.
+	firstToken time.Time
+}
+
+func (server *Server) newTicket(request *wirepb.RunRequest, route model.RouteSpec) *ticket {
+	now := time.Now()
+	ticket := &ticket{
+		request:      request,
+		attempt:      once.Attempt{RequestID: request.GetRequestId(), Number: request.GetAttempt()},
+		organisation: request.GetOrganisation(),
+		route:        route,
+		plain:        route.Plain,
+		ref:          slots.Ref{Adapter: request.GetAdapter(), Version: request.GetAdapterVersion()},
+		idempotent:   request.GetIdempotent() && route.Idempotent && len(request.GetIdempotencyKeyHash()) == 0,
+		arrived:      now,
+		longest:      shorter(time.Duration(request.GetWaitBudgetUs())*time.Microsecond, route.LongestWait),
+		verdict:      make(chan *fault.Fault, 1),
+	}
+	if request.GetKeyId() == "" {
+		// Work without a key is charged to nobody, whatever the request says.
+		ticket.organisation = ""
+	}
+	ticket.maxTokens = model.Tokens(request.GetMaxTokens())
+	if ticket.maxTokens <= 0 {
+		ticket.maxTokens = route.DefaultMaxTokens
+	}
+	ticket.cost = model.Tokens(max(request.GetPromptTokens(), 0)) + ticket.maxTokens
+	if ticket.plain {
+		ticket.cost = route.Cost
+	}
+	ticket.entry = newEntry(ticket)
+	return ticket
+}
+
+// newEntry returns the entry with which a ticket waits.
+func newEntry(value *ticket) *queue.Entry[*ticket] {
+	return &queue.Entry[*ticket]{
+		Organisation: value.organisation, Class: class(value.request.GetClass()), Cost: value.cost,
+		Arrived: value.arrived, Longest: value.longest, Value: value,
+	}
+}
+
+// shorter returns the shorter of two waits, of which 0 sets no bound.
+func shorter(left, right time.Duration) time.Duration {
+	if left <= 0 || right > 0 && right < left {
+		return right
+	}
+	return left
+}
+
+func class(class wirepb.Class) model.Class {
+	if class == wirepb.Class_CLASS_PATIENT {
+		return model.Patient
+	}
+	return model.Interactive
+}
+
+// keyed reports whether the request has an idempotency key.
+func (ticket *ticket) keyed() bool { return len(ticket.request.GetIdempotencyKeyHash()) > 0 }
+
+// repeat tells how often the request may run.
+func (ticket *ticket) repeat() once.Repeat {
+	switch {
+	case ticket.idempotent:
+		return once.Freely
+	case ticket.keyed():
+		return once.ByClaim
+	default:
+		return once.AtMostOnce
+	}
+}
+
+// refuse takes a waiting ticket out of the queue and tells its handler why.
+func (server *Server) refuse(ticket *ticket, reason *fault.Fault) {
+	if server.queue.Remove(ticket.entry) {
+		ticket.verdict <- reason
+	}
+}
+
+// release ends the commitment of a ticket that was not dispatched.
+func (server *Server) release(ticket *ticket) {
+	if !ticket.committed {
+		return
+	}
+	ticket.committed = false
+	delete(server.running, ticket)
+	server.unpin(ticket)
+}
+
+func (server *Server) unpin(ticket *ticket) {
+	if !ticket.plain && ticket.generation == server.engine.generation {
+		server.table.Unpin(ticket.ref)
+	}
+}
--- /dev/null
+++ b/internal/daemon/side/watch.go
@@ -0,0 +1,151 @@
+package side
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
+)
+
+// linger is the use of an adapter by a request whose end the engine has not
+// confirmed.
+type linger struct {
+	ref        slots.Ref
+	generation uint64
+	ended      time.Time
+}
+
+// Serve follows the configuration, the list of instances and the engine until
+// ctx ends. It returns when no load is under way.
+func (server *Server) Serve(ctx context.Context) error {
+	defer server.loads.Wait()
+	defer server.halt()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { server.every(ctx, server.poll) })
+	group.Go(func() { server.every(ctx, server.claims.flush) })
+	ticker := time.NewTicker(statePoll)
+	defer ticker.Stop()
+	for {
+		changed := server.config.Configs.Changed()
+		server.follow()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// halt ends the background work. No load starts after it.
+func (server *Server) halt() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.stop()
+	server.timer.Stop()
+}
+
+// every calls work at once and then periodically until ctx ends.
+func (server *Server) every(ctx context.Context, work func(context.Context)) {
+	ticker := time.NewTicker(statePoll)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// follow checks the waiting requests and the hosted shards against the current
+// configuration.
+func (server *Server) follow() {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.shards.refresh(server.current())
+	server.review()
+}
+
+// poll reads the engine's state. Plain services have none.
+func (server *Server) poll(ctx context.Context) {
+	if upstream, ok := server.current().Upstream(server.config.Upstream); !ok || upstream.Plain {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statePoll)
+	defer cancel()
+	asked := time.Now()
+	before := server.worked(asked)
+	state, err := server.config.Engine.State(ctx)
+	if err != nil {
+		return
+	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if state.Fence > server.fence {
+		// This process holds the listening address, so that the holder of the
+		// newer token has ended.
+		server.fence = state.Fence + 1
+	}
+	if !server.engine.known || state.Epoch != server.engine.epoch || state.Slots != server.table.Size() {
+		server.restart(state)
+	}
+	server.settleLingers(asked, state, before)
+	server.pump()
+}
+
+// restart takes over the state of an engine that started anew.
+func (server *Server) restart(state State) {
+	server.engine.generation++
+	server.engine.epoch, server.engine.known = state.Epoch, true
+	server.lingers = nil
+	server.table.Reset(time.Now(), state.Slots, state.Loaded)
+	server.config.Logger.Info("place: engine started anew", zap.String("epoch", state.Epoch),
+		zap.Int("slots", state.Slots), zap.Int("loaded", len(state.Loaded)), zap.String("upstream", server.config.Upstream))
+}
+
+// worked returns the requests that the engine had begun to answer long enough
+// ago for its report to count them.
+func (server *Server) worked(now time.Time) []*ticket {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if len(server.lingers) == 0 {
+		return nil
+	}
+	var tickets []*ticket
+	for ticket := range server.running {
+		if !ticket.firstToken.IsZero() && now.Sub(ticket.firstToken) >= reportLag {
+			tickets = append(tickets, ticket)
+		}
+	}
+	return tickets
+}
+
+// settleLingers unpins adapters of requests whose end was not confirmed, once
+// the engine works on no more than the requests that are known to run. Those
+// that began or ended around the report do not count as known.
+func (server *Server) settleLingers(asked time.Time, state State, before []*ticket) {
+	known := 0
+	for _, ticket := range before {
+		if server.running[ticket] {
+			known++
+		}
+	}
+	if state.Running+state.Waiting > known {
+		return
+	}
+	kept := server.lingers[:0]
+	for _, linger := range server.lingers {
+		if asked.Sub(linger.ended) < reportLag {
+			kept = append(kept, linger)
+		} else if linger.generation == server.engine.generation {
+			server.table.Unpin(linger.ref)
+		}
+	}
+	server.lingers = kept
+}
--- /dev/null
+++ b/internal/flow/once/record.go
@@ -0,0 +1,45 @@
+package once
+
+import (
+	"crypto/sha256"
+
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// ClaimRecord encodes a claim for the log.
+func ClaimRecord(organisation string, hash []byte, holder Holder) ([]byte, error) {
+	return proto.Marshal(&wirepb.ClaimRecord{Body: &wirepb.ClaimRecord_Claim{Claim: &wirepb.Claim{
+		Organisation: organisation, KeyHash: hash, RequestDigest: holder.Digest,
+		RequestId: holder.RequestID, Claimant: holder.Claimant,
+	}}})
+}
+
+// ReleaseRecord encodes that the claim of a claimant is void since its request
+// did not run. It has status 0 and the claimant as its body, because another
+// claimant may hold the key with the same request id.
+func ReleaseRecord(organisation string, hash []byte, holder Holder) ([]byte, error) {
+	return proto.Marshal(&wirepb.ClaimRecord{Body: &wirepb.ClaimRecord_Outcome{Outcome: &wirepb.ClaimOutcome{
+		Organisation: organisation, KeyHash: hash, RequestId: holder.RequestID, Body: []byte(holder.Claimant),
+	}}})
+}
+
+// OutcomeRecord encodes the outcome of a claim for the log, with at most
+// LogBody bytes of the answer.
+func OutcomeRecord(organisation string, hash []byte, requestID string, outcome Outcome) ([]byte, error) {
+	if len(outcome.Body) > LogBody {
+		outcome = Digested(outcome)
+	}
+	return proto.Marshal(&wirepb.ClaimRecord{Body: &wirepb.ClaimRecord_Outcome{Outcome: &wirepb.ClaimOutcome{
+		Organisation: organisation, KeyHash: hash, RequestId: requestID,
+		Status: outcome.Status, Body: outcome.Body, Truncated: outcome.Truncated,
+	}}})
+}
+
+// Digested returns the outcome with its body replaced by the body's SHA-256
+// digest.
+func Digested(outcome Outcome) Outcome {
+	digest := sha256.Sum256(outcome.Body)
+	return Outcome{Status: outcome.Status, Body: digest[:], Truncated: true}
+}
--- /dev/null
+++ b/internal/flow/slots/plan.go
@@ -0,0 +1,161 @@
+package slots
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Demand tells how many requests wait for an adapter.
+type Demand struct {
+	Ref     Ref
+	Class   model.Class
+	Waiters int
+	// Oldest is the arrival of the longest-waiting request.
+	Oldest time.Time
+}
+
+// Order asks the engine for a load, after the eviction of Evict if it is set.
+// An order without Load only evicts and is not answered by Finish.
+type Order struct {
+	Load  Ref
+	Evict Ref
+}
+
+// Plan returns the orders to give to the engine now. Each is answered by one
+// call of Finish. Demands name loaded adapters too, whose waiting requests
+// put off their eviction.
+func (table *Table) Plan(now time.Time, demands []Demand) []Order {
+	waiting := make(map[Ref]bool, len(demands))
+	wanted := demands[:0:0]
+	for _, demand := range demands {
+		if _, known := table.slots[demand.Ref]; known {
+			waiting[demand.Ref] = true
+		} else if !table.backingOff(now, demand.Ref) {
+			wanted = append(wanted, demand)
+		}
+	}
+	slices.SortFunc(wanted, func(left, right Demand) int { return table.compare(now, left, right) })
+	orders := table.trim(now)
+	for _, demand := range wanted {
+		if !table.throttle.allows(now) {
+			break
+		}
+		late := table.late(now, demand)
+		evict, ok := table.room(now, waiting, late)
+		if !ok {
+			if late {
+				table.close(now, waiting)
+			}
+			break
+		}
+		delete(table.slots, evict)
+		table.slots[demand.Ref] = &slot{loading: true, started: now, lastUsed: now}
+		table.throttle.start()
+		orders = append(orders, Order{Load: demand.Ref, Evict: evict})
+	}
+	return orders
+}
+
+// trim evicts what the engine holds beyond its slots, which can be seen after
+// orders whose replies were lost.
+func (table *Table) trim(now time.Time) []Order {
+	var orders []Order
+	for len(table.slots) > table.size {
+		ref, ok := table.least(now, func(_ Ref, slot *slot) bool { return slot.pins == 0 })
+		if !ok {
+			break
+		}
+		delete(table.slots, ref)
+		orders = append(orders, Order{Evict: ref})
+	}
+	return orders
+}
+
+// late reports whether a demand has been put off long enough.
+func (table *Table) late(now time.Time, demand Demand) bool {
+	return now.Sub(demand.Oldest) >= table.config.SwitchDeferral
+}
+
+// lateFactor is how many deferrals a demand waits before its age alone puts it
+// before demands with more waiting requests.
+const lateFactor = 8
+
+// compare orders demands by class, waiting requests and age.
+func (table *Table) compare(now time.Time, left, right Demand) int {
+	overdue := lateFactor * table.config.SwitchDeferral
+	if now.Sub(left.Oldest) >= overdue || now.Sub(right.Oldest) >= overdue {
+		if order := left.Oldest.Compare(right.Oldest); order != 0 {
+			return order
+		}
+	}
+	return cmp.Or(
+		cmp.Compare(left.Class, right.Class),
+		cmp.Compare(right.Waiters, left.Waiters),
+		left.Oldest.Compare(right.Oldest),
+		compareRefs(left.Ref, right.Ref),
+	)
+}
+
+func compareRefs(left, right Ref) int {
+	return cmp.Or(cmp.Compare(left.Adapter, right.Adapter), cmp.Compare(left.Version, right.Version))
+}
+
+// room finds a place for one more adapter: a free slot, or the least valuable
+// adapter that is not in use. Adapters with waiting requests are evicted only
+// for a late demand.
+func (table *Table) room(now time.Time, waiting map[Ref]bool, late bool) (Ref, bool) {
+	if len(table.slots) < table.size {
+		return Ref{}, true
+	}
+	if len(table.slots) > table.size {
+		return Ref{}, false
+	}
+	return table.least(now, func(ref Ref, slot *slot) bool {
+		return slot.pins == 0 && (late || slot.closing || !waiting[ref])
+	})
+}
+
+// close stops new pins of the least valuable adapter in use, unless enough
+// slots are closing. Without it, a steady load on the loaded adapters would
+// keep every slot pinned for ever.
+func (table *Table) close(now time.Time, waiting map[Ref]bool) {
+	for _, slot := range table.slots {
+		if slot.closing {
+			return
+		}
+	}
+	ref, ok := table.least(now, func(ref Ref, _ *slot) bool { return !waiting[ref] })
+	if !ok {
+		ref, ok = table.least(now, func(Ref, *slot) bool { return true })
+	}
+	if ok {
+		table.slots[ref].closing = true
+	}
+}
+
+// least returns the adapter of least value among those that may go: by decayed
+// use, then by oldest use.
+func (table *Table) least(now time.Time, may func(Ref, *slot) bool) (Ref, bool) {
+	var best Ref
+	var bestSlot *slot
+	for ref, slot := range table.slots {
+		if slot.loading || !may(ref, slot) {
+			continue
+		}
+		if bestSlot == nil || table.less(now, ref, slot, best, bestSlot) {
+			best, bestSlot = ref, slot
+		}
+	}
+	return best, bestSlot != nil
+}
+
+func (table *Table) less(now time.Time, ref Ref, slot *slot, best Ref, bestSlot *slot) bool {
+	return cmp.Or(
+		cmp.Compare(slot.value(now, table.config.HalfLife), bestSlot.value(now, table.config.HalfLife)),
+		slot.lastUsed.Compare(bestSlot.lastUsed),
+		compareRefs(ref, best),
+	) < 0
+}
--- /dev/null
+++ b/internal/flow/slots/slots.go
@@ -0,0 +1,185 @@
+// Package slots holds the adapter slot table of one engine: which adapters are
+// loaded, which are in use, what to load next and what to evict for it.
+package slots
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Ref names an adapter in one version.
+type Ref struct {
+	Adapter string
+	Version uint32
+}
+
+// String returns the reference as callers write it.
+func (ref Ref) String() string {
+	return ref.Adapter + "@" + strconv.FormatUint(uint64(ref.Version), 10)
+}
+
+// Hash returns the hash under which load reports name the adapter.
+func (ref Ref) Hash() uint64 { return xxh3.HashString(ref.String()) }
+
+// Config sets up a Table. Zero fields take their defaults.
+type Config struct {
+	Slots int
+	Seed  uint64
+	// Target is the load time at which concurrency stays as it is.
+	Target time.Duration
+	// Concurrency bounds the loads in flight.
+	Concurrency int
+	// SwitchDeferral bounds how long requests for loaded adapters may put off
+	// the load of another one.
+	SwitchDeferral time.Duration
+	// HalfLife is how fast use counts decay.
+	HalfLife time.Duration
+}
+
+const (
+	// defaultTarget is the weight store's load time while it is not overloaded.
+	defaultTarget      = 250 * time.Millisecond
+	defaultConcurrency = 8
+	// defaultSwitchDeferral is one load time: waiting for less than that costs
+	// the waiting request less than the load that follows.
+	defaultSwitchDeferral = 250 * time.Millisecond
+	defaultHalfLife       = time.Minute
+)
+
+func (config Config) withDefaults() Config {
+	if config.Target <= 0 {
+		config.Target = defaultTarget
+	}
+	if config.Concurrency <= 0 {
+		config.Concurrency = defaultConcurrency
+	}
+	if config.SwitchDeferral <= 0 {
+		config.SwitchDeferral = defaultSwitchDeferral
+	}
+	if config.HalfLife <= 0 {
+		config.HalfLife = defaultHalfLife
+	}
+	return config
+}
+
+// slot holds one adapter that is loading or loaded.
+type slot struct {
+	loading bool
+	started time.Time
+	// closing slots admit no new pins, so that they come free for another adapter.
+	closing  bool
+	pins     int
+	use      float64
+	lastUsed time.Time
+}
+
+func (slot *slot) value(now time.Time, halfLife time.Duration) float64 {
+	return slot.use * math.Exp2(-float64(now.Sub(slot.lastUsed))/float64(halfLife))
+}
+
+// Table is the slot table of one engine. It is not safe for concurrent use.
+type Table struct {
+	config   Config
+	slots    map[Ref]*slot
+	size     int
+	failures map[Ref]*failure
+	throttle throttle
+	random   *rand.Rand
+}
+
+// New returns a Table of an engine with nothing loaded.
+func New(config Config) *Table {
+	config = config.withDefaults()
+	return &Table{
+		config:   config,
+		size:     config.Slots,
+		slots:    map[Ref]*slot{},
+		failures: map[Ref]*failure{},
+		throttle: newThrottle(config),
+		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+	}
+}
+
+// Reset replaces the contents after the engine started anew. Pins and loads
+// from before are void; Unpin and Finish of them are ignored by the caller.
+func (table *Table) Reset(now time.Time, size int, loaded []Ref) {
+	table.size = size
+	table.slots = make(map[Ref]*slot, size)
+	table.throttle.inFlight = 0
+	for _, ref := range loaded {
+		table.slots[ref] = &slot{lastUsed: now}
+	}
+}
+
+// Reconcile corrects the table after an order failed, when it is not known
+// what the engine did: adapters that the engine holds are added, and those not
+// in use that it lacks are dropped.
+func (table *Table) Reconcile(now time.Time, loaded []Ref) {
+	held := make(map[Ref]bool, len(loaded))
+	for _, ref := range loaded {
+		held[ref] = true
+		if _, known := table.slots[ref]; !known {
+			table.slots[ref] = &slot{lastUsed: now}
+		}
+	}
+	for ref, slot := range table.slots {
+		if !held[ref] && !slot.loading && slot.pins == 0 {
+			delete(table.slots, ref)
+		}
+	}
+}
+
+// Size returns the number of slots.
+func (table *Table) Size() int { return table.size }
+
+// Free returns the number of slots without an adapter in use or loading.
+func (table *Table) Free() int {
+	free := table.size
+	for _, slot := range table.slots {
+		if slot.loading || slot.pins > 0 {
+			free--
+		}
+	}
+	return max(free, 0)
+}
+
+// Loaded returns the loaded adapters, at most limit of them.
+func (table *Table) Loaded(limit int) []Ref {
+	refs := make([]Ref, 0, min(limit, len(table.slots)))
+	for ref, slot := range table.slots {
+		if !slot.loading && len(refs) < limit {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+// Ready reports whether a request for the adapter may start now.
+func (table *Table) Ready(ref Ref) bool {
+	slot, ok := table.slots[ref]
+	return ok && !slot.loading && !slot.closing
+}
+
+// Pin marks the adapter as in use by one more request and reports whether it
+// was ready.
+func (table *Table) Pin(now time.Time, ref Ref) bool {
+	if !table.Ready(ref) {
+		return false
+	}
+	slot := table.slots[ref]
+	slot.use = slot.value(now, table.config.HalfLife) + 1
+	slot.lastUsed = now
+	slot.pins++
+	return true
+}
+
+// Unpin ends one use of the adapter.
+func (table *Table) Unpin(ref Ref) {
+	if slot, ok := table.slots[ref]; ok && slot.pins > 0 {
+		slot.pins--
+	}
+}
