Answer instance list polls with what has changed

At 7,600 instances a complete list is above 1 MB, and a daemon that fetches it once a second exceeds its 3 KB/s of control traffic. The list now takes the revision last seen and answers with changes only.

A request counts as not run only if a connection was asked for and never came, so that a transport without httptrace hooks gives unknown, not not-run.

--- a/internal/bench/model/batch.go
+++ b/internal/bench/model/batch.go
@@ -126,14 +126,14 @@
 		time.AfterFunc(frozen, func() { engine.endStep(epoch, duration) })
 		return
 	}
-	tokens := 0
+	tokens, requests := 0, len(engine.batch.running)
 	for _, run := range slices.Clone(engine.batch.running) {
 		if run.prefill == 0 {
 			engine.produce(run)
 			tokens++
 		}
 	}
-	engine.observed.addStep(duration, len(engine.batch.running), tokens)
+	engine.observed.addStep(duration, requests, tokens)
 	engine.batch.stepping = false
 	engine.beginStep()
 }
--- a/internal/bench/plat/list.go
+++ b/internal/bench/plat/list.go
@@ -2,15 +2,12 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/zeebo/xxh3"
 )
 
 // The states of instances.
@@ -35,6 +32,8 @@
 	Address       string `json:"address"`
 	FailureDomain string `json:"failure-domain"`
 	State         string `json:"state"`
+	// Announced is when the instance was added, as set by the list.
+	Announced time.Time `json:"announced"`
 }
 
 // change is one change of the list, seen by readers from a later time on.
@@ -45,14 +44,7 @@
 	removed  bool
 }
 
-// entry is an instance as readers see it.
-type entry struct {
-	change
-	order int
-}
-
-// instanceList shows changes late. Entries are listed in the order in which
-// they were first announced.
+// instanceList shows changes late.
 type instanceList struct {
 	lag, spread time.Duration
 	faults      *Faults
@@ -61,7 +53,9 @@
 	random   *rand.Rand
 	sequence int
 	pending  []change
-	entries  map[string]entry
+	// entries holds the latest visible change of each instance.
+	entries   map[string]change
+	revisions *revisions
 }
 
 // newInstanceList returns an empty list.
@@ -70,7 +64,7 @@
 		lag: config.ListLag, spread: config.ListLagSpread,
 		faults:  NewFaults(config.Seed+2, ModeDown, ModeRefusing, ModeSlow, ModeStale, ModeReturning),
 		random:  rand.New(rand.NewPCG(config.Seed, 2)),
-		entries: map[string]entry{},
+		entries: map[string]change{}, revisions: newRevisions(),
 	}
 }
 
@@ -83,6 +77,7 @@
 		lag += time.Duration(list.random.Int64N(int64(list.spread)))
 	}
 	list.sequence++
+	instance.Announced = time.Now().Round(0)
 	list.pending = append(list.pending, change{time.Now().Add(lag), list.sequence, instance, removed})
 }
 
@@ -109,39 +104,42 @@
 	if ok && known.sequence > change.sequence {
 		return
 	}
-	order := change.sequence
 	if ok && !known.removed {
-		order = known.order
+		change.instance.Announced = known.instance.Announced
 	}
 	if change.removed {
 		change.instance = known.instance
 		change.instance.ID = id
 	}
-	list.entries[id] = entry{change, order}
+	list.entries[id] = change
 }
 
-// view returns what readers see.
+// view returns what readers see. The caller holds the mutex.
 func (list *instanceList) view() []Instance {
-	list.mutex.Lock()
-	defer list.mutex.Unlock()
 	list.advance()
-	shown := make([]entry, 0, len(list.entries))
+	instances := make([]Instance, 0, len(list.entries))
 	for id, entry := range list.entries {
 		if entry.removed {
 			if _, returns := list.faults.Hit(ModeReturning, id); !returns || entry.instance.Role == "" {
 				continue
 			}
 		}
-		shown = append(shown, entry)
-	}
-	slices.SortFunc(shown, func(a, b entry) int { return cmp.Compare(a.order, b.order) })
-	instances := make([]Instance, 0, len(shown))
-	for _, entry := range shown {
 		instances = append(instances, entry.instance)
 	}
+	slices.SortFunc(instances, func(a, b Instance) int {
+		return cmp.Or(a.Announced.Compare(b.Announced), cmp.Compare(a.ID, b.ID))
+	})
 	return instances
 }
 
+// since returns what a reader lacks that has seen a revision.
+func (list *instanceList) since(revision string) listAnswer {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.revisions.update(list.view())
+	return list.revisions.since(revision)
+}
+
 // disturb applies the faults of all calls.
 func (list *instanceList) disturb(writer http.ResponseWriter, request *http.Request) bool {
 	if _, hit := list.faults.Hit(ModeDown, ""); hit {
@@ -157,24 +155,12 @@
 	return true
 }
 
-// serveList handles GET /v1/instances.
+// serveList handles GET /v1/instances?since=REVISION.
 func (list *instanceList) serveList(writer http.ResponseWriter, request *http.Request) {
 	if !list.disturb(writer, request) {
 		return
 	}
-	data, err := json.Marshal(map[string][]Instance{"instances": list.view()})
-	if err != nil {
-		Refuse(writer, http.StatusInternalServerError, "%v", err)
-		return
-	}
-	tag := fmt.Sprintf("\"%016x\"", xxh3.Hash(data))
-	writer.Header().Set("ETag", tag)
-	if request.Header.Get("If-None-Match") == tag {
-		writer.WriteHeader(http.StatusNotModified)
-		return
-	}
-	writer.Header().Set("Content-Type", "application/json")
-	_, _ = writer.Write(data)
+	Answer(writer, list.since(request.URL.Query().Get("since")))
 }
 
 // servePut handles PUT /v1/instances/ID.
--- a/internal/bench/plat/loopback.go
+++ b/internal/bench/plat/loopback.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
+	"time"
 )
 
 // Loopback is an in-memory network for tests in virtual time.
@@ -50,6 +52,22 @@
 	}
 }
 
+// Serve serves a handler at an address until stop is called.
+func (loopback *Loopback) Serve(address string, handler http.Handler) (stop func(), err error) {
+	listener, err := loopback.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
+}
+
+// Client returns an HTTP client of the network.
+func (loopback *Loopback) Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: loopback.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 16}}
+}
+
 // loopbackListener hands one end of each pipe to its server.
 type loopbackListener struct {
 	loopback    *Loopback
--- a/internal/bench/plat/plat.go
+++ b/internal/bench/plat/plat.go
@@ -122,7 +122,11 @@
 func (platform *Platform) Remove(id string) { platform.list.put(Instance{ID: id}, true) }
 
 // Instances returns the list as readers see it now.
-func (platform *Platform) Instances() []Instance { return platform.list.view() }
+func (platform *Platform) Instances() []Instance {
+	platform.list.mutex.Lock()
+	defer platform.list.mutex.Unlock()
+	return platform.list.view()
+}
 
 // Control sets faults; nil parts keep theirs.
 type Control struct {
--- a/internal/link/engine/engine.go
+++ b/internal/link/engine/engine.go
@@ -77,7 +77,7 @@
 
 // New returns a Client.
 func New(config Config) *Client {
-	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
+	client := http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute}}
 	if config.HTTP != nil {
 		client = *config.HTTP
 	}
--- a/internal/link/engine/exchange.go
+++ b/internal/link/engine/exchange.go
@@ -33,9 +33,13 @@
 // send sends one request once. The caller closes the answer's body; closing it
 // before its end closes the connection.
 func (client *Client) send(ctx context.Context, method, path string, headers http.Header, body []byte) (*http.Response, error) {
-	var sent atomic.Bool
+	if ctx.Err() != nil {
+		return nil, transportFault(ctx, ctx.Err(), fault.NotRun)
+	}
+	var unsent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GetConn: func(string) { unsent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { unsent.Store(false) },
 	})
 	request, err := http.NewRequestWithContext(ctx, method, client.url+path, singleUse{bytes.NewReader(body)})
 	if err != nil {
@@ -50,11 +54,7 @@
 	}
 	response, err := client.http.Do(request)
 	if err != nil {
-		ran := fault.NotRun
-		if sent.Load() {
-			ran = fault.Unknown
-		}
-		return nil, transportFault(ctx, err, ran)
+		return nil, transportFault(ctx, err, effect(&unsent))
 	}
 	return response, nil
 }
@@ -103,6 +103,15 @@
 	return data, nil
 }
 
+// effect returns the effect of an exchange that failed. It did not run only if a
+// connection was asked for and never came.
+func effect(unsent *atomic.Bool) fault.Ran {
+	if unsent.Load() {
+		return fault.NotRun
+	}
+	return fault.Unknown
+}
+
 // transportFault describes an exchange that ended without a complete answer.
 func transportFault(ctx context.Context, err error, ran fault.Ran) *fault.Fault {
 	kind := fault.UpstreamFailed
--- a/internal/link/logsvc/exchange.go
+++ b/internal/link/logsvc/exchange.go
@@ -29,9 +29,13 @@
 // exchange sends one request once and returns the body of a 200 answer. A
 // connection whose answer was not read to its end is closed, not reused.
 func (client *Client) exchange(ctx context.Context, method, path string, body []byte, limit int64) ([]byte, error) {
-	var sent atomic.Bool
+	if ctx.Err() != nil {
+		return nil, transportFault(ctx, ctx.Err(), fault.NotRun)
+	}
+	var unsent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GetConn: func(string) { unsent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { unsent.Store(false) },
 	})
 	request, err := http.NewRequestWithContext(ctx, method, client.url+path, singleUse{bytes.NewReader(body)})
 	if err != nil {
@@ -40,7 +44,7 @@
 	request.ContentLength = int64(len(body))
 	response, err := client.http.Do(request)
 	if err != nil {
-		return nil, transportFault(ctx, err, sent.Load())
+		return nil, transportFault(ctx, err, effect(&unsent))
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
@@ -48,7 +52,7 @@
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return nil, transportFault(ctx, err, true)
+		return nil, transportFault(ctx, err, fault.Unknown)
 	}
 	if int64(len(data)) > limit {
 		return nil, fault.New(fault.LogUnavailable, fault.Unknown, "the log answered with more than %d bytes; ask for fewer records", limit)
@@ -56,12 +60,17 @@
 	return data, nil
 }
 
-// transportFault describes an exchange that ended without a complete answer.
-func transportFault(ctx context.Context, err error, sent bool) error {
-	ran := fault.NotRun
-	if sent {
-		ran = fault.Unknown
+// effect returns the effect of an exchange that failed. It did not run only if a
+// connection was asked for and never came.
+func effect(unsent *atomic.Bool) fault.Ran {
+	if unsent.Load() {
+		return fault.NotRun
 	}
+	return fault.Unknown
+}
+
+// transportFault describes an exchange that ended without a complete answer.
+func transportFault(ctx context.Context, err error, ran fault.Ran) error {
 	kind := fault.LogUnavailable
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/link/logsvc/logsvc.go
+++ b/internal/link/logsvc/logsvc.go
@@ -53,7 +53,7 @@
 
 // New returns a Client.
 func New(config Config) *Client {
-	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
+	client := http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
 	if config.HTTP != nil {
 		client = *config.HTTP
 	}
--- a/internal/link/roster/roster.go
+++ b/internal/link/roster/roster.go
@@ -3,10 +3,8 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -30,19 +28,6 @@
 	RoleSide  = "side"
 )
 
-// stateLeaving is the state of an instance that gets no new work.
-const stateLeaving = "leaving"
-
-// Instance is one entry of the list.
-type Instance struct {
-	ID            string
-	Role          string
-	Upstream      string
-	Address       string
-	FailureDomain string
-	Leaving       bool
-}
-
 // Config configures a Roster.
 type Config struct {
 	// URL is the address of the platform, without a trailing slash.
@@ -64,13 +49,6 @@
 	view   atomic.Pointer[view]
 }
 
-// view is one answer, immutable once stored.
-type view struct {
-	time      time.Time
-	instances []Instance
-	sides     map[string]Instance
-}
-
 // New returns a Roster with an empty list; Run fills it.
 func New(config Config) *Roster {
 	if config.Interval <= 0 {
@@ -82,7 +60,7 @@
 	if config.Logger == nil {
 		config.Logger = zap.NewNop()
 	}
-	client := http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
+	client := http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}}
 	if config.HTTP != nil {
 		client = *config.HTTP
 	}
@@ -118,27 +96,30 @@
 	}
 }
 
-// Poll fetches the list once.
+// Poll fetches what has changed since the last answer. Run calls it; two calls
+// at once could lose a change.
 func (roster *Roster) Poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, roster.config.Timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, roster.config.URL+"/v1/instances", nil)
+	current := roster.view.Load()
+	path := roster.config.URL + "/v1/instances?since=" + url.QueryEscape(current.revision)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return fault.New(fault.Invalid, fault.NotRun, "platform address %q: %v; correct the setting", roster.config.URL, err)
 	}
 	response, err := roster.http.Do(request)
 	if err != nil {
-		return fault.New(fault.NoUpstream, fault.NotRun, "no answer from the instance list: %v", err)
+		return fault.New(fault.NoUpstream, fault.NotRun, "no answer from the instance list: %v; check that %s is the platform", err, roster.config.URL)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fault.New(fault.NoUpstream, fault.NotRun, "the instance list answered %d", response.StatusCode)
+		return fault.New(fault.NoUpstream, fault.NotRun, "the instance list answered %d; check that %s is the platform", response.StatusCode, roster.config.URL)
 	}
-	instances, err := decode(response.Body)
+	update, err := decode(response.Body)
 	if err != nil {
 		return fault.New(fault.NoUpstream, fault.NotRun, "the instance list is not valid: %v; report it to the platform", err)
 	}
-	roster.view.Store(newView(time.Now(), instances))
+	roster.view.Store(current.apply(time.Now(), update))
 	return nil
 }
 
@@ -146,7 +127,7 @@
 func (roster *Roster) Instances() []Instance { return roster.view.Load().instances }
 
 // Side returns the side process of an upstream. Of several, one that stays is
-// preferred, then the one listed last.
+// preferred, then the one that was added last.
 func (roster *Roster) Side(upstream string) (Instance, bool) {
 	instance, ok := roster.view.Load().sides[upstream]
 	return instance, ok
@@ -158,53 +139,3 @@
 	fetched := roster.view.Load().time
 	return time.Since(fetched), !fetched.IsZero()
 }
-
-// newView indexes a list.
-func newView(now time.Time, instances []Instance) *view {
-	sides := make(map[string]Instance)
-	for _, instance := range instances {
-		if instance.Role != RoleSide {
-			continue
-		}
-		if known, ok := sides[instance.Upstream]; ok && instance.Leaving && !known.Leaving {
-			continue
-		}
-		sides[instance.Upstream] = instance
-	}
-	return &view{time: now, instances: instances, sides: sides}
-}
-
-// decode reads a list of bounded size.
-func decode(body io.Reader) ([]Instance, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxList+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > maxList {
-		return nil, fmt.Errorf("more than %d bytes", maxList)
-	}
-	var list struct {
-		Instances *[]struct {
-			ID            string `json:"id"`
-			Role          string `json:"role"`
-			Upstream      string `json:"upstream"`
-			Address       string `json:"address"`
-			FailureDomain string `json:"failure-domain"`
-			State         string `json:"state"`
-		} `json:"instances"`
-	}
-	if err := json.Unmarshal(data, &list); err != nil {
-		return nil, err
-	}
-	if list.Instances == nil {
-		return nil, fmt.Errorf("no field \"instances\"")
-	}
-	instances := make([]Instance, 0, len(*list.Instances))
-	for _, entry := range *list.Instances {
-		instances = append(instances, Instance{
-			ID: entry.ID, Role: entry.Role, Upstream: entry.Upstream, Address: entry.Address,
-			FailureDomain: entry.FailureDomain, Leaving: entry.State == stateLeaving,
-		})
-	}
-	return instances, nil
-}
