--- /dev/null
+++ b/cmd/jacinthfront/daemons.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/BurntSushi/toml"
+
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
+	"jacinthfront.dev/jacinthfront/internal/daemon/start"
+)
+
+// settingsFlag is the flag that all daemons share.
+type settingsFlag struct {
+	Settings string `long:"settings" value-name:"FILE" required:"true" description:"TOML settings file"`
+}
+
+// entryCommand runs an entry instance.
+type entryCommand struct{ settingsFlag }
+
+// Execute implements flags.Commander.
+func (command *entryCommand) Execute([]string) error {
+	settings, err := setup.LoadEntry(command.Settings)
+	if err != nil {
+		return err
+	}
+	process, err := start.Entry(settings, start.Environment{})
+	if err != nil {
+		return err
+	}
+	return waitForSignal(process)
+}
+
+// sideCommand runs a side process.
+type sideCommand struct{ settingsFlag }
+
+// Execute implements flags.Commander.
+func (command *sideCommand) Execute([]string) error {
+	settings, err := setup.LoadSide(command.Settings)
+	if err != nil {
+		return err
+	}
+	process, err := start.Side(settings, start.Environment{})
+	if err != nil {
+		return err
+	}
+	return waitForSignal(process)
+}
+
+// waitForSignal drains the process at the first SIGTERM or SIGINT. A second
+// one ends it at once, since the handler is removed.
+func waitForSignal(process *start.Process) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	return process.Wait(ctx)
+}
+
+// checkCommand prints the settings in effect.
+type checkCommand struct {
+	settingsFlag
+	Role string `long:"role" choice:"entry" choice:"side" required:"true" description:"role that the settings are for"`
+}
+
+// Execute implements flags.Commander.
+func (command *checkCommand) Execute([]string) error {
+	var settings any
+	var err error
+	if command.Role == "entry" {
+		settings, err = setup.LoadEntry(command.Settings)
+	} else {
+		settings, err = setup.LoadSide(command.Settings)
+	}
+	if err != nil {
+		return err
+	}
+	return toml.NewEncoder(os.Stdout).Encode(settings)
+}
--- /dev/null
+++ b/cmd/jacinthfront/main.go
@@ -0,0 +1,88 @@
+// Command jacinthfront runs entry instances and side processes, and is the
+// operators' client.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+// The exit codes, listed in docs/ERRORS.md.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitUnknown  = 4
+)
+
+const description = `Serves very many LoRA adapters through thin entry instances and one side process beside each upstream.
+
+Exit codes: 0 success, 1 failed or refused, 2 wrong arguments or settings, 3 conflict with a newer configuration, 4 outcome unknown.`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	parser := flags.NewNamedParser("jacinthfront", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = description
+	if err := addCommands(parser); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	_, err := parser.ParseArgs(args)
+	return exitCode(err)
+}
+
+// command is one subcommand with its help.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+func addCommands(parser *flags.Parser) error {
+	commands := []command{
+		{"entry", "Run an entry instance", "Runs an entry instance until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront entry --settings entry.toml", &entryCommand{}},
+		{"side", "Run a side process", "Runs the side process of one upstream until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront side --settings side.toml", &sideCommand{}},
+		{"check", "Check a settings file", "Checks a settings file and prints the settings in effect, defaults included.\n\nExample: jacinthfront check --role side --settings side.toml", &checkCommand{}},
+	}
+	for _, command := range commands {
+		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exitCode reports an error and returns the code to exit with.
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return 0
+		}
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "jacinthfront:", err)
+	reason, ok := fault.As(err)
+	switch {
+	case !ok:
+		return exitFailed
+	case reason.Kind() == fault.Invalid:
+		return exitUsage
+	case reason.Kind() == fault.Conflict:
+		return exitConflict
+	case reason.Ran() == fault.Unknown:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
--- /dev/null
+++ b/internal/bench/demo/check.go
@@ -0,0 +1,183 @@
+package demo
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/load"
+)
+
+// Promise is one of the required invariants with what an observer outside our
+// processes saw of it.
+type Promise struct {
+	Name string `json:"promise"`
+	Held bool   `json:"held"`
+	// Seen says what was counted, and how often.
+	Seen string `json:"seen"`
+}
+
+func promise(name string, violations int, format string, args ...any) Promise {
+	return Promise{Name: name, Held: violations == 0, Seen: fmt.Sprintf(format, args...)}
+}
+
+// dispatch is one request that an upstream received.
+type dispatch struct {
+	time   time.Time
+	tokens float64
+}
+
+// excess returns the largest amount by which the tokens of any interval exceed
+// rate × length + burst. It looks at all intervals that begin and end with a
+// dispatch, which are the worst ones.
+func excess(dispatches []dispatch, rate, burst float64) float64 {
+	slices.SortFunc(dispatches, func(left, right dispatch) int { return left.time.Compare(right.time) })
+	largest, sum := 0.0, 0.0
+	var least float64
+	for index, dispatch := range dispatches {
+		accrued := rate * dispatch.time.Sub(dispatches[0].time).Seconds()
+		if index == 0 || sum-accrued < least {
+			least = sum - accrued
+		}
+		sum += dispatch.tokens
+		largest = max(largest, sum-accrued-least-burst)
+	}
+	return largest
+}
+
+// dispatches collects, by organisation, what engines and plain services received.
+func (fleet *Fleet) dispatches() map[string][]dispatch {
+	result := map[string][]dispatch{}
+	for _, engine := range fleet.engines {
+		for _, start := range engine.Observed().Starts {
+			result[start.Organisation] = append(result[start.Organisation],
+				dispatch{time: start.Accepted, tokens: float64(start.PromptTokens + start.GeneratedTokens)})
+		}
+	}
+	for _, service := range fleet.plains {
+		for _, call := range service.Observed().Calls {
+			result[call.Organisation] = append(result[call.Organisation], dispatch{time: call.Time, tokens: plainCost})
+		}
+	}
+	return result
+}
+
+// Check compares what the stand-ins and the callers saw with the promises.
+func (fleet *Fleet) Check(report *load.Report, events *Events) []Promise {
+	total := report.Total()
+	promises := []Promise{
+		promise("a request runs on its adapter and version", int(total.Wrong), "%d of %d complete answers had another text", total.Wrong, total.Completed),
+		fleet.checkEvictions(),
+		fleet.checkIsolation(events),
+		fleet.checkKeys(),
+		events.checkWithdrawal(),
+		fleet.checkShares(),
+		promise("a caller receives its whole answer", int(total.Broken), "%d of %d answers were cut", total.Broken, total.Sent),
+	}
+	promises = append(promises, fleet.checkBookings(report)...)
+	return append(promises, fleet.checkLeaving(events), events.checkStops(total), events.checkConfiguration())
+}
+
+func (fleet *Fleet) checkEvictions() Promise {
+	violations, loads := 0, 0
+	for _, engine := range fleet.engines {
+		observed := engine.Observed()
+		violations += len(observed.Violations)
+		loads += len(observed.Loads)
+	}
+	return promise("an adapter in use is never evicted", violations, "%d orders to unload an adapter in use among %d loads", violations, loads)
+}
+
+func (fleet *Fleet) checkIsolation(events *Events) Promise {
+	foreign, starts := events.foreignRuns, 0
+	for _, engine := range fleet.engines {
+		for _, start := range engine.Observed().Starts {
+			starts++
+			if load.AdapterOwner(start.Adapter) != start.Organisation {
+				foreign++
+			}
+		}
+	}
+	return promise("a request runs only for its key's organisation", foreign, "%d of %d runs were of another organisation's adapter; %d probes", foreign, starts, events.probes)
+}
+
+func (fleet *Fleet) checkKeys() Promise {
+	leaks := 0
+	for _, engine := range fleet.engines {
+		leaks += len(engine.Observed().KeyLeaks)
+	}
+	for _, service := range fleet.plains {
+		leaks += len(service.Observed().KeyLeaks)
+	}
+	return promise("no upstream sees a caller's key", leaks, "%d places with a key in what upstreams received", leaks)
+}
+
+func (fleet *Fleet) checkShares() Promise {
+	worst, violations := 0.0, 0
+	dispatches := fleet.dispatches()
+	for _, organisation := range fleet.plan.Organisations {
+		over := excess(dispatches[organisation.Name], float64(organisation.Rate), float64(organisation.Burst))
+		if over > 0 {
+			violations++
+		}
+		worst = max(worst, over)
+	}
+	return promise("no organisation exceeds its rate and burst", violations, "largest excess over any interval %.0f tokens", worst)
+}
+
+func (fleet *Fleet) checkBookings(report *load.Report) []Promise {
+	effects := map[string]int{}
+	for _, service := range fleet.plains {
+		for _, call := range service.Observed().Calls {
+			if call.Effect && call.Method == "POST" {
+				effects[call.Path]++
+			}
+		}
+	}
+	doubled, untrue := 0, 0
+	for _, count := range effects {
+		if count > 1 {
+			doubled++
+		}
+	}
+	notRun := report.NotRun()
+	for _, booking := range notRun {
+		if effects["/orders/"+booking] > 0 {
+			untrue++
+		}
+	}
+	lost := 0
+	for booking, answered := range report.Bookings() {
+		if answered > 0 && effects["/orders/"+booking] == 0 {
+			lost++
+		}
+	}
+	return []Promise{
+		promise("a refusal that says not-run is true", untrue, "%d of %d bookings refused as not-run had an effect", untrue, len(notRun)),
+		promise("non-idempotent work runs at most once", doubled+lost, "%d of %d bookings had more than one effect, %d answered ones had none", doubled, len(effects), lost),
+	}
+}
+
+// leavingBound is how long a leaving upstream may receive new work.
+const leavingBound = 3 * time.Second
+
+func (fleet *Fleet) checkLeaving(events *Events) Promise {
+	late := 0
+	if !events.leftAt.IsZero() {
+		for _, start := range fleet.engines[events.left].Observed().Starts {
+			if start.Accepted.Sub(events.leftAt) > leavingBound {
+				late++
+			}
+		}
+	}
+	return promise("a leaving upstream receives no new work", late, "%d runs began more than %s after upstream %s was listed as leaving", late, leavingBound, fleet.config.Deployment.runnerID(events.left))
+}
+
+// slowest returns the longest duration of a list.
+func slowest(durations []time.Duration) time.Duration {
+	if len(durations) == 0 {
+		return 0
+	}
+	return slices.MaxFunc(durations, cmp.Compare[time.Duration])
+}
--- /dev/null
+++ b/internal/bench/demo/demo.go
@@ -0,0 +1,127 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/load"
+	"jacinthfront.dev/jacinthfront/internal/bench/model"
+)
+
+// Config configures a demo run.
+type Config struct {
+	Deployment Deployment
+	Network    Network
+	Policy     string
+	Entries    int
+	Seed       uint64
+	Length     time.Duration
+	Logger     *zap.Logger
+	// Progress receives one line a second; nil means none.
+	Progress io.Writer
+}
+
+// Result is the outcome of a demo run.
+type Result struct {
+	Deployment string    `json:"deployment"`
+	Seed       uint64    `json:"seed"`
+	Length     string    `json:"length"`
+	Promises   []Promise `json:"promises"`
+	Measures   Measures  `json:"measures"`
+	Problems   []string  `json:"problems"`
+}
+
+// Held reports whether all promises held.
+func (result Result) Held() bool {
+	for _, promise := range result.Promises {
+		if !promise.Held {
+			return false
+		}
+	}
+	return true
+}
+
+// Run runs a deployment under load, with operators' actions, and checks the
+// promises.
+func Run(ctx context.Context, config Config) (Result, error) {
+	fleet, err := NewFleet(FleetConfig{
+		Deployment: config.Deployment, Network: config.Network, Policy: config.Policy,
+		Entries: config.Entries, Seed: config.Seed, Logger: config.Logger,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer fleet.Close()
+	if err := fleet.Start(ctx); err != nil {
+		return Result{}, err
+	}
+	generator := load.New(load.Config{
+		Entries: fleet.Entries, Client: fleet.client, Plan: fleet.plan, Seed: config.Seed, Expect: Expect,
+	})
+	stopProgress := showProgress(config.Progress, generator.Report())
+	acted := make(chan *Events, 1)
+	go func() { acted <- fleet.RunEvents(ctx, config.Length) }()
+	generator.Run(ctx, config.Length)
+	events := <-acted
+	stopProgress()
+	if ctx.Err() != nil {
+		return Result{}, ctx.Err()
+	}
+	report := generator.Report()
+	return Result{
+		Deployment: config.Deployment.Name, Seed: config.Seed, Length: config.Length.String(),
+		Promises: fleet.Check(report, events), Measures: fleet.Measure(report), Problems: report.Problems(),
+	}, nil
+}
+
+// Expect returns the text of a token as the engine stand-in generates it.
+func Expect(adapter string, version uint32, prompt string, index int) string {
+	return model.Token(adapter, version, prompt, int64(index))
+}
+
+// showProgress writes a line a second until the returned function is called.
+func showProgress(writer io.Writer, report *load.Report) func() {
+	if writer == nil {
+		return func() {}
+	}
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(time.Second)
+		defer ticker.Stop()
+		for second := 1; ; second++ {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				total := report.Total()
+				_, _ = fmt.Fprintf(writer, "%3d s: %d answered, %d completed, %d refused, %d unknown, %d cut, %d wrong\n",
+					second, total.Sent, total.Completed, total.Refused, total.Unknown, total.Broken, total.Wrong)
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-done
+	}
+}
+
+// Examples returns shell commands that work against the running deployment.
+func (fleet *Fleet) Examples() []string {
+	organisation := fleet.plan.Organisations[0]
+	base := fleet.Entries()[0]
+	header := fmt.Sprintf("-H 'Authorization: Bearer %s' -H 'Content-Type: application/json'", organisation.Key)
+	adapter := load.AdapterName(organisation.Name, 0)
+	return []string{
+		fmt.Sprintf("curl -s %s %s/v1/models | head -c 400", header, base),
+		fmt.Sprintf(`curl -sN %s %s/v1/chat/completions -d '{"model":"%s","messages":[{"role":"user","content":"How do I water a juniper?"}],"max_tokens":12,"stream":true}'`, header, base, adapter),
+		fmt.Sprintf(`curl -s %s %s/v1/completions -d '{"model":"%s@1","prompt":"Describe an oak slab.","max_tokens":12}'`, header, base, adapter),
+		fmt.Sprintf(`curl -s %s -H 'Idempotency-Key: order-1' %s/services/%s/orders/1 -d '{"quantity":1}'`, header, base, fleet.plan.PlainService),
+		fmt.Sprintf("curl -s %s %s/services/%s/stock/7", header, base, fleet.plan.PlainService),
+	}
+}
--- /dev/null
+++ b/internal/bench/demo/deployment.go
@@ -0,0 +1,130 @@
+// Package demo runs a whole deployment on stand-ins: entry instances, side
+// processes, engines, plain services and the platform, with a seeded load.
+package demo
+
+import (
+	"fmt"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/load"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Deployment describes one of the users' deployments.
+type Deployment struct {
+	Name           string
+	FailureDomains []string
+	// DomainDelay is the one-way delay between failure domains.
+	DomainDelay  time.Duration
+	ModelService string
+	Runners      int
+	PlainService string
+	Plains       int
+	// LoadRate is the weight store's loads per second.
+	LoadRate float64
+	Adapters int
+	// Requests is the steady load in requests per second.
+	Requests float64
+	Mix      [4]float64
+	// Weights splits the load among the organisations.
+	Weights []float64
+}
+
+// Bonsai returns the deployment of Tatranská Dielňa Stolov.
+func Bonsai() Deployment {
+	return Deployment{
+		Name:           "bonsai",
+		FailureDomains: []string{"zilina-a", "zilina-b", "zilina-c", "zilina-d"},
+		DomainDelay:    time.Millisecond,
+		ModelService:   "advisor",
+		Runners:        12,
+		PlainService:   "counter",
+		Plains:         4,
+		LoadRate:       3,
+		Adapters:       3000,
+		Requests:       45,
+		Mix:            [4]float64{0.4, 0.15, 0.15, 0.3},
+		Weights:        []float64{0.4, 0.3, 0.15, 0.1, 0.05},
+	}
+}
+
+// Gourd returns the deployment of Kalamaki Gourd Works.
+func Gourd() Deployment {
+	return Deployment{
+		Name:           "gourd",
+		FailureDomains: []string{"attica-a", "attica-b", "attica-c"},
+		DomainDelay:    500 * time.Microsecond,
+		ModelService:   "scribe-models",
+		Runners:        9,
+		PlainService:   "ledger-app",
+		Plains:         3,
+		LoadRate:       2,
+		Adapters:       3000,
+		Requests:       32,
+		Mix:            [4]float64{0.5, 0.1, 0.1, 0.3},
+		Weights:        []float64{0.4, 0.3, 0.15, 0.1, 0.05},
+	}
+}
+
+// ByName returns a deployment by its name.
+func ByName(name string) (Deployment, error) {
+	for _, deployment := range []Deployment{Bonsai(), Gourd()} {
+		if deployment.Name == name {
+			return deployment, nil
+		}
+	}
+	return Deployment{}, fmt.Errorf("no deployment %q; write bonsai or gourd", name)
+}
+
+const (
+	skew = 1.4
+	// meanCost is the mean reservation of a model request in tokens.
+	meanCost  = 170
+	plainCost = 10
+	// headroom is the ratio of an organisation's rate to its steady load.
+	headroom = 1.6
+	// burstTime is the burst in seconds of the rate.
+	burstTime  = 5
+	leastBurst = 4000
+)
+
+// modelShare returns the part of the load that runs on adapters.
+func (deployment Deployment) modelShare() float64 {
+	total := 0.0
+	for _, weight := range deployment.Mix {
+		total += weight
+	}
+	return (deployment.Mix[load.Letter] + deployment.Mix[load.Chat]) / total
+}
+
+func (deployment Deployment) organisations() []load.Organisation {
+	var organisations []load.Organisation
+	for index, weight := range deployment.Weights {
+		requests := deployment.Requests * weight
+		share := deployment.modelShare()
+		tokens := requests * (share*meanCost + (1-share)*plainCost)
+		rate := model.Tokens(tokens*headroom) + 1
+		organisations = append(organisations, load.Organisation{
+			Name:     fmt.Sprintf("organisation-%d", index+1),
+			Rate:     rate,
+			Burst:    max(rate*burstTime, leastBurst),
+			Requests: requests,
+			Adapters: deployment.Adapters / len(deployment.Weights),
+		})
+	}
+	return organisations
+}
+
+// Plan returns the steady load of the deployment. The keys are still empty.
+func (deployment Deployment) Plan() load.Plan {
+	return load.Plan{
+		ModelService:   deployment.ModelService,
+		PlainService:   deployment.PlainService,
+		Organisations:  deployment.organisations(),
+		Mix:            deployment.Mix,
+		Skew:           skew,
+		PromptTokens:   [2]int{60, 160},
+		MaxTokens:      [2]int{20, 100},
+		RepeatBookings: 0.2,
+	}
+}
--- /dev/null
+++ b/internal/bench/demo/network.go
@@ -0,0 +1,81 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+)
+
+// Network connects the processes of a deployment.
+type Network interface {
+	// Reserve returns a new address that Listen can be called with.
+	Reserve() (string, error)
+	Listen(address string) (net.Listener, error)
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// client returns an HTTP client of the network.
+func client(network Network) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: network.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 256,
+	}}
+}
+
+// TCP is the real loopback network.
+type TCP struct {
+	net.Dialer
+
+	mu       sync.Mutex
+	reserved map[string]net.Listener
+}
+
+// NewTCP returns a TCP network.
+func NewTCP() *TCP { return &TCP{reserved: map[string]net.Listener{}} }
+
+// Reserve binds a free port, so that no other process takes it.
+func (network *TCP) Reserve() (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	address := listener.Addr().String()
+	network.reserved[address] = listener
+	return address, nil
+}
+
+// Listen returns the reserved listener of an address.
+func (network *TCP) Listen(address string) (net.Listener, error) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	listener, ok := network.reserved[address]
+	if !ok {
+		return nil, fmt.Errorf("address %s is in use", address)
+	}
+	delete(network.reserved, address)
+	return listener, nil
+}
+
+// Memory is a network for virtual time.
+type Memory struct {
+	*plat.Loopback
+
+	mu   sync.Mutex
+	next int
+}
+
+// NewMemory returns an in-memory network.
+func NewMemory() *Memory { return &Memory{Loopback: plat.NewLoopback()} }
+
+// Reserve returns an unused address.
+func (network *Memory) Reserve() (string, error) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	network.next++
+	return fmt.Sprintf("127.0.0.1:%d", 10000+network.next), nil
+}
--- a/internal/bench/load/answer.go
+++ b/internal/bench/load/answer.go
@@ -22,6 +22,7 @@
 	text       []string
 	complete   bool
 	err        error
+	sent       time.Time
 	firstToken time.Duration
 	gaps       []time.Duration
 }
@@ -49,6 +50,7 @@
 
 func readAnswer(response *http.Response, sent time.Time) *answer {
 	answer := &answer{
+		sent:      sent,
 		status:    response.StatusCode,
 		requestID: response.Header.Get("X-Request-Id"),
 		adapter:   response.Header.Get("X-Adapter"),
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -199,7 +199,7 @@
 	switch {
 	case answer.complete && answer.kind == "":
 		series.Completed++
-		report.observe(series, answer)
+		report.observe(series, request, answer)
 		if problem := generator.mismatch(request, answer); problem != "" {
 			series.Wrong++
 			report.addProblem(problem)
--- a/internal/bench/load/plan.go
+++ b/internal/bench/load/plan.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/state/model"
@@ -77,6 +78,14 @@
 	return fmt.Sprintf("%s-%04d", organisation, index)
 }
 
+// AdapterOwner returns the organisation of an adapter named by AdapterName.
+func AdapterOwner(adapter string) string {
+	if cut := strings.LastIndexByte(adapter, '-'); cut >= 0 {
+		return adapter[:cut]
+	}
+	return ""
+}
+
 // request is one planned request.
 type request struct {
 	id           int
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -31,6 +31,16 @@
 	Kind         Kind
 }
 
+// Trace is one completed model request.
+type Trace struct {
+	RequestID    string
+	Organisation string
+	Kind         Kind
+	Adapter      string
+	Sent         time.Time
+	FirstToken   time.Duration
+}
+
 // Report collects the results of a run. It is safe for concurrent use.
 type Report struct {
 	mu       sync.Mutex
@@ -40,6 +50,7 @@
 	notRun   map[string]bool
 	bookings map[string]int
 	problems []string
+	traces   []Trace
 }
 
 const maxProblems = 20
@@ -114,6 +125,13 @@
 	return result
 }
 
+// Traces returns the completed model requests.
+func (report *Report) Traces() []Trace {
+	report.mu.Lock()
+	defer report.mu.Unlock()
+	return append([]Trace(nil), report.traces...)
+}
+
 // Problems returns the first unexpected answers in words.
 func (report *Report) Problems() []string {
 	report.mu.Lock()
@@ -147,7 +165,13 @@
 	}
 }
 
-func (report *Report) observe(series *Series, answer *answer) {
+func (report *Report) observe(series *Series, request request, answer *answer) {
+	if request.kind.Model() {
+		report.traces = append(report.traces, Trace{
+			RequestID: answer.requestID, Organisation: request.organisation.Name, Kind: request.kind,
+			Adapter: request.adapter, Sent: answer.sent, FirstToken: answer.firstToken,
+		})
+	}
 	series.FirstToken.Observe(max(answer.firstToken, time.Microsecond))
 	for _, gap := range answer.gaps {
 		series.Gaps.Observe(gap)
--- /dev/null
+++ b/internal/daemon/start/entry.go
@@ -0,0 +1,107 @@
+package start
+
+import (
+	"context"
+	"net"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
+	"jacinthfront.dev/jacinthfront/internal/daemon/entry"
+	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/state/creds"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+// Entry starts an entry instance.
+func Entry(settings setup.Entry, environment Environment) (*Process, error) {
+	parts, err := newParts(settings.Process, environment)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := parts.bind("listen.callers", settings.Listen.Callers)
+	if err != nil {
+		parts.close()
+		return nil, err
+	}
+	built, err := newEntry(settings, parts)
+	if err != nil {
+		_ = callers.Close()
+		parts.close()
+		return nil, err
+	}
+	return runEntry(parts, built, callers), nil
+}
+
+func newEntry(settings setup.Entry, parts *parts) (*entry.Entry, error) {
+	limits := entry.DefaultLimits()
+	limits.Body = settings.Limits.BodyBytes
+	limits.Headers = settings.Limits.HeaderBytes
+	limits.HeaderTime = settings.Limits.HeaderTime
+	limits.BodyTime = settings.Limits.BodyTime
+	limits.InFlight = settings.Limits.InFlight
+	limits.Request = settings.Limits.RequestLimit
+	limits.Drain = settings.Shutdown.DrainLimit
+	return entry.New(entry.Config{
+		Configs:       parts.syncer,
+		Roster:        entryRoster{parts},
+		Authenticator: authenticator{},
+		Sides:         sides{parts},
+		NewPolicy: func(_ string, _ bool, health route.Health) route.Policy {
+			return route.NewRoundRobin(health)
+		},
+		Logger:   parts.logger,
+		Counters: telem.Map("entry"),
+		Limits:   limits,
+	})
+}
+
+func runEntry(parts *parts, built *entry.Entry, callers net.Listener) *Process {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	process := &Process{parts: parts, serve: cancel, drain: built.Drain, ready: built.Ready, done: make(chan struct{})}
+	parts.run(ctx, group, func(mux drpc.Mux) error {
+		return parts.registerPeer(mux, func() (string, any) { return "entry", entryStatus{Ready: built.Ready()} })
+	})
+	group.Go(func() error { return ended(ctx, built.Serve(ctx, callers)) })
+	group.Go(func() error { return ended(ctx, parts.serveOperators(ctx, process)) })
+	process.watch(group)
+	return process
+}
+
+// entryStatus is the detail of an entry instance's status.
+type entryStatus struct {
+	Ready bool `json:"ready"`
+}
+
+// entryRoster implements entry.Roster.
+type entryRoster struct{ parts *parts }
+
+// Side returns the side process of an upstream.
+func (list entryRoster) Side(upstream string) (entry.Instance, bool) {
+	instance, ok := list.parts.roster.Side(upstream)
+	return entry.Instance{Address: instance.Address, Leaving: instance.Leaving}, ok
+}
+
+// authenticator implements entry.Authenticator.
+type authenticator struct{}
+
+// Authenticate returns the configured key that was presented.
+func (authenticator) Authenticate(config *model.Config, key string) (model.KeySpec, bool) {
+	spec, err := creds.Authenticate(config, key)
+	return spec, err == nil
+}
+
+// sides implements entry.Sides.
+type sides struct{ parts *parts }
+
+// Open returns a connection for calls to a side process.
+func (sides sides) Open(ctx context.Context, address string) (entry.Conn, error) {
+	conn, err := sides.parts.pool.Get(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/daemon/start/logs.go
@@ -0,0 +1,46 @@
+package start
+
+import (
+	"context"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/daemon/side"
+	"jacinthfront.dev/jacinthfront/internal/daemon/syncer"
+	"jacinthfront.dev/jacinthfront/internal/link/logsvc"
+)
+
+// syncLog is the log as the syncer uses it.
+type syncLog struct {
+	*logsvc.Client
+}
+
+// Read returns a page of a stream.
+func (log syncLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (syncer.Page, error) {
+	page, err := log.Client.Read(ctx, stream, from, wait)
+	if err != nil {
+		return syncer.Page{}, err
+	}
+	result := syncer.Page{First: page.First, Next: page.Next}
+	for _, record := range page.Records {
+		result.Records = append(result.Records, syncer.Record(record))
+	}
+	return result, nil
+}
+
+// claimLog is the log as a side process uses it for claims.
+type claimLog struct {
+	*logsvc.Client
+}
+
+// Read returns a page of a stream.
+func (log claimLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (side.LogPage, error) {
+	page, err := log.Client.Read(ctx, stream, from, wait)
+	if err != nil {
+		return side.LogPage{}, err
+	}
+	result := side.LogPage{First: page.First, Next: page.Next}
+	for _, record := range page.Records {
+		result.Records = append(result.Records, side.LogRecord(record))
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/daemon/start/side.go
@@ -0,0 +1,100 @@
+package start
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
+	"jacinthfront.dev/jacinthfront/internal/daemon/side"
+	"jacinthfront.dev/jacinthfront/internal/flow/quota"
+	"jacinthfront.dev/jacinthfront/internal/link/engine"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// Side starts a side process.
+func Side(settings setup.Side, environment Environment) (*Process, error) {
+	parts, err := newParts(settings.Process, environment)
+	if err != nil {
+		return nil, err
+	}
+	limiter := newLimiter(parts, settings.Upstream.ID)
+	var server *side.Server
+	client := engine.New(engine.Config{
+		URL:          settings.Upstream.URL,
+		HTTP:         environment.HTTP,
+		FencingToken: func() uint64 { return server.FencingToken() },
+	})
+	server, err = newSide(settings, parts, limiter, upstream{client})
+	if err != nil {
+		parts.close()
+		return nil, err
+	}
+	limiter.own = server
+	return runSide(parts, server, limiter), nil
+}
+
+func newSide(settings setup.Side, parts *parts, limiter *limiter, upstream side.Upstream) (*side.Server, error) {
+	config := side.Config{
+		Upstream:     settings.Upstream.ID,
+		Configs:      parts.syncer,
+		Engine:       upstream,
+		Limiter:      limiter,
+		Permits:      limiter,
+		Log:          claimLog{parts.log},
+		Roster:       leavingList{parts},
+		NewShard:     newShard,
+		Metrics:      telem.Map("side"),
+		Logger:       parts.logger,
+		MaxRunning:   settings.Upstream.Concurrency,
+		Partitions:   settings.Claims.Partitions,
+		ClaimWindow:  settings.Claims.Window,
+		RequestLimit: settings.RequestLimit,
+		DrainLimit:   settings.Shutdown.DrainLimit,
+	}
+	return side.New(config)
+}
+
+func runSide(parts *parts, server *side.Server, limiter *limiter) *Process {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	drain := func(ctx context.Context) error {
+		err := server.Drain(ctx)
+		limiter.close(ctx)
+		return err
+	}
+	ready := func() bool { return parts.syncer.Current().Version() > 0 }
+	process := &Process{parts: parts, serve: cancel, drain: drain, ready: ready, done: make(chan struct{})}
+	parts.run(ctx, group, func(mux drpc.Mux) error {
+		if err := wirepb.DRPCRegisterSide(mux, server); err != nil {
+			return err
+		}
+		return parts.registerPeer(mux, func() (string, any) { return "side", sideStatus{Ready: ready()} })
+	})
+	group.Go(func() error { return ended(ctx, server.Serve(ctx)) })
+	group.Go(func() error { return ended(ctx, parts.serveOperators(ctx, process)) })
+	process.watch(group)
+	return process
+}
+
+// sideStatus is the detail of a side process's status.
+type sideStatus struct {
+	Ready bool `json:"ready"`
+}
+
+// hostedShard implements side.Shard.
+type hostedShard struct{ *quota.Shard }
+
+// Draw grants tokens.
+func (hosted hostedShard) Draw(now time.Time, want, least model.Tokens) (side.Grant, bool) {
+	grant, ok := hosted.Shard.Draw(now, want, least)
+	return side.Grant{ID: grant.ID, Tokens: grant.Tokens, Level: grant.Level, RetryAfter: grant.RetryAfter}, ok
+}
+
+func newShard(config side.ShardConfig) side.Shard {
+	return hostedShard{quota.NewShard(quota.ShardConfig(config))}
+}
