--- a/internal/daemon/side/answer.go
+++ b/internal/daemon/side/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -46,13 +47,13 @@
 // refuse ends an attempt with a fault: as refused if it did not run, else as
 // failed.
 func (answer *answer) refuse(reason *fault.Fault) error {
+	if reason.Ran() != fault.NotRun {
+		return answer.fail(reason, 0)
+	}
 	answer.server.logRefusal(answer.request, reason)
 	if answer.recorder != nil {
 		answer.recorder.fail(reason)
 	}
-	if reason.Ran() != fault.NotRun {
-		return answer.fail(reason, 0)
-	}
 	return answer.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Refused{Refused: &wirepb.Refused{
 		Kind: string(reason.Kind()), Message: reason.Message(),
 		RetryAfterUs: reason.RetryAfter().Microseconds(), TryElsewhere: elsewhere(reason.Kind()),
@@ -63,6 +64,7 @@
 	if answer.recorder != nil {
 		answer.recorder.fail(reason)
 	}
+	answer.server.logFailure(answer.request, reason)
 	return answer.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Failed{Failed: &wirepb.Failed{
 		Kind: string(reason.Kind()), Message: reason.Message(), Ran: wireRan(reason.Ran()), NextIndex: next,
 	}}}, true)
@@ -110,7 +112,7 @@
 		RunningRequests: uint32(len(server.running)),
 		Slots:           uint32(server.table.Size()),
 		FreeSlots:       uint32(server.table.Free()),
-		ExpectedWaitUs:  server.queue.Estimate(time.Now(), 0).Microseconds(),
+		ExpectedWaitUs:  server.queue.Estimate(time.Now(), "", model.Interactive, 0).Microseconds(),
 		Draining:        server.draining,
 	}
 	for _, ref := range server.table.Loaded(maxReported) {
--- a/internal/daemon/side/claims.go
+++ b/internal/daemon/side/claims.go
@@ -128,7 +128,7 @@
 	if !ok {
 		return nil, outcomeUnknown()
 	}
-	if holder.Claimant == ticket.claim.Claimant {
+	if holder.Claimant == ticket.claim.Claimant && holder.Outcome == nil {
 		return nil, nil
 	}
 	return judge(ticket, holder)
--- /dev/null
+++ b/internal/daemon/side/delivery_test.go
@@ -0,0 +1,311 @@
+package side
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+var errCut = errors.New("connection cut")
+
+func atMostOnce(request *wirepb.RunRequest) { request.Idempotent = false }
+
+// Guards against lost, repeated and foreign tokens when the engine's stream
+// breaks, and against a second run of work that must not be repeated.
+func TestBrokenStreams(t *testing.T) {
+	cuts := func(count int, index int64) func(Generation, *Token) error {
+		return func(_ Generation, token *Token) error {
+			if token.Index == index && count > 0 {
+				count--
+				return errCut
+			}
+			return nil
+		}
+	}
+	whole := result{Text: "t0 t1 t2 ", Done: true, Ran: wirepb.Ran_RAN_RAN}
+	tests := []struct {
+		name     string
+		change   func(*wirepb.RunRequest)
+		token    func(Generation, *Token) error
+		want     result
+		generate int
+	}{
+		{"cut once", nil, cuts(1, 1), whole, 2},
+		{"cut before the first token", nil, cuts(1, 0), whole, 2},
+		{"cut too often", nil, cuts(9, 1), result{Text: "t0 ", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}, 1 + maxResumes},
+		{"cut of work that runs once", atMostOnce, cuts(1, 1), result{Text: "t0 ", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}, 1},
+		{"repeated token", nil, func() func(Generation, *Token) error {
+			repeat := true
+			return func(_ Generation, token *Token) error {
+				if token.Index == 1 && repeat {
+					repeat, token.Index = false, 0
+				}
+				return nil
+			}
+		}(), whole, 1},
+		{"skipped token", nil, func(generation Generation, token *Token) error {
+			if token.Index == 1 && generation.ResumeFrom == 0 {
+				token.Index = 2
+			}
+			return nil
+		}, whole, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inRig(t, nil, func(rig *rig) {
+				rig.fake.token = test.token
+				request := rig.request()
+				if test.change != nil {
+					test.change(request)
+				}
+				got := rig.do(rig.ctx, request)
+				if diff := cmp.Diff(test.want, got, ignoreDetail); diff != "" {
+					t.Errorf("result (-want +got):\n%s", diff)
+				}
+				if sent := rig.fake.seen("generate"); len(sent) != test.generate {
+					t.Errorf("sent %v", sent)
+				}
+			})
+		})
+	}
+}
+
+// Guards against tokens of another request, attempt, adapter or version.
+func TestForeignTokens(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Token)
+	}{
+		{"request", func(token *Token) { token.RequestID = "other" }},
+		{"attempt", func(token *Token) { token.Attempt = 2 }},
+		{"adapter", func(token *Token) { token.Model = "b@1" }},
+		{"version", func(token *Token) { token.Model = "a@2" }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inRig(t, nil, func(rig *rig) {
+				stray := true
+				rig.fake.token = func(_ Generation, token *Token) error {
+					if token.Index == 1 && stray {
+						stray, token.Text = false, "stray "
+						test.change(token)
+						token.Index = 0
+					}
+					return nil
+				}
+				got := rig.do(rig.ctx, rig.request())
+				if got.Text != "t0 t1 t2 " || rig.metrics.get("dropped-foreign-tokens") != 1 {
+					t.Errorf("text %q, dropped %d", got.Text, rig.metrics.get("dropped-foreign-tokens"))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that runs twice: a copy of an attempt, or another
+// attempt of work that must not be repeated after one was dispatched.
+func TestAtMostOnce(t *testing.T) {
+	inRig(t, plainUpstream, func(rig *rig) {
+		rig.fake.call = func(context.Context, Call) (*Reply, error) { return nil, errCut }
+		request := rig.request(plainCall)
+		unknown := result{Failed: "outcome-unknown", Ran: wirepb.Ran_RAN_UNKNOWN}
+		steps := []struct {
+			attempt uint32
+			want    result
+		}{
+			{1, result{Failed: "upstream-failed", Ran: wirepb.Ran_RAN_UNKNOWN}}, {1, unknown}, {2, unknown},
+		}
+		for _, step := range steps {
+			request.Attempt = step.attempt
+			if diff := cmp.Diff(step.want, rig.do(rig.ctx, request), ignoreDetail); diff != "" {
+				t.Errorf("attempt %d (-want +got):\n%s", step.attempt, diff)
+			}
+		}
+		if sent := rig.fake.seen("call"); len(sent) != 1 {
+			t.Errorf("sent %v", sent)
+		}
+	})
+}
+
+// Guards against a statement that a request did not run when it may have, and
+// against one that it may have when the upstream never received it.
+func TestPlainFailures(t *testing.T) {
+	tests := []struct {
+		name string
+		call func(context.Context, Call) (*Reply, error)
+		want result
+	}{
+		{"not received", func(context.Context, Call) (*Reply, error) {
+			return nil, fault.New(fault.UpstreamFailed, fault.NotRun, "connection refused")
+		}, result{Refused: "upstream-failed", Ran: wirepb.Ran_RAN_NOT_RUN}},
+		{"answer cut", func(context.Context, Call) (*Reply, error) {
+			return &Reply{Status: 200, Body: io.NopCloser(io.MultiReader(strings.NewReader("bo"), errReader{}))}, nil
+		}, result{Text: "bo", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}},
+		{"too slow", func(ctx context.Context, _ Call) (*Reply, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, result{Failed: "deadline-exceeded", Ran: wirepb.Ran_RAN_UNKNOWN}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inRig(t, plainUpstream, func(rig *rig) {
+				rig.fake.call = test.call
+				got := rig.do(rig.ctx, rig.request(plainCall, func(request *wirepb.RunRequest) { request.TimeBudgetUs = 2e6 }))
+				if diff := cmp.Diff(test.want, got, ignoreDetail); diff != "" {
+					t.Errorf("result (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, errCut }
+
+// Guards against an engine that works on for a caller who has gone, and
+// against the eviction of the adapter before the engine confirmed the end.
+func TestCallerGone(t *testing.T) {
+	oneSlot := func(config *Config) {
+		engine := config.Engine.(*fakeEngine)
+		engine.slots, engine.tokens = 1, 1000
+	}
+	inRig(t, oneSlot, func(rig *rig) {
+		ctx, cancel := context.WithCancel(rig.ctx)
+		results := rig.start(ctx, rig.request())
+		time.Sleep(300 * time.Millisecond)
+		cancel()
+		<-results
+		rig.fake.mu.Lock()
+		rig.fake.tokens = 3
+		rig.fake.mu.Unlock()
+		got := rig.do(rig.ctx, rig.request(func(request *wirepb.RunRequest) { request.Adapter = "b" }))
+		if !got.Done {
+			t.Errorf("next request: %+v", got)
+		}
+		if diff := cmp.Diff([]string{"cancel r1"}, rig.fake.seen("cancel")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against a key, a cookie or a request id of the caller's choice that
+// reaches the upstream.
+func TestHeaders(t *testing.T) {
+	inRig(t, nil, func(rig *rig) {
+		rig.do(rig.ctx, rig.request(func(request *wirepb.RunRequest) {
+			for _, name := range []string{"authorization", "Cookie", "X-Api-Key", "X-Organisation", "x-request-id", "Idempotency-Key", "accept"} {
+				request.Headers = append(request.Headers, &wirepb.Header{Name: name, Value: "sent"})
+			}
+		}))
+		want := []string{"header Accept=sent", "header X-Request-Id=r1", "header X-Attempt=1", "header X-Organisation=oak"}
+		if diff := cmp.Diff(want, rig.fake.seen("header")); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// Guards against a wrong answer to Cancel: not-run only of an attempt that
+// never will run, and only by the incarnation to which it was sent.
+func TestCancel(t *testing.T) {
+	cancel := func(rig *rig, id string, incarnation uint64) wirepb.Ran {
+		answer, err := rig.client(rig.ctx).Cancel(rig.ctx, &wirepb.CancelRequest{RequestId: id, Attempt: 1, Incarnation: incarnation})
+		if err != nil || answer.GetIncarnation() != 77 {
+			t.Errorf("cancel of %s: %v, %v", id, answer, err)
+		}
+		return answer.GetRan()
+	}
+	inRig(t, func(config *Config) { config.MaxRunning = 1 }, func(rig *rig) {
+		rig.fake.pace = time.Second
+		running := rig.start(rig.ctx, rig.request(atMostOnce))
+		time.Sleep(200 * time.Millisecond)
+		queued := rig.start(rig.ctx, rig.request(atMostOnce))
+		time.Sleep(time.Millisecond)
+		got := map[string]wirepb.Ran{
+			"running": cancel(rig, "r1", 77), "queued": cancel(rig, "r2", 77),
+			"unknown": cancel(rig, "r3", 77), "other incarnation": cancel(rig, "r4", 76),
+		}
+		want := map[string]wirepb.Ran{
+			"running": wirepb.Ran_RAN_UNKNOWN, "queued": wirepb.Ran_RAN_NOT_RUN,
+			"unknown": wirepb.Ran_RAN_NOT_RUN, "other incarnation": wirepb.Ran_RAN_UNKNOWN,
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+		if late := rig.do(rig.ctx, rig.request(atMostOnce)); late.Refused != "cancelled" {
+			t.Errorf("late attempt: %+v", late)
+		}
+		if result := <-queued; result.Refused != "cancelled" {
+			t.Errorf("queued attempt: %+v", result)
+		}
+		outcome, _ := rig.Outcome(rig.ctx, &wirepb.OutcomeRequest{RequestId: "r1", Organisation: "oak"})
+		foreign, _ := rig.Outcome(rig.ctx, &wirepb.OutcomeRequest{RequestId: "r1", Organisation: "ash"})
+		if !outcome.GetRunning() || foreign.GetRunning() {
+			t.Errorf("outcome %v, for another organisation %v", outcome, foreign)
+		}
+		if result := <-running; !result.Done || cancel(rig, "r1", 77) != wirepb.Ran_RAN_RAN {
+			t.Errorf("running attempt: %+v", result)
+		}
+	})
+}
+
+// Guards against a planned stop that interrupts running work, keeps queued
+// work or returns too early.
+func TestDrain(t *testing.T) {
+	inRig(t, func(config *Config) { config.MaxRunning = 1 }, func(rig *rig) {
+		rig.fake.pace = time.Second
+		running := rig.start(rig.ctx, rig.request())
+		time.Sleep(time.Second / 2)
+		queued := rig.start(rig.ctx, rig.request())
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		if err := rig.Drain(rig.ctx); err != nil {
+			t.Error(err)
+		}
+		if took := time.Since(began); took < 3*time.Second || took > 4*time.Second {
+			t.Errorf("drained in %v", took)
+		}
+		if got := <-queued; got.Refused != "leaving" || got.took > 2*time.Millisecond {
+			t.Errorf("queued: %+v", got)
+		}
+		if got := <-running; !got.Done {
+			t.Errorf("running: %+v", got)
+		}
+	})
+}
+
+// Guards against a log line that shows a key or a prompt, and against a
+// decision without its line.
+func TestLogLines(t *testing.T) {
+	core, logs := observer.New(zap.DebugLevel)
+	inRig(t, func(config *Config) { config.Logger = zap.New(core) }, func(rig *rig) {
+		secret := func(request *wirepb.RunRequest) { request.Body = []byte("prompt-text") }
+		rig.do(rig.ctx, rig.request(secret))
+		rig.configs.edit(func(editor *model.Editor) { editor.WithdrawKey("oak-key") })
+		rig.do(rig.ctx, rig.request(secret))
+		var lines []string
+		for _, entry := range logs.All() {
+			lines = append(lines, entry.Message)
+			for name, value := range entry.ContextMap() {
+				if text, ok := value.(string); ok && (strings.Contains(text, "oak-key") || strings.Contains(text, "prompt-text")) {
+					t.Errorf("%s shows %s=%s", entry.Message, name, text)
+				}
+			}
+		}
+		want := []string{"place: engine started anew", "place: loaded adapter", "place: dispatched request", "admit: refused request"}
+		if diff := cmp.Diff(want, lines); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/internal/daemon/side/dispatch.go
+++ b/internal/daemon/side/dispatch.go
@@ -10,49 +10,66 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/once"
 )
 
-// retryTake is when an organisation without tokens is tried again if its
-// limiter does not say: about the time in which a shard of a small
-// organisation accrues one short request.
-const retryTake = 50 * time.Millisecond
-
 // dispatch passes a committed ticket through the last gate. It returns false
 // without a fault when the ticket waits again.
 func (server *Server) dispatch(ctx context.Context, ticket *ticket) (bool, *fault.Fault) {
 	if refusal := server.recheck(ticket); refusal != nil {
 		return false, refusal
 	}
-	debit, err := server.take(ctx, ticket)
+	debit, err := ticket.debit, error(nil)
+	if debit == nil {
+		debit, err = server.take(ctx, ticket)
+	}
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	defer server.pump()
-	if err != nil {
-		server.starve(ticket, err)
-		return false, nil
-	}
-	server.queue.Unblock(ticket.organisation)
-	if !ticket.plain && ticket.generation != server.engine.generation {
-		debit.Settle(0)
+	switch {
+	case err != nil:
 		server.release(ticket)
-		server.queue.Requeue(ticket.entry)
+		return false, fault.Wrap(err, fault.NotRun)
+	case debit == nil:
+		server.starve(ctx, ticket)
 		return false, nil
+	case ticket.debit == nil:
+		server.queue.Unblock(ticket.organisation)
+		ticket.debit = debit
 	}
-	// The debit may have taken a while, so that all checks run once more, under
-	// the lock under which the attempt becomes dispatched.
+	return server.pass(ticket)
+}
+
+// pass is the last gate: it checks everything once more, since the debit may
+// have taken a while, and marks the attempt as dispatched under the same lock.
+func (server *Server) pass(ticket *ticket) (bool, *fault.Fault) {
 	if refusal := server.gate(ticket); refusal != nil {
-		debit.Settle(0)
 		server.release(ticket)
 		return false, refusal
 	}
+	if server.overtaken(ticket) || !ticket.debit.Commit() {
+		server.refund(ticket)
+		server.wait(ticket)
+		return false, nil
+	}
 	if !server.records.Dispatch(time.Now(), ticket.attempt, ticket.repeat()) {
-		debit.Settle(0)
 		server.release(ticket)
 		return false, fault.New(fault.OutcomeUnknown, fault.Unknown, "the request was dispatched before; query its outcome by its id")
 	}
-	ticket.debit = debit
 	server.mark(ticket)
 	return true, nil
 }
 
+// overtaken reports whether the engine started anew or a move between halves
+// began since the ticket was committed.
+func (server *Server) overtaken(ticket *ticket) bool {
+	return !ticket.plain && ticket.generation != server.engine.generation || server.moving()
+}
+
+// wait puts a committed ticket back into the queue. It holds neither a place
+// at the upstream nor its adapter meanwhile.
+func (server *Server) wait(ticket *ticket) {
+	server.release(ticket)
+	server.queue.Requeue(ticket.entry)
+}
+
 // recheck runs the gate before tokens are taken, so that a request which will
 // be refused takes none.
 func (server *Server) recheck(ticket *ticket) *fault.Fault {
@@ -66,33 +83,11 @@
 	return refusal
 }
 
-// take debits the tokens of the ticket's organisation.
-func (server *Server) take(ctx context.Context, ticket *ticket) (Debit, error) {
-	if ticket.organisation == "" || ticket.cost <= 0 {
-		return unlimited{}, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, takeWait)
-	defer cancel()
-	return server.config.Limiter.Take(ctx, ticket.organisation, ticket.cost)
-}
-
-// starve puts a ticket back to wait for tokens. It holds neither a place at
-// the upstream nor its adapter meanwhile, and other organisations pass it.
-func (server *Server) starve(ticket *ticket, err error) {
-	after := retryTake
-	if reason, ok := fault.As(err); ok && reason.RetryAfter() > 0 {
-		after = min(reason.RetryAfter(), time.Second)
-	}
-	server.count("token-waits")
-	server.release(ticket)
-	server.queue.Block(ticket.organisation, time.Now().Add(after))
-	server.queue.Requeue(ticket.entry)
-}
-
 // mark notes that a ticket is being sent to the upstream.
 func (server *Server) mark(ticket *ticket) {
 	organisation, _ := server.current().Organisation(ticket.organisation)
-	ticket.half = organisation.Half
+	ticket.half, ticket.sent = organisation.Half, true
+	server.taking[ticket.organisation]--
 	ticket.waited = time.Since(ticket.arrived)
 	server.count("dispatched")
 	server.place("dispatched request", ticket, zap.String("upstream", server.config.Upstream),
@@ -120,7 +115,9 @@
 	if ticket.plain || ending.confirmed {
 		server.unpin(ticket)
 	} else {
-		server.lingers = append(server.lingers, linger{ref: ticket.ref, generation: ticket.generation, ended: now})
+		server.lingers = append(server.lingers, linger{
+			requestID: ticket.attempt.RequestID, ref: ticket.ref, generation: ticket.generation, ended: now,
+		})
 	}
 	server.pump()
 }
--- a/internal/daemon/side/fakes_test.go
+++ b/internal/daemon/side/fakes_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,6 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
-	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/flow/slots"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -227,7 +227,9 @@
 			return Token{}, err
 		}
 	}
-	stream.next = max(stream.next, token.Index) + 1
+	if token.Index >= stream.next {
+		stream.next = token.Index + 1
+	}
 	return token, nil
 }
 
@@ -266,12 +268,15 @@
 	return &Reply{Status: 201, Body: io.NopCloser(strings.NewReader("booked"))}, nil
 }
 
-// fakeLimiter refuses organisations that have no tokens.
+// fakeLimiter makes organisations wait that have no tokens.
 type fakeLimiter struct {
 	mu      sync.Mutex
 	level   map[string]model.Tokens
 	settled []model.Tokens
-	wait    time.Duration
+	// taken is called after each debit.
+	taken func()
+	// lapsed makes the next debits lapse before their commit.
+	lapsed int
 }
 
 type fakeDebit struct {
@@ -280,15 +285,43 @@
 	tokens       model.Tokens
 }
 
-func (limiter *fakeLimiter) Take(_ context.Context, organisation string, tokens model.Tokens) (Debit, error) {
-	time.Sleep(limiter.wait)
+func (limiter *fakeLimiter) Take(ctx context.Context, organisation string, tokens model.Tokens) (Debit, error) {
+	for {
+		if limiter.debit(organisation, tokens) {
+			if limiter.taken != nil {
+				limiter.taken()
+			}
+			return fakeDebit{limiter, organisation, tokens}, nil
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (limiter *fakeLimiter) debit(organisation string, tokens model.Tokens) bool {
 	limiter.mu.Lock()
 	defer limiter.mu.Unlock()
 	if limiter.level[organisation] < tokens {
-		return nil, fault.New(fault.RateExceeded, fault.NotRun, "no tokens").WithRetryAfter(30 * time.Millisecond)
+		return false
 	}
 	limiter.level[organisation] -= tokens
-	return fakeDebit{limiter, organisation, tokens}, nil
+	return true
+}
+
+func (limiter *fakeLimiter) set(organisation string, tokens model.Tokens) {
+	limiter.mu.Lock()
+	defer limiter.mu.Unlock()
+	limiter.level[organisation] = tokens
+}
+
+func (debit fakeDebit) Commit() bool {
+	debit.limiter.mu.Lock()
+	defer debit.limiter.mu.Unlock()
+	debit.limiter.lapsed--
+	return debit.limiter.lapsed < 0
 }
 
 func (debit fakeDebit) Settle(used model.Tokens) {
@@ -341,9 +374,9 @@
 }
 
 // fakeRoster says whether the upstream is leaving.
-type fakeRoster struct{ leaving bool }
+type fakeRoster struct{ leaving atomic.Bool }
 
-func (roster *fakeRoster) Leaving(string) bool { return roster.leaving }
+func (roster *fakeRoster) Leaving(string) bool { return roster.leaving.Load() }
 
 // fakeMetrics counts events.
 type fakeMetrics struct {
@@ -351,6 +384,12 @@
 	counts map[string]int64
 }
 
+func (metrics *fakeMetrics) get(name string) int64 {
+	metrics.mu.Lock()
+	defer metrics.mu.Unlock()
+	return metrics.counts[name]
+}
+
 func (metrics *fakeMetrics) Add(name string, delta int64) {
 	metrics.mu.Lock()
 	defer metrics.mu.Unlock()
--- a/internal/daemon/side/hosted.go
+++ b/internal/daemon/side/hosted.go
@@ -53,8 +53,17 @@
 	}
 }
 
+// part returns a shard's part of a rate or burst. The parts add up to the whole.
+func part(whole model.Tokens, index, count int) model.Tokens {
+	share := whole / model.Tokens(count)
+	if model.Tokens(index) < whole%model.Tokens(count) {
+		share++
+	}
+	return share
+}
+
 // host creates or resizes the shards of an organisation that are on this
-// upstream. Rounding down keeps the sum within the organisation's rate.
+// upstream.
 func (shards *shards) host(wanted map[shardKey]bool, organisation string, hosts []string, rate, burst model.Tokens) {
 	now := time.Now()
 	for index, upstream := range hosts {
@@ -62,7 +71,7 @@
 			continue
 		}
 		key := shardKey{organisation, uint32(index)}
-		size := shardSize{rate / model.Tokens(len(hosts)), burst / model.Tokens(len(hosts))}
+		size := shardSize{part(rate, index, len(hosts)), part(burst, index, len(hosts))}
 		wanted[key] = true
 		if shard, ok := shards.hosted[key]; !ok {
 			config := shards.base
--- a/internal/daemon/side/loads.go
+++ b/internal/daemon/side/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,12 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/slots"
 )
 
+// errOvertaken is an order for an engine that started anew meanwhile.
+var errOvertaken = errors.New("the engine started anew")
+
+// errNotEvicted is an order whose eviction the engine did not carry out.
+var errNotEvicted = errors.New("the engine did not evict")
+
 // execute gives one order to the engine and reports its end to the table.
 func (server *Server) execute(order slots.Order, generation uint64) {
 	defer server.loads.Done()
@@ -19,16 +26,26 @@
 	began := time.Now()
 	err := server.give(ctx, order, generation)
 	server.logOrder(order, time.Since(began), err)
+	var held *State
 	if err != nil {
-		server.reconcile(ctx, generation)
+		held = server.held(ctx)
 	}
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	if generation != server.engine.generation || order.Load == (slots.Ref{}) {
+	if generation != server.engine.generation {
 		return
 	}
 	now := time.Now()
-	if server.table.Finish(now, order.Load, err) {
+	giveUp := false
+	if errors.Is(err, errNotEvicted) {
+		server.table.Refused(now, order)
+	} else {
+		giveUp = server.table.Finish(now, order.Load, err)
+	}
+	if held != nil && held.Epoch == server.engine.epoch {
+		server.table.Reconcile(now, held.Loaded)
+	}
+	if giveUp && !server.table.Ready(order.Load) {
 		server.giveUp(order.Load)
 	}
 	if err == nil {
@@ -37,6 +54,16 @@
 	server.pump()
 }
 
+// held reads what the engine holds after an order failed: its reply may be
+// lost although the engine carried it out.
+func (server *Server) held(ctx context.Context) *State {
+	state, err := server.config.Engine.State(ctx)
+	if err != nil {
+		return nil
+	}
+	return &state
+}
+
 // give waits for a permit, evicts, and loads.
 func (server *Server) give(ctx context.Context, order slots.Order, generation uint64) error {
 	if order.Load != (slots.Ref{}) {
@@ -49,12 +76,12 @@
 	server.table.Start(time.Now(), order.Load)
 	server.mu.Unlock()
 	if !current {
-		return nil
+		return errOvertaken
 	}
 	if order.Evict != (slots.Ref{}) {
 		server.count("evictions")
 		if err := server.config.Engine.Unload(ctx, order.Evict.Adapter, order.Evict.Version); err != nil {
-			return err
+			return errors.Join(errNotEvicted, err)
 		}
 	}
 	if order.Load == (slots.Ref{}) {
@@ -78,19 +105,6 @@
 	server.config.Logger.Info("place: loaded adapter", append(fields, zap.String("reason", "requests wait for it"))...)
 }
 
-// reconcile reads what the engine holds after an order failed.
-func (server *Server) reconcile(ctx context.Context, generation uint64) {
-	state, err := server.config.Engine.State(ctx)
-	if err != nil {
-		return
-	}
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	if generation == server.engine.generation && state.Epoch == server.engine.epoch {
-		server.table.Reconcile(time.Now(), state.Loaded)
-	}
-}
-
 // noteLoaded attributes the wait of the waiting requests to the load.
 func (server *Server) noteLoaded(now time.Time, ref slots.Ref) {
 	server.queue.All(func(entry *queue.Entry[*ticket]) bool {
--- /dev/null
+++ b/internal/daemon/side/loads_test.go
@@ -0,0 +1,179 @@
+package side
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+func adapter(name string) func(*wirepb.RunRequest) {
+	return func(request *wirepb.RunRequest) { request.Adapter = name }
+}
+
+// Guards against several loads of one adapter, against requests that wait for
+// another one's load, and against an eviction of an adapter in use, which the
+// fake engine reports.
+func TestLoads(t *testing.T) {
+	inRig(t, nil, func(rig *rig) {
+		rig.do(rig.ctx, rig.request())
+		var results []<-chan result
+		for _, name := range []string{"a", "b", "b", "c", "a", "d", "b", "a"} {
+			results = append(results, rig.start(rig.ctx, rig.request(adapter(name))))
+			time.Sleep(time.Millisecond)
+		}
+		for index, results := range results {
+			got := <-results
+			if !got.Done {
+				t.Errorf("request %d: %+v", index, got)
+			}
+			if index == 0 && got.took > 50*time.Millisecond {
+				t.Errorf("a request for a loaded adapter took %v", got.took)
+			}
+		}
+		if loads := rig.fake.seen("load b"); len(loads) != 1 {
+			t.Errorf("loads %v", loads)
+		}
+	})
+}
+
+// Guards against requests that wait for a load which keeps failing: after the
+// second failure they go to another upstream.
+func TestLoadFailure(t *testing.T) {
+	inRig(t, nil, func(rig *rig) {
+		rig.fake.loadErr = errors.New("store down")
+		got := rig.do(rig.ctx, rig.request())
+		if got.Refused != "load-failed" || !got.events[0].GetRefused().GetTryElsewhere() || len(rig.fake.seen("load")) != 2 {
+			t.Errorf("result %+v, loads %v", got, rig.fake.seen("load"))
+		}
+		if again := rig.do(rig.ctx, rig.request()); again.Refused != "load-failed" || again.took > time.Millisecond {
+			t.Errorf("during the backoff: %+v", again)
+		}
+	})
+}
+
+// Guards against the use of adapters that an engine lost when it started anew,
+// and against orders with an outdated fencing token.
+func TestEngineRestart(t *testing.T) {
+	inRig(t, nil, func(rig *rig) {
+		rig.do(rig.ctx, rig.request())
+		rig.fake.restart()
+		rig.fake.mu.Lock()
+		rig.fake.fence = 90
+		rig.fake.mu.Unlock()
+		time.Sleep(statePoll + time.Millisecond)
+		if got := rig.do(rig.ctx, rig.request()); !got.Done || len(rig.fake.seen("load a")) != 2 {
+			t.Errorf("result %+v, loads %v", got, rig.fake.seen("load"))
+		}
+		if token := rig.FencingToken(); token != 91 {
+			t.Errorf("fencing token %d, want 91", token)
+		}
+	})
+}
+
+// Guards against an organisation without tokens that holds up another one, and
+// against a wait-exceeded refusal that comes late.
+func TestTokenWait(t *testing.T) {
+	inRig(t, func(config *Config) { config.MaxRunning = 1 }, func(rig *rig) {
+		rig.do(rig.ctx, rig.request())
+		rig.limiter.set("oak", 0)
+		starved := rig.start(rig.ctx, rig.request())
+		time.Sleep(50 * time.Millisecond)
+		other := rig.do(rig.ctx, rig.request(func(request *wirepb.RunRequest) { request.Organisation, request.KeyId = "ash", "ash-key" }))
+		if !other.Done || other.took > 100*time.Millisecond {
+			t.Errorf("other organisation: %+v", other)
+		}
+		got := <-starved
+		if got.Refused != "wait-exceeded" || got.took != 2*time.Second {
+			t.Errorf("starved: %+v", got)
+		}
+		late := rig.start(rig.ctx, rig.request())
+		time.Sleep(500 * time.Millisecond)
+		rig.limiter.set("oak", 30)
+		if got := <-late; !got.Done || got.took > 600*time.Millisecond {
+			t.Errorf("after tokens came: %+v", got)
+		}
+	})
+}
+
+// Guards against a request that is sent on tokens which have lapsed, and
+// against tokens that are not given back.
+func TestDebits(t *testing.T) {
+	inRig(t, nil, func(rig *rig) {
+		rig.limiter.lapsed = 2
+		if got := rig.do(rig.ctx, rig.request()); !got.Done {
+			t.Errorf("result %+v", got)
+		}
+		if diff := cmp.Diff([]model.Tokens{0, 0, 13}, rig.limiter.settled); diff != "" {
+			t.Errorf("settled (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// Guards against a request whose cost exceeds its organisation's burst and
+// which would therefore wait in vain.
+func TestBurst(t *testing.T) {
+	inRig(t, nil, func(rig *rig) {
+		got := rig.do(rig.ctx, rig.request(func(request *wirepb.RunRequest) { request.MaxTokens = 20000 }))
+		if got.Refused != string(fault.RateExceeded) {
+			t.Errorf("result %+v", got)
+		}
+	})
+}
+
+// fakeShard notes its configuration and answers with it.
+type fakeShard struct{ config ShardConfig }
+
+func (shard *fakeShard) Draw(_ time.Time, want, _ model.Tokens) (Grant, bool) {
+	return Grant{ID: 5, Tokens: min(want, shard.config.Burst), Level: shard.config.Rate}, true
+}
+
+func (shard *fakeShard) Return(_ time.Time, _ uint64, tokens model.Tokens, _ bool) model.Tokens {
+	return tokens
+}
+
+func (shard *fakeShard) Resize(_ time.Time, rate, burst model.Tokens) {
+	shard.config.Rate, shard.config.Burst = rate, burst
+}
+
+// Guards against a shard that is granted from by a process that does not host
+// it, at an outdated size, or credited for a former incarnation.
+func TestShards(t *testing.T) {
+	newShard := func(config ShardConfig) Shard { return &fakeShard{config} }
+	inRig(t, func(config *Config) { config.NewShard = newShard }, func(rig *rig) {
+		rig.configs.edit(func(editor *model.Editor) {
+			editor.PutOrganisation(model.OrganisationSpec{Name: "oak", Rate: 501, Burst: 701, Shards: []string{"up", "else"}})
+			editor.PutFleet(model.FleetSpec{LoadRateMilli: 3000, LoadBurst: 8, LoadShards: []string{"up"}})
+		})
+		client := rig.client(rig.ctx)
+		tests := []struct {
+			name   string
+			draw   *wirepb.DrawRequest
+			tokens int64
+			level  int64
+			fails  bool
+		}{
+			{"hosted", &wirepb.DrawRequest{Organisation: "oak", Tokens: 1000}, 351, 251, false},
+			{"hosted elsewhere", &wirepb.DrawRequest{Organisation: "oak", Shard: 1, Tokens: 1000}, 0, 0, true},
+			{"unknown", &wirepb.DrawRequest{Organisation: "elm", Tokens: 1000}, 0, 0, true},
+			{"load permits", &wirepb.DrawRequest{Organisation: LoadPermits, Tokens: 10000}, 8000, 3000, false},
+		}
+		for _, test := range tests {
+			got, err := client.Draw(rig.ctx, test.draw)
+			if (err != nil) != test.fails || got.GetTokens() != test.tokens || got.GetLevel() != test.level {
+				t.Errorf("%s: %v, %v", test.name, got, err)
+			}
+		}
+		for incarnation, want := range map[uint64]int64{77: 9, 76: 0} {
+			got, err := client.Return(rig.ctx, &wirepb.ReturnRequest{Organisation: "oak", Tokens: 9, Incarnation: incarnation})
+			if err != nil || got.GetCredited() != want {
+				t.Errorf("return to %d: %v, %v", incarnation, got, err)
+			}
+		}
+	})
+}
--- a/internal/daemon/side/model.go
+++ b/internal/daemon/side/model.go
@@ -189,7 +189,6 @@
 	generation.server.finish(ticket, ending{
 		ran: reason.Ran(), status: uint32(reason.Status()), confirmed: reason.Ran() == fault.NotRun,
 	})
-	generation.server.count("failed-" + string(reason.Kind()))
 	if sendErr != nil {
 		return sendErr
 	}
--- a/internal/daemon/side/plain.go
+++ b/internal/daemon/side/plain.go
@@ -88,7 +88,6 @@
 		ticket.debit.Settle(ticket.cost)
 	}
 	server.finish(ticket, ending{ran: reason.Ran(), status: uint32(reason.Status())})
-	server.count("failed-" + string(reason.Kind()))
 	if sendErr != nil {
 		return sendErr
 	}
--- a/internal/daemon/side/ports.go
+++ b/internal/daemon/side/ports.go
@@ -21,21 +21,30 @@
 
 // Debit is what a request took from its organisation's tokens.
 type Debit interface {
+	// Commit counts the request as dispatched now. It reports false when the
+	// tokens have lapsed since they were taken.
+	Commit() bool
 	// Settle returns the tokens that were not used.
 	Settle(used model.Tokens)
 }
 
 // Limiter debits the tokens of organisations.
 type Limiter interface {
-	// Take debits tokens or fails when ctx ends. A fault with retry-after says
-	// when it is worth asking again.
+	// Take waits until it has tokens or ctx ends. Any other error refuses the
+	// request.
 	Take(ctx context.Context, organisation string, tokens model.Tokens) (Debit, error)
 }
 
+// Estimator is implemented by a Limiter that knows how long tokens take.
+type Estimator interface {
+	EstimateWait(organisation string, tokens model.Tokens) time.Duration
+}
+
 // unlimited is the default Limiter.
 type unlimited struct{}
 
 func (unlimited) Take(context.Context, string, model.Tokens) (Debit, error) { return unlimited{}, nil }
+func (unlimited) Commit() bool                                              { return true }
 func (unlimited) Settle(model.Tokens)                                       {}
 
 // LogRecord is one record of a log stream.
--- a/internal/daemon/side/pump.go
+++ b/internal/daemon/side/pump.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/flow/queue"
 	"jacinthfront.dev/jacinthfront/internal/flow/slots"
@@ -32,22 +30,31 @@
 		return
 	}
 	now := time.Now()
-	if !server.moving() {
-		for len(server.running) < server.config.MaxRunning {
-			entry := server.queue.Pop(now, server.ready)
-			if entry == nil {
-				break
-			}
-			server.commit(now, entry.Value)
-		}
-	}
-	server.queue.SetBusy(now, len(server.running) >= server.config.MaxRunning && server.queue.Len() > 0)
+	server.startWaiting(now)
 	demands := server.planLoads(now)
+	// Plan opens adapters again that were kept for a request which is gone.
+	server.startWaiting(now)
+	server.queue.SetBusy(now, len(server.running) >= server.config.MaxRunning && server.queue.Len() > 0)
 	server.schedule(now, demands)
 }
 
+// startWaiting commits waiting requests as long as there is room for them.
+func (server *Server) startWaiting(now time.Time) {
+	for len(server.running) < server.config.MaxRunning && server.queue.Len() > 0 && !server.moving() {
+		entry := server.queue.Pop(now, server.ready)
+		if entry == nil {
+			return
+		}
+		server.commit(now, entry.Value)
+	}
+}
+
 // ready reports whether a waiting request could be sent at once.
 func (server *Server) ready(entry *queue.Entry[*ticket]) bool {
+	if server.taking[entry.Organisation] > 0 && server.queue.Starved(entry.Organisation) {
+		// One request at a time tries whether there are tokens again.
+		return false
+	}
 	return entry.Value.plain || server.table.Ready(entry.Value.ref)
 }
 
@@ -59,6 +66,7 @@
 	ticket.committed = true
 	ticket.generation = server.engine.generation
 	server.running[ticket] = true
+	server.taking[ticket.organisation]++
 	ticket.verdict <- nil
 }
 
@@ -109,7 +117,8 @@
 	byRef := map[slots.Ref]*demand{}
 	server.queue.All(func(entry *queue.Entry[*ticket]) bool {
 		ticket := entry.Value
-		if ticket.plain || server.queue.Blocked(ticket.organisation, now) {
+		gathering := server.gathering[ticket.organisation]
+		if ticket.plain || gathering != ticket && server.queue.Starved(ticket.organisation) {
 			return true
 		}
 		known, ok := byRef[ticket.ref]
@@ -158,16 +167,3 @@
 	}
 	server.pump()
 }
-
-// place logs a placement decision.
-func (server *Server) place(message string, ticket *ticket, fields ...zap.Field) {
-	server.config.Logger.Info("place: "+message, append(ticket.fields(), fields...)...)
-}
-
-// fields names the request in the log, without its key or prompt.
-func (ticket *ticket) fields() []zap.Field {
-	return []zap.Field{
-		zap.String("request-id", ticket.attempt.RequestID), zap.Uint32("attempt", ticket.attempt.Number),
-		zap.String("organisation", ticket.organisation), zap.Stringer("adapter", ticket.ref),
-	}
-}
--- a/internal/daemon/side/run.go
+++ b/internal/daemon/side/run.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/flow/once"
 	"jacinthfront.dev/jacinthfront/internal/flow/queue"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -60,7 +59,7 @@
 		return fault.New(fault.Overloaded, fault.NotRun,
 			"too many recent requests are remembered; come back after the time in retry-after").WithRetryAfter(time.Second)
 	}
-	switch server.records.Begin(now, ticket.attempt, ticket.organisation, ticket.repeat()) {
+	switch server.records.Begin(ticket.attempt, ticket.organisation, ticket.repeat()) {
 	case once.Tombstoned:
 		return fault.New(fault.Cancelled, fault.NotRun, "the attempt was cancelled; send the request anew")
 	case once.Duplicate, once.Spent:
@@ -142,9 +141,7 @@
 	if after, failed := server.table.Refuses(now, ticket.ref); failed && !ticket.plain {
 		return loadFailed(ticket).WithRetryAfter(after)
 	}
-	organisation, _ := server.current().Organisation(ticket.organisation)
-	share := queue.Share{Rate: organisation.Rate, Burst: organisation.Burst}
-	if refusal := server.queue.Admit(now, ticket.entry, share); refusal != nil {
+	if refusal := server.queue.Admit(now, ticket.entry, server.share(ticket.organisation)); refusal != nil {
 		return refusal
 	}
 	server.count("admitted")
@@ -153,6 +150,16 @@
 	return nil
 }
 
+// share returns what the organisation's requests may use.
+func (server *Server) share(name string) queue.Share {
+	organisation, _ := server.current().Organisation(name)
+	share := queue.Share{Rate: organisation.Rate, Burst: organisation.Burst}
+	if estimator, ok := server.config.Limiter.(Estimator); ok {
+		share.Wait = func(tokens model.Tokens) time.Duration { return estimator.EstimateWait(name, tokens) }
+	}
+	return share
+}
+
 // await waits until the ticket is dispatched. Its longest wait and the end of
 // its caller take it out of the queue at once.
 func (server *Server) await(ctx context.Context, ticket *ticket) *fault.Fault {
@@ -205,6 +212,7 @@
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	server.records.End(time.Now(), ticket.attempt, fault.NotRun, 0)
+	server.refund(ticket)
 	server.live--
 	if server.live == 0 {
 		select {
@@ -213,13 +221,3 @@
 		}
 	}
 }
-
-// logRefusal logs why a request was refused.
-func (server *Server) logRefusal(request *wirepb.RunRequest, refusal *fault.Fault) {
-	server.count("refused-" + string(refusal.Kind()))
-	server.config.Logger.Info("admit: refused request",
-		zap.String("request-id", request.GetRequestId()), zap.Uint32("attempt", request.GetAttempt()),
-		zap.String("organisation", request.GetOrganisation()), zap.String("adapter", request.GetAdapter()),
-		zap.String("reason", string(refusal.Kind())), zap.String("ran", string(refusal.Ran())),
-		zap.Duration("retry-after", refusal.RetryAfter()))
-}
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -41,6 +41,10 @@
 	Records     once.RecordsConfig
 	// MaxRunning bounds the requests at the upstream.
 	MaxRunning int
+	// UnloadChecked says that the engine refuses to unload an adapter that a
+	// request still uses. Otherwise an adapter whose request ended without
+	// confirmation stays until the engine's report accounts for the request.
+	UnloadChecked bool
 	// Partitions is the number of claim streams.
 	Partitions  int
 	ClaimWindow time.Duration
@@ -122,19 +126,24 @@
 	claims *claimer
 	shards *shards
 
-	mu       sync.Mutex
-	queue    *queue.Queue[*ticket]
-	table    *slots.Table
-	records  *once.Records
-	flights  map[flightKey]*flight
-	engine   engineView
-	lingers  []linger
-	running  map[*ticket]bool
-	live     int
-	draining bool
-	empty    chan struct{}
-	timer    *time.Timer
-	fence    uint64
+	mu      sync.Mutex
+	queue   *queue.Queue[*ticket]
+	table   *slots.Table
+	records *once.Records
+	flights map[flightKey]*flight
+	engine  engineView
+	lingers []linger
+	running map[*ticket]bool
+	// taking counts the committed requests of each organisation whose tokens
+	// are not debited yet.
+	taking map[string]int
+	// gathering holds the request of each organisation that waits for tokens.
+	gathering map[string]*ticket
+	live      int
+	draining  bool
+	empty     chan struct{}
+	timer     *time.Timer
+	fence     uint64
 	// background is the context of loads; it ends when Serve does.
 	background context.Context
 	stop       context.CancelFunc
@@ -158,6 +167,8 @@
 		records:    once.NewRecords(config.Records),
 		flights:    map[flightKey]*flight{},
 		running:    map[*ticket]bool{},
+		taking:     map[string]int{},
+		gathering:  map[string]*ticket{},
 		empty:      make(chan struct{}, 1),
 		fence:      config.Incarnation,
 		background: background,
--- a/internal/daemon/side/ticket.go
+++ b/internal/daemon/side/ticket.go
@@ -33,7 +33,9 @@
 	// generation is the engine's at the time of the pin.
 	generation uint64
 	half       model.Half
-	debit      Debit
+	// debit may be there before the dispatch, when the tokens took a while.
+	debit Debit
+	sent  bool
 	// claim is what this process put on the log for an idempotency key.
 	claim once.Holder
 	// waited is the time until the dispatch; loadWait is the part of it until
@@ -126,9 +128,18 @@
 	}
 	ticket.committed = false
 	delete(server.running, ticket)
+	server.taking[ticket.organisation]--
 	server.unpin(ticket)
 }
 
+// refund returns the tokens of a ticket that was not dispatched.
+func (server *Server) refund(ticket *ticket) {
+	if ticket.debit != nil && !ticket.sent {
+		ticket.debit.Settle(0)
+		ticket.debit = nil
+	}
+}
+
 func (server *Server) unpin(ticket *ticket) {
 	if !ticket.plain && ticket.generation == server.engine.generation {
 		server.table.Unpin(ticket.ref)
--- /dev/null
+++ b/internal/daemon/side/tokens.go
@@ -0,0 +1,65 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+// take debits the tokens of a committed ticket. It waits for a short time only,
+// since the ticket holds a place at the upstream, and returns no debit when
+// that does not suffice.
+func (server *Server) take(ctx context.Context, ticket *ticket) (Debit, error) {
+	if ticket.organisation == "" || ticket.cost <= 0 {
+		return unlimited{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeWait)
+	defer cancel()
+	debit, err := server.config.Limiter.Take(ctx, ticket.organisation, ticket.cost)
+	if err != nil && ctx.Err() == nil {
+		return nil, fault.Wrap(err, fault.NotRun).WithRan(fault.NotRun)
+	}
+	if err != nil {
+		debit = nil
+	}
+	return debit, nil
+}
+
+// starve makes a committed ticket wait in the queue until its tokens are there.
+func (server *Server) starve(ctx context.Context, ticket *ticket) {
+	server.wait(ticket)
+	if ctx.Err() != nil || server.gathering[ticket.organisation] != nil {
+		return
+	}
+	server.count("token-waits")
+	until := server.deadline(ticket)
+	if ticket.longest > 0 {
+		until = ticket.arrived.Add(ticket.longest)
+	}
+	server.queue.Block(ticket.organisation, until)
+	server.gathering[ticket.organisation] = ticket
+	go server.gather(ctx, ticket, until)
+}
+
+// gather waits for the tokens of one ticket in the queue on behalf of its
+// organisation, whose other requests wait behind it.
+func (server *Server) gather(ctx context.Context, ticket *ticket, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	debit, err := server.config.Limiter.Take(ctx, ticket.organisation, ticket.cost)
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	delete(server.gathering, ticket.organisation)
+	// The organisation may be tried again now, one request at a time.
+	server.queue.Block(ticket.organisation, time.Now())
+	switch {
+	case err == nil && ticket.entry.Queued():
+		ticket.debit = debit
+	case err == nil:
+		debit.Settle(0)
+	case ctx.Err() == nil:
+		server.refuse(ticket, fault.Wrap(err, fault.NotRun).WithRan(fault.NotRun))
+	}
+	server.pump()
+}
--- a/internal/daemon/side/upstream.go
+++ b/internal/daemon/side/upstream.go
@@ -27,6 +27,9 @@
 	Fence   uint64
 	Running int
 	Waiting int
+	// Active lists the requests that the engine works on, if Listed is set.
+	Active []string
+	Listed bool
 }
 
 // Header is one header of a request or an answer.
--- a/internal/daemon/side/watch.go
+++ b/internal/daemon/side/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 // linger is the use of an adapter by a request whose end the engine has not
 // confirmed.
 type linger struct {
+	requestID  string
 	ref        slots.Ref
 	generation uint64
 	ended      time.Time
@@ -92,9 +94,10 @@
 		// newer token has ended.
 		server.fence = state.Fence + 1
 	}
-	if !server.engine.known || state.Epoch != server.engine.epoch || state.Slots != server.table.Size() {
+	if !server.engine.known || state.Epoch != server.engine.epoch {
 		server.restart(state)
 	}
+	server.table.Resize(state.Slots)
 	server.settleLingers(asked, state, before)
 	server.pump()
 }
@@ -127,21 +130,16 @@
 }
 
 // settleLingers unpins adapters of requests whose end was not confirmed, once
-// the engine works on no more than the requests that are known to run. Those
-// that began or ended around the report do not count as known.
+// a report shows that the engine is done with them or they cannot run any more.
 func (server *Server) settleLingers(asked time.Time, state State, before []*ticket) {
-	known := 0
-	for _, ticket := range before {
-		if server.running[ticket] {
-			known++
-		}
-	}
-	if state.Running+state.Waiting > known {
-		return
-	}
+	idle := !state.Listed && (server.config.UnloadChecked || server.accounted(state, before))
 	kept := server.lingers[:0]
 	for _, linger := range server.lingers {
-		if asked.Sub(linger.ended) < reportLag {
+		over := asked.Sub(linger.ended) >= server.config.RequestLimit
+		if asked.Sub(linger.ended) >= reportLag {
+			over = over || idle || state.Listed && !slices.Contains(state.Active, linger.requestID)
+		}
+		if !over {
 			kept = append(kept, linger)
 		} else if linger.generation == server.engine.generation {
 			server.table.Unpin(linger.ref)
@@ -149,3 +147,16 @@
 	}
 	server.lingers = kept
 }
+
+// accounted reports whether the engine works on no more than the requests that
+// are known to run. Those that began or ended around the report do not count
+// as known.
+func (server *Server) accounted(state State, before []*ticket) bool {
+	known := 0
+	for _, ticket := range before {
+		if server.running[ticket] {
+			known++
+		}
+	}
+	return state.Running+state.Waiting <= known
+}
--- a/internal/flow/once/records.go
+++ b/internal/flow/once/records.go
@@ -121,7 +121,7 @@
 
 // Begin records an arriving attempt. Unless the verdict is Fresh, nothing is
 // recorded.
-func (records *Records) Begin(now time.Time, attempt Attempt, organisation string, repeat Repeat) Verdict {
+func (records *Records) Begin(attempt Attempt, organisation string, repeat Repeat) Verdict {
 	if record, ok := records.attempts[attempt]; ok {
 		if record.Phase == Refused {
 			return Tombstoned
--- a/internal/flow/queue/admit.go
+++ b/internal/flow/queue/admit.go
@@ -11,24 +11,25 @@
 type Share struct {
 	Rate  model.Tokens
 	Burst model.Tokens
+	// Wait, if set, estimates how long an amount of tokens takes.
+	Wait func(model.Tokens) time.Duration
 }
 
+// hardFactor bounds what may wait in all, when requests that do not count
+// towards the soft bound are included.
+const hardFactor = 4
+
 // Admit returns why an entry is refused on arrival, or nil.
 func (queue *Queue[T]) Admit(now time.Time, entry *Entry[T], share Share) *fault.Fault {
-	if refusal := queue.admitRate(now, entry, share); refusal != nil {
+	if refusal := queue.admitRate(entry, share); refusal != nil {
 		return refusal
 	}
-	requests, tokens := queue.config.Requests, queue.config.Tokens
-	if entry.Class == model.Patient {
-		requests = requests * queue.config.PatientPercent / 100
-		tokens = tokens * model.Tokens(queue.config.PatientPercent) / 100
-	}
-	wait := queue.Estimate(now, entry.Class)
-	if queue.requests >= requests || queue.requests > 0 && queue.tokens+entry.Cost > tokens {
+	wait := queue.Estimate(now, entry.Organisation, entry.Class, entry.Cost)
+	if queue.full(entry) {
 		return fault.New(fault.Overloaded, fault.NotRun,
 			"the queue of this upstream is full; come back after the time in retry-after").WithRetryAfter(atLeast(wait))
 	}
-	if wait > entry.Longest {
+	if wait > entry.Longest && entry.Longest > 0 {
 		return fault.New(fault.Overloaded, fault.NotRun,
 			"the expected wait of %v exceeds the longest wait of %v; come back after the time in retry-after",
 			wait.Round(time.Millisecond), entry.Longest).WithRetryAfter(atLeast(wait - entry.Longest))
@@ -36,9 +37,40 @@
 	return nil
 }
 
+// full reports whether the queue has no room for an entry. Requests of other
+// organisations that wait for tokens do not count, and an organisation that
+// fills less than an equal part of the queue may use that part.
+func (queue *Queue[T]) full(entry *Entry[T]) bool {
+	if queue.requests >= hardFactor*queue.config.Requests {
+		return true
+	}
+	percent := 100
+	if entry.Class == model.Patient {
+		percent = queue.config.PatientPercent
+	}
+	maxRequests := queue.config.Requests * percent / 100
+	maxTokens := queue.config.Tokens * model.Tokens(percent) / 100
+	own := queue.line(entry.Organisation)
+	requests, tokens, active := 0, model.Tokens(0), 1
+	for _, line := range queue.ring {
+		if line != own && (line.starved() || line.empty()) {
+			continue
+		}
+		if line != own {
+			active++
+		}
+		requests += line.requests()
+		tokens += line.ahead(model.Patient)
+	}
+	if requests < maxRequests && (requests == 0 || tokens+entry.Cost <= maxTokens) {
+		return false
+	}
+	return own.requests() >= maxRequests/active || own.ahead(model.Patient)+entry.Cost > maxTokens/model.Tokens(active)
+}
+
 // admitRate refuses what the organisation's share cannot serve in time even if
 // no other upstream uses it.
-func (queue *Queue[T]) admitRate(now time.Time, entry *Entry[T], share Share) *fault.Fault {
+func (queue *Queue[T]) admitRate(entry *Entry[T], share Share) *fault.Fault {
 	if share.Rate <= 0 {
 		return nil
 	}
@@ -47,34 +79,43 @@
 			"the request may use %d tokens and the organisation's burst is %d; ask for fewer tokens", entry.Cost, share.Burst)
 	}
 	line := queue.line(entry.Organisation)
-	servable := model.Tokens(entry.Longest.Seconds() * float64(share.Rate))
-	if !line.blocked.After(now) {
-		servable += share.Burst
-	}
-	ahead := line.tokens[model.Interactive] + line.tokens[model.Patient]
-	if entry.Class == model.Interactive {
-		ahead = line.tokens[model.Interactive]
-	}
-	if ahead == 0 || ahead+entry.Cost <= servable {
+	ahead := line.ahead(entry.Class)
+	after := rateWait(share, ahead+entry.Cost, line.starved()) - entry.Longest
+	if ahead == 0 || after <= 0 || entry.Longest <= 0 {
 		return nil
 	}
-	after := time.Duration(float64(ahead+entry.Cost-servable) / float64(share.Rate) * float64(time.Second))
 	return fault.New(fault.RateExceeded, fault.NotRun,
 		"the organisation's waiting requests use up its rate for the longest wait; come back after the time in retry-after").
 		WithRetryAfter(atLeast(after))
 }
 
-// Estimate returns how long a new request of a class is expected to wait.
-// Requests of blocked organisations do not count, since others pass them.
-func (queue *Queue[T]) Estimate(now time.Time, class model.Class) time.Duration {
+// rateWait returns the least time in which a share yields tokens. An
+// organisation that waits for tokens has no burst left.
+func rateWait(share Share, tokens model.Tokens, starved bool) time.Duration {
+	if !starved {
+		tokens -= share.Burst
+	}
+	wait := time.Duration(float64(max(tokens, 0)) / float64(share.Rate) * float64(time.Second))
+	if share.Wait != nil {
+		wait = max(wait, share.Wait(max(tokens, 0)))
+	}
+	return wait
+}
+
+// Estimate returns how long a new request is expected to wait. While an
+// organisation's own tokens are served, each other organisation is served at
+// most as many. Requests that wait for tokens do not count, since others pass
+// them.
+func (queue *Queue[T]) Estimate(now time.Time, organisation string, class model.Class, cost model.Tokens) time.Duration {
+	own := queue.lines[organisation]
 	var ahead model.Tokens
+	if own != nil {
+		ahead = own.ahead(class)
+	}
+	turn := max(ahead+cost, queue.config.Quantum)
 	for _, line := range queue.ring {
-		if line.blocked.After(now) {
-			continue
-		}
-		ahead += line.tokens[model.Interactive]
-		if class == model.Patient {
-			ahead += line.tokens[model.Patient]
+		if line != own && !line.starved() {
+			ahead += min(line.ahead(class), turn)
 		}
 	}
 	return queue.pace.estimate(now, ahead)
--- a/internal/flow/queue/line.go
+++ b/internal/flow/queue/line.go
@@ -20,6 +20,19 @@
 	return len(line.classes[0]) == 0 && len(line.classes[1]) == 0
 }
 
+// starved lines wait for tokens and not for the upstream.
+func (line *line[T]) starved() bool { return !line.blocked.IsZero() }
+
+func (line *line[T]) requests() int { return len(line.classes[0]) + len(line.classes[1]) }
+
+// ahead returns the tokens that go before a new entry of a class.
+func (line *line[T]) ahead(class model.Class) model.Tokens {
+	if class == model.Interactive {
+		return line.tokens[model.Interactive]
+	}
+	return line.tokens[model.Interactive] + line.tokens[model.Patient]
+}
+
 func bySequence[T any](left, right *Entry[T]) int {
 	return cmp.Compare(left.sequence, right.sequence)
 }
--- a/internal/flow/queue/queue.go
+++ b/internal/flow/queue/queue.go
@@ -135,7 +135,8 @@
 }
 
 // Block keeps an organisation's requests waiting until a time, while others
-// pass them. It is used when the organisation has no tokens.
+// pass them. It is used when the organisation has no tokens. The organisation
+// counts as starved until Unblock.
 func (queue *Queue[T]) Block(organisation string, until time.Time) {
 	queue.line(organisation).blocked = until
 }
@@ -145,10 +146,10 @@
 	queue.line(organisation).blocked = time.Time{}
 }
 
-// Blocked reports whether an organisation is kept waiting at a time.
-func (queue *Queue[T]) Blocked(organisation string, now time.Time) bool {
+// Starved reports whether an organisation had no tokens when last tried.
+func (queue *Queue[T]) Starved(organisation string) bool {
 	line, ok := queue.lines[organisation]
-	return ok && line.blocked.After(now)
+	return ok && line.starved()
 }
 
 // NextUnblock returns the earliest time at which a blocked organisation with
--- a/internal/flow/slots/loads.go
+++ b/internal/flow/slots/loads.go
@@ -50,6 +50,19 @@
 	return known.count >= giveUpAfter
 }
 
+// keepTime is how long an adapter stays that the engine refused to evict.
+const keepTime = time.Second
+
+// Refused reports that the engine did not carry out the eviction of an order,
+// so that its load did not begin. It is no failure of the load.
+func (table *Table) Refused(now time.Time, order Order) {
+	if slot, ok := table.slots[order.Load]; ok && slot.loading {
+		delete(table.slots, order.Load)
+		table.throttle.inFlight = max(table.throttle.inFlight-1, 0)
+	}
+	table.slots[order.Evict] = &slot{lastUsed: now, keep: now.Add(keepTime)}
+}
+
 // maxFailures bounds the adapters whose failures are remembered.
 const maxFailures = 1024
 
@@ -108,6 +121,9 @@
 		}
 		consider(demand.Oldest.Add(table.config.SwitchDeferral))
 		consider(table.throttle.pause)
+		for _, slot := range table.slots {
+			consider(slot.keep)
+		}
 	}
 	return next, !next.IsZero()
 }
--- a/internal/flow/slots/plan.go
+++ b/internal/flow/slots/plan.go
@@ -39,6 +39,9 @@
 	}
 	slices.SortFunc(wanted, func(left, right Demand) int { return table.compare(now, left, right) })
 	orders := table.trim(now)
+	if len(wanted) == 0 {
+		table.reopen()
+	}
 	for _, demand := range wanted {
 		if !table.throttle.allows(now) {
 			break
@@ -49,7 +52,7 @@
 			if late {
 				table.close(now, waiting)
 			}
-			break
+			continue
 		}
 		delete(table.slots, evict)
 		table.slots[demand.Ref] = &slot{loading: true, started: now, lastUsed: now}
@@ -136,13 +139,20 @@
 	}
 }
 
+// reopen admits new pins everywhere once nothing waits for a slot.
+func (table *Table) reopen() {
+	for _, slot := range table.slots {
+		slot.closing = false
+	}
+}
+
 // least returns the adapter of least value among those that may go: by decayed
 // use, then by oldest use.
 func (table *Table) least(now time.Time, may func(Ref, *slot) bool) (Ref, bool) {
 	var best Ref
 	var bestSlot *slot
 	for ref, slot := range table.slots {
-		if slot.loading || !may(ref, slot) {
+		if slot.loading || slot.keep.After(now) || !may(ref, slot) {
 			continue
 		}
 		if bestSlot == nil || table.less(now, ref, slot, best, bestSlot) {
--- a/internal/flow/slots/slots.go
+++ b/internal/flow/slots/slots.go
@@ -75,6 +75,8 @@
 	pins     int
 	use      float64
 	lastUsed time.Time
+	// keep is until when the adapter is not evicted, after the engine refused it.
+	keep time.Time
 }
 
 func (slot *slot) value(now time.Time, halfLife time.Duration) float64 {
@@ -115,6 +117,10 @@
 	}
 }
 
+// Resize follows a change of the number of slots. What exceeds it is evicted
+// when it is not in use.
+func (table *Table) Resize(size int) { table.size = size }
+
 // Reconcile corrects the table after an order failed, when it is not known
 // what the engine did: adapters that the engine holds are added, and those not
 // in use that it lacks are dropped.
