Test the core packages of the side process against naive versions

Cause: queue, slots and once had no tests of their own. Change: differential tests of the queue and the slot table over 300 seeded schedules each, tables for admission, classes, shares, deferral, backoff, throttle, reconciliation, records and claims. The oldest stored bodies give way to new ones; the test showed that digests were counted as bodies.

--- a/internal/flow/once/claims.go
+++ b/internal/flow/once/claims.go
@@ -66,7 +66,9 @@
 	next    uint64
 	entries map[key]*entry
 	// order holds the claims by time, for expiry.
-	order  []key
+	order []key
+	// bodied holds the claims with whole bodies in order; bodies is their size.
+	bodied []key
 	bodies int
 }
 
@@ -129,31 +131,45 @@
 		}
 		return
 	}
-	claims.store(held, Outcome{Status: outcome.GetStatus(), Body: outcome.GetBody(), Truncated: outcome.GetTruncated()})
+	claims.store(name, held, Outcome{Status: outcome.GetStatus(), Body: outcome.GetBody(), Truncated: outcome.GetTruncated()})
 }
 
 // Settle stores the outcome of a claim in memory, where the body may be larger
 // than on the log.
 func (claims *Claims) Settle(organisation string, hash []byte, requestID string, outcome Outcome) {
-	held, ok := claims.entries[key{organisation, string(hash)}]
-	if ok && held.RequestID == requestID {
-		claims.store(held, outcome)
+	name := key{organisation, string(hash)}
+	if held, ok := claims.entries[name]; ok && held.RequestID == requestID {
+		claims.store(name, held, outcome)
 	}
 }
 
-// store keeps the more complete of two reports of the same outcome.
-func (claims *Claims) store(held *entry, outcome Outcome) {
+// store keeps the more complete of two reports of the same outcome. The oldest
+// bodies give way to new ones.
+func (claims *Claims) store(name key, held *entry, outcome Outcome) {
 	if held.Outcome != nil && (outcome.Truncated || !held.Outcome.Truncated) {
 		return
 	}
-	if !outcome.Truncated && claims.bodies+len(outcome.Body) > defaultBodies {
-		outcome = Digested(outcome)
+	held.Outcome = &outcome
+	if outcome.Truncated {
+		return
 	}
 	claims.bodies += len(outcome.Body)
-	if held.Outcome != nil {
-		claims.bodies -= len(held.Outcome.Body)
+	claims.bodied = append(claims.bodied, name)
+	for claims.bodies > defaultBodies {
+		claims.shrink(claims.bodied[0])
+		claims.bodied = claims.bodied[1:]
 	}
-	held.Outcome = &outcome
+}
+
+// shrink replaces a stored body by its digest.
+func (claims *Claims) shrink(name key) {
+	held, ok := claims.entries[name]
+	if !ok || held.Outcome == nil || held.Outcome.Truncated {
+		return
+	}
+	claims.bodies -= len(held.Outcome.Body)
+	digested := Digested(*held.Outcome)
+	held.Outcome = &digested
 }
 
 // Holder returns the claim that holds a key at a time.
@@ -193,8 +209,6 @@
 }
 
 func (claims *Claims) remove(name key) {
-	if held := claims.entries[name]; held.Outcome != nil {
-		claims.bodies -= len(held.Outcome.Body)
-	}
+	claims.shrink(name)
 	delete(claims.entries, name)
 }
--- /dev/null
+++ b/internal/flow/once/once_test.go
@@ -0,0 +1,217 @@
+package once
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against an attempt that runs after Cancel was answered with not-run,
+// and against such an answer for an attempt that ran or may have.
+func TestCancelAndDispatch(t *testing.T) {
+	attempt := Attempt{"r", 1}
+	const incarnation = 7
+	tests := []struct {
+		name  string
+		steps func(records *Records) []any
+		want  []any
+	}{
+		{"cancel before arrival", func(records *Records) []any {
+			return []any{records.Cancel(start, attempt, incarnation), records.Begin(attempt, "oak", AtMostOnce)}
+		}, []any{fault.NotRun, Tombstoned}},
+		{"cancel for another incarnation", func(records *Records) []any {
+			return []any{records.Cancel(start, attempt, 6), records.Begin(attempt, "oak", AtMostOnce)}
+		}, []any{fault.Unknown, Fresh}},
+		{"cancel while waiting", func(records *Records) []any {
+			return []any{records.Begin(attempt, "oak", Freely), records.Cancel(start, attempt, incarnation),
+				records.Cancelled(attempt), records.Dispatch(start, attempt, Freely), records.Cancel(start, attempt, incarnation)}
+		}, []any{Fresh, fault.NotRun, true, false, fault.NotRun}},
+		{"cancel while running", func(records *Records) []any {
+			return []any{records.Begin(attempt, "oak", AtMostOnce), records.Dispatch(start, attempt, AtMostOnce),
+				records.Cancel(start, attempt, incarnation), records.Dispatch(start, attempt, AtMostOnce)}
+		}, []any{Fresh, true, fault.Unknown, false}},
+		{"cancel after the end", func(records *Records) []any {
+			records.Begin(attempt, "oak", AtMostOnce)
+			records.Dispatch(start, attempt, AtMostOnce)
+			records.End(start, attempt, fault.DidRun, 200)
+			records.End(start, attempt, fault.NotRun, 0)
+			return []any{records.Cancel(start, attempt, incarnation), records.Begin(attempt, "oak", AtMostOnce)}
+		}, []any{fault.DidRun, Duplicate}},
+		{"cancel after a refusal", func(records *Records) []any {
+			records.Begin(attempt, "oak", AtMostOnce)
+			records.End(start, attempt, fault.NotRun, 503)
+			return []any{records.Cancel(start, attempt, incarnation), records.Begin(attempt, "oak", AtMostOnce)}
+		}, []any{fault.NotRun, Tombstoned}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			records := NewRecords(RecordsConfig{Incarnation: incarnation})
+			if diff := cmp.Diff(test.want, test.steps(records)); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a second run in another attempt of work that must run once.
+func TestSecondAttempt(t *testing.T) {
+	tests := []struct {
+		repeat   Repeat
+		ran      fault.Ran
+		verdict  Verdict
+		dispatch bool
+	}{
+		{AtMostOnce, fault.DidRun, Spent, false},
+		{AtMostOnce, fault.Unknown, Spent, false},
+		{AtMostOnce, fault.NotRun, Fresh, true},
+		{ByClaim, fault.DidRun, Fresh, false},
+		{ByClaim, fault.NotRun, Fresh, true},
+		{Freely, fault.DidRun, Fresh, true},
+	}
+	for _, test := range tests {
+		records := NewRecords(RecordsConfig{})
+		records.Begin(Attempt{"r", 1}, "oak", test.repeat)
+		records.Dispatch(start, Attempt{"r", 1}, test.repeat)
+		records.End(start, Attempt{"r", 1}, test.ran, 200)
+		verdict := records.Begin(Attempt{"r", 2}, "oak", test.repeat)
+		dispatch := records.Dispatch(start, Attempt{"r", 2}, test.repeat)
+		if verdict != test.verdict || dispatch != test.dispatch {
+			t.Errorf("%+v: verdict %v, dispatch %v", test, verdict, dispatch)
+		}
+	}
+}
+
+// Guards against tombstones that are dropped while a late attempt may arrive,
+// and against records without bound.
+func TestRecordBounds(t *testing.T) {
+	records := NewRecords(RecordsConfig{Incarnation: 7, Limit: 10, Hold: time.Minute})
+	for index := range 11 {
+		want := fault.NotRun
+		if index == 10 {
+			want = fault.Unknown
+		}
+		if got := records.Cancel(start, Attempt{fmt.Sprint(index), 1}, 7); got != want {
+			t.Errorf("cancel %d: %v, want %v", index, got, want)
+		}
+	}
+	if !records.Full(start.Add(time.Minute-1)) || records.Full(start.Add(time.Minute)) {
+		t.Error("the hold time is not kept")
+	}
+	for index := range 100 {
+		attempt := Attempt{fmt.Sprint("free-", index), 1}
+		records.Begin(attempt, "oak", Freely)
+		records.Dispatch(start, attempt, Freely)
+		records.End(start, attempt, fault.DidRun, 200)
+	}
+	if len(records.attempts) > 20 || len(records.numbers) > 20 {
+		t.Errorf("%d attempts of %d requests are held", len(records.attempts), len(records.numbers))
+	}
+}
+
+// Guards against an outcome that is told of the wrong attempt: the one that
+// ran counts, not a later one that was refused.
+func TestLookup(t *testing.T) {
+	records := NewRecords(RecordsConfig{})
+	for number := range uint32(3) {
+		records.Begin(Attempt{"r", number}, "oak", ByClaim)
+	}
+	records.Dispatch(start, Attempt{"r", 1}, ByClaim)
+	records.End(start, Attempt{"r", 1}, fault.DidRun, 201)
+	records.End(start, Attempt{"r", 2}, fault.NotRun, 503)
+	record, ok := records.Lookup("r")
+	if !ok || record.Ran != fault.DidRun || record.Status != 201 {
+		t.Errorf("record %+v", record)
+	}
+}
+
+// event is one record of a claim stream: a claim, a release or an outcome.
+type event struct {
+	kind      string
+	requestID string
+	claimant  string
+	age       time.Duration
+}
+
+// Guards against two claimants that both believe to hold a key, and against a
+// claim that is released by another claimant, lost or held for ever.
+func TestClaimFold(t *testing.T) {
+	hash := []byte("hash")
+	tests := []struct {
+		name   string
+		events []event
+		want   Holder
+	}{
+		{"first wins", []event{{"claim", "r1", "a", 0}, {"claim", "r2", "b", 0}}, Holder{RequestID: "r1", Claimant: "a"}},
+		{"outcome", []event{{"claim", "r1", "a", 0}, {"outcome", "r1", "a", 0}}, Holder{RequestID: "r1", Claimant: "a", Outcome: &Outcome{Status: 200, Body: []byte("r1")}}},
+		{"outcome of another request", []event{{"claim", "r1", "a", 0}, {"outcome", "r2", "b", 0}}, Holder{RequestID: "r1", Claimant: "a"}},
+		{"released", []event{{"claim", "r1", "a", 0}, {"release", "r1", "a", 0}, {"claim", "r2", "b", 0}}, Holder{RequestID: "r2", Claimant: "b"}},
+		{"released by another claimant of the same request", []event{{"claim", "r1", "a", 0}, {"claim", "r1", "b", 0}, {"release", "r1", "b", 0}}, Holder{RequestID: "r1", Claimant: "a"}},
+		{"released after its outcome", []event{{"claim", "r1", "a", 0}, {"outcome", "r1", "a", 0}, {"release", "r1", "a", 0}}, Holder{RequestID: "r1", Claimant: "a", Outcome: &Outcome{Status: 200, Body: []byte("r1")}}},
+		{"within the window", []event{{"claim", "r1", "a", 0}, {"claim", "r2", "b", time.Hour - 1}}, Holder{RequestID: "r1", Claimant: "a"}},
+		{"after the window", []event{{"claim", "r1", "a", 0}, {"claim", "r2", "b", time.Hour}}, Holder{RequestID: "r2", Claimant: "b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			claims := NewClaims(time.Hour)
+			for offset, event := range test.events {
+				holder := Holder{RequestID: event.requestID, Claimant: event.claimant}
+				var data []byte
+				switch event.kind {
+				case "claim":
+					data, _ = ClaimRecord("oak", hash, holder)
+				case "release":
+					data, _ = ReleaseRecord("oak", hash, holder)
+				case "outcome":
+					data, _ = OutcomeRecord("oak", hash, event.requestID, Outcome{Status: 200, Body: []byte(event.requestID)})
+				}
+				claims.Fold(uint64(offset), start.Add(event.age), data)
+				claims.Fold(uint64(offset), start.Add(event.age), data)
+			}
+			claims.Fold(claims.Next(), start, []byte{0xff})
+			got, _ := claims.Winner("oak", hash)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("holder (-want +got):\n%s", diff)
+			}
+			if _, ok := claims.Winner("ash", hash); ok {
+				t.Error("another organisation holds the key")
+			}
+			if next := uint64(len(test.events) + 1); claims.Next() != next {
+				t.Errorf("next offset %d, want %d", claims.Next(), next)
+			}
+		})
+	}
+}
+
+// Guards against stored bodies without bound and against recent answers that
+// give way to old ones.
+func TestClaimBodies(t *testing.T) {
+	claims := NewClaims(0)
+	outcome := Outcome{Status: 200, Body: bytes.Repeat([]byte("x"), MemoryBody)}
+	for index := range 10 {
+		hash, id := []byte{byte(index)}, fmt.Sprint(index)
+		claim, _ := ClaimRecord("oak", hash, Holder{RequestID: id})
+		claims.Fold(claims.Next(), start, claim)
+		claims.Settle("oak", hash, id, outcome)
+		record, _ := OutcomeRecord("oak", hash, id, outcome)
+		if len(record) > LogBody {
+			t.Errorf("record of %d bytes", len(record))
+		}
+		claims.Fold(claims.Next(), start, record)
+	}
+	for index := range 10 {
+		holder, _ := claims.Winner("oak", []byte{byte(index)})
+		if whole := index >= 10-defaultBodies/MemoryBody; holder.Outcome.Truncated == whole || whole && len(holder.Outcome.Body) != MemoryBody {
+			t.Errorf("claim %d: truncated %v, %d bytes", index, holder.Outcome.Truncated, len(holder.Outcome.Body))
+		}
+	}
+	if claims.bodies > defaultBodies {
+		t.Errorf("%d bytes are held", claims.bodies)
+	}
+}
--- /dev/null
+++ b/internal/flow/queue/queue_test.go
@@ -0,0 +1,291 @@
+package queue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+var start = time.Unix(1000, 0)
+
+// naive is deficit round robin over one list, without indexes or sums.
+type naive struct {
+	quantum model.Tokens
+	ring    []string
+	cursor  int
+	deficit map[string]model.Tokens
+	blocked map[string]time.Time
+	waiting []*Entry[int]
+}
+
+func (naive *naive) push(entry *Entry[int]) {
+	if !slices.Contains(naive.ring, entry.Organisation) {
+		naive.ring = append(naive.ring, entry.Organisation)
+	}
+	naive.waiting = append(naive.waiting, entry)
+}
+
+func (naive *naive) remove(entry *Entry[int]) {
+	naive.waiting = slices.DeleteFunc(naive.waiting, func(other *Entry[int]) bool { return other == entry })
+	idle := !slices.ContainsFunc(naive.waiting, func(other *Entry[int]) bool { return other.Organisation == entry.Organisation })
+	if idle && naive.deficit[entry.Organisation] > 0 {
+		naive.deficit[entry.Organisation] = 0
+	}
+}
+
+func (naive *naive) pop(now time.Time, ready func(*Entry[int]) bool) *Entry[int] {
+	for _, urgent := range []bool{true, false} {
+		first := map[string]*Entry[int]{}
+		for _, entry := range naive.waiting {
+			name := entry.Organisation
+			if first[name] == nil && !naive.blocked[name].After(now) && (!urgent || entry.Urgent(now)) && ready(entry) {
+				first[name] = entry
+			}
+		}
+		for len(first) > 0 {
+			name := naive.ring[naive.cursor]
+			if entry := first[name]; entry != nil && naive.deficit[name] >= entry.Cost {
+				naive.deficit[name] -= entry.Cost
+				naive.remove(entry)
+				return entry
+			}
+			naive.cursor = (naive.cursor + 1) % len(naive.ring)
+			if name := naive.ring[naive.cursor]; first[name] != nil {
+				naive.deficit[name] += naive.quantum
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against an order that differs from plain deficit round robin after
+// any sequence of pushes, pops, removals, requeues, charges and blocks.
+func TestQueueAgainstNaive(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		queue := New[int](Config{Quantum: 100})
+		naive := &naive{quantum: 100, deficit: map[string]model.Tokens{}, blocked: map[string]time.Time{}}
+		now := start
+		var popped []*Entry[int]
+		for step := range 300 {
+			now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
+			name := fmt.Sprint("organisation-", random.IntN(5))
+			switch action := random.IntN(20); {
+			case action < 9:
+				entry := &Entry[int]{
+					Organisation: name, Class: model.Class(random.IntN(2)), Cost: model.Tokens(1 + random.IntN(500)),
+					Arrived: now, Longest: time.Duration(1+random.IntN(5)) * time.Second, Value: random.IntN(4),
+				}
+				queue.Push(entry)
+				naive.push(entry)
+			case action < 16:
+				loading := random.IntN(4)
+				ready := func(entry *Entry[int]) bool { return entry.Value != loading }
+				got, want := queue.Pop(now, ready), naive.pop(now, ready)
+				if got != want {
+					t.Fatalf("seed %d step %d: popped %+v, want %+v", seed, step, got, want)
+				}
+				if got != nil {
+					popped = append(popped, got)
+				}
+			case action == 16 && queue.lines[name] != nil:
+				queue.Charge(name, LoadCost)
+				naive.deficit[name] -= LoadCost
+			case action == 17 && queue.lines[name] != nil:
+				queue.Block(name, now.Add(time.Second))
+				naive.blocked[name] = now.Add(time.Second)
+			case action == 18 && len(naive.waiting) > 0:
+				entry := naive.waiting[random.IntN(len(naive.waiting))]
+				naive.remove(entry)
+				queue.Remove(entry)
+			case action == 19 && len(popped) > 0:
+				entry := popped[len(popped)-1]
+				popped = popped[:len(popped)-1]
+				queue.Requeue(entry)
+				naive.waiting = append(naive.waiting, entry)
+				slices.SortFunc(naive.waiting, bySequence)
+				naive.deficit[entry.Organisation] += entry.Cost
+			}
+			var tokens model.Tokens
+			for _, entry := range naive.waiting {
+				tokens += entry.Cost
+			}
+			if queue.Len() != len(naive.waiting) || queue.Tokens() != tokens {
+				t.Fatalf("seed %d step %d: %d requests of %d tokens, want %d of %d",
+					seed, step, queue.Len(), queue.Tokens(), len(naive.waiting), tokens)
+			}
+		}
+	}
+}
+
+func always(*Entry[string]) bool { return true }
+
+// drain pops everything and returns the values in order.
+func drain(queue *Queue[string], now time.Time) (values []string) {
+	for entry := queue.Pop(now, always); entry != nil; entry = queue.Pop(now, always) {
+		values = append(values, entry.Value)
+	}
+	return values
+}
+
+// Guards against patient work that passes interactive work before its time, or
+// not at all once it has waited for half its longest wait.
+func TestClasses(t *testing.T) {
+	tests := []struct {
+		name   string
+		waited time.Duration
+		want   []string
+	}{
+		{"fresh", 0, []string{"interactive", "patient"}},
+		{"just below half", 5*time.Second - 1, []string{"interactive", "patient"}},
+		{"half", 5 * time.Second, []string{"patient", "interactive"}},
+	}
+	for _, test := range tests {
+		queue := New[string](Config{})
+		queue.Push(&Entry[string]{Organisation: "oak", Class: model.Patient, Cost: 10, Arrived: start, Longest: 10 * time.Second, Value: "patient"})
+		now := start.Add(test.waited)
+		queue.Push(&Entry[string]{Organisation: "oak", Cost: 10, Arrived: now, Longest: time.Second, Value: "interactive"})
+		if diff := cmp.Diff(test.want, drain(queue, now)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", test.name, diff)
+		}
+	}
+}
+
+// Guards against an organisation that is served less than its equal part of
+// the tokens while it has work waiting, whatever the size of its requests.
+func TestFairShares(t *testing.T) {
+	costs := map[string]model.Tokens{"small": 40, "middle": 300, "large": 2500}
+	queue := New[string](Config{Quantum: 500})
+	served := map[string]model.Tokens{}
+	for name, cost := range costs {
+		for range 30000 / cost {
+			queue.Push(&Entry[string]{Organisation: name, Cost: cost, Arrived: start, Longest: time.Hour, Value: name})
+		}
+	}
+	for {
+		entry := queue.Pop(start, always)
+		served[entry.Value] += entry.Cost
+		if served[entry.Value] > 25000 {
+			break
+		}
+	}
+	for name, tokens := range served {
+		if tokens < 25000-2500-2*500 {
+			t.Errorf("%s was served %d tokens", name, tokens)
+		}
+	}
+}
+
+// Guards against loads that cost the organisation nothing which causes them.
+func TestCharge(t *testing.T) {
+	queue := New[string](Config{Quantum: 100})
+	for range 6 {
+		for _, name := range []string{"loads", "plain"} {
+			queue.Push(&Entry[string]{Organisation: name, Cost: 100, Arrived: start, Longest: time.Hour, Value: name})
+		}
+	}
+	queue.Charge("loads", LoadCost)
+	want := []string{"plain", "plain", "plain", "loads", "plain", "loads"}
+	got := drain(queue, start)[:6]
+	if diff := cmp.Diff(slices.Sorted(slices.Values(want)), slices.Sorted(slices.Values(got))); diff != "" {
+		t.Errorf("first six of %v (-want +got):\n%s", got, diff)
+	}
+}
+
+// Guards against wrongful refusals and against a queue without bounds.
+func TestAdmit(t *testing.T) {
+	fill := func(queue *Queue[string], name string, class model.Class, count int, cost model.Tokens) {
+		for range count {
+			queue.Push(&Entry[string]{Organisation: name, Class: class, Cost: cost, Arrived: start, Longest: 10 * time.Second})
+		}
+	}
+	// busy makes the queue believe that the upstream starts 100 tokens/s.
+	busy := func(queue *Queue[string]) {
+		queue.SetBusy(start.Add(-10*time.Second), true)
+		for second := -10; second < 0; second++ {
+			queue.pace.served(start.Add(time.Duration(second)*time.Second), 100)
+		}
+	}
+	share := Share{Rate: 100, Burst: 500}
+	tests := []struct {
+		name    string
+		prepare func(queue *Queue[string])
+		class   model.Class
+		share   Share
+		cost    model.Tokens
+		want    fault.Kind
+	}{
+		{"empty", func(*Queue[string]) {}, 0, share, 100, ""},
+		{"above the burst", func(*Queue[string]) {}, 0, share, 501, fault.RateExceeded},
+		{"rate lasts with the burst", func(queue *Queue[string]) { fill(queue, "oak", 0, 14, 100) }, 0, share, 100, ""},
+		{"rate does not last", func(queue *Queue[string]) { fill(queue, "oak", 0, 15, 100) }, 0, share, 100, fault.RateExceeded},
+		{"rate lasts without the burst", func(queue *Queue[string]) {
+			fill(queue, "oak", 0, 9, 100)
+			queue.Block("oak", start.Add(time.Second))
+		}, 0, share, 100, ""},
+		{"rate does not last without the burst", func(queue *Queue[string]) {
+			fill(queue, "oak", 0, 10, 100)
+			queue.Block("oak", start.Add(time.Second))
+		}, 0, share, 100, fault.RateExceeded},
+		{"the limiter knows better", func(queue *Queue[string]) { fill(queue, "oak", 0, 10, 100) }, 0,
+			Share{Rate: 100, Burst: 5000, Wait: func(model.Tokens) time.Duration { return 11 * time.Second }}, 100, fault.RateExceeded},
+		{"other organisation's tokens", func(queue *Queue[string]) { fill(queue, "ash", 0, 50, 100) }, 0, share, 100, ""},
+		{"below the bound", func(queue *Queue[string]) { fill(queue, "oak", 0, 99, 1) }, 0, Share{}, 1, ""},
+		{"at the bound", func(queue *Queue[string]) { fill(queue, "oak", 0, 100, 1) }, 0, Share{}, 1, fault.Overloaded},
+		{"patient at its bound", func(queue *Queue[string]) { fill(queue, "oak", 0, 75, 1) }, model.Patient, Share{}, 1, fault.Overloaded},
+		{"interactive beyond the patient bound", func(queue *Queue[string]) { fill(queue, "oak", 0, 75, 1) }, 0, Share{}, 1, ""},
+		{"full of another organisation's work", func(queue *Queue[string]) { fill(queue, "ash", 0, 150, 1) }, 0, Share{}, 1, ""},
+		{"full of work that waits for tokens", func(queue *Queue[string]) {
+			fill(queue, "ash", 0, 200, 1)
+			fill(queue, "oak", 0, 99, 1)
+			queue.Block("ash", start.Add(time.Second))
+		}, 0, Share{}, 1, ""},
+		{"at the hard bound", func(queue *Queue[string]) {
+			fill(queue, "ash", 0, 400, 1)
+			queue.Block("ash", start.Add(time.Second))
+		}, 0, Share{}, 1, fault.Overloaded},
+		{"too many tokens", func(queue *Queue[string]) { fill(queue, "oak", 0, 9, 1000) }, 0, Share{}, 1001, fault.Overloaded},
+		{"expected wait within the longest", func(queue *Queue[string]) { busy(queue); fill(queue, "oak", 0, 9, 100) }, 0, Share{}, 100, ""},
+		{"expected wait too long", func(queue *Queue[string]) { busy(queue); fill(queue, "oak", 0, 11, 100) }, 0, Share{}, 100, fault.Overloaded},
+		{"wait behind patient work", func(queue *Queue[string]) { busy(queue); fill(queue, "oak", model.Patient, 11, 100) }, 0, Share{}, 100, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			queue := New[string](Config{Requests: 100, Tokens: 10000, Quantum: 100})
+			test.prepare(queue)
+			entry := &Entry[string]{Organisation: "oak", Class: test.class, Cost: test.cost, Arrived: start, Longest: 10 * time.Second}
+			refusal := queue.Admit(start, entry, test.share)
+			var got fault.Kind
+			if refusal != nil {
+				got = refusal.Kind()
+				if refusal.Ran() != fault.NotRun || refusal.RetryAfter() <= 0 && test.cost <= test.share.Burst {
+					t.Errorf("refusal %v, retry-after %v", refusal, refusal.RetryAfter())
+				}
+			}
+			if got != test.want {
+				t.Errorf("refused as %q, want %q: %v", got, test.want, refusal)
+			}
+		})
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	queue := New[string](Config{})
+	names := []string{"a", "b", "c", "d", "e"}
+	for index := range 50 {
+		queue.Push(&Entry[string]{Organisation: names[index%5], Cost: 300, Arrived: start, Longest: time.Minute})
+	}
+	b.ReportAllocs()
+	for index := 0; b.Loop(); index++ {
+		entry := &Entry[string]{Organisation: names[index%5], Cost: 300, Arrived: start, Longest: time.Minute}
+		queue.Push(entry)
+		queue.Pop(start, always)
+	}
+}
--- /dev/null
+++ b/internal/flow/slots/slots_test.go
@@ -0,0 +1,400 @@
+package slots
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	compare "github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+var start = time.Unix(1000, 0)
+
+var errStore = errors.New("store down")
+
+func ref(name string) Ref { return Ref{Adapter: name, Version: 1} }
+
+// naiveSlot remembers every use.
+type naiveSlot struct {
+	ref              Ref
+	loading, closing bool
+	pins             int
+	uses             []time.Time
+	last             time.Time
+}
+
+// naive is a slot table over lists that recomputes everything. It loads one
+// adapter at a time.
+type naive struct {
+	size   int
+	config Config
+	slots  []*naiveSlot
+	// until is the end of each adapter's backoff, taken from the table since
+	// it is random.
+	until func(Ref) time.Time
+}
+
+func (naive *naive) find(ref Ref) *naiveSlot {
+	for _, slot := range naive.slots {
+		if slot.ref == ref {
+			return slot
+		}
+	}
+	return nil
+}
+
+func (naive *naive) drop(ref Ref) {
+	naive.slots = slices.DeleteFunc(naive.slots, func(slot *naiveSlot) bool { return slot.ref == ref })
+}
+
+func (naive *naive) least(now time.Time, may func(*naiveSlot) bool) *naiveSlot {
+	value := func(slot *naiveSlot) (sum float64) {
+		for _, use := range slot.uses {
+			sum += math.Exp2(-now.Sub(use).Seconds() / naive.config.HalfLife.Seconds())
+		}
+		return math.Round(sum*1e9) / 1e9
+	}
+	var candidates []*naiveSlot
+	for _, slot := range naive.slots {
+		if !slot.loading && may(slot) {
+			candidates = append(candidates, slot)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	return slices.MinFunc(candidates, func(left, right *naiveSlot) int {
+		return cmp.Or(cmp.Compare(value(left), value(right)), left.last.Compare(right.last), compareRefs(left.ref, right.ref))
+	})
+}
+
+func (naive *naive) plan(now time.Time, demands []Demand) (orders []Order) {
+	var wanted []Demand
+	waiting := map[Ref]bool{}
+	for _, demand := range demands {
+		if naive.find(demand.Ref) != nil {
+			waiting[demand.Ref] = true
+		} else if !naive.until(demand.Ref).After(now) {
+			wanted = append(wanted, demand)
+		}
+	}
+	overdue := func(demand Demand) bool { return now.Sub(demand.Oldest) >= 8*naive.config.SwitchDeferral }
+	slices.SortFunc(wanted, func(left, right Demand) int {
+		if overdue(left) || overdue(right) {
+			return cmp.Or(left.Oldest.Compare(right.Oldest), cmp.Compare(left.Class, right.Class),
+				cmp.Compare(right.Waiters, left.Waiters), compareRefs(left.Ref, right.Ref))
+		}
+		return cmp.Or(cmp.Compare(left.Class, right.Class), cmp.Compare(right.Waiters, left.Waiters),
+			left.Oldest.Compare(right.Oldest), compareRefs(left.Ref, right.Ref))
+	})
+	if len(wanted) == 0 {
+		for _, slot := range naive.slots {
+			slot.closing = false
+		}
+	}
+	for _, demand := range wanted {
+		if slices.ContainsFunc(naive.slots, func(slot *naiveSlot) bool { return slot.loading }) {
+			break
+		}
+		late := now.Sub(demand.Oldest) >= naive.config.SwitchDeferral
+		var evict Ref
+		if len(naive.slots) == naive.size {
+			victim := naive.least(now, func(slot *naiveSlot) bool {
+				return slot.pins == 0 && (late || slot.closing || !waiting[slot.ref])
+			})
+			if victim == nil {
+				if late {
+					naive.close(now, waiting)
+				}
+				continue
+			}
+			evict = victim.ref
+			naive.drop(evict)
+		}
+		naive.slots = append(naive.slots, &naiveSlot{ref: demand.Ref, loading: true, last: now})
+		orders = append(orders, Order{Load: demand.Ref, Evict: evict})
+	}
+	return orders
+}
+
+func (naive *naive) close(now time.Time, waiting map[Ref]bool) {
+	if slices.ContainsFunc(naive.slots, func(slot *naiveSlot) bool { return slot.closing }) {
+		return
+	}
+	victim := naive.least(now, func(slot *naiveSlot) bool { return !waiting[slot.ref] })
+	if victim == nil {
+		victim = naive.least(now, func(*naiveSlot) bool { return true })
+	}
+	if victim != nil {
+		victim.closing = true
+	}
+}
+
+// Guards against wrong victims, lost pins, double loads and starved demands
+// after any sequence of pins, unpins, plans, loads and failures.
+func TestTableAgainstNaive(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		config := Config{Slots: 4, Seed: seed, Target: time.Hour, Concurrency: 1, HalfLife: 10 * time.Second}.withDefaults()
+		table := New(config)
+		naive := &naive{size: 4, config: config, until: func(ref Ref) time.Time {
+			if known, ok := table.failures[ref]; ok {
+				return known.until
+			}
+			return time.Time{}
+		}}
+		now := start
+		var pinned []Ref
+		for step := range 400 {
+			now = now.Add(time.Duration(1+random.IntN(100)) * time.Millisecond)
+			name := ref(fmt.Sprint(random.IntN(9)))
+			switch action := random.IntN(10); {
+			case action < 4:
+				slot := naive.find(name)
+				want := slot != nil && !slot.loading && !slot.closing
+				if got := table.Pin(now, name); got != want {
+					t.Fatalf("seed %d step %d: pin of %s: %v", seed, step, name, got)
+				}
+				if want {
+					slot.pins, slot.uses, slot.last = slot.pins+1, append(slot.uses, now), now
+					pinned = append(pinned, name)
+				}
+			case action < 7 && len(pinned) > 0:
+				index := random.IntN(len(pinned))
+				table.Unpin(pinned[index])
+				naive.find(pinned[index]).pins--
+				pinned = slices.Delete(pinned, index, index+1)
+			case action < 9:
+				var demands []Demand
+				for _, index := range random.Perm(9)[:random.IntN(5)] {
+					demands = append(demands, Demand{
+						Ref: ref(fmt.Sprint(index)), Class: model.Class(random.IntN(2)), Waiters: 1 + random.IntN(3),
+						Oldest: now.Add(-time.Duration(random.IntN(3000)) * time.Millisecond),
+					})
+				}
+				want := naive.plan(now, demands)
+				got := table.Plan(now, demands)
+				if diff := compare.Diff(want, got); diff != "" {
+					t.Fatalf("seed %d step %d (-want +got):\n%s", seed, step, diff)
+				}
+				for _, order := range got {
+					if slices.Contains(pinned, order.Evict) {
+						t.Fatalf("seed %d step %d: evicted %s in use", seed, step, order.Evict)
+					}
+				}
+			default:
+				for _, slot := range naive.slots {
+					if !slot.loading {
+						continue
+					}
+					if random.IntN(4) == 0 {
+						table.Finish(now, slot.ref, errStore)
+						naive.drop(slot.ref)
+					} else {
+						table.Finish(now, slot.ref, nil)
+						slot.loading, slot.last = false, now
+					}
+					break
+				}
+			}
+		}
+	}
+}
+
+// loaded returns a full table of two adapters, a and b, of which a is used more.
+func loaded(t *testing.T) *Table {
+	t.Helper()
+	table := New(Config{Slots: 2, Seed: 1})
+	table.Reset(start, 2, []Ref{ref("a"), ref("b")})
+	for _, name := range []string{"a", "a", "b"} {
+		if !table.Pin(start, ref(name)) {
+			t.Fatal("not loaded")
+		}
+		table.Unpin(ref(name))
+	}
+	return table
+}
+
+// Guards against an adapter switch that throws away work which could start at
+// once, and against one that is put off for ever.
+func TestSwitchDeferral(t *testing.T) {
+	tests := []struct {
+		name    string
+		pins    []string
+		waiting []string
+		age     time.Duration
+		want    []Order
+		closed  string
+	}{
+		{"idle victim", nil, nil, 0, []Order{{ref("c"), ref("b")}}, ""},
+		{"least used has work", nil, []string{"b"}, 0, []Order{{ref("c"), ref("a")}}, ""},
+		{"all have work", nil, []string{"a", "b"}, 0, nil, ""},
+		{"all have work, late", nil, []string{"a", "b"}, 250 * time.Millisecond, []Order{{ref("c"), ref("b")}}, ""},
+		{"least used in use", []string{"b"}, nil, 0, []Order{{ref("c"), ref("a")}}, ""},
+		{"all in use", []string{"a", "b"}, []string{"a", "b"}, 0, nil, ""},
+		{"all in use, late", []string{"a", "b"}, []string{"a", "b"}, 250 * time.Millisecond, nil, "b"},
+		{"one in use without further work, late", []string{"a", "b"}, []string{"b"}, 250 * time.Millisecond, nil, "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := loaded(t)
+			for _, name := range test.pins {
+				table.Pin(start, ref(name))
+			}
+			demands := []Demand{{Ref: ref("c"), Waiters: 1, Oldest: start}}
+			for _, name := range test.waiting {
+				demands = append(demands, Demand{Ref: ref(name), Waiters: 1, Oldest: start})
+			}
+			now := start.Add(test.age)
+			if diff := compare.Diff(test.want, table.Plan(now, demands)); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+			if test.closed == "" {
+				return
+			}
+			if table.Ready(ref(test.closed)) {
+				t.Error("the victim still takes new work")
+			}
+			table.Unpin(ref(test.closed))
+			if diff := compare.Diff([]Order{{ref("c"), ref(test.closed)}}, table.Plan(now, demands)); diff != "" {
+				t.Errorf("orders after its work (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a backoff that is not kept, not doubled or not bounded, and
+// against requests that wait for more than two failures.
+func TestBackoff(t *testing.T) {
+	table := New(Config{Slots: 1, Seed: 3})
+	now := start
+	demand := []Demand{{Ref: ref("a"), Waiters: 1, Oldest: start}}
+	delay := 250 * time.Millisecond
+	for count := 1; count <= 8; count++ {
+		if orders := table.Plan(now, demand); len(orders) != 1 {
+			t.Fatalf("failure %d: orders %v", count, orders)
+		}
+		if giveUp := table.Finish(now, ref("a"), errStore); giveUp != (count >= 2) {
+			t.Errorf("failure %d: give up %v", count, giveUp)
+		}
+		next, _ := table.NextPlan(now, demand)
+		wait := table.failures[ref("a")].until.Sub(now)
+		if wait < delay/2 || wait > delay || next.After(now.Add(wait)) {
+			t.Errorf("failure %d: wait %v of %v, next plan after %v", count, wait, delay, next.Sub(now))
+		}
+		if orders := table.Plan(now.Add(wait-1), demand); len(orders) != 0 {
+			t.Errorf("failure %d: orders during the backoff", count)
+		}
+		now, delay = now.Add(wait), min(2*delay, 8*time.Second)
+	}
+	table.Plan(now, demand)
+	table.Finish(now, ref("a"), nil)
+	if _, refuses := table.Refuses(now, ref("a")); refuses || len(table.failures) != 0 {
+		t.Error("a success does not end the backoff")
+	}
+}
+
+// Guards against a fleet that loads faster than the store can, and against one
+// that stays slow once the store is fast again.
+func TestThrottle(t *testing.T) {
+	tests := []struct {
+		name  string
+		took  time.Duration
+		loads int
+		want  float64
+	}{
+		{"fast", 200 * time.Millisecond, 60, 8},
+		{"at the target", 250 * time.Millisecond, 60, 8},
+		{"slow", 400 * time.Millisecond, 1, 1},
+		{"slow for long", 400 * time.Millisecond, 10, leastLimit},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := New(Config{Slots: 1000, Concurrency: 8})
+			now := start
+			for index := range test.loads {
+				name := ref(fmt.Sprint(index))
+				orders := table.Plan(now, []Demand{{Ref: name, Oldest: now}})
+				if len(orders) != 1 {
+					t.Fatalf("load %d is held up", index)
+				}
+				now = now.Add(test.took)
+				table.Finish(now, name, nil)
+				now = now.Add(10 * time.Second)
+			}
+			if table.Concurrency() != test.want {
+				t.Errorf("concurrency %v, want %v", table.Concurrency(), test.want)
+			}
+		})
+	}
+}
+
+// Guards against loads that follow each other too closely below one at a time.
+func TestThrottlePause(t *testing.T) {
+	table := New(Config{Slots: 10})
+	table.throttle.limit = 0.5
+	demand := []Demand{{Ref: ref("b"), Oldest: start}}
+	table.Plan(start, []Demand{{Ref: ref("a"), Oldest: start}})
+	now := start.Add(time.Second)
+	table.Finish(now, ref("a"), nil)
+	next, _ := table.NextPlan(now, demand)
+	if orders := table.Plan(now, demand); len(orders) != 0 || next.Sub(now) != 3*time.Second {
+		t.Errorf("orders %v, next plan after %v", orders, next.Sub(now))
+	}
+	if orders := table.Plan(next, demand); len(orders) != 1 {
+		t.Error("no load after the pause")
+	}
+}
+
+// Guards against a table that differs from the engine after orders whose
+// effect is not known.
+func TestReconcile(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(table *Table)
+		want   []Ref
+	}{
+		{"load done although its reply was lost", func(table *Table) { table.Reconcile(start, []Ref{ref("a"), ref("c")}) }, []Ref{ref("a"), ref("c")}},
+		{"more adapters than slots", func(table *Table) { table.Reconcile(start, []Ref{ref("a"), ref("b"), ref("c")}) }, []Ref{ref("a"), ref("b")}},
+		{"adapter gone", func(table *Table) { table.Reconcile(start, []Ref{ref("a")}) }, []Ref{ref("a")}},
+		{"fewer slots", func(table *Table) { table.Resize(1) }, []Ref{ref("a")}},
+		{"eviction refused", func(table *Table) {
+			table.Refused(start, table.Plan(start, []Demand{{Ref: ref("c"), Oldest: start}})[0])
+		}, []Ref{ref("a"), ref("b")}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := loaded(t)
+			table.Pin(start, ref("a"))
+			test.change(table)
+			table.Plan(start, nil)
+			got := table.Loaded(10)
+			slices.SortFunc(got, compareRefs)
+			if diff := compare.Diff(test.want, got); diff != "" {
+				t.Errorf("loaded (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	table := New(Config{Slots: 32})
+	var refs []Ref
+	for index := range 32 {
+		refs = append(refs, ref(fmt.Sprint("adapter-", index)))
+	}
+	table.Reset(start, 32, refs)
+	b.ReportAllocs()
+	for index := 0; b.Loop(); index++ {
+		name := refs[index%32]
+		table.Pin(start, name)
+		table.Unpin(name)
+	}
+}
