Test the platform clients against the stand-ins

http.Transport sends a call again when a connection that was used before is cut, if it is a GET or has an Idempotency-Key.

--- a/cmd/testbed/service.go
+++ b/cmd/testbed/service.go
@@ -23,5 +23,6 @@
 	if err != nil {
 		return err
 	}
+	defer service.Close()
 	return command.serve("service", service)
 }
--- a/internal/bench/model/model.go
+++ b/internal/bench/model/model.go
@@ -103,7 +103,7 @@
 func (engine *Engine) await(request *http.Request) {
 	for {
 		engine.mutex.Lock()
-		now, down, frozen := time.Now(), engine.downUntil, engine.frozenUntil
+		now, down, frozen, life := time.Now(), engine.downUntil, engine.frozenUntil, engine.life
 		engine.mutex.Unlock()
 		if now.Before(down) {
 			plat.Cut()
@@ -111,13 +111,18 @@
 		if !now.Before(frozen) {
 			return
 		}
-		if !plat.Pause(request, frozen.Sub(now)) {
+		timer := time.NewTimer(frozen.Sub(now))
+		select {
+		case <-timer.C:
+		case <-request.Context().Done():
+			plat.Cut()
+		case <-life.Done():
 			plat.Cut()
 		}
 	}
 }
 
-// Close ends the engine's loads and requests.
+// Close ends the engine's loads and requests for good.
 func (engine *Engine) Close() {
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
--- a/internal/bench/plain/plain.go
+++ b/internal/bench/plain/plain.go
@@ -79,6 +79,7 @@
 	faults   *plat.Faults
 	requests *plat.RequestLog
 	epoch    string
+	closed   chan struct{}
 
 	mutex   sync.Mutex
 	running int
@@ -94,7 +95,7 @@
 	service := &Service{
 		config: config, mux: http.NewServeMux(), requests: plat.NewRequestLog(), effects: map[string]int{},
 		faults: plat.NewFaults(config.Seed, ModeDelay, ModeFailBefore, ModeFailAfter, ModeCutBefore, ModeCutAfter),
-		epoch:  fmt.Sprintf("%x", time.Now().UnixNano()),
+		epoch:  fmt.Sprintf("%x", time.Now().UnixNano()), closed: make(chan struct{}),
 	}
 	service.mux.HandleFunc("POST /control", service.serveControl)
 	service.mux.HandleFunc("GET /observed", func(writer http.ResponseWriter, _ *http.Request) {
@@ -110,6 +111,9 @@
 	service.mux.ServeHTTP(writer, request)
 }
 
+// Close cuts the calls that have had no effect yet.
+func (service *Service) Close() { close(service.closed) }
+
 // Result returns the result of a call, by which a test tells that a caller got
 // the answer to its own call.
 func Result(method, uri string, body []byte) string {
@@ -180,7 +184,7 @@
 	if fault, hit := service.faults.Hit(ModeDelay, id); hit {
 		latency += time.Duration(fault.Delay)
 	}
-	time.Sleep(latency)
+	service.sleep(latency)
 	if _, hit := service.faults.Hit(ModeCutBefore, id); hit {
 		plat.Cut()
 	}
@@ -199,6 +203,17 @@
 	plat.Answer(writer, Reply{RequestID: id, Result: Result(request.Method, request.URL.RequestURI(), body), Effects: effects})
 }
 
+// sleep waits and cuts the call if the service is closed meanwhile.
+func (service *Service) sleep(duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-service.closed:
+		plat.Cut()
+	}
+}
+
 // arrive records a call and returns its index.
 func (service *Service) arrive(call Call) int {
 	service.mutex.Lock()
--- /dev/null
+++ b/internal/link/engine/engine_test.go
@@ -0,0 +1,372 @@
+package engine
+
+import (
+	stdcmp "cmp"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/bench/model"
+	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+)
+
+// serve runs a function with a client of a handler in virtual time.
+func serve(t *testing.T, handler http.Handler, run func(client *Client)) {
+	t.Helper()
+	loopback := plat.NewLoopback()
+	stop, err := loopback.Serve("upstream:80", handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	run(New(Config{URL: "http://upstream:80", HTTP: loopback.Client(), FencingToken: func() uint64 { return 7 }}))
+}
+
+// serveEngine runs a function with an engine that has adapter a@3 loaded.
+func serveEngine(t *testing.T, change func(config *model.Config), run func(client *Client, engine *model.Engine)) {
+	t.Helper()
+	config := model.DefaultConfig()
+	if change != nil {
+		change(&config)
+	}
+	engine, err := model.New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer engine.Close()
+	serve(t, engine, func(client *Client) {
+		if err := client.Load(t.Context(), "a", 3); err != nil {
+			t.Fatal(err)
+		}
+		run(client, engine)
+	})
+}
+
+// read returns the text of a stream up to its end.
+func read(stream Stream) (text string, err error) {
+	for {
+		token, err := stream.Next()
+		if err != nil {
+			return text, err
+		}
+		text += token.Text
+	}
+}
+
+// control sets a fault of an engine.
+func control(t *testing.T, engine *model.Engine, control model.Control) {
+	t.Helper()
+	if err := engine.Control(control); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// outcome is the part of a fault on which callers act.
+type outcome struct {
+	Kind fault.Kind
+	Ran  fault.Ran
+}
+
+// outcomeOf returns the outcome of a call.
+func outcomeOf(t *testing.T, err error) outcome {
+	t.Helper()
+	if err == nil {
+		return outcome{}
+	}
+	known, ok := fault.As(err)
+	if !ok {
+		t.Fatalf("%v is no fault", err)
+	}
+	return outcome{known.Kind(), known.Ran()}
+}
+
+// request returns a request for a long answer of a@3.
+func request() Request {
+	return Request{RequestID: "r1", Adapter: "a", Version: 3, Prompt: "Which oil suits a beech worktop?", MaxTokens: 40}
+}
+
+// TestGenerate guards against an answer of another adapter, version or prompt.
+func TestGenerate(t *testing.T) {
+	chat := `{"messages":[{"role":"user","content":"Which oil?"}],"max_tokens":9999,"temperature":0.2,"model":"other"}`
+	tests := []struct {
+		name    string
+		request Request
+		prompt  string
+	}{
+		{"prompt", request(), request().Prompt},
+		{"body", Request{RequestID: "r2", Adapter: "a", Version: 3, Body: []byte(`{"prompt":"Which oil?"}`), MaxTokens: 2000}, "Which oil?"},
+		{"chat", Request{RequestID: "r3", Adapter: "a", Version: 3, Path: "/v1/chat/completions", Body: []byte(chat), MaxTokens: 50}, "user: Which oil?\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serveEngine(t, nil, func(client *Client, _ *model.Engine) {
+					stream, err := client.Generate(t.Context(), test.request)
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer stream.Close()
+					got, err := read(stream)
+					want := model.Answer("a", 3, test.prompt, test.request.MaxTokens)
+					_, finish := model.AnswerLength("a", 3, test.prompt, test.request.MaxTokens)
+					if diff := cmp.Diff(want, got); diff != "" || !errors.Is(err, io.EOF) || stream.Finish() != finish {
+						t.Errorf("error %v, finish %q, answer (-want +got):\n%s", err, stream.Finish(), diff)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestResume guards against repeated and lost tokens after a stream broke.
+func TestResume(t *testing.T) {
+	tests := []struct {
+		name    string
+		disrupt func(t *testing.T, engine *model.Engine)
+	}{
+		{"cut after 5 tokens", func(t *testing.T, engine *model.Engine) {
+			control(t, engine, model.Control{Calls: &plat.Fault{Mode: model.ModeCutStream, After: 5, Count: 1}})
+		}},
+		{"all streams broken", func(t *testing.T, engine *model.Engine) {
+			time.AfterFunc(200*time.Millisecond, func() { control(t, engine, model.Control{Break: true}) })
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serveEngine(t, nil, func(client *Client, engine *model.Engine) {
+					test.disrupt(t, engine)
+					stream, err := client.Generate(t.Context(), request())
+					if err != nil {
+						t.Fatal(err)
+					}
+					var got string
+					next := int64(0)
+					for token, err := stream.Next(); ; token, err = stream.Next() {
+						if err != nil {
+							if diff := cmp.Diff(outcome{fault.UpstreamFailed, fault.DidRun}, outcomeOf(t, err)); diff != "" {
+								t.Fatal(diff)
+							}
+							break
+						}
+						got += token.Text
+						next = token.Index + 1
+					}
+					again := request()
+					again.ResumeFrom = next
+					if stream, err = client.Generate(t.Context(), again); err != nil {
+						t.Fatal(err)
+					}
+					rest, err := read(stream)
+					if diff := cmp.Diff(model.Answer("a", 3, again.Prompt, again.MaxTokens), got+rest); diff != "" || !errors.Is(err, io.EOF) {
+						t.Errorf("error %v after resume from %d, answer (-want +got):\n%s", err, next, diff)
+					}
+					if tokens := engine.Observed().Tokens; tokens != 40 {
+						t.Errorf("the engine produced %d tokens for an answer of 40", tokens)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestGenerateFaults guards against a wrong statement of whether a request ran.
+func TestGenerateFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		config  func(config *model.Config)
+		control model.Control
+		change  func(request *Request)
+		timeout time.Duration
+		want    outcome
+	}{
+		{name: "not loaded", change: func(request *Request) { request.Version = 4 }, want: outcome{fault.LoadFailed, fault.NotRun}},
+		{name: "engine restarted", control: model.Control{Restart: &model.Restart{}}, want: outcome{fault.LoadFailed, fault.NotRun}},
+		{name: "engine down", control: model.Control{Restart: &model.Restart{DownFor: plat.Duration(time.Second)}}, want: outcome{fault.UpstreamFailed, fault.Unknown}},
+		{name: "refusing", control: model.Control{Calls: &plat.Fault{Mode: model.ModeRefusing}}, want: outcome{fault.Overloaded, fault.NotRun}},
+		{name: "cut before", control: model.Control{Calls: &plat.Fault{Mode: model.ModeCutBefore}}, want: outcome{fault.UpstreamFailed, fault.Unknown}},
+		{name: "frozen", control: model.Control{Freeze: plat.Duration(time.Minute)}, timeout: time.Second, want: outcome{fault.DeadlineExceeded, fault.Unknown}},
+		{name: "queue full", config: func(config *model.Config) { config.WaitLimit = 0 }, want: outcome{fault.Overloaded, fault.NotRun}},
+		{name: "nothing to resume", change: func(request *Request) { request.ResumeFrom = 3 }, want: outcome{fault.UnknownRequest, fault.NotRun}},
+		{name: "no limit", change: func(request *Request) { request.MaxTokens = 0 }, want: outcome{fault.BadRequest, fault.NotRun}},
+		{name: "body is no object", change: func(request *Request) { request.Body = []byte(`[1]`) }, want: outcome{fault.BadRequest, fault.NotRun}},
+		{name: "no prompt", change: func(request *Request) { request.Body = []byte(`{}`) }, want: outcome{fault.BadRequest, fault.NotRun}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serveEngine(t, test.config, func(client *Client, engine *model.Engine) {
+					control(t, engine, test.control)
+					request := request()
+					if test.change != nil {
+						test.change(&request)
+					}
+					ctx, cancel := context.WithTimeout(t.Context(), stdcmp.Or(test.timeout, time.Hour))
+					defer cancel()
+					_, err := client.Generate(ctx, request)
+					if diff := cmp.Diff(test.want, outcomeOf(t, err)); diff != "" {
+						t.Errorf("outcome (-want +got):\n%s\n%v", diff, err)
+					}
+					if starts := engine.Observed().Starts; len(starts) != 0 {
+						t.Errorf("the engine accepted %+v", starts)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestMalformedStreams guards against an answer that is passed on although it
+// is incomplete, of another request or too large.
+func TestMalformedStreams(t *testing.T) {
+	const first = "data: {\"index\":0,\"text\":\"x\",\"model\":\"a@3\"}\n\n"
+	tests := []struct{ name, answer, want string }{
+		{"no end event", first, "unexpected EOF"},
+		{"token missing", first + "data: {\"index\":2,\"text\":\"x\"}\n\n", "token 1 was due"},
+		{"token repeated", first + first, "token 1 was due"},
+		{"other adapter", first + "data: {\"index\":1,\"text\":\"x\",\"model\":\"b@3\"}\n\n", "b@3"},
+		{"error event", first + "event: error\ndata: {\"message\":\"out of memory\"}\n\n", "out of memory"},
+		{"unknown event", first + "event: pause\ndata: {}\n\n", "pause"},
+		{"not JSON", first + "data: x\n\n", "event data"},
+		{"long line", first + "data: " + strings.Repeat("x", maxLine), "above"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(writer, test.answer)
+			})
+			synctest.Test(t, func(t *testing.T) {
+				serve(t, handler, func(client *Client) {
+					stream, err := client.Generate(t.Context(), request())
+					if err != nil {
+						t.Fatal(err)
+					}
+					text, err := read(stream)
+					if text != "x" || outcomeOf(t, err) != (outcome{fault.UpstreamFailed, fault.DidRun}) || !strings.Contains(err.Error(), test.want) {
+						t.Errorf("text %q, error %v; want x and %q", text, err, test.want)
+					}
+					if _, again := stream.Next(); !errors.Is(again, err) {
+						t.Errorf("error %v after the end, want the same", again)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestConnectionUse guards against a connection that is used again with unread
+// remains of an answer, and against one that is wasted after a complete answer.
+func TestConnectionUse(t *testing.T) {
+	tests := []struct {
+		name   string
+		tokens int
+		want   int
+	}{
+		{"complete answers", 41, 1},
+		{"closed early", 2, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serveEngine(t, nil, func(client *Client, engine *model.Engine) {
+					opened := 1
+					ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+						if !info.Reused {
+							opened++
+						}
+					}})
+					for range 3 {
+						stream, err := client.Generate(ctx, request())
+						if err != nil {
+							t.Fatal(err)
+						}
+						for range test.tokens {
+							_, _ = stream.Next()
+						}
+						stream.Close()
+						time.Sleep(time.Second)
+					}
+					if opened != test.want {
+						t.Errorf("%d connections, want %d", opened, test.want)
+					}
+					for _, start := range engine.Observed().Starts {
+						if finished := start.Outcome == "finished"; finished != (test.tokens == 41) {
+							t.Errorf("outcome %q with %d tokens; an early close must cancel", start.Outcome, start.GeneratedTokens)
+						}
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestOrders guards against orders that are reported done and were refused.
+func TestOrders(t *testing.T) {
+	conflict := outcome{fault.Conflict, fault.NotRun}
+	failed := outcome{fault.LoadFailed, fault.NotRun}
+	tests := []struct {
+		name   string
+		config func(config *model.Config)
+		order  func(ctx context.Context, client *Client, engine *model.Engine) error
+		want   outcome
+		loaded []AdapterRef
+	}{
+		{"load", nil, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			return client.Load(ctx, "b", 1)
+		}, outcome{}, []AdapterRef{{"a", 3}, {"b", 1}}},
+		{"no slot", func(config *model.Config) { config.Slots = 1 }, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			return client.Load(ctx, "b", 1)
+		}, failed, []AdapterRef{{"a", 3}}},
+		{"failing load", nil, func(ctx context.Context, client *Client, engine *model.Engine) error {
+			_ = engine.Control(model.Control{Loads: &plat.Fault{Mode: model.ModeFailing}})
+			return client.Load(ctx, "b", 1)
+		}, failed, []AdapterRef{{"a", 3}}},
+		{"unload", nil, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			return errors.Join(client.Unload(ctx, "a", 3), client.Unload(ctx, "a", 3))
+		}, outcome{}, []AdapterRef{}},
+		{"unload in use", nil, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			if _, err := client.Generate(ctx, request()); err != nil {
+				return err
+			}
+			return client.Unload(ctx, "a", 3)
+		}, failed, []AdapterRef{{"a", 3}}},
+		{"old fencing token", nil, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			client.token = func() uint64 { return 6 }
+			return client.Unload(ctx, "a", 3)
+		}, conflict, []AdapterRef{{"a", 3}}},
+		{"generation with an old fencing token", nil, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			client.token = func() uint64 { return 6 }
+			_, err := client.Generate(ctx, request())
+			return err
+		}, conflict, []AdapterRef{{"a", 3}}},
+		{"old fencing token ignored", func(config *model.Config) { config.Fencing = model.FencingIgnored }, func(ctx context.Context, client *Client, _ *model.Engine) error {
+			client.token = func() uint64 { return 6 }
+			return client.SetRole(ctx, "drain")
+		}, outcome{}, []AdapterRef{{"a", 3}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serveEngine(t, test.config, func(client *Client, engine *model.Engine) {
+					err := test.order(t.Context(), client, engine)
+					if diff := cmp.Diff(test.want, outcomeOf(t, err)); diff != "" {
+						t.Errorf("outcome (-want +got):\n%s\n%v", diff, err)
+					}
+					state, err := client.State(t.Context())
+					if diff := cmp.Diff(test.loaded, state.Loaded); diff != "" || err != nil {
+						t.Errorf("error %v, loaded (-want +got):\n%s", err, diff)
+					}
+				})
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/link/engine/plain_test.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/bench/plain"
+	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+)
+
+// TestCall guards against a second run of a call, and against a call that ran
+// and is reported as not run. The calls carry an Idempotency-Key and use an open
+// connection again, in which case http.Transport repeats requests by default.
+func TestCall(t *testing.T) {
+	tests := []struct {
+		name    string
+		method  string
+		url     string
+		fault   *plat.Fault
+		timeout time.Duration
+		want    outcome
+		status  int
+		effects int
+	}{
+		{name: "answered", method: "POST", status: 200, effects: 1},
+		{name: "failed before the effect", method: "POST", fault: &plat.Fault{Mode: plain.ModeFailBefore}, status: 503},
+		{name: "failed after the effect", method: "POST", fault: &plat.Fault{Mode: plain.ModeFailAfter}, status: 500, effects: 1},
+		{name: "cut before the effect", method: "POST", fault: &plat.Fault{Mode: plain.ModeCutBefore}, want: outcome{fault.UpstreamFailed, fault.Unknown}},
+		{name: "cut after the effect", method: "POST", fault: &plat.Fault{Mode: plain.ModeCutAfter}, want: outcome{fault.UpstreamFailed, fault.Unknown}, effects: 1},
+		{name: "GET cut after the effect", method: "GET", fault: &plat.Fault{Mode: plain.ModeCutAfter}, want: outcome{fault.UpstreamFailed, fault.Unknown}, effects: 1},
+		{name: "late", method: "POST", fault: &plat.Fault{Mode: plain.ModeDelay, Delay: plat.Duration(time.Minute)}, timeout: time.Second, want: outcome{fault.DeadlineExceeded, fault.Unknown}, effects: 1},
+		{name: "nobody listens", method: "POST", url: "http://gone:80", want: outcome{fault.UpstreamFailed, fault.NotRun}},
+		{name: "late before the call", method: "POST", timeout: -1, want: outcome{fault.DeadlineExceeded, fault.NotRun}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				service, err := plain.New(plain.DefaultConfig())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer service.Close()
+				serve(t, service, func(client *Client) {
+					headers := http.Header{"Idempotency-Key": {"k"}, "X-Organisation": {"kiln"}}
+					if _, err := client.Call(t.Context(), PlainRequest{RequestID: "r0", Method: "POST", Path: "/first", Headers: headers}); err != nil {
+						t.Fatal(err)
+					}
+					if err := service.Control(plain.Control{Calls: test.fault}); err != nil {
+						t.Fatal(err)
+					}
+					ctx, cancel := t.Context(), context.CancelFunc(func() {})
+					if test.timeout != 0 {
+						ctx, cancel = context.WithTimeout(ctx, test.timeout)
+					}
+					defer cancel()
+					if test.url != "" {
+						client.url = test.url
+					}
+					call := PlainRequest{RequestID: "r1", Method: test.method, Path: "/orders?urgent=1", Headers: headers, Body: []byte("12 planks")}
+					response, err := client.Call(ctx, call)
+					if diff := cmp.Diff(test.want, outcomeOf(t, err)); diff != "" {
+						t.Errorf("outcome (-want +got):\n%s\n%v", diff, err)
+					}
+					if err == nil && response.Status != test.status {
+						t.Errorf("status %d, want %d", response.Status, test.status)
+					}
+					if test.status == 200 && !strings.Contains(string(response.Body), plain.Result(call.Method, call.Path, call.Body)) {
+						t.Errorf("answer %s lacks the result of the call", response.Body)
+					}
+					time.Sleep(2 * time.Minute)
+					if effects := service.Observed().Effects["r1"]; effects != test.effects {
+						t.Errorf("%d effects, want %d", effects, test.effects)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestCallLimit guards against an answer that fills the memory.
+func TestCallLimit(t *testing.T) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write(make([]byte, 4<<20))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		serve(t, handler, func(client *Client) {
+			_, err := client.Call(t.Context(), PlainRequest{RequestID: "r1", Method: "GET", Path: "/large"})
+			if diff := cmp.Diff(outcome{fault.UpstreamFailed, fault.DidRun}, outcomeOf(t, err)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/link/roster/roster_test.go
@@ -0,0 +1,202 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+)
+
+// serve runs a function with a Roster over a handler in virtual time.
+func serve(t *testing.T, handler http.Handler, run func(roster *Roster)) {
+	t.Helper()
+	loopback := plat.NewLoopback()
+	stop, err := loopback.Serve("platform:80", handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	run(New(Config{URL: "http://platform:80", HTTP: loopback.Client()}))
+}
+
+// newPlatform returns a platform whose list shows changes after 500 ms.
+func newPlatform(t *testing.T) *plat.Platform {
+	t.Helper()
+	platform, err := plat.New(plat.DefaultConfig())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform
+}
+
+// side returns a live side process at an upstream.
+func side(id, upstream string) plat.Instance {
+	return plat.Instance{ID: id, Role: RoleSide, Upstream: upstream, Address: id + ":80"}
+}
+
+// TestLeavingIsSeen guards against an upstream that leaves and is seen to after
+// more than 3 s, and against a list that is lost in an outage.
+func TestLeavingIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform(t)
+		serve(t, platform, func(roster *Roster) {
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- roster.Run(ctx) }()
+			leaving := side("s1", "u1")
+			if err := platform.Announce(leaving); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(1600 * time.Millisecond)
+			if instance, ok := roster.Side("u1"); !ok || instance.Leaving {
+				t.Fatalf("side process %+v, %v; want a live one", instance, ok)
+			}
+			leaving.State = plat.StateLeaving
+			if err := platform.Announce(leaving); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(1600 * time.Millisecond)
+			if err := platform.Control(plat.Control{List: &plat.Fault{Mode: plat.ModeDown, For: plat.Duration(time.Minute)}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Second)
+			if instance, ok := roster.Side("u1"); !ok || !instance.Leaving {
+				t.Errorf("side process %+v, %v during an outage; want the leaving one", instance, ok)
+			}
+			if age, ok := roster.Age(); !ok || age < 9*time.Second {
+				t.Errorf("age %v, %v during an outage of 10 s", age, ok)
+			}
+			cancel()
+			if err := <-done; err != nil {
+				t.Errorf("Run ended with %v", err)
+			}
+		})
+	})
+}
+
+// TestSide guards against work for the former side process of an upstream.
+func TestSide(t *testing.T) {
+	leaving := side("s3", "u1")
+	leaving.State = plat.StateLeaving
+	tests := []struct {
+		name      string
+		instances []plat.Instance
+		want      string
+	}{
+		{"none", []plat.Instance{side("s1", "u2")}, ""},
+		{"entry instances do not count", []plat.Instance{{ID: "e", Role: RoleEntry, Upstream: "u1", Address: "e:80"}}, ""},
+		{"the newest", []plat.Instance{side("s2", "u1"), side("s1", "u1")}, "s1"},
+		{"one that stays", []plat.Instance{side("s1", "u1"), leaving}, "s1"},
+		{"leaving only", []plat.Instance{leaving}, "s3"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				platform := newPlatform(t)
+				serve(t, platform, func(roster *Roster) {
+					for _, instance := range test.instances {
+						if err := platform.Announce(instance); err != nil {
+							t.Fatal(err)
+						}
+						time.Sleep(time.Second)
+					}
+					if err := roster.Poll(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+					if got, ok := roster.Side("u1"); got.ID != test.want || ok != (test.want != "") {
+						t.Errorf("side process %q, %v; want %q", got.ID, ok, test.want)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestPartialAnswers compares a Roster that gets partial answers with one that
+// gets a complete list each time, while instances come, go and return. It guards
+// against lost and stuck changes.
+func TestPartialAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := newPlatform(t)
+		serve(t, platform, func(roster *Roster) {
+			random := rand.New(rand.NewPCG(7, 7))
+			for step := range 2000 {
+				instance := side(fmt.Sprintf("s%d", random.IntN(20)), fmt.Sprintf("u%d", random.IntN(10)))
+				switch choice := random.IntN(100); {
+				case choice < 50:
+					instance.State = []string{plat.StateLive, plat.StateLeaving}[random.IntN(2)]
+					if err := platform.Announce(instance); err != nil {
+						t.Fatal(err)
+					}
+				case choice < 90:
+					platform.Remove(instance.ID)
+				default:
+					mode := []string{plat.ModeStale, plat.ModeReturning, "none"}[random.IntN(3)]
+					fault := &plat.Fault{Mode: mode, For: plat.Duration(time.Duration(random.IntN(3000)) * time.Millisecond)}
+					if err := platform.Control(plat.Control{List: fault}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+				complete := New(roster.config)
+				if err := roster.Poll(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				if err := complete.Poll(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff(complete.Instances(), roster.Instances()); diff != "" {
+					t.Fatalf("step %d (-complete +partial):\n%s", step, diff)
+				}
+			}
+		})
+	})
+}
+
+// TestPollFaults guards against an answer that empties the list or fills the
+// memory.
+func TestPollFaults(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		status       int
+		want         string
+	}{
+		{"no revision", `{"instances":[]}`, 200, "revision"},
+		{"not JSON", `<html>`, 200, "not valid"},
+		{"too large", strings.Repeat(" ", maxList+1), 200, "more than"},
+		{"status", `{}`, 503, "answered 503"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if request.URL.Query().Get("since") == "" {
+					_, _ = fmt.Fprint(writer, `{"revision":"1","complete":true,"instances":[{"id":"s1"}]}`)
+					return
+				}
+				writer.WriteHeader(test.status)
+				_, _ = fmt.Fprint(writer, test.answer)
+			})
+			synctest.Test(t, func(t *testing.T) {
+				serve(t, handler, func(roster *Roster) {
+					if err := roster.Poll(t.Context()); err != nil {
+						t.Fatal(err)
+					}
+					if err := roster.Poll(t.Context()); err == nil || !strings.Contains(err.Error(), test.want) {
+						t.Errorf("error %v, want one with %q", err, test.want)
+					}
+					if len(roster.Instances()) != 1 {
+						t.Errorf("instances %v, want the ones before", roster.Instances())
+					}
+				})
+			})
+		})
+	}
+}
