Follow the side process's two-step debit

Cause: the side process now waits for tokens before it takes a slot, and commits them at the dispatch. Change: the limiter passes Commit through; a load permit is settled once used. Conclusion: no token is spent after its grant has lapsed.

--- a/internal/daemon/start/limiter.go
+++ b/internal/daemon/start/limiter.go
@@ -45,23 +45,17 @@
 	return &limiter{parts: parts, upstream: upstream, wallets: map[string]*purse{}}
 }
 
-// Take debits tokens of an organisation that are spent at once.
+// Take waits for tokens of an organisation.
 func (limiter *limiter) Take(ctx context.Context, organisation string, tokens model.Tokens) (side.Debit, error) {
 	wallet, err := limiter.wallet(organisation)
 	if err != nil {
 		return nil, err
 	}
-	for {
-		debit, err := wallet.Take(ctx, tokens)
-		if err != nil {
-			return nil, err
-		}
-		if wallet.Commit(debit) {
-			return spent{wallet: wallet, debit: debit}, nil
-		}
-		// The process was paused for longer than the grants live.
-		wallet.Settle(debit, 0)
+	taken, err := wallet.Take(ctx, tokens)
+	if err != nil {
+		return nil, err
 	}
+	return debit{wallet: wallet, taken: taken}, nil
 }
 
 // Acquire takes the permit for one adapter load.
@@ -69,8 +63,18 @@
 	if len(limiter.parts.syncer.Current().Fleet().LoadShards) == 0 {
 		return nil
 	}
-	_, err := limiter.Take(ctx, side.LoadPermits, side.PermitCost)
-	return err
+	for {
+		permit, err := limiter.Take(ctx, side.LoadPermits, side.PermitCost)
+		if err != nil {
+			return err
+		}
+		started := permit.Commit()
+		if started {
+			permit.Settle(side.PermitCost)
+			return nil
+		}
+		permit.Settle(0)
+	}
 }
 
 // EstimateWait returns how long a request of this cost would wait for tokens.
@@ -143,14 +147,17 @@
 	return limits{rate: spec.Rate, burst: spec.Burst, hosts: spec.Shards}, ok
 }
 
-// spent implements side.Debit.
-type spent struct {
+// debit implements side.Debit.
+type debit struct {
 	wallet *quota.Wallet
-	debit  quota.Debit
+	taken  quota.Debit
 }
 
+// Commit counts the request as dispatched now.
+func (debit debit) Commit() bool { return debit.wallet.Commit(debit.taken) }
+
 // Settle returns the tokens that were not used.
-func (spent spent) Settle(used model.Tokens) { spent.wallet.Settle(spent.debit, used) }
+func (debit debit) Settle(used model.Tokens) { debit.wallet.Settle(debit.taken, used) }
 
 // shardSource implements quota.Source for one organisation.
 type shardSource struct {
