--- a/internal/bench/demo/events.go
+++ b/internal/bench/demo/events.go
@@ -28,6 +28,7 @@
 	foreignRuns int
 	probeKey    string
 	withdrawal  time.Duration
+	withdrawn   bool
 	propagation []time.Duration
 	racesWon    int
 	races       int
@@ -187,11 +188,15 @@
 			if err != nil {
 				return err
 			}
-			if status == http.StatusUnauthorized || time.Since(begin) > 2*withdrawalBound {
+			if status == http.StatusUnauthorized {
 				break
 			}
+			if time.Since(begin) > 2*withdrawalBound {
+				return fmt.Errorf("the withdrawn key still worked after %s", 2*withdrawalBound)
+			}
 		}
 	}
+	events.withdrawn = true
 	events.withdrawal = time.Since(begin)
 	return nil
 }
@@ -215,7 +220,7 @@
 
 func (events *Events) checkWithdrawal() Promise {
 	violations := 0
-	if events.withdrawal == 0 || events.withdrawal > withdrawalBound {
+	if !events.withdrawn || events.withdrawal > withdrawalBound {
 		violations = 1
 	}
 	return promise("a withdrawn key stops working within seconds", violations, "refused everywhere after %s", events.withdrawal.Round(time.Millisecond))
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -58,9 +58,10 @@
 	return err
 }
 
-// Ready reports whether the load balancer may send requests.
+// Ready reports whether the load balancer may send requests: the configuration
+// has been read, and every service has an upstream that is not leaving.
 func (entry *Entry) Ready() bool {
-	return !entry.draining.Load() && entry.config.Configs.Current().Version() > 0
+	return !entry.draining.Load() && entry.config.Configs.Current().Version() > 0 && entry.fleet.populated()
 }
 
 // Drain makes the instance unready, keeps serving until the load balancer has
--- a/internal/daemon/entry/fleet.go
+++ b/internal/daemon/entry/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,8 @@
 	health Health
 	specs  []model.UpstreamSpec
 	ids    []string
+	// seen says that the instance list has shown a usable upstream.
+	seen bool
 }
 
 // fleet keeps the policies' members in step with the configuration and the
@@ -54,6 +57,23 @@
 	return service, ok
 }
 
+// populated reports whether the instance list has shown an upstream of every
+// configured service since the start. A fresh instance without the list would
+// refuse requests for want of an upstream.
+func (fleet *fleet) populated() bool {
+	fleet.mutex.RLock()
+	defer fleet.mutex.RUnlock()
+	if len(fleet.services) == 0 {
+		return false
+	}
+	for _, service := range fleet.services {
+		if !service.seen {
+			return false
+		}
+	}
+	return true
+}
+
 func (fleet *fleet) update() {
 	current := fleet.config.Configs.Current()
 	fleet.mutex.Lock()
@@ -67,8 +87,20 @@
 	}
 	fleet.mutex.Unlock()
 	for _, service := range services {
-		service.policy.SetMembers(fleet.members(service))
+		members := fleet.members(service)
+		service.policy.SetMembers(members)
+		fleet.note(service, members)
+	}
+}
+
+// note remembers that a service has had a usable upstream.
+func (fleet *fleet) note(service *service, members []route.Member) {
+	if !slices.ContainsFunc(members, func(member route.Member) bool { return !member.Leaving }) {
+		return
 	}
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	service.seen = true
 }
 
 // regroup sorts the configured upstreams by service.
@@ -81,7 +113,7 @@
 	for name, specs := range groups {
 		group := &service{name: name, specs: specs}
 		if old, ok := fleet.services[name]; ok {
-			group.policy, group.health = old.policy, old.health
+			group.policy, group.health, group.seen = old.policy, old.health, old.seen
 		} else {
 			group.health = fleet.config.NewHealth(name)
 			group.policy = fleet.config.NewPolicy(name, specs[0].Plain, group.health)
