Test the stand-ins and the clients under disturbances

Figures of load stalls and batch efficiency rest on the stand-ins, so their load-time law and their steps are pinned in virtual time. A freeze in the test now begins within a step; at a step's end its outcome depended on which timer fired first (1.14 s or 1.16 s).

--- /dev/null
+++ b/internal/bench/model/model_test.go
@@ -0,0 +1,230 @@
+package model
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+)
+
+// newEngine returns an engine with the adapters a@1 and b@1 loaded.
+func newEngine(t *testing.T, change func(config *Config)) *Engine {
+	t.Helper()
+	config := DefaultConfig()
+	config.StepPerRequest, config.StepPerAdapter, config.PromptTokenTime = 0, 0, 0
+	if change != nil {
+		change(&config)
+	}
+	engine, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Close)
+	for _, adapter := range []string{"a", "b"} {
+		if answer := post(engine, "/v1/load_lora_adapter", "", fmt.Sprintf(`{"adapter":%q,"version":1}`, adapter)); answer.Code != http.StatusOK {
+			t.Fatalf("load answered %d %s", answer.Code, answer.Body)
+		}
+	}
+	return engine
+}
+
+// post sends a request to an engine and waits for its end.
+func post(engine *Engine, path, id, body string) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest("POST", path, strings.NewReader(body))
+	request.Header.Set("X-Request-Id", id)
+	func() {
+		defer func() { _ = recover() }() // http.ErrAbortHandler
+		engine.ServeHTTP(recorder, request)
+	}()
+	return recorder
+}
+
+// generation is a request of a test.
+type generation struct {
+	adapter, prompt string
+	tokens          int
+	priority        int
+}
+
+// generateAll sends requests at once and returns what the engine saw of them.
+func generateAll(engine *Engine, generations []generation) Observed {
+	var group sync.WaitGroup
+	for index, generation := range generations {
+		body := fmt.Sprintf(`{"model":"%s@1","prompt":%q,"max_tokens":%d,"priority":%d,"stream":true}`,
+			generation.adapter, generation.prompt, generation.tokens, generation.priority)
+		group.Go(func() { post(engine, "/v1/completions", fmt.Sprintf("r%d", index), body) })
+		synctest.Wait()
+	}
+	group.Wait()
+	return engine.Observed()
+}
+
+// TestBatching guards against an engine whose batch efficiency differs from that
+// of continuous batching, on which the comparison of policies rests. All answers
+// have 8 tokens, the shortest length.
+func TestBatching(t *testing.T) {
+	ms := time.Millisecond
+	tests := []struct {
+		name        string
+		config      func(config *Config)
+		generations []generation
+		steps       int
+		tokens      int
+		// first is the time from the first acceptance to each first token.
+		first []time.Duration
+	}{
+		{"one", nil, []generation{{"a", "x", 8, 0}}, 8, 8, []time.Duration{20 * ms}},
+		{"joins at the next step", nil, []generation{{"a", "x", 8, 0}, {"a", "y", 8, 0}}, 9, 16, []time.Duration{20 * ms, 40 * ms}},
+		{"adapters share a batch", nil, []generation{{"a", "x", 8, 0}, {"b", "y", 8, 0}, {"a", "z", 8, 0}}, 9, 24, []time.Duration{20 * ms, 40 * ms, 40 * ms}},
+		{"batch limit", func(config *Config) { config.BatchLimit = 1 }, []generation{{"a", "x", 8, 0}, {"a", "y", 8, 0}}, 16, 16, []time.Duration{20 * ms, 180 * ms}},
+		{"priority", func(config *Config) { config.BatchLimit = 1 }, []generation{{"a", "x", 8, 0}, {"a", "y", 8, 5}, {"a", "z", 8, 1}}, 24, 24, []time.Duration{20 * ms, 340 * ms, 180 * ms}},
+		{"cost per request and adapter", func(config *Config) { config.StepPerRequest, config.StepPerAdapter = ms, 2*ms }, []generation{{"a", "x", 8, 0}, {"b", "y", 8, 0}}, 9, 16, []time.Duration{23 * ms, 49 * ms}},
+		{"prompt in chunks", func(config *Config) { config.PromptTokenTime, config.PromptChunk = ms, 10 }, []generation{{"a", strings.Repeat("x", 100), 8, 0}}, 10, 8, []time.Duration{85 * ms}},
+		{"cached prompt", func(config *Config) { config.PromptTokenTime, config.BatchLimit = ms, 1 }, []generation{{"a", strings.Repeat("x", 128), 8, 0}, {"a", strings.Repeat("x", 132), 8, 0}}, 16, 16, []time.Duration{52 * ms, 213 * ms}},
+		{"no cache across adapters", func(config *Config) { config.PromptTokenTime, config.BatchLimit = ms, 1 }, []generation{{"a", strings.Repeat("x", 128), 8, 0}, {"b", strings.Repeat("x", 128), 8, 0}}, 16, 16, []time.Duration{52 * ms, 244 * ms}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				observed := generateAll(newEngine(t, test.config), test.generations)
+				var first []time.Duration
+				for _, start := range observed.Starts {
+					first = append(first, start.FirstToken.Sub(observed.Starts[0].Accepted))
+				}
+				if diff := cmp.Diff(test.first, first); diff != "" || observed.Steps != test.steps || observed.Tokens != test.tokens {
+					t.Errorf("%d tokens in %d steps, want %d in %d; first tokens (-want +got):\n%s", observed.Tokens, observed.Steps, test.tokens, test.steps, diff)
+				}
+			})
+		})
+	}
+}
+
+// TestDisturbances guards against requests that survive or vanish wrongly when
+// the engine is disturbed 110 ms after they began, in the middle of a step.
+func TestDisturbances(t *testing.T) {
+	unload := func(engine *Engine) {
+		post(engine, "/v1/unload_lora_adapter", "", `{"adapter":"a","version":1}`)
+	}
+	tests := []struct {
+		name       string
+		config     func(config *Config)
+		disturb    func(engine *Engine)
+		outcome    string
+		violations int
+		loaded     int
+		took       time.Duration
+	}{
+		{"none", nil, func(*Engine) {}, outcomeFinished, 0, 2, 160 * time.Millisecond},
+		{"restart", nil, func(engine *Engine) { _ = engine.Control(Control{Restart: &Restart{}}) }, outcomeRestarted, 0, 0, 110 * time.Millisecond},
+		{"freeze", nil, func(engine *Engine) { _ = engine.Control(Control{Freeze: plat.Duration(time.Second)}) }, outcomeFinished, 0, 2, 1150 * time.Millisecond},
+		{"unload in use refused", nil, unload, outcomeFinished, 1, 2, 160 * time.Millisecond},
+		{"unload in use performed", func(config *Config) { config.UnloadInUse = UnloadPerform }, unload, outcomeEvicted, 1, 1, 110 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := newEngine(t, test.config)
+				epoch := engine.Observed().Epoch
+				time.AfterFunc(110*time.Millisecond, func() { test.disturb(engine) })
+				observed := generateAll(engine, []generation{{"a", "x", 8, 0}})
+				start := observed.Starts[0]
+				if took := start.Ended.Sub(start.Accepted); start.Outcome != test.outcome || took != test.took {
+					t.Errorf("outcome %q after %v, want %q after %v", start.Outcome, took, test.outcome, test.took)
+				}
+				if len(observed.Violations) != test.violations || len(engine.loaded(true)) != test.loaded {
+					t.Errorf("%d violations, loaded %v; want %d, %d", len(observed.Violations), engine.loaded(true), test.violations, test.loaded)
+				}
+				if restarted := observed.Restarts > 0; restarted != (observed.Epoch != epoch) {
+					t.Errorf("epoch %s after %s, restarted %v", observed.Epoch, epoch, restarted)
+				}
+			})
+		})
+	}
+}
+
+// TestLoads guards against a load that is done twice, goes wrong unseen or
+// survives a restart.
+func TestLoads(t *testing.T) {
+	tests := []struct {
+		name    string
+		orders  int
+		control Control
+		later   Control
+		status  int
+		took    time.Duration
+		loads   int
+	}{
+		{"one", 1, Control{}, Control{}, 200, 250 * time.Millisecond, 1},
+		{"shared", 3, Control{}, Control{}, 200, 250 * time.Millisecond, 1},
+		{"slow", 1, Control{Loads: &plat.Fault{Mode: ModeSlow, Delay: plat.Duration(time.Second)}}, Control{}, 200, 1250 * time.Millisecond, 1},
+		{"failing", 2, Control{Loads: &plat.Fault{Mode: ModeFailing, ID: "c"}}, Control{}, 502, 250 * time.Millisecond, 1},
+		{"another adapter fails", 1, Control{Loads: &plat.Fault{Mode: ModeFailing, ID: "d"}}, Control{}, 200, 250 * time.Millisecond, 1},
+		{"restart", 1, Control{}, Control{Restart: &Restart{}}, 502, 100 * time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := newEngine(t, nil)
+				if err := engine.Control(test.control); err != nil {
+					t.Fatal(err)
+				}
+				time.AfterFunc(100*time.Millisecond, func() { _ = engine.Control(test.later) })
+				var group sync.WaitGroup
+				for range test.orders {
+					group.Go(func() {
+						if answer := post(engine, "/v1/load_lora_adapter", "", `{"adapter":"c","version":1}`); answer.Code != test.status {
+							t.Errorf("status %d %s, want %d", answer.Code, answer.Body, test.status)
+						}
+					})
+				}
+				group.Wait()
+				loads := engine.Observed().Loads[2:]
+				if len(loads) != test.loads || loads[0].Wait() != test.took || (loads[0].Error == "") != (test.status == 200) {
+					t.Errorf("loads %+v, want %d of %v", loads, test.loads, test.took)
+				}
+			})
+		})
+	}
+}
+
+// TestReports guards against a load report without lag and against cache events
+// that are early or complete.
+func TestReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newEngine(t, func(config *Config) { config.EventLoss, config.CacheBlocks = 0.5, 8 })
+		get := func(path string) string {
+			recorder := httptest.NewRecorder()
+			engine.ServeHTTP(recorder, httptest.NewRequest("GET", path, nil))
+			return recorder.Body.String()
+		}
+		go generateAll(engine, []generation{{"a", strings.Repeat("x", 64*20), 8, 0}})
+		steps := []struct {
+			wait            time.Duration
+			running, events bool
+		}{
+			{100 * time.Millisecond, false, false},
+			{150 * time.Millisecond, true, false},
+			{500 * time.Millisecond, false, true},
+		}
+		for _, step := range steps {
+			time.Sleep(step.wait)
+			if state := get("/v1/state"); strings.Contains(state, `"running":1`) != step.running {
+				t.Errorf("state %s, want running %v", state, step.running)
+			}
+			events := get("/v1/cache-events?from=0")
+			stored, removed := strings.Count(events, eventStored), strings.Count(events, eventRemoved)
+			if some := stored > 0 && stored < 20 && removed > 0 && removed < 12; some != step.events {
+				t.Errorf("%d of 20 blocks stored and %d of 12 removed, want some of each %v", stored, removed, step.events)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/link/engine/random_test.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/bench/model"
+	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+)
+
+// TestRandomDisturbances compares each answer with the expected one while
+// streams break and the engine freezes and restarts. It guards against answers
+// that are mixed up, and against tokens that are repeated or lost by a resume.
+func TestRandomDisturbances(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				serveEngine(t, nil, func(client *Client, engine *model.Engine) {
+					random := rand.New(rand.NewPCG(seed, 1))
+					var group sync.WaitGroup
+					for index := range 60 {
+						request := Request{
+							RequestID: fmt.Sprintf("r%d", index), Adapter: "a", Version: uint32(1 + random.IntN(3)),
+							Prompt: fmt.Sprintf("question %d", random.IntN(20)), MaxTokens: 1 + random.Int64N(200),
+						}
+						pause := time.Duration(random.IntN(5000)) * time.Millisecond
+						group.Go(func() {
+							time.Sleep(pause)
+							insist(t, client, request)
+						})
+					}
+					for range 20 {
+						time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+						control(t, engine, []model.Control{
+							{Break: true},
+							{Freeze: plat.Duration(500 * time.Millisecond)},
+							{Restart: &model.Restart{DownFor: plat.Duration(300 * time.Millisecond)}},
+							{Calls: &plat.Fault{Mode: model.ModeCutStream, After: 3, Count: 2}},
+							{Loads: &plat.Fault{Mode: model.ModeFailing, Count: 2}},
+						}[random.IntN(5)])
+					}
+					group.Wait()
+				})
+			})
+		})
+	}
+}
+
+// insist sends a request until its answer is complete, and resumes it while the
+// engine allows it.
+func insist(t *testing.T, client *Client, request Request) {
+	var text string
+	for attempt := 0; attempt < 200; attempt++ {
+		stream, err := client.Generate(t.Context(), request)
+		if err == nil {
+			var token Token
+			for token, err = stream.Next(); err == nil; token, err = stream.Next() {
+				text += token.Text
+				request.ResumeFrom = token.Index + 1
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			if want := model.Answer(request.Adapter, request.Version, request.Prompt, request.MaxTokens); text != want {
+				t.Errorf("request %s: answer %q, want %q", request.RequestID, text, want)
+			}
+			return
+		}
+		switch known, _ := fault.As(err); {
+		case known.Kind() == fault.LoadFailed:
+			_ = client.Load(t.Context(), request.Adapter, request.Version)
+		case known.Kind() == fault.UnknownRequest:
+			text, request.ResumeFrom = "", 0
+		default:
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	t.Errorf("request %s: no complete answer in 200 attempts", request.RequestID)
+}
