--- a/internal/bench/plat/weights_test.go
+++ b/internal/bench/plat/weights_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,7 @@
 // at most 8 loads are in flight, proportionally longer beyond.
 func TestLoadTimeLaw(t *testing.T) {
 	ms := time.Millisecond
+	burst := slices.Repeat([]time.Duration{250 * ms}, 8)
 	tests := []struct {
 		name  string
 		loads int
@@ -24,10 +26,10 @@
 		want []time.Duration
 	}{
 		{"one", 1, nil, []time.Duration{250 * ms}},
-		{"full speed", 8, nil, repeat(250*ms, 8)},
-		{"two beyond the burst", 10, nil, append(repeat(250*ms, 8), 583333*time.Microsecond, 916667*time.Microsecond)},
+		{"full speed", 8, nil, burst},
+		{"two beyond the burst", 10, nil, append(slices.Clone(burst), 583333*time.Microsecond, 916667*time.Microsecond)},
 		// The ninth load starts after 333 ms with 10 in flight and takes 312.5 ms.
-		{"ten beyond the burst", 18, nil, append(repeat(250*ms, 8), 645833*time.Microsecond, 947917*time.Microsecond,
+		{"ten beyond the burst", 18, nil, append(slices.Clone(burst), 645833*time.Microsecond, 947917*time.Microsecond,
 			1250*ms, 1583333*time.Microsecond, 1916667*time.Microsecond, 2250*ms, 2583333*time.Microsecond, 2916667*time.Microsecond, 3250*ms, 3583333*time.Microsecond)},
 		{"slow", 1, &Fault{Mode: ModeSlow, Delay: Duration(time.Second)}, []time.Duration{1250 * ms}},
 	}
@@ -64,15 +66,6 @@
 	}
 }
 
-// repeat returns a duration n times.
-func repeat(duration time.Duration, n int) []time.Duration {
-	var all []time.Duration
-	for range n {
-		all = append(all, duration)
-	}
-	return all
-}
-
 // TestLoadRate guards against more starts than the store's rate allows.
 func TestLoadRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
