--- a/internal/daemon/entry/fleet.go
+++ b/internal/daemon/entry/fleet.go
@@ -67,7 +67,7 @@
 	}
 	fleet.mutex.Unlock()
 	for _, service := range services {
-		service.policy.SetMembers(fleet.members(service))
+		service.policy.SetMembers(fleet.members(service), fleet.config.Roster.Entries())
 	}
 }
 
--- a/internal/daemon/entry/ports.go
+++ b/internal/daemon/entry/ports.go
@@ -32,6 +32,8 @@
 type Roster interface {
 	// Side returns the side process of an upstream.
 	Side(upstream string) (Instance, bool)
+	// Entries returns the number of live entry instances.
+	Entries() int
 }
 
 // Authenticator checks callers' keys.
--- a/internal/daemon/entry/world_test.go
+++ b/internal/daemon/entry/world_test.go
@@ -233,6 +233,7 @@
 func (world *world) Current() *model.Config { return world.current }
 func (world *world) Isolated() bool         { return world.isolated }
 func (world *world) Hint(uint64)            {}
+func (world *world) Entries() int           { return 1 }
 
 // Side implements Roster: upstreams listen at their ids.
 func (world *world) Side(upstream string) (Instance, bool) {
--- a/internal/flow/route/policy.go
+++ b/internal/flow/route/policy.go
@@ -55,7 +55,7 @@
 	LowestScore Reason = iota
 	// TwoChoices means that the choice fell among candidates of equal score.
 	TwoChoices
-	// RingSearch means that no candidate of the adapter was usable.
+	// RingSearch means that the adapter's first upstream was not usable.
 	RingSearch
 	// Assigned means that the request allowed only this upstream.
 	Assigned
@@ -105,8 +105,9 @@
 
 // Policy chooses upstreams of one service. It is safe for concurrent use.
 type Policy interface {
-	// SetMembers replaces the upstreams.
-	SetMembers(members []Member)
+	// SetMembers replaces the upstreams. The number of entry instances relates
+	// the own rate of requests to the fleet's.
+	SetMembers(members []Member, instances int)
 	// Choose picks an upstream and counts a send to it.
 	Choose(now time.Time, request Request) (Decision, bool)
 	// Ended says that a request sent to the upstream has ended.
--- a/internal/flow/route/rotate.go
+++ b/internal/flow/route/rotate.go
@@ -26,7 +26,7 @@
 }
 
 // SetMembers implements Policy.
-func (roundRobin *RoundRobin) SetMembers(members []Member) {
+func (roundRobin *RoundRobin) SetMembers(members []Member, _ int) {
 	roundRobin.mutex.Lock()
 	defer roundRobin.mutex.Unlock()
 	roundRobin.members = slices.Clone(members)
--- /dev/null
+++ b/internal/flow/route/router.go
@@ -0,0 +1,303 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/place"
+)
+
+const (
+	// searchPoints bounds the points looked at on the ring; beyond them all
+	// upstreams are looked at in turn, which costs less than a whole round.
+	searchPoints = 512
+	// prefixes is the number of prompt prefixes remembered.
+	prefixes = 4096
+)
+
+// Router is the Policy that takes adapters' places, load and distance into
+// account.
+type Router struct {
+	config Config
+
+	mutex      sync.Mutex
+	ring       *place.Ring
+	upstreams  []upstream
+	popularity *place.Popularity
+	instances  float64
+	generation uint64
+	random     *rand.Rand
+	prefixes   [prefixes]prefixMark
+}
+
+// prefixMark remembers where a prompt prefix went last.
+type prefixMark struct {
+	prefix uint64
+	slot   uint32
+}
+
+// New returns a Router.
+func New(config Config) (*Router, error) {
+	if err := config.complete(); err != nil {
+		return nil, err
+	}
+	return &Router{
+		config:    config,
+		ring:      place.NewRing(config.Upstreams),
+		instances: 1,
+		random:    rand.New(rand.NewPCG(config.Seed, 0)),
+		popularity: place.NewPopularity(place.PopularityConfig{
+			Adapters: config.Adapters, HalfLife: config.HalfLife, Start: config.Start,
+		}),
+	}, nil
+}
+
+// SetMembers implements Policy. Upstreams that stay keep their place and what
+// is known of them.
+func (router *Router) SetMembers(members []Member, instances int) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	router.instances = float64(max(1, instances))
+	router.generation++
+	for index := range members {
+		router.put(&members[index])
+	}
+	for slot := range router.upstreams {
+		if router.upstreams[slot].seen != router.generation && router.ring.Live(uint32(slot)) {
+			router.ring.Remove(router.ring.ID(uint32(slot)))
+		}
+	}
+}
+
+func (router *Router) put(member *Member) {
+	slot, known := router.ring.Slot(member.ID)
+	if !known {
+		slot = router.ring.Add(member.ID)
+		if int(slot) == len(router.upstreams) {
+			router.upstreams = append(router.upstreams, upstream{})
+		}
+		router.upstreams[slot] = upstream{}
+	}
+	state := &router.upstreams[slot]
+	state.seen, state.half, state.leaving = router.generation, member.Half, member.Leaving
+	state.distance = 0
+	if member.FailureDomain != router.config.FailureDomain {
+		state.distance = milliseconds(router.config.Distance(member.FailureDomain))
+	}
+}
+
+// Report implements Policy.
+func (router *Router) Report(now time.Time, upstream string, load Load) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if slot, ok := router.ring.Slot(upstream); ok {
+		router.upstreams[slot].report(now.UnixNano(), &load)
+	}
+}
+
+// Ended implements Policy.
+func (router *Router) Ended(upstream string) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if slot, ok := router.ring.Slot(upstream); ok && router.upstreams[slot].inFlight > 0 {
+		router.upstreams[slot].inFlight--
+	}
+}
+
+// Choose implements Policy.
+func (router *Router) Choose(now time.Time, request Request) (Decision, bool) {
+	router.mutex.Lock()
+	defer router.mutex.Unlock()
+	if request.Only != "" {
+		return router.assign(now, &request)
+	}
+	search := router.search(now, &request)
+	search.walk()
+	if search.count == 0 {
+		search.scan()
+	}
+	if search.count == 0 && len(request.Avoid) > 0 {
+		search.lastResort = true
+		search.walk()
+	}
+	if search.count == 0 && search.lastResort {
+		search.scan()
+	}
+	if search.count == 0 {
+		return Decision{}, false
+	}
+	return router.decide(&search), true
+}
+
+// assign returns the one upstream that the request allows.
+func (router *Router) assign(now time.Time, request *Request) (Decision, bool) {
+	slot, ok := router.ring.Slot(request.Only)
+	if !ok || !router.usable(now, slot, request) {
+		return Decision{}, false
+	}
+	state := &router.upstreams[slot]
+	decision := Decision{Upstream: request.Only, Reason: Assigned, Incarnation: state.incarnation}
+	score, loaded := state.score(now.UnixNano(), &router.config, request)
+	decision.alternatives[0], decision.count = Alternative{request.Only, score, loaded}, 1
+	state.send(now.UnixNano(), request)
+	return decision, true
+}
+
+func (router *Router) usable(now time.Time, slot uint32, request *Request) bool {
+	return router.upstreams[slot].usable(now.UnixNano(), request.Half) && router.config.Health.Usable(router.ring.ID(slot), now)
+}
+
+// replicas returns how many upstreams should serve the request's adapter.
+func (router *Router) replicas(now time.Time, request *Request) int {
+	if request.Adapter == 0 {
+		return MaxCandidates
+	}
+	rate := router.popularity.Touch(now, request.Adapter) * router.instances
+	return place.Replicas(rate, router.config.ReplicaRate, MaxCandidates)
+}
+
+// decide scores the candidates and chooses one of them.
+func (router *Router) decide(search *search) Decision {
+	decision := Decision{count: search.count}
+	best := 0
+	for index, slot := range search.slots[:search.count] {
+		decision.alternatives[index] = router.rate(search, index, slot)
+		if decision.alternatives[index].Score < decision.alternatives[best].Score {
+			best = index
+		}
+	}
+	chosen, several := router.choose(search, &decision, best)
+	slot := search.slots[chosen]
+	decision.Upstream = decision.alternatives[chosen].Upstream
+	decision.Incarnation = router.upstreams[slot].incarnation
+	switch {
+	case search.lastResort:
+		decision.Reason = LastResort
+	case search.homeless:
+		decision.Reason = RingSearch
+	case several:
+		decision.Reason = TwoChoices
+	}
+	router.upstreams[slot].send(search.now.UnixNano(), &search.request)
+	if prefix := search.request.Prefix; prefix != 0 {
+		router.prefixes[prefix%prefixes] = prefixMark{prefix, slot}
+	}
+	return decision
+}
+
+// rate returns a candidate with its score.
+func (router *Router) rate(search *search, index int, slot uint32) Alternative {
+	request := &search.request
+	score, loaded := router.upstreams[slot].score(search.now.UnixNano(), &router.config, request)
+	if index >= search.replicas {
+		score += router.config.Weights.Overflow
+	}
+	mark := router.prefixes[request.Prefix%prefixes]
+	if request.Prefix != 0 && mark.prefix == request.Prefix && mark.slot == slot {
+		score -= router.config.Weights.Prefix
+	}
+	return Alternative{Upstream: router.ring.ID(slot), Score: score, Loaded: loaded}
+}
+
+// choose takes two candidates at random among those whose scores equal the
+// best, and of these the one with less in flight.
+func (router *Router) choose(search *search, decision *Decision, best int) (int, bool) {
+	var equals [MaxCandidates]int
+	count := 0
+	limit := decision.alternatives[best].Score + router.config.Weights.Equal
+	for index := range search.count {
+		if decision.alternatives[index].Score <= limit {
+			equals[count] = index
+			count++
+		}
+	}
+	if count == 1 {
+		return best, false
+	}
+	first := router.random.IntN(count)
+	second := (first + 1 + router.random.IntN(count-1)) % count
+	one, other := equals[first], equals[second]
+	if router.upstreams[search.slots[other]].inFlight < router.upstreams[search.slots[one]].inFlight {
+		return other, true
+	}
+	return one, true
+}
+
+// search collects the usable candidates of a request.
+type search struct {
+	router   *Router
+	now      time.Time
+	request  Request
+	start    uint64
+	replicas int
+	want     int
+	// homeless says that the first upstream on the ring is not usable.
+	homeless   bool
+	lastResort bool
+	slots      [MaxCandidates]uint32
+	count      int
+}
+
+func (router *Router) search(now time.Time, request *Request) search {
+	start := request.Adapter
+	if start == 0 {
+		start = router.random.Uint64()
+	}
+	replicas := router.replicas(now, request)
+	return search{
+		router: router, now: now, request: *request, start: start,
+		replicas: replicas, want: min(replicas+1, MaxCandidates),
+	}
+}
+
+// walk takes the first usable upstreams on the ring.
+func (search *search) walk() {
+	ring := search.router.ring
+	cursor := ring.Seek(search.start)
+	first := true
+	for range searchPoints {
+		slot, ok := cursor.Next()
+		if !ok || search.count == search.want {
+			return
+		}
+		if !search.router.upstreams[slot].half.Shares(search.request.Half) {
+			continue
+		}
+		took := search.take(slot)
+		if first {
+			first, search.homeless = false, !took
+		}
+	}
+}
+
+// scan looks at all upstreams, from a random one on.
+func (search *search) scan() {
+	ring := search.router.ring
+	slots := uint32(ring.Slots())
+	if slots == 0 {
+		return
+	}
+	offset := uint32(search.router.random.IntN(int(slots)))
+	for index := range slots {
+		slot := (index + offset) % slots
+		if ring.Live(slot) && search.take(slot) && search.count == search.want {
+			return
+		}
+	}
+}
+
+// take adds a usable upstream to the candidates.
+func (search *search) take(slot uint32) bool {
+	if slices.Contains(search.slots[:search.count], slot) {
+		return true
+	}
+	avoided := !search.lastResort && slices.Contains(search.request.Avoid, search.router.ring.ID(slot))
+	if avoided || !search.router.usable(search.now, slot, &search.request) {
+		return false
+	}
+	search.slots[search.count] = slot
+	search.count++
+	return true
+}
--- /dev/null
+++ b/internal/flow/route/router_test.go
@@ -0,0 +1,307 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/place"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type ejected map[string]bool
+
+func (ejected ejected) Usable(upstream string, _ time.Time) bool { return !ejected[upstream] }
+
+func newRouter(t testing.TB, config Config, members []Member) *Router {
+	t.Helper()
+	config.Start = now
+	router, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	router.SetMembers(members, 1)
+	return router
+}
+
+func threeMembers() []Member {
+	return []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+}
+
+// homes returns the ring's order of a, b and c for an adapter.
+func homes(router *Router, adapter uint64) []string {
+	var ids []string
+	for _, slot := range router.ring.Candidates(adapter, 3, nil) {
+		ids = append(ids, router.ring.ID(slot))
+	}
+	return ids
+}
+
+// setup is what a test case may change before the choice.
+type setup struct {
+	router  *Router
+	order   []string
+	members []Member
+	ejected ejected
+	request *Request
+}
+
+// change edits the member at a place of the adapter's ring.
+func (setup *setup) change(place int, edit func(*Member)) {
+	for index := range setup.members {
+		if setup.members[index].ID == setup.order[place] {
+			edit(&setup.members[index])
+		}
+	}
+	setup.router.SetMembers(setup.members, 1)
+}
+
+func (setup *setup) leave(place int) {
+	setup.change(place, func(member *Member) { member.Leaving = true })
+}
+
+func (setup *setup) halve(place int) {
+	setup.change(place, func(member *Member) { member.Half = "south" })
+}
+
+// TestChoose guards against choices that ignore load, loaded adapters, distance
+// or exclusions. Upstreams are named by their place on the adapter's ring.
+func TestChoose(t *testing.T) {
+	adapter := place.AdapterHash("oak", 1)
+	tests := []struct {
+		name    string
+		weights Weights
+		setup   func(*setup)
+		want    int
+		reason  Reason
+		none    bool
+	}{
+		{name: "home", want: 0, reason: LowestScore},
+		{name: "loaded at the next", setup: func(setup *setup) {
+			setup.router.Report(now, setup.order[1], Load{Loaded: []uint64{adapter}})
+		}, want: 1},
+		{name: "queue at home", setup: func(setup *setup) {
+			setup.router.Report(now, setup.order[0], Load{ExpectedWait: time.Second})
+		}, want: 1},
+		{name: "queue at home worked off", setup: func(setup *setup) {
+			setup.router.Report(now.Add(-time.Second), setup.order[0], Load{ExpectedWait: time.Second})
+		}, want: 0},
+		{name: "gourd waits for the loaded adapter", weights: Gourd(), setup: func(setup *setup) {
+			setup.router.Report(now, setup.order[0], Load{ExpectedWait: 400 * time.Millisecond, Loaded: []uint64{adapter}})
+		}, want: 0},
+		{name: "bonsai does not", weights: Bonsai(), setup: func(setup *setup) {
+			setup.router.Report(now, setup.order[0], Load{ExpectedWait: 400 * time.Millisecond, Loaded: []uint64{adapter}})
+		}, want: 1},
+		{name: "ejected", setup: func(setup *setup) { setup.ejected[setup.order[0]] = true }, want: 1, reason: RingSearch},
+		{name: "draining", setup: func(setup *setup) { setup.router.Report(now, setup.order[0], Load{Draining: true}) }, want: 1, reason: RingSearch},
+		{name: "draining long ago", setup: func(setup *setup) {
+			setup.router.Report(now.Add(-time.Minute), setup.order[0], Load{Draining: true})
+		}, want: 0},
+		{name: "leaving", setup: func(setup *setup) { setup.leave(0) }, want: 1, reason: RingSearch},
+		{name: "other half", setup: func(setup *setup) {
+			setup.request.Half = "north"
+			setup.halve(0)
+			setup.halve(1)
+		}, want: 2, reason: LowestScore},
+		{name: "tried", setup: func(setup *setup) { setup.request.Avoid = setup.order[:1] }, want: 1, reason: RingSearch},
+		{name: "all tried", setup: func(setup *setup) { setup.request.Avoid = setup.order }, want: 0, reason: LastResort},
+		{name: "only", setup: func(setup *setup) { setup.request.Only = setup.order[2] }, want: 2, reason: Assigned},
+		{name: "only, but ejected", setup: func(setup *setup) {
+			setup.request.Only = setup.order[2]
+			setup.ejected[setup.order[2]] = true
+		}, none: true},
+		{name: "all ejected", setup: func(setup *setup) {
+			for _, id := range setup.order {
+				setup.ejected[id] = true
+			}
+		}, none: true},
+		{name: "own sends count", weights: Weights{Load: 1, Send: 200, Overflow: 100}, setup: func(setup *setup) {
+			_, _ = setup.router.Choose(now, Request{Only: setup.order[0], Adapter: 5})
+		}, want: 1},
+		{name: "distance", weights: Weights{Distance: 1000}, setup: func(setup *setup) {
+			setup.change(0, func(member *Member) { member.FailureDomain = "far" })
+		}, want: 1},
+		{name: "prefix", weights: Weights{Prefix: 1000, Overflow: 10}, setup: func(setup *setup) {
+			setup.request.Prefix = 99
+			setup.router.SetMembers(setup.members, 1000)
+			_, _ = setup.router.Choose(now, Request{Adapter: adapter, Prefix: 99, Avoid: setup.order[:1]})
+		}, want: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			out := ejected{}
+			members := threeMembers()
+			router := newRouter(t, Config{Weights: test.weights, Health: out}, members)
+			request := Request{Adapter: adapter}
+			order := homes(router, adapter)
+			if test.setup != nil {
+				test.setup(&setup{router, order, members, out, &request})
+			}
+			decision, ok := router.Choose(now, request)
+			if ok == test.none {
+				t.Fatalf("choice %+v, %t", decision, ok)
+			}
+			if test.none {
+				return
+			}
+			if diff := cmp.Diff([]string{order[test.want], test.reason.String()}, []string{decision.Upstream, decision.Reason.String()}); diff != "" {
+				t.Errorf("choice (-want +got):\n%s%+v", diff, decision.Alternatives())
+			}
+		})
+	}
+}
+
+// TestReplicas guards against popular adapters that stay at one upstream, and
+// against idle ones that spread.
+func TestReplicas(t *testing.T) {
+	tests := []struct {
+		name      string
+		requests  int
+		instances int
+		want      int
+	}{
+		{"idle", 1, 1, 1},
+		{"popular", 2000, 1, 4},
+		{"popular at many instances", 10, 300, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			members := make([]Member, 20)
+			for index := range members {
+				members[index].ID = fmt.Sprint(index)
+			}
+			router := newRouter(t, Config{Weights: Weights{Load: 1, Send: 10, Overflow: 1e9}}, members)
+			router.SetMembers(members, test.instances)
+			used := map[string]bool{}
+			for range test.requests {
+				decision, _ := router.Choose(now, Request{Adapter: 77})
+				used[decision.Upstream] = true
+			}
+			if diff := cmp.Diff(test.want, len(used)); diff != "" {
+				t.Errorf("upstreams used (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestTwoChoices guards against herds: equal candidates share the work, and a
+// seed repeats its choices.
+func TestTwoChoices(t *testing.T) {
+	var runs [2]map[string]int
+	for index := range runs {
+		router := newRouter(t, Config{Weights: Weights{Wait: 1}, Seed: 7}, threeMembers())
+		runs[index] = map[string]int{}
+		for range 300 {
+			decision, _ := router.Choose(now, Request{})
+			runs[index][decision.Upstream]++
+		}
+	}
+	if diff := cmp.Diff(runs[0], runs[1]); diff != "" {
+		t.Errorf("same seed (-first +second):\n%s", diff)
+	}
+	for upstream, count := range runs[0] {
+		if count < 95 || count > 105 {
+			t.Errorf("%s got %d of 300", upstream, count)
+		}
+	}
+}
+
+// TestReplacement guards against knowledge of an old upstream that passes to
+// another one in its slot.
+func TestReplacement(t *testing.T) {
+	router := newRouter(t, Config{}, nil)
+	for round := range 500 {
+		id := fmt.Sprintf("upstream-%d", round)
+		router.SetMembers([]Member{{ID: id}}, 1)
+		decision, ok := router.Choose(now, Request{Adapter: uint64(round)<<48 + 1})
+		if !ok || decision.Upstream != id || decision.Incarnation != 0 {
+			t.Fatalf("round %d: %+v, %t", round, decision, ok)
+		}
+		router.Report(now, id, Load{Incarnation: 3, ExpectedWait: time.Hour})
+	}
+	if len(router.upstreams) > 200 {
+		t.Errorf("%d slots for 1 upstream", len(router.upstreams))
+	}
+}
+
+// TestRoundRobin guards against a baseline that uses excluded upstreams.
+func TestRoundRobin(t *testing.T) {
+	out := ejected{"b": true}
+	policy := NewRoundRobin(out)
+	policy.SetMembers([]Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d", Leaving: true}, {ID: "e", Half: "south"}}, 1)
+	var got []string
+	for range 4 {
+		decision, _ := policy.Choose(now, Request{Half: "north", Avoid: nil})
+		got = append(got, decision.Upstream)
+	}
+	if diff := cmp.Diff([]string{"a", "c", "a", "c"}, got); diff != "" {
+		t.Errorf("choices (-want +got):\n%s", diff)
+	}
+}
+
+// fleet returns a Router of the size expected in two years, with reports.
+func fleet(b testing.TB) *Router {
+	members := make([]Member, 7200)
+	for index := range members {
+		members[index] = Member{ID: fmt.Sprintf("upstream-%d", index), FailureDomain: fmt.Sprint(index % 23)}
+		if index%2 == 0 {
+			members[index].Half = model.Half([]string{"north", "south"}[index/2%2])
+		}
+	}
+	router := newRouter(b, Config{FailureDomain: "3", Adapters: 170_000, Upstreams: 7200}, members)
+	router.SetMembers(members, 420)
+	random := rand.New(rand.NewPCG(1, 0))
+	for index := range members {
+		loaded := make([]uint64, 32)
+		for slot := range loaded {
+			loaded[slot] = random.Uint64()
+		}
+		router.Report(now, members[index].ID, Load{Incarnation: 1, ExpectedWait: time.Duration(random.IntN(1e8)), Loaded: loaded})
+	}
+	return router
+}
+
+// TestChooseAllocations guards against garbage on the hot path.
+func TestChooseAllocations(t *testing.T) {
+	router := fleet(t)
+	adapter := uint64(0)
+	got := testing.AllocsPerRun(1000, func() {
+		adapter += 0x9e3779b97f4a7c15
+		_, _ = router.Choose(now, Request{Adapter: adapter, Prefix: adapter, Half: "north", Tokens: 100})
+	})
+	if got != 0 {
+		t.Errorf("%v allocations, want 0", got)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	router := fleet(b)
+	random := rand.New(rand.NewPCG(2, 0))
+	adapters := make([]uint64, 170_000)
+	for index := range adapters {
+		adapters[index] = random.Uint64()
+	}
+	b.ReportAllocs()
+	at := now
+	for b.Loop() {
+		at = at.Add(100 * time.Microsecond)
+		adapter := adapters[random.IntN(len(adapters))]
+		_, _ = router.Choose(at, Request{Adapter: adapter, Prefix: adapter, Half: "north", Tokens: 100})
+	}
+}
+
+func BenchmarkSetMembers(b *testing.B) {
+	router := fleet(b)
+	members := make([]Member, 7200)
+	for index := range members {
+		members[index] = Member{ID: fmt.Sprintf("upstream-%d", index), FailureDomain: "3"}
+	}
+	for b.Loop() {
+		router.SetMembers(members, 420)
+	}
+}
