Merge placement and routing, and use them in the entry instances

Cause: entry instances took upstreams in rotation, so that each engine saw all adapters. Change: consistent-hash placement and score-based routing by profile.

--- a/internal/daemon/entry/fleet.go
+++ b/internal/daemon/entry/fleet.go
@@ -88,7 +88,7 @@
 	fleet.mutex.Unlock()
 	for _, service := range services {
 		members := fleet.members(service)
-		service.policy.SetMembers(members)
+		service.policy.SetMembers(members, fleet.config.Roster.Entries())
 		fleet.note(service, members)
 	}
 }
--- a/internal/daemon/start/entry.go
+++ b/internal/daemon/start/entry.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 
+	"github.com/zeebo/xxh3"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 
@@ -11,6 +14,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/entry"
 	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/link/roster"
 	"jacinthfront.dev/jacinthfront/internal/state/creds"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 )
@@ -49,12 +53,10 @@
 		Roster:        entryRoster{parts},
 		Authenticator: authenticator{},
 		Sides:         sides{parts},
-		NewPolicy: func(_ string, _ bool, health route.Health) route.Policy {
-			return route.NewRoundRobin(health)
-		},
-		Logger:   parts.logger,
-		Counters: telem.Map("entry"),
-		Limits:   limits,
+		NewPolicy:     newPolicy(settings, parts),
+		Logger:        parts.logger,
+		Counters:      telem.Map("entry"),
+		Limits:        limits,
 	})
 }
 
@@ -71,6 +73,34 @@
 	return process
 }
 
+// newPolicy returns the policy of each service by the settings.
+func newPolicy(settings setup.Entry, parts *parts) func(string, bool, route.Health) route.Policy {
+	return func(service string, _ bool, health route.Health) route.Policy {
+		if settings.Routing.Policy == "naive" {
+			return route.NewRoundRobin(health)
+		}
+		router, err := route.New(route.Config{
+			Weights:       route.Profiles[settings.Routing.Profile](),
+			FailureDomain: settings.FailureDomain,
+			Health:        health,
+			Seed:          routeSeed(settings) + xxh3.HashString(service),
+		})
+		if err != nil {
+			// The profiles' weights are constants that pass every check.
+			parts.logger.Error("route: weights refused, routing in rotation", zap.Error(err))
+			return route.NewRoundRobin(health)
+		}
+		return router
+	}
+}
+
+func routeSeed(settings setup.Entry) uint64 {
+	if settings.Routing.Seed != 0 {
+		return settings.Routing.Seed
+	}
+	return rand.Uint64()
+}
+
 // entryStatus is the detail of an entry instance's status.
 type entryStatus struct {
 	Ready bool `json:"ready"`
@@ -85,6 +115,17 @@
 	return entry.Instance{Address: instance.Address, Leaving: instance.Leaving}, ok
 }
 
+// Entries returns the number of live entry instances.
+func (list entryRoster) Entries() int {
+	count := 0
+	for _, instance := range list.parts.roster.Instances() {
+		if instance.Role == roster.RoleEntry && !instance.Leaving {
+			count++
+		}
+	}
+	return max(count, 1)
+}
+
 // authenticator implements entry.Authenticator.
 type authenticator struct{}
 
