--- a/internal/flow/quota/doc.go
+++ b/internal/flow/quota/doc.go
@@ -46,7 +46,9 @@
 //     increment, so that a duplicate, a retry after a lost reply or a reordered
 //     return credits nothing twice.
 //   - A settling return before the end of the lifetime is safe, because step 1
-//     asks only that nothing is spent afterwards.
+//     asks only that nothing is spent afterwards. A wallet therefore settles a
+//     grant only when each of its debits is committed or settled: between Take
+//     and dispatch a process may be paused for any time.
 //   - A return after the grant's end is safe by step 3. After the shard's
 //     memory has passed it credits nothing, which only loses tokens.
 //
--- a/internal/flow/quota/history.go
+++ b/internal/flow/quota/history.go
@@ -6,10 +6,9 @@
 	"time"
 )
 
-// historyStep is the resolution of the history. Minima in the same step are
-// merged, which bounds the history to 720 entries and errs on the side of
-// crediting less.
-const historyStep = 500 * time.Millisecond
+// maxMinima bounds a history to 16 KiB. Beyond it, neighbours are merged, which
+// errs on the side of crediting less.
+const maxMinima = 1024
 
 // history remembers the least room of a shard since any instant within its
 // memory. Its entries are the suffix minima: both times and rooms increase.
@@ -22,17 +21,26 @@
 	room nanos
 }
 
-// note records the room at an instant, no earlier than those noted before.
+// note records the room at an instant later than those noted before.
 func (history *history) note(at time.Duration, room nanos) {
 	history.dropFrom(len(history.minima), room)
-	if last := len(history.minima) - 1; last >= 0 && history.minima[last].at/historyStep == at/historyStep {
-		history.minima[last].at = at
-		return
+	if len(history.minima) >= maxMinima {
+		history.merge()
 	}
 	history.minima = append(history.minima, minimum{at: at, room: room})
 }
 
-// least returns the least room noted at or after an instant.
+// merge halves the entries. Of two neighbours it keeps the earlier one's room,
+// which is less, at the later one's instant.
+func (history *history) merge() {
+	merged := history.minima[:0]
+	for index := 0; index+1 < len(history.minima); index += 2 {
+		merged = append(merged, minimum{at: history.minima[index+1].at, room: history.minima[index].room})
+	}
+	history.minima = merged
+}
+
+// least returns the least room noted after an instant.
 func (history *history) least(since time.Duration) nanos {
 	if index := history.index(since); index < len(history.minima) {
 		return history.minima[index].room
@@ -40,7 +48,7 @@
 	return nanos(maxBurst) * perToken
 }
 
-// lower takes tokens off every room noted at or after an instant.
+// lower takes tokens off every room noted after an instant.
 func (history *history) lower(since time.Duration, tokens nanos) {
 	index := history.index(since)
 	if index == len(history.minima) {
@@ -59,8 +67,9 @@
 	}
 }
 
+// index returns the position of the first entry after an instant.
 func (history *history) index(since time.Duration) int {
-	return sort.Search(len(history.minima), func(index int) bool { return history.minima[index].at >= since })
+	return sort.Search(len(history.minima), func(index int) bool { return history.minima[index].at > since })
 }
 
 // dropFrom removes the entries just before end that are not below room.
--- a/internal/flow/quota/shard.go
+++ b/internal/flow/quota/shard.go
@@ -77,6 +77,7 @@
 	first   uint64
 	live    int // no record before this index is outstanding
 	history history
+	noted   time.Duration // of the last entry of history
 }
 
 // record is a grant as the shard remembers it.
@@ -160,7 +161,6 @@
 	shard.outstanding -= nanos(fresh) * perToken
 	shard.level += nanos(fresh) * perToken
 	if settled {
-		record.end = shard.at
 		shard.finish(record)
 	}
 	return fresh
@@ -172,7 +172,7 @@
 	shard.mutex.Lock()
 	defer shard.mutex.Unlock()
 	shard.advance(now)
-	shard.history.note(shard.at, shard.room())
+	shard.note()
 	shard.rate, shard.burst = limits(rate, burst)
 	shard.level = min(shard.level, max(0, shard.burst-shard.outstanding))
 }
@@ -236,9 +236,17 @@
 // finish ends a grant's time as outstanding. The room has a local minimum at
 // this instant, so it is noted.
 func (shard *Shard) finish(record *record) {
-	shard.history.note(shard.at, shard.room())
+	shard.note()
 	shard.outstanding -= nanos(record.tokens-record.returned) * perToken
 	record.open = false
+	record.end = shard.noted
+}
+
+// note remembers the room. Notes differ in time by at least a nanosecond, so
+// that a late return can tell those since the end of its grant.
+func (shard *Shard) note() {
+	shard.noted = max(shard.noted+1, shard.at)
+	shard.history.note(shard.noted, shard.room())
 }
 
 // forget drops ended grants for which no return can be credited any more.
@@ -259,22 +267,26 @@
 
 // retryAfter returns when the level reaches least if nobody else draws.
 func (shard *Shard) retryAfter(least model.Tokens) time.Duration {
-	missing := nanos(least)*perToken - shard.level
 	if shard.rate == 0 {
 		return Memory
 	}
-	wait := time.Duration(max(0, missing)/shard.rate) + 1
-	if shard.at < shard.hold {
-		wait += shard.hold - shard.at
-	}
-	room := shard.room()
+	missing, room := nanos(least)*perToken-shard.level, shard.room()
+	at := max(shard.at, shard.hold)
 	for index := shard.live; room < missing && index < len(shard.records); index++ {
-		if record := shard.records[index]; record.open {
-			room += nanos(record.tokens-record.returned) * perToken
-			wait = max(wait, record.end-shard.at)
+		record := shard.records[index]
+		if !record.open {
+			continue
+		}
+		if elapsed := nanos(record.end - at); elapsed > 0 {
+			gain := room
+			if elapsed <= room/shard.rate {
+				gain = elapsed * shard.rate
+			}
+			missing, room, at = missing-gain, room-gain, record.end
 		}
+		room += nanos(record.tokens-record.returned) * perToken
 	}
-	return wait
+	return at - shard.at + time.Duration((max(0, missing)+shard.rate-1)/shard.rate) + 1
 }
 
 func (shard *Shard) room() nanos { return shard.burst - shard.level - shard.outstanding }
