Let interactive work pass patient work that waits for tokens

Cause: a patient request that waited for its organisation's tokens kept interactive requests of the same organisation waiting, a silent engine kept requests in the queue, and a wait-exceeded refusal could come 40 ms late when tokens were being taken at that moment.

--- a/internal/daemon/side/claims.go
+++ b/internal/daemon/side/claims.go
@@ -71,8 +71,9 @@
 
 // claim decides whether a request with an idempotency key may run. It returns
 // the stored outcome of an earlier run, or why the request does not run; with
-// neither, the key is claimed for this run.
-func (claimer *claimer) claim(ctx context.Context, ticket *ticket) (*once.Outcome, *fault.Fault) {
+// neither, the key is claimed for this run. Requests that admit refuses are not
+// claimed.
+func (claimer *claimer) claim(ctx context.Context, ticket *ticket, admit func() *fault.Fault) (*once.Outcome, *fault.Fault) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	partition := claimer.partition(ticket.request.GetIdempotencyKeyHash())
@@ -98,6 +99,9 @@
 			return judge(ticket, holder)
 		}
 	}
+	if refusal := admit(); refusal != nil {
+		return nil, refusal
+	}
 	return claimer.append(ctx, partition, ticket)
 }
 
--- a/internal/daemon/side/flights.go
+++ b/internal/daemon/side/flights.go
@@ -73,7 +73,7 @@
 		return server.follows(ctx, ticket, answer, flight)
 	}
 	defer server.land(ticket, flight)
-	stored, refusal := server.claims.claim(ctx, ticket)
+	stored, refusal := server.claims.claim(ctx, ticket, func() *fault.Fault { return server.tryAdmit(ticket) })
 	switch {
 	case refusal != nil:
 		flight.reason = refusal
@@ -92,6 +92,13 @@
 	return err
 }
 
+// tryAdmit refuses a request on arrival before it costs the log a record.
+func (server *Server) tryAdmit(ticket *ticket) *fault.Fault {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return server.admit(ticket)
+}
+
 func outcomeUnknown() *fault.Fault {
 	return fault.New(fault.OutcomeUnknown, fault.Unknown, "the request was run before and its outcome is not known; query it by its id")
 }
--- a/internal/daemon/side/gate.go
+++ b/internal/daemon/side/gate.go
@@ -1,6 +1,8 @@
 package side
 
 import (
+	"time"
+
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 )
@@ -22,7 +24,13 @@
 	if refusal := gateAdapter(config, ticket); refusal != nil {
 		return refusal
 	}
-	return server.gateUpstream(config, ticket)
+	if refusal := server.gateUpstream(config, ticket); refusal != nil {
+		return refusal
+	}
+	if !ticket.plain && time.Since(server.engine.answered) > silence {
+		return fault.New(fault.UpstreamFailed, fault.NotRun, "the engine does not answer; send the request to another upstream")
+	}
+	return nil
 }
 
 // gateKey checks that the key is valid and belongs to the organisation.
--- a/internal/daemon/side/pump.go
+++ b/internal/daemon/side/pump.go
@@ -14,6 +14,8 @@
 	// generation counts the epochs seen; pins and loads of earlier ones are void.
 	generation uint64
 	known      bool
+	// answered is when the engine last reported its state.
+	answered time.Time
 }
 
 // tick runs the pump at the time for which it was scheduled.
@@ -117,8 +119,7 @@
 	byRef := map[slots.Ref]*demand{}
 	server.queue.All(func(entry *queue.Entry[*ticket]) bool {
 		ticket := entry.Value
-		gathering := server.gathering[ticket.organisation]
-		if ticket.plain || gathering != ticket && server.queue.Starved(ticket.organisation) {
+		if ticket.plain || server.starved(ticket) {
 			return true
 		}
 		known, ok := byRef[ticket.ref]
@@ -139,6 +140,13 @@
 	return byRef
 }
 
+// starved reports whether a waiting request lacks tokens, so that its adapter
+// is not needed yet. That of the request next in turn is loaded meanwhile.
+func (server *Server) starved(ticket *ticket) bool {
+	gathering := server.gathering[ticket.organisation]
+	return server.queue.Starved(ticket.organisation) && ticket.debit == nil && (gathering == nil || gathering.ticket != ticket)
+}
+
 // schedule sets the timer for the next moment at which the pump may do more
 // although nothing happened.
 func (server *Server) schedule(now time.Time, demands []slots.Demand) {
--- a/internal/daemon/side/run.go
+++ b/internal/daemon/side/run.go
@@ -28,6 +28,9 @@
 
 // arrive checks a request on arrival and records its attempt.
 func (server *Server) arrive(ctx context.Context, request *wirepb.RunRequest) (*ticket, *fault.Fault) {
+	if request.GetRequestId() == "" || min(request.GetPromptTokens(), request.GetMaxTokens(), request.GetResumeFrom()) < 0 {
+		return nil, fault.New(fault.BadRequest, fault.NotRun, "the request has no id or a negative count of tokens; correct it")
+	}
 	if refusal := server.freshen(ctx, request); refusal != nil {
 		return nil, refusal
 	}
@@ -134,6 +137,18 @@
 func (server *Server) enqueue(ticket *ticket) *fault.Fault {
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	if refusal := server.admit(ticket); refusal != nil {
+		return refusal
+	}
+	server.count("admitted")
+	server.queue.Push(ticket.entry)
+	server.overtake(ticket)
+	server.pump()
+	return nil
+}
+
+// admit returns why a ticket is refused on arrival, or nil.
+func (server *Server) admit(ticket *ticket) *fault.Fault {
 	now := time.Now()
 	if refusal := server.gate(ticket); refusal != nil {
 		return refusal
@@ -141,13 +156,7 @@
 	if after, failed := server.table.Refuses(now, ticket.ref); failed && !ticket.plain {
 		return loadFailed(ticket).WithRetryAfter(after)
 	}
-	if refusal := server.queue.Admit(now, ticket.entry, server.share(ticket.organisation)); refusal != nil {
-		return refusal
-	}
-	server.count("admitted")
-	server.queue.Push(ticket.entry)
-	server.pump()
-	return nil
+	return server.queue.Admit(now, ticket.entry, server.share(ticket.organisation))
 }
 
 // share returns what the organisation's requests may use.
@@ -163,31 +172,38 @@
 // await waits until the ticket is dispatched. Its longest wait and the end of
 // its caller take it out of the queue at once.
 func (server *Server) await(ctx context.Context, ticket *ticket) *fault.Fault {
-	var expired <-chan time.Time
+	waiting, cancel := ctx, context.CancelFunc(func() {})
 	if ticket.longest > 0 {
-		timer := time.NewTimer(time.Until(ticket.arrived.Add(ticket.longest)))
-		defer timer.Stop()
-		expired = timer.C
+		waiting, cancel = context.WithDeadline(ctx, ticket.arrived.Add(ticket.longest))
 	}
+	defer cancel()
 	for {
 		select {
 		case refusal := <-ticket.verdict:
 			if refusal != nil {
 				return refusal
 			}
-			if sent, refusal := server.dispatch(ctx, ticket); sent || refusal != nil {
-				return refusal
-			}
-		case <-expired:
-			return server.withdraw(ticket, fault.New(fault.WaitExceeded, fault.NotRun,
-				"the request waited for its longest wait of %v; come back after the time in retry-after", ticket.longest).
-				WithRetryAfter(time.Second))
-		case <-ctx.Done():
-			return server.withdraw(ticket, cancelled())
+		case <-waiting.Done():
+		}
+		if waiting.Err() != nil {
+			return server.withdraw(ticket, waitFault(ctx, ticket))
+		}
+		if sent, refusal := server.dispatch(waiting, ticket); sent || refusal != nil {
+			return refusal
 		}
 	}
 }
 
+// waitFault tells why a ticket waits no longer.
+func waitFault(ctx context.Context, ticket *ticket) *fault.Fault {
+	if ctx.Err() != nil {
+		return cancelled()
+	}
+	return fault.New(fault.WaitExceeded, fault.NotRun,
+		"the request waited for its longest wait of %v; come back after the time in retry-after", ticket.longest).
+		WithRetryAfter(time.Second)
+}
+
 // withdraw takes a ticket that was not dispatched out of the queue or out of
 // its place at the upstream.
 func (server *Server) withdraw(ticket *ticket, reason *fault.Fault) *fault.Fault {
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -75,8 +75,13 @@
 	// statePoll is how often the engine is asked for its state. An engine that
 	// restarted cold is noticed within that time.
 	statePoll = 250 * time.Millisecond
+	// stateTimeout bounds one question for it.
+	stateTimeout = 500 * time.Millisecond
 	// reportLag is how far an engine's report may lag behind.
 	reportLag = time.Second
+	// silence is how long the engine may fail to report its state before
+	// requests go to other upstreams.
+	silence = time.Second
 	// loadTimeout bounds one order to the engine.
 	loadTimeout = 30 * time.Second
 )
@@ -138,20 +143,23 @@
 	// are not debited yet.
 	taking map[string]int
 	// gathering holds the request of each organisation that waits for tokens.
-	gathering map[string]*ticket
+	gathering map[string]*gathering
 	live      int
 	draining  bool
 	empty     chan struct{}
 	timer     *time.Timer
 	fence     uint64
+	// wake asks for the engine's state at once.
+	wake chan struct{}
 	// background is the context of loads; it ends when Serve does.
 	background context.Context
 	stop       context.CancelFunc
 	loads      sync.WaitGroup
 }
 
-// New returns a Server. Serve must run for it to load adapters and to follow
-// the configuration.
+// New returns a Server. Serve must run for it to start waiting requests, to load
+// adapters and to follow the configuration. To stop, call Drain before Serve's
+// context ends.
 func New(config Config) (*Server, error) {
 	config = config.withDefaults()
 	if err := config.check(); err != nil {
@@ -168,12 +176,14 @@
 		flights:    map[flightKey]*flight{},
 		running:    map[*ticket]bool{},
 		taking:     map[string]int{},
-		gathering:  map[string]*ticket{},
+		gathering:  map[string]*gathering{},
 		empty:      make(chan struct{}, 1),
+		wake:       make(chan struct{}, 1),
 		fence:      config.Incarnation,
 		background: background,
 		stop:       stop,
 	}
+	server.engine.answered = time.Now()
 	server.timer = time.AfterFunc(time.Hour, server.tick)
 	return server, nil
 }
--- a/internal/daemon/side/ticket.go
+++ b/internal/daemon/side/ticket.go
@@ -60,6 +60,7 @@
 		longest:      shorter(time.Duration(request.GetWaitBudgetUs())*time.Microsecond, route.LongestWait),
 		verdict:      make(chan *fault.Fault, 1),
 	}
+	ticket.longest = shorter(ticket.longest, time.Duration(request.GetTimeBudgetUs())*time.Microsecond)
 	if request.GetKeyId() == "" {
 		// Work without a key is charged to nobody, whatever the request says.
 		ticket.organisation = ""
@@ -68,7 +69,7 @@
 	if ticket.maxTokens <= 0 {
 		ticket.maxTokens = route.DefaultMaxTokens
 	}
-	ticket.cost = model.Tokens(max(request.GetPromptTokens(), 0)) + ticket.maxTokens
+	ticket.cost = model.Tokens(request.GetPromptTokens()) + ticket.maxTokens
 	if ticket.plain {
 		ticket.cost = route.Cost
 	}
--- a/internal/daemon/side/tokens.go
+++ b/internal/daemon/side/tokens.go
@@ -26,30 +26,40 @@
 	return debit, nil
 }
 
+// gathering is the wait of one request for its organisation's tokens.
+type gathering struct {
+	ticket *ticket
+	cancel context.CancelFunc
+}
+
 // starve makes a committed ticket wait in the queue until its tokens are there.
 func (server *Server) starve(ctx context.Context, ticket *ticket) {
 	server.wait(ticket)
-	if ctx.Err() != nil || server.gathering[ticket.organisation] != nil {
+	if ctx.Err() != nil {
 		return
 	}
-	server.count("token-waits")
-	until := server.deadline(ticket)
-	if ticket.longest > 0 {
-		until = ticket.arrived.Add(ticket.longest)
+	until, ok := ctx.Deadline()
+	if !ok {
+		until = server.deadline(ticket)
 	}
 	server.queue.Block(ticket.organisation, until)
-	server.gathering[ticket.organisation] = ticket
-	go server.gather(ctx, ticket, until)
+	if server.gathering[ticket.organisation] != nil {
+		return
+	}
+	server.count("token-waits")
+	ctx, cancel := context.WithDeadline(ctx, until)
+	server.gathering[ticket.organisation] = &gathering{ticket: ticket, cancel: cancel}
+	go server.gather(ctx, ticket)
 }
 
 // gather waits for the tokens of one ticket in the queue on behalf of its
 // organisation, whose other requests wait behind it.
-func (server *Server) gather(ctx context.Context, ticket *ticket, until time.Time) {
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
+func (server *Server) gather(ctx context.Context, ticket *ticket) {
 	debit, err := server.config.Limiter.Take(ctx, ticket.organisation, ticket.cost)
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	ended := ctx.Err()
+	server.gathering[ticket.organisation].cancel()
 	delete(server.gathering, ticket.organisation)
 	// The organisation may be tried again now, one request at a time.
 	server.queue.Block(ticket.organisation, time.Now())
@@ -58,8 +68,18 @@
 		ticket.debit = debit
 	case err == nil:
 		debit.Settle(0)
-	case ctx.Err() == nil:
+	case ended == nil:
 		server.refuse(ticket, fault.Wrap(err, fault.NotRun).WithRan(fault.NotRun))
 	}
 	server.pump()
 }
+
+// overtake ends the wait for tokens of a patient request when an interactive
+// one of the same organisation arrives, which goes first.
+func (server *Server) overtake(ticket *ticket) {
+	gathering := server.gathering[ticket.organisation]
+	now := time.Now()
+	if gathering != nil && ticket.entry.Urgent(now) && !gathering.ticket.entry.Urgent(now) {
+		gathering.cancel()
+	}
+}
--- a/internal/daemon/side/watch.go
+++ b/internal/daemon/side/watch.go
@@ -27,8 +27,8 @@
 	defer server.halt()
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { server.every(ctx, server.poll) })
-	group.Go(func() { server.every(ctx, server.claims.flush) })
+	group.Go(func() { every(ctx, server.wake, server.poll) })
+	group.Go(func() { every(ctx, nil, server.claims.flush) })
 	ticker := time.NewTicker(statePoll)
 	defer ticker.Stop()
 	for {
@@ -51,8 +51,8 @@
 	server.timer.Stop()
 }
 
-// every calls work at once and then periodically until ctx ends.
-func (server *Server) every(ctx context.Context, work func(context.Context)) {
+// every calls work at once, periodically and when it is woken until ctx ends.
+func every(ctx context.Context, wake <-chan struct{}, work func(context.Context)) {
 	ticker := time.NewTicker(statePoll)
 	defer ticker.Stop()
 	for {
@@ -60,6 +60,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-wake:
 		case <-ticker.C:
 		}
 	}
@@ -79,7 +80,7 @@
 	if upstream, ok := server.current().Upstream(server.config.Upstream); !ok || upstream.Plain {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, statePoll)
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	asked := time.Now()
 	before := server.worked(asked)
@@ -89,6 +90,7 @@
 	}
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	server.engine.answered = asked
 	if state.Fence > server.fence {
 		// This process holds the listening address, so that the holder of the
 		// newer token has ended.
--- a/internal/flow/once/once_test.go
+++ b/internal/flow/once/once_test.go
@@ -175,6 +175,7 @@
 				claims.Fold(uint64(offset), start.Add(event.age), data)
 			}
 			claims.Fold(claims.Next(), start, []byte{0xff})
+			claims.Fold(0, start, []byte{0xff})
 			got, _ := claims.Winner("oak", hash)
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("holder (-want +got):\n%s", diff)
