--- a/internal/state/model/config.go
+++ b/internal/state/model/config.go
@@ -13,7 +13,7 @@
 	organisations map[string]OrganisationSpec
 	keys          map[string]KeySpec
 	routes        map[string]RouteSpec
-	adapters      map[string]AdapterSpec
+	adapters      adapters
 	upstreams     map[string]UpstreamSpec
 	fleet         FleetSpec
 }
@@ -24,7 +24,7 @@
 		organisations: map[string]OrganisationSpec{},
 		keys:          map[string]KeySpec{},
 		routes:        map[string]RouteSpec{},
-		adapters:      map[string]AdapterSpec{},
+		adapters:      newAdapters(),
 		upstreams:     map[string]UpstreamSpec{},
 	}
 }
@@ -82,14 +82,17 @@
 	return best, found
 }
 
-// Adapter returns an adapter by name.
-func (config *Config) Adapter(name string) (AdapterSpec, bool) {
-	adapter, ok := config.adapters[name]
-	return adapter, ok
+// Adapter returns an adapter by name. The versions must not be changed.
+func (config *Config) Adapter(name string) (AdapterSpec, bool) { return config.adapters.get(name) }
+
+// Adapters returns all adapters by name. AllAdapters does without the copy.
+func (config *Config) Adapters() []AdapterSpec {
+	list := make([]AdapterSpec, 0, config.adapters.count)
+	return slices.AppendSeq(list, config.adapters.all())
 }
 
-// Adapters returns all adapters by name.
-func (config *Config) Adapters() []AdapterSpec { return sorted(config.adapters) }
+// AdapterCount returns the number of adapters.
+func (config *Config) AdapterCount() int { return config.adapters.count }
 
 // Upstream returns an upstream by id.
 func (config *Config) Upstream(id string) (UpstreamSpec, bool) {
@@ -114,9 +117,9 @@
 // copying them.
 func (config *Config) AllRoutes() iter.Seq[RouteSpec] { return maps.Values(config.routes) }
 
-// AllAdapters iterates over all adapters in no particular order, without
+// AllAdapters iterates over all adapters in the order of their names, without
 // copying them.
-func (config *Config) AllAdapters() iter.Seq[AdapterSpec] { return maps.Values(config.adapters) }
+func (config *Config) AllAdapters() iter.Seq[AdapterSpec] { return config.adapters.all() }
 
 // AllUpstreams iterates over all upstreams in no particular order, without
 // copying them.
--- a/internal/state/model/editor.go
+++ b/internal/state/model/editor.go
@@ -6,19 +6,19 @@
 // are first written, so that the base stays unchanged.
 type Editor struct {
 	next   Config
-	copied [5]bool
+	copied [4]bool
+	edit   *edit
 }
 
 const (
 	organisationsCopied = iota
 	keysCopied
 	routesCopied
-	adaptersCopied
 	upstreamsCopied
 )
 
 // Edit starts an Editor on this configuration.
-func (config *Config) Edit() *Editor { return &Editor{next: *config} }
+func (config *Config) Edit() *Editor { return &Editor{next: *config, edit: new(edit)} }
 
 // Current returns the configuration as edited so far. It is valid until the
 // next edit.
@@ -56,12 +56,12 @@
 
 // PutAdapter adds or replaces an adapter.
 func (editor *Editor) PutAdapter(adapter AdapterSpec) {
-	put(editor, adaptersCopied, &editor.next.adapters, adapter.Name, adapter)
+	editor.next.adapters.put(editor.edit, adapter)
 }
 
 // RemoveAdapter removes an adapter.
 func (editor *Editor) RemoveAdapter(name string) {
-	remove(editor, adaptersCopied, &editor.next.adapters, name)
+	editor.next.adapters.remove(editor.edit, name)
 }
 
 // PutUpstream adds or replaces an upstream.
@@ -79,9 +79,11 @@
 
 // Commit returns the edited configuration under a version number.
 func (editor *Editor) Commit(version uint64) *Config {
+	editor.next.adapters.trim(editor.edit)
 	config := editor.next
 	config.version = version
-	editor.copied = [5]bool{}
+	editor.edit = new(edit)
+	editor.copied = [4]bool{}
 	return &config
 }
 
--- a/internal/state/patch/organisation.go
+++ b/internal/state/patch/organisation.go
@@ -62,7 +62,8 @@
 func (op RemoveOrganisation) verify(draft *draft) *Problem {
 	for key := range draft.now().AllKeys() {
 		if key.Organisation == op.Name {
-			return refuse("", "organisation %q still has key %s; withdraw it first", op.Name, key.ID)
+			// No key is named, since the order of keys differs between processes.
+			return refuse("", "organisation %q still has keys; withdraw them first", op.Name)
 		}
 	}
 	for adapter := range draft.now().AllAdapters() {
--- a/internal/state/patch/service.go
+++ b/internal/state/patch/service.go
@@ -158,13 +158,13 @@
 func (draft *draft) checkPlain(service string, plain bool) *Problem {
 	for route := range draft.now().AllRoutes() {
 		if route.Service == service && route.Plain != plain {
-			return refuse("plain", "differs from route %q of the same service %q", route.Name, service)
+			return refuse("plain", "differs from the other routes of service %q", service)
 		}
 	}
 	for upstream := range draft.now().AllUpstreams() {
 		if upstream.Service == service {
 			if upstream.Plain != plain {
-				return refuse("plain", "differs from upstream %q of the same service %q", upstream.ID, service)
+				return refuse("plain", "differs from the upstreams of service %q", service)
 			}
 			// The upstreams of one service agree, since each was checked when it
 			// was put.
--- a/internal/wire/codec/state.go
+++ b/internal/wire/codec/state.go
@@ -39,7 +39,7 @@
 	for _, route := range config.Routes() {
 		encoder.message(stateRoutes, routeToWire(route))
 	}
-	for _, adapter := range config.Adapters() {
+	for adapter := range config.AllAdapters() {
 		encoder.message(stateAdapters, adapterToWire(adapter))
 	}
 	for _, upstream := range config.Upstreams() {
