--- /dev/null
+++ b/internal/daemon/admin/admin.go
@@ -0,0 +1,149 @@
+// Package admin is the operator interface: configuration, keys, status, metrics
+// and probes.
+package admin
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/daemon/syncer"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+)
+
+// Store is the configuration that operators read and change.
+type Store interface {
+	Current() *model.Config
+	Publish(ctx context.Context, record patch.Patch) (syncer.Report, error)
+	Result(id string) patch.Result
+	History() []syncer.Change
+	ConfirmedAge() time.Duration
+	Isolated() bool
+}
+
+// Process is the daemon that serves the interface.
+type Process interface {
+	// Ready reports whether the process takes work.
+	Ready() bool
+	// Status returns the name of the role and the details of its state, which
+	// are written as JSON.
+	Status() (role string, detail any)
+}
+
+// Config configures an Admin.
+type Config struct {
+	Instance string
+	Store    Store
+	Process  Process
+	Logger   *zap.Logger
+}
+
+const (
+	// headerTime and bodyTime bound slow requests.
+	headerTime = 5 * time.Second
+	bodyTime   = 10 * time.Second
+	// stopTime bounds the wait for open requests at the end, which is longer
+	// than a patch takes to be read back.
+	stopTime = 15 * time.Second
+	// maxBody bounds a patch in JSON, which is larger than the same patch on
+	// the log.
+	maxBody = 4 << 20
+)
+
+// Admin serves the operator interface.
+type Admin struct {
+	config  Config
+	handler http.Handler
+}
+
+// New returns an Admin.
+func New(config Config) (*Admin, error) {
+	if config.Store == nil || config.Process == nil {
+		return nil, fault.New(fault.Invalid, fault.NotRun, "the operator interface needs a store and a process; set both")
+	}
+	if config.Logger == nil {
+		config.Logger = zap.NewNop()
+	}
+	admin := &Admin{config: config}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithConfiguration(iris.Configuration{
+		DisableStartupLog:         true,
+		DisableInterruptHandler:   true,
+		DisablePathCorrection:     true,
+		DisableAutoFireStatusCode: true,
+		FireMethodNotAllowed:      true,
+	}))
+	admin.routes(app)
+	if err := app.Build(); err != nil {
+		return nil, fault.New(fault.Internal, fault.NotRun, "the operator interface does not build: %v; report it", err)
+	}
+	admin.handler = app
+	return admin, nil
+}
+
+func (admin *Admin) routes(app *iris.Application) {
+	app.Get("/config", admin.wrap(admin.getConfig))
+	app.Get("/config/history", admin.wrap(admin.getHistory))
+	app.Post("/config/patches", admin.wrap(admin.postPatch))
+	app.Get("/config/patches/{id}", admin.wrap(admin.getPatch))
+	app.Get("/keys", admin.wrap(admin.getKeys))
+	app.Post("/keys", admin.wrap(admin.postKey))
+	app.Delete("/keys/{id}", admin.wrap(admin.deleteKey))
+	app.Get("/status", admin.wrap(admin.getStatus))
+	app.Get("/debug/vars", iris.FromStd(expvar.Handler()))
+	app.Get("/healthz", admin.wrap(admin.getHealth))
+	app.Get("/readyz", admin.wrap(admin.getReady))
+	app.OnAnyErrorCode(admin.wrap(admin.serveNothing))
+}
+
+// Handler returns the interface as an HTTP handler.
+func (admin *Admin) Handler() http.Handler { return admin.handler }
+
+// Serve serves the interface on a listener until the context ends, and then
+// waits for open requests.
+func (admin *Admin) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: admin.handler, ReadHeaderTimeout: headerTime, ReadTimeout: bodyTime}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	err := server.Serve(listener)
+	if !errors.Is(err, http.ErrServerClosed) {
+		stop()
+		return err
+	}
+	<-stopped
+	return nil
+}
+
+func (admin *Admin) wrap(handle func(iris.Context) error) iris.Handler {
+	return func(ctx iris.Context) {
+		err := handle(ctx)
+		if err == nil {
+			return
+		}
+		failure := fault.Wrap(err, fault.Unknown)
+		admin.config.Logger.Warn("admin: refused request",
+			zap.String("method", ctx.Method()), zap.String("path", ctx.Path()),
+			zap.String("kind", string(failure.Kind())), zap.String("ran", string(failure.Ran())))
+		_ = answer(ctx, failure.Status(), errorJSON{Error: faultToJSON(failure)})
+	}
+}
+
+func (admin *Admin) serveNothing(ctx iris.Context) error {
+	return fault.New(fault.UnknownRoute, fault.NotRun,
+		"nothing is served at %s %s; use /config, /config/history, /config/patches, /keys, /status, /debug/vars, /healthz or /readyz",
+		ctx.Method(), ctx.Path())
+}
--- /dev/null
+++ b/internal/daemon/admin/client.go
@@ -0,0 +1,173 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+)
+
+// clientTimeout exceeds the time in which a patch's result is reported.
+const clientTimeout = 20 * time.Second
+
+// Client calls the operator interface of one process.
+type Client struct {
+	// URL is the address of the interface, without a trailing slash.
+	URL string
+	// HTTP sends the requests; nil stands for a client with a timeout.
+	HTTP *http.Client
+}
+
+// Config copies the current configuration as JSON to a writer. An adapter
+// prefix limits the adapters.
+func (client Client) Config(ctx context.Context, adapterPrefix string, writer io.Writer) error {
+	path := "/config"
+	if adapterPrefix != "" {
+		path += "?adapter-prefix=" + url.QueryEscape(adapterPrefix)
+	}
+	response, err := client.send(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return failure(response)
+	}
+	_, err = io.Copy(writer, response.Body)
+	return err
+}
+
+// Publish publishes a patch and returns its result. A patch without an id gets
+// one; give it one to be able to repeat the call.
+func (client Client) Publish(ctx context.Context, record patch.Patch) (Report, error) {
+	data, err := codec.EncodePatchJSON(record)
+	if err != nil {
+		return Report{}, err
+	}
+	var report Report
+	err = client.call(ctx, http.MethodPost, "/config/patches", data, &report,
+		statusOf(patch.Accepted), statusOf(patch.Conflict), statusOf(patch.Invalid), statusOf(patch.Unknown))
+	return report, err
+}
+
+// Result returns what is known of a patch.
+func (client Client) Result(ctx context.Context, id string) (Report, error) {
+	var report Report
+	err := client.call(ctx, http.MethodGet, "/config/patches/"+url.PathEscape(id), nil, &report)
+	return report, err
+}
+
+// History returns the last accepted patches, the oldest first.
+func (client Client) History(ctx context.Context) ([]Change, error) {
+	var changes []Change
+	err := client.call(ctx, http.MethodGet, "/config/history", nil, &changes)
+	return changes, err
+}
+
+// IssueKey issues a key for an organisation.
+func (client Client) IssueKey(ctx context.Context, organisation, operator string) (Issued, error) {
+	data, err := json.Marshal(keyRequest{Organisation: organisation, Operator: operator})
+	if err != nil {
+		return Issued{}, err
+	}
+	var issued Issued
+	err = client.call(ctx, http.MethodPost, "/keys", data, &issued, http.StatusCreated)
+	return issued, err
+}
+
+// WithdrawKey withdraws a key by its id.
+func (client Client) WithdrawKey(ctx context.Context, id, operator string) (Report, error) {
+	var report Report
+	path := "/keys/" + url.PathEscape(id) + "?operator=" + url.QueryEscape(operator)
+	err := client.call(ctx, http.MethodDelete, path, nil, &report)
+	return report, err
+}
+
+// Keys lists the keys of an organisation, or of all when it is empty.
+func (client Client) Keys(ctx context.Context, organisation string) ([]codec.KeyJSON, error) {
+	var keys []codec.KeyJSON
+	err := client.call(ctx, http.MethodGet, "/keys?organisation="+url.QueryEscape(organisation), nil, &keys)
+	return keys, err
+}
+
+// Status returns the state of the process.
+func (client Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := client.call(ctx, http.MethodGet, "/status", nil, &status)
+	return status, err
+}
+
+// call sends a request and decodes the answer when its status is 200 or one of
+// those given.
+func (client Client) call(ctx context.Context, method, path string, body []byte, into any, statuses ...int) error {
+	response, err := client.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	expected := response.StatusCode == http.StatusOK
+	for _, status := range statuses {
+		expected = expected || response.StatusCode == status
+	}
+	if !expected {
+		return failure(response)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if err != nil {
+		return unreadable(err)
+	}
+	if refused := asFault(data); refused != nil {
+		return refused
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return unreadable(err)
+	}
+	return nil
+}
+
+func (client Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, client.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.New(fault.BadRequest, fault.NotRun, "%v; check the address of the operator interface", err)
+	}
+	sender := client.HTTP
+	if sender == nil {
+		sender = &http.Client{Timeout: clientTimeout}
+	}
+	response, err := sender.Do(request)
+	if err != nil {
+		return nil, fault.New(fault.OutcomeUnknown, fault.Unknown,
+			"the operator interface at %s did not answer: %v; check that the process runs, and ask for the patch's result", client.URL, err)
+	}
+	return response, nil
+}
+
+// failure returns the fault that an answer holds.
+func failure(response *http.Response) error {
+	data, _ := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if refused := asFault(data); refused != nil {
+		return refused
+	}
+	return fault.New(fault.Internal, fault.Unknown, "the operator interface answered %s without a reason; check that the address is one", response.Status)
+}
+
+func asFault(data []byte) error {
+	var form errorJSON
+	if err := json.Unmarshal(data, &form); err != nil || form.Error.Kind == "" {
+		return nil //nolint:nilerr // an answer that is no fault is decoded by the caller
+	}
+	return fault.New(form.Error.Kind, form.Error.Ran, "%s", form.Error.Message).
+		WithRetryAfter(time.Duration(form.Error.RetryAfter * float64(time.Second)))
+}
+
+func unreadable(err error) error {
+	return fault.New(fault.OutcomeUnknown, fault.Unknown, "the answer could not be read: %v; ask for the patch's result", fmt.Errorf("decoding: %w", err))
+}
--- /dev/null
+++ b/internal/daemon/admin/forms.go
@@ -0,0 +1,129 @@
+package admin
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/daemon/syncer"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+)
+
+// Report is the result of a patch.
+type Report struct {
+	ID      string     `json:"id"`
+	Result  patch.Kind `json:"result"`
+	Version uint64     `json:"version,omitempty"`
+	Field   string     `json:"field,omitempty"`
+	Reason  string     `json:"reason,omitempty"`
+	Changes []Change   `json:"changes,omitempty"`
+	Advice  string     `json:"advice,omitempty"`
+}
+
+// Change is an accepted patch.
+type Change struct {
+	Version  uint64   `json:"version"`
+	ID       string   `json:"id"`
+	Operator string   `json:"operator,omitempty"`
+	Ops      []string `json:"ops"`
+}
+
+// Status is the state of one process.
+type Status struct {
+	Instance string `json:"instance"`
+	Role     string `json:"role"`
+	Ready    bool   `json:"ready"`
+	Version  uint64 `json:"version"`
+	// ConfirmedAge is empty when the version was never confirmed.
+	ConfirmedAge string `json:"confirmed-age,omitempty"`
+	Isolated     bool   `json:"isolated"`
+	Detail       any    `json:"detail,omitempty"`
+}
+
+// Issued is a new key. The key is shown this once.
+type Issued struct {
+	Key          string `json:"key"`
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Version      uint64 `json:"version"`
+}
+
+// keyRequest asks for a key.
+type keyRequest struct {
+	Organisation string `json:"organisation"`
+	Operator     string `json:"operator,omitempty"`
+}
+
+type errorJSON struct {
+	Error faultJSON `json:"error"`
+}
+
+type faultJSON struct {
+	Kind    fault.Kind `json:"kind"`
+	Message string     `json:"message"`
+	Ran     fault.Ran  `json:"ran"`
+	// RetryAfter is in seconds, as in the header of that name.
+	RetryAfter float64 `json:"retry-after,omitempty"`
+}
+
+func faultToJSON(failure *fault.Fault) faultJSON {
+	return faultJSON{
+		Kind: failure.Kind(), Message: failure.Message(), Ran: failure.Ran(), RetryAfter: failure.RetryAfter().Seconds(),
+	}
+}
+
+func resultToReport(result patch.Result) Report {
+	return Report{ID: result.ID, Result: result.Kind, Version: result.Version, Field: result.Field, Reason: result.Reason}
+}
+
+func reportToJSON(report syncer.Report) Report {
+	form := resultToReport(report.Result)
+	form.Advice = report.Advice
+	form.Changes = changesToJSON(report.Changes)
+	return form
+}
+
+func changesToJSON(changes []syncer.Change) []Change {
+	list := make([]Change, 0, len(changes))
+	for _, change := range changes {
+		list = append(list, Change(change))
+	}
+	return list
+}
+
+// statusOf returns the HTTP status of a patch's result.
+func statusOf(kind patch.Kind) int {
+	switch kind {
+	case patch.Accepted, patch.Duplicate:
+		return iris.StatusOK
+	case patch.Conflict:
+		return fault.Conflict.Status()
+	case patch.Invalid:
+		return fault.Invalid.Status()
+	default:
+		return fault.OutcomeUnknown.Status()
+	}
+}
+
+func ageText(age time.Duration) string {
+	if age == math.MaxInt64 {
+		return ""
+	}
+	return age.Round(time.Millisecond).String()
+}
+
+// answer writes a JSON answer. Answers may hold a key, so none is stored.
+func answer(ctx iris.Context, status int, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	ctx.Header("Cache-Control", "no-store")
+	ctx.ContentType("application/json")
+	ctx.StatusCode(status)
+	_, err = ctx.Write(append(data, '\n'))
+	return err
+}
--- /dev/null
+++ b/internal/daemon/admin/keys.go
@@ -0,0 +1,93 @@
+package admin
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/daemon/syncer"
+	"jacinthfront.dev/jacinthfront/internal/state/creds"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+)
+
+// maxRebases bounds how often a change to a key is repeated after a conflict.
+// Repeating is safe, since issuing and withdrawing a key commute with any
+// change that leaves them valid.
+const maxRebases = 8
+
+func (admin *Admin) getKeys(ctx iris.Context) error {
+	organisation := ctx.URLParam("organisation")
+	list := []codec.KeyJSON{}
+	for _, key := range admin.config.Store.Current().Keys() {
+		if organisation == "" || key.Organisation == organisation {
+			list = append(list, codec.KeyToJSON(key))
+		}
+	}
+	return answer(ctx, iris.StatusOK, list)
+}
+
+func (admin *Admin) postKey(ctx iris.Context) error {
+	data, err := readBody(ctx)
+	if err != nil {
+		return err
+	}
+	var request keyRequest
+	if err := decode(data, &request); err != nil {
+		return err
+	}
+	key, spec := creds.Issue(request.Organisation)
+	report, err := admin.publishOp(ctx.Request().Context(), request.Operator, patch.PutKey{Key: spec})
+	if err != nil {
+		return err
+	}
+	if report.Kind != patch.Accepted {
+		return refusal(report, "issue", spec.ID)
+	}
+	return answer(ctx, iris.StatusCreated, Issued{
+		Key: key, ID: spec.ID, Organisation: spec.Organisation, Version: report.Version,
+	})
+}
+
+func (admin *Admin) deleteKey(ctx iris.Context) error {
+	id := ctx.Params().Get("id")
+	report, err := admin.publishOp(ctx.Request().Context(), ctx.URLParam("operator"), patch.WithdrawKey{ID: id})
+	if err != nil {
+		return err
+	}
+	if report.Kind != patch.Accepted {
+		return refusal(report, "withdraw", id)
+	}
+	return answer(ctx, iris.StatusOK, reportToJSON(report))
+}
+
+// publishOp publishes one operation against the current version, and again
+// when other operators were faster.
+func (admin *Admin) publishOp(ctx context.Context, operator string, op patch.Op) (syncer.Report, error) {
+	for attempt := 1; ; attempt++ {
+		report, err := admin.config.Store.Publish(ctx, patch.Patch{
+			ID:       uuid.NewString(),
+			Base:     admin.config.Store.Current().Version(),
+			Operator: operator,
+			Ops:      []patch.Op{op},
+		})
+		if err != nil || report.Kind != patch.Conflict || attempt == maxRebases {
+			return report, err
+		}
+	}
+}
+
+func refusal(report syncer.Report, verb, id string) error {
+	switch report.Kind {
+	case patch.Conflict:
+		return fault.New(fault.Conflict, fault.NotRun, "other patches were faster %d times; %s the key again", maxRebases, verb)
+	case patch.Invalid:
+		return fault.New(fault.Invalid, fault.NotRun, "%s: %s", report.Field, report.Reason)
+	default:
+		return fault.New(fault.OutcomeUnknown, fault.Unknown,
+			"it is unknown whether the log took the patch; look for key %s with GET /keys, and for patch %s with GET /config/patches/%s",
+			id, report.ID, report.ID)
+	}
+}
--- a/internal/state/model/model.go
+++ b/internal/state/model/model.go
@@ -3,7 +3,10 @@
 // next one.
 package model
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Tokens counts prompt and generated tokens.
 type Tokens int64
@@ -112,3 +115,17 @@
 	LoadBurst     int64
 	LoadShards    []string
 }
+
+// MarshalText implements encoding.TextMarshaler.
+func (class Class) MarshalText() ([]byte, error) { return []byte(class.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (class *Class) UnmarshalText(text []byte) error {
+	for _, known := range []Class{Interactive, Patient} {
+		if known.String() == string(text) {
+			*class = known
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown class %q; write %q or %q", text, Interactive, Patient)
+}
