Add the operators' command line and the status of the fleet

Cause: operators could not reach the configuration, keys and state. Before: probes and metrics only.

--- a/cmd/jacinthfront/main.go
+++ b/cmd/jacinthfront/main.go
@@ -48,6 +48,9 @@
 		{"entry", "Run an entry instance", "Runs an entry instance until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront entry --settings entry.toml", &entryCommand{}},
 		{"side", "Run a side process", "Runs the side process of one upstream until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront side --settings side.toml", &sideCommand{}},
 		{"check", "Check a settings file", "Checks a settings file and prints the settings in effect, defaults included.\n\nExample: jacinthfront check --role side --settings side.toml", &checkCommand{}},
+		{"config", "Show and change the configuration", "Reads the configuration and publishes patches through the operator interface of any instance.", &configCommand{}},
+		{"key", "Issue, withdraw and list keys", "Manages callers' keys through the operator interface of any instance.", &keyCommand{}},
+		{"status", "Show the state of the fleet", "Asks every listed instance for its version, staleness, shares, adapters and refusals.\n\nExample: jacinthfront status --format json", &statusCommand{}},
 	}
 	for _, command := range commands {
 		if _, err := parser.AddCommand(command.name, command.short, command.long, command.data); err != nil {
--- a/internal/daemon/admin/admin.go
+++ b/internal/daemon/admin/admin.go
@@ -43,7 +43,9 @@
 	Instance string
 	Store    Store
 	Process  Process
-	Logger   *zap.Logger
+	// Fleet asks the other instances; nil means that none are shown.
+	Fleet  Fleet
+	Logger *zap.Logger
 }
 
 const (
@@ -99,6 +101,7 @@
 	app.Post("/keys", admin.wrap(admin.postKey))
 	app.Delete("/keys/{id}", admin.wrap(admin.deleteKey))
 	app.Get("/status", admin.wrap(admin.getStatus))
+	app.Get("/status/fleet", admin.wrap(admin.getFleet))
 	app.Get("/debug/vars", iris.FromStd(expvar.Handler()))
 	app.Get("/healthz", admin.wrap(admin.getHealth))
 	app.Get("/readyz", admin.wrap(admin.getReady))
--- /dev/null
+++ b/internal/daemon/admin/fleet.go
@@ -0,0 +1,41 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+)
+
+// InstanceStatus is the state of one instance as it reports it itself, or why
+// it could not be asked.
+type InstanceStatus struct {
+	Instance     string          `json:"instance"`
+	Role         string          `json:"role"`
+	Leaving      bool            `json:"leaving,omitempty"`
+	Version      uint64          `json:"version"`
+	ConfirmedAge string          `json:"confirmed-age,omitempty"`
+	Error        string          `json:"error,omitempty"`
+	Detail       json.RawMessage `json:"detail,omitempty"`
+}
+
+// Fleet asks the listed instances for their state.
+type Fleet interface {
+	Status(ctx context.Context) []InstanceStatus
+}
+
+func (admin *Admin) getFleet(ctx iris.Context) error {
+	var list []InstanceStatus
+	if admin.config.Fleet != nil {
+		list = admin.config.Fleet.Status(ctx.Request().Context())
+	}
+	return answer(ctx, iris.StatusOK, list)
+}
+
+// Fleet returns the state of every listed instance.
+func (client Client) Fleet(ctx context.Context) ([]InstanceStatus, error) {
+	var list []InstanceStatus
+	err := client.call(ctx, http.MethodGet, "/status/fleet", nil, &list)
+	return list, err
+}
--- a/internal/daemon/start/entry.go
+++ b/internal/daemon/start/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 
@@ -63,9 +64,12 @@
 func runEntry(parts *parts, built *entry.Entry, callers net.Listener) *Process {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
-	process := &Process{parts: parts, serve: cancel, drain: built.Drain, ready: built.Ready, done: make(chan struct{})}
+	process := &Process{
+		parts: parts, serve: cancel, drain: built.Drain, ready: built.Ready, done: make(chan struct{}),
+		status: func() (string, any) { return roster.RoleEntry, entryStatus(built.Ready()) },
+	}
 	parts.run(ctx, group, func(mux drpc.Mux) error {
-		return parts.registerPeer(mux, func() (string, any) { return "entry", entryStatus{Ready: built.Ready()} })
+		return parts.registerPeer(mux, process.status)
 	})
 	group.Go(func() error { return ended(ctx, built.Serve(ctx, callers)) })
 	group.Go(func() error { return ended(ctx, parts.serveOperators(ctx, process)) })
@@ -101,9 +105,15 @@
 	return rand.Uint64()
 }
 
-// entryStatus is the detail of an entry instance's status.
-type entryStatus struct {
+// entryDetail is the detail of an entry instance's status.
+type entryDetail struct {
 	Ready bool `json:"ready"`
+	// Counters holds the entry instance's metrics, refusals by kind among them.
+	Counters json.RawMessage `json:"counters"`
+}
+
+func entryStatus(ready bool) entryDetail {
+	return entryDetail{Ready: ready, Counters: json.RawMessage(telem.Map("entry").String())}
 }
 
 // entryRoster implements entry.Roster.
--- a/internal/daemon/start/side.go
+++ b/internal/daemon/start/side.go
@@ -12,6 +12,7 @@
 	"jacinthfront.dev/jacinthfront/internal/daemon/side"
 	"jacinthfront.dev/jacinthfront/internal/flow/quota"
 	"jacinthfront.dev/jacinthfront/internal/link/engine"
+	"jacinthfront.dev/jacinthfront/internal/link/roster"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -68,12 +69,15 @@
 		return err
 	}
 	ready := func() bool { return parts.syncer.Current().Version() > 0 }
-	process := &Process{parts: parts, serve: cancel, drain: drain, ready: ready, done: make(chan struct{})}
+	process := &Process{
+		parts: parts, serve: cancel, drain: drain, ready: ready, done: make(chan struct{}),
+		status: func() (string, any) { return roster.RoleSide, server.Status() },
+	}
 	parts.run(ctx, group, func(mux drpc.Mux) error {
 		if err := wirepb.DRPCRegisterSide(mux, server); err != nil {
 			return err
 		}
-		return parts.registerPeer(mux, func() (string, any) { return "side", sideStatus{Ready: ready()} })
+		return parts.registerPeer(mux, process.status)
 	})
 	group.Go(func() error { return ended(ctx, server.Serve(ctx)) })
 	group.Go(func() error { return ended(ctx, parts.serveOperators(ctx, process)) })
@@ -81,11 +85,6 @@
 	return process
 }
 
-// sideStatus is the detail of a side process's status.
-type sideStatus struct {
-	Ready bool `json:"ready"`
-}
-
 // hostedShard implements side.Shard.
 type hostedShard struct{ *quota.Shard }
 
--- a/internal/daemon/start/start.go
+++ b/internal/daemon/start/start.go
@@ -42,6 +42,8 @@
 	serve context.CancelFunc
 	drain func(ctx context.Context) error
 	ready func() bool
+	// status returns the role and the details for operators.
+	status func() (role string, detail any)
 
 	stopping sync.Once
 	done     chan struct{}
@@ -51,6 +53,9 @@
 // Ready reports whether the process may get new work.
 func (process *Process) Ready() bool { return process.ready() }
 
+// Status returns the role and the details of the state.
+func (process *Process) Status() (role string, detail any) { return process.status() }
+
 // Config returns the configuration in force.
 func (process *Process) Config() *model.Config { return process.parts.syncer.Current() }
 
