Shorten long patches in the history and print operators' commands in the demo

Cause: a patch of 1,000 adapters filled the terminal in config history and in the report of a conflict. Change: text shows four operations and the number of the others; the demo that stays up prints commands for operators. Conclusion: JSON output still has all.

--- a/cmd/jacinthfront/operators.go
+++ b/cmd/jacinthfront/operators.go
@@ -165,8 +165,15 @@
 	return command.print(changes, lines)
 }
 
+// maxOpsShown bounds the operations in a line of text; JSON has all.
+const maxOpsShown = 4
+
 func changeLine(change admin.Change) string {
-	return fmt.Sprintf("%d\t%s\t%s\t%s", change.Version, change.Operator, change.ID, strings.Join(change.Ops, ", "))
+	ops := strings.Join(change.Ops[:min(len(change.Ops), maxOpsShown)], ", ")
+	if more := len(change.Ops) - maxOpsShown; more > 0 {
+		ops += fmt.Sprintf(" and %d more", more)
+	}
+	return fmt.Sprintf("%d\t%s\t%s\t%s", change.Version, change.Operator, change.ID, ops)
 }
 
 // statusCommand prints the state of a running fleet.
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -117,11 +117,16 @@
 	base := fleet.Entries()[0]
 	header := fmt.Sprintf("-H 'Authorization: Bearer %s' -H 'Content-Type: application/json'", organisation.Key)
 	adapter := load.AdapterName(organisation.Name, 0)
+	fleet.mu.Lock()
+	operators := fleet.entries[0].operators
+	fleet.mu.Unlock()
 	return []string{
 		fmt.Sprintf("curl -s %s %s/v1/models | head -c 400", header, base),
 		fmt.Sprintf(`curl -sN %s %s/v1/chat/completions -d '{"model":"%s","messages":[{"role":"user","content":"How do I water a juniper?"}],"max_tokens":12,"stream":true}'`, header, base, adapter),
 		fmt.Sprintf(`curl -s %s %s/v1/completions -d '{"model":"%s@1","prompt":"Describe an oak slab.","max_tokens":12}'`, header, base, adapter),
 		fmt.Sprintf(`curl -s %s -H 'Idempotency-Key: order-1' %s/services/%s/orders/1 -d '{"quantity":1}'`, header, base, fleet.plan.PlainService),
 		fmt.Sprintf("curl -s %s %s/services/%s/stock/7", header, base, fleet.plan.PlainService),
+		fmt.Sprintf("go run ./cmd/jacinthfront status --address %s", operators),
+		fmt.Sprintf("go run ./cmd/jacinthfront key issue --organisation %s --address %s", organisation.Name, operators),
 	}
 }
--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -36,8 +36,10 @@
 	process *start.Process
 	listed  plat.Instance
 	// callers is the base URL of an entry instance.
-	callers  string
-	upstream int
+	callers string
+	// operators is the base URL of the operator interface.
+	operators string
+	upstream  int
 }
 
 // Fleet is a running deployment.
@@ -292,7 +294,7 @@
 	if err != nil {
 		return err
 	}
-	entry := &instance{process: started, callers: "http://" + settings.Listen.Callers, listed: plat.Instance{
+	entry := &instance{process: started, callers: "http://" + settings.Listen.Callers, operators: "http://" + settings.Listen.Operators, listed: plat.Instance{
 		ID: process.Instance, Role: "entry", Address: process.Listen.Peers, FailureDomain: domain, State: plat.StateLive,
 	}}
 	fleet.mu.Lock()
