Make the shard's tests hostile

Cause: with random use, most one-line faults of the shard stayed within the bound, and only the step tests saw them.

--- a/internal/flow/quota/shard_test.go
+++ b/internal/flow/quota/shard_test.go
@@ -77,6 +77,14 @@
 			{at: 1600 * ms, call: "resize", tokens: 0, least: 9000, pending: 1000},
 			{at: Memory + 2300*ms, call: "back", tokens: 1000, want: 0},
 		}},
+		{"return after the memory credits nothing, though an older grant is remembered", []step{
+			{at: 1600 * ms, call: "draw", tokens: 500, want: 500, level: 500, pending: 500},
+			{at: 1600 * ms, call: "draw", tokens: 500, want: 500, pending: 1000},
+			{at: 1600 * ms, call: "settle", grant: 1, pending: 500},
+			{at: 1600 * ms, call: "resize", tokens: 0, least: 9000, pending: 500},
+			{at: Memory + 2000*ms, call: "back", grant: 1, tokens: 500, want: 0},
+			{at: Memory + 2000*ms, call: "back", tokens: 500, want: 500, level: 500},
+		}},
 		{"lower burst cuts the level", []step{
 			{at: 9000 * ms, call: "draw", tokens: 300, want: 300, level: 1700, pending: 300},
 			{at: 9000 * ms, call: "resize", tokens: 100, least: 400, level: 100, pending: 300},
@@ -138,92 +146,126 @@
 	}
 }
 
-// Guards against a breach of the bound of one shard: grants are spent in parts
-// until their end, returned in any order, repeatedly and late, and the limits
-// change.
+// Guards against a breach of the bound of one shard. The driver is hostile: it
+// takes all there is, spends at the last moment of a grant's life, returns much
+// or nothing, repeatedly and late, just before it takes all again, and restarts
+// and resizes the shard.
 func TestShardBound(t *testing.T) {
 	var late model.Tokens
 	for seed := range uint64(3000) {
-		excess, credited := runShard(seed)
-		if excess > 0 {
+		driver := newDriver(seed)
+		driver.run()
+		if excess := driver.observer.excess(); excess > 0 {
 			t.Errorf("seed %d: excess of %d billionths of a token", seed, excess)
 		}
-		late += credited
+		late += driver.late
 	}
 	if late == 0 {
 		t.Error("no late return was credited, so the test covers none")
 	}
 }
 
-// spender is a grant as its drawer sees it.
-type spender struct {
-	id             uint64
-	expires        time.Time
-	left, returned model.Tokens
-	unused         model.Tokens // of spent tokens
-	settled        bool
+type driver struct {
+	random      *rand.Rand
+	observer    *observer
+	shard       *Shard
+	rate, burst model.Tokens
+	now         time.Time
+	grants      []*spent
+	late        model.Tokens // credited after the end of a grant
+}
+
+// spent is a grant with the tokens that its requests did not use.
+type spent struct {
+	id               uint64
+	expires          time.Time
+	dispatched       time.Time
+	unused, returned model.Tokens
 }
 
-func runShard(seed uint64) (excess nanos, late model.Tokens) {
+func newDriver(seed uint64) *driver {
 	random := rand.New(rand.NewPCG(seed, 1))
 	rate, burst := 1+model.Tokens(random.Int64N(1000)), 1000+model.Tokens(random.Int64N(3000))
-	observer := newObserver(epoch, rate, burst)
-	shard := newTestShard(rate, burst)
-	now := epoch
-	var grants []*spender
-	for range 400 {
-		now = now.Add(time.Duration(random.ExpFloat64() * float64(100*time.Millisecond) * float64(1+random.IntN(3))))
-		switch choice := random.IntN(100); {
-		case choice < 35:
-			if grant, ok := shard.Draw(now, 1+model.Tokens(random.Int64N(int64(burst))), 0); ok {
-				grants = append(grants, &spender{id: grant.ID, expires: now.Add(grant.Lifetime), left: grant.Tokens})
-			}
-		case choice < 98 && len(grants) > 0:
-			grant := grants[max(0, len(grants)-1-random.IntN(12))]
-			spendSome(random, observer, grant, now)
-			if random.IntN(2) == 0 {
-				late += returnSome(random, shard, grant, now)
-			}
-		case choice == 99 && seed%2 == 0:
-			next := 1000 + model.Tokens(random.Int64N(3000))
-			rate = 1 + model.Tokens(random.Int64N(1000))
-			shard.Resize(now, rate, next)
-			observer.limit(now, rate, max(burst, next))
-			now = now.Add(shard.hold)
-			observer.limit(now, rate, next)
-			burst = next
-		}
+	return &driver{
+		random: random, rate: rate, burst: burst, now: epoch,
+		observer: newObserver(epoch, rate, burst), shard: newTestShard(rate, burst),
 	}
-	return observer.excess(), late
 }
 
-func spendSome(random *rand.Rand, observer *observer, grant *spender, now time.Time) {
-	if grant.settled || grant.left == 0 || now.After(grant.expires) {
-		return
+func (driver *driver) run() {
+	for range 80 {
+		pauses := []time.Duration{0, time.Millisecond, DefaultLifetime, time.Second, 5 * time.Second, time.Minute}
+		driver.now = driver.now.Add(pauses[driver.random.IntN(len(pauses))])
+		if driver.random.IntN(3) == 0 {
+			driver.now = driver.now.Add(time.Duration(driver.random.ExpFloat64() * float64(time.Second)))
+		}
+		switch driver.random.IntN(40) {
+		case 0:
+			driver.resize()
+		case 1:
+			driver.draw()
+			driver.shard = NewShard(ShardConfig{Rate: driver.rate, Burst: driver.burst, Start: driver.now})
+			driver.now = driver.now.Add(DefaultLifetime)
+			driver.draw()
+		default:
+			driver.refund()
+			driver.draw()
+		}
 	}
-	cost := 1 + model.Tokens(random.Int64N(int64(grant.left)))
-	used := model.Tokens(random.Int64N(int64(cost) + 1))
-	grant.left -= cost
-	grant.unused += cost - used
-	observer.use(now, used)
 }
 
-func returnSome(random *rand.Rand, shard *Shard, grant *spender, now time.Time) (late model.Tokens) {
-	settle := random.IntN(2) == 0
-	grant.returned += grant.unused
-	grant.unused = 0
-	if settle || now.After(grant.expires) {
-		grant.settled = true
-		grant.returned += grant.left
-		grant.left = 0
+// draw takes everything and spends it now or at the end of its life.
+func (driver *driver) draw() {
+	for range 1 + driver.random.IntN(2) {
+		grant, ok := driver.shard.Draw(driver.now, 1+model.Tokens(driver.random.Int64N(int64(2*driver.burst))), 0)
+		if !ok {
+			return
+		}
+		spent := &spent{id: grant.ID, expires: driver.now.Add(grant.Lifetime), dispatched: driver.now}
+		if driver.random.IntN(2) == 0 {
+			spent.dispatched = spent.expires
+		}
+		used := grant.Tokens
+		if driver.random.IntN(2) == 0 {
+			used = model.Tokens(driver.random.Int64N(int64(used) + 1))
+		}
+		spent.unused = grant.Tokens - used
+		first := used / 2 * model.Tokens(driver.random.IntN(2))
+		driver.observer.use(driver.now, first)
+		driver.observer.use(spent.dispatched, used-first)
+		driver.grants = append(driver.grants, spent)
 	}
-	for range 1 + random.IntN(2) {
-		credited := shard.Return(now, grant.id, grant.returned, grant.settled)
-		if now.After(grant.expires.Add(DefaultMargin)) {
-			late += credited
+}
+
+// refund returns some of what was not used, in parts and repeatedly.
+func (driver *driver) refund() {
+	for _, grant := range driver.grants[max(0, len(driver.grants)-8):] {
+		if driver.random.IntN(3) > 0 {
+			continue
+		}
+		part := model.Tokens(driver.random.Int64N(int64(grant.unused) + 1))
+		if driver.random.IntN(2) == 0 {
+			part = grant.unused
+		}
+		grant.unused -= part
+		grant.returned += part
+		for range 1 + driver.random.IntN(2) {
+			credited := driver.shard.Return(driver.now, grant.id, grant.returned, !driver.now.Before(grant.dispatched))
+			if driver.now.After(grant.expires.Add(DefaultMargin)) {
+				driver.late += credited
+			}
 		}
 	}
-	return late
+}
+
+func (driver *driver) resize() {
+	burst := 1000 + model.Tokens(driver.random.Int64N(3000))
+	driver.rate = 1 + model.Tokens(driver.random.Int64N(1000))
+	driver.shard.Resize(driver.now, driver.rate, burst)
+	driver.observer.limit(driver.now, driver.rate, max(driver.burst, burst))
+	driver.now = driver.now.Add(DefaultLifetime + DefaultMargin)
+	driver.observer.limit(driver.now, driver.rate, burst)
+	driver.burst = burst
 }
 
 // Guards against parts that lose or add tokens.
