--- /dev/null
+++ b/internal/bench/slope/fixture.go
@@ -0,0 +1,82 @@
+package slope
+
+import (
+	"fmt"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/state/creds"
+	"jacinthfront.dev/jacinthfront/internal/state/fold"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+)
+
+// The sizes in two years, from section 3 of the design page.
+const (
+	targetEntries   = 420
+	targetUpstreams = 7200
+	targetInstances = targetEntries + targetUpstreams
+	targetAdapters  = 170_000
+	targetDomains   = 23
+)
+
+// serviceName is the one service of the synthetic configurations.
+const serviceName = "advisor"
+
+// shape is the number of entries of a synthetic configuration.
+type shape struct {
+	organisations int
+	upstreams     int
+	adapters      int
+}
+
+func upstreamName(index int) string     { return fmt.Sprintf("%s-%04d", serviceName, index) }
+func organisationName(index int) string { return fmt.Sprintf("organisation-%04d", index) }
+func adapterName(index int) string      { return fmt.Sprintf("organisation-%04d-letters-%06d", index%50, index) }
+func domainName(index int) string       { return fmt.Sprintf("region-%d-domain-%02d", index%6, index%targetDomains) }
+
+// adapterSpec returns an adapter with two versions, as after one update.
+func adapterSpec(index, organisations int) model.AdapterSpec {
+	return model.AdapterSpec{
+		Name: adapterName(index), Organisation: organisationName(index % max(1, organisations)), Service: serviceName,
+		Versions: []uint32{1, 2}, DefaultVersion: 2,
+	}
+}
+
+// state returns a configuration of a shape as version 1.
+func (shape shape) state() fold.State {
+	editor := model.New().Edit()
+	for index := range shape.organisations {
+		var shards []string
+		for shard := range min(8, shape.upstreams) {
+			shards = append(shards, upstreamName((index*8+shard)%shape.upstreams))
+		}
+		editor.PutOrganisation(model.OrganisationSpec{
+			Name: organisationName(index), Rate: 100_000, Burst: 1_000_000, Shards: shards,
+		})
+		_, key := creds.Issue(organisationName(index))
+		editor.PutKey(key)
+	}
+	editor.PutRoute(model.RouteSpec{
+		Name: "default", Service: serviceName, LongestWait: 30 * time.Second, Idempotent: true, DefaultMaxTokens: 256,
+	})
+	for index := range shape.upstreams {
+		editor.PutUpstream(model.UpstreamSpec{ID: upstreamName(index), Service: serviceName, FailureDomain: domainName(index)})
+	}
+	for index := range shape.adapters {
+		editor.PutAdapter(adapterSpec(index, shape.organisations))
+	}
+	return fold.State{Config: editor.Commit(1), Accepted: []string{"initial"}}
+}
+
+// encoded returns the encoding of a configuration, as snapshots hold it.
+func (shape shape) encoded() ([]byte, error) { return codec.EncodeState(shape.state()) }
+
+// members returns the upstreams of a router.
+func members(count int) []route.Member {
+	list := make([]route.Member, 0, count)
+	for index := range count {
+		list = append(list, route.Member{ID: upstreamName(index), FailureDomain: domainName(index)})
+	}
+	return list
+}
