Search a ring's bucket by bisection

Entry instances make their rings for the default of 64 upstreams, so that with 7,200 upstreams a bucket holds 900 points, which Seek walked one by one. The rest of the slope is cache misses on the state of more upstreams.

--- a/internal/flow/place/ring.go
+++ b/internal/flow/place/ring.go
@@ -175,10 +175,10 @@
 // Seek returns a Cursor that starts at a hash.
 func (ring *Ring) Seek(hash uint64) Cursor {
 	bucket, low := ring.locate(hash)
-	points, at := ring.buckets[bucket], 0
-	for at < len(points) && points[at].low < low {
-		at++
-	}
+	// A ring with more upstreams than it was sized for has long buckets.
+	at, _ := slices.BinarySearchFunc(ring.buckets[bucket], low, func(point point, low uint32) int {
+		return cmp.Compare(point.low, low)
+	})
 	return Cursor{ring: ring, bucket: bucket, at: at, left: ring.points}
 }
 
