Measure demo runs after a warm-up and add a naive policy to compare with

Cause: the measures covered start-up with empty slots, ignored requests that were refused while they waited, and the naive policy was round robin alone.

Change: the load generator checks the warm-up time and does not measure it; the wait of a model request that is refused within its rate counts as a stall and in the worst-served organisation's times. policy = "naive" now also selects first come, first served, least-recently-used eviction and static division of the rates over the entry instances.

--- a/internal/base/setup/side.go
+++ b/internal/base/setup/side.go
@@ -41,6 +41,9 @@
 	Claims   Claims   `toml:"claims"`
 	// RequestLimit is the longest time that one request may take.
 	RequestLimit time.Duration `toml:"request-limit"`
+	// Policy is default or naive; naive serves first come, first served, evicts
+	// the least recently used adapter, and leaves rates to the entry instances.
+	Policy string `toml:"policy"`
 	// Seed makes jitter reproducible; 0 takes a random seed.
 	Seed uint64 `toml:"seed"`
 }
@@ -60,6 +63,7 @@
 		Queue:        Queue{Requests: defaultQueueRequests, PerOrganisation: defaultQueuePerOrganisation},
 		Claims:       Claims{Partitions: defaultClaimPartitions, Window: defaultClaimWindow},
 		RequestLimit: defaultRequestLimit,
+		Policy:       "default",
 	}
 }
 
@@ -78,6 +82,7 @@
 	checks.url("upstream.url", side.Upstream.URL)
 	checks.oneOf("upstream.kind", side.Upstream.Kind, "engine", "plain")
 	checks.oneOf("upstream.fencing", side.Upstream.Fencing, "ignored", "checked")
+	checks.oneOf("policy", side.Policy, "default", "naive")
 	checks.atLeast("upstream.concurrency", int64(side.Upstream.Concurrency), 0)
 	checks.atLeast("queue.requests", int64(side.Queue.Requests), 1)
 	checks.atLeast("queue.per-organisation", int64(side.Queue.PerOrganisation), 1)
--- a/internal/bench/load/plan.go
+++ b/internal/bench/load/plan.go
@@ -97,6 +97,8 @@
 	maxTokens    int
 	repeat       bool
 	limited      bool
+	// warming requests are checked and not measured.
+	warming bool
 }
 
 // source draws the requests of one organisation.
--- a/internal/daemon/entry/config.go
+++ b/internal/daemon/entry/config.go
@@ -39,6 +39,8 @@
 	Sides         Sides
 	// Budget defaults to one that permits every retry.
 	Budget Budget
+	// Admission defaults to one that admits all requests.
+	Admission Admission
 	// NewHealth returns the health record of a service. The default ejects
 	// nothing.
 	NewHealth func(service string) Health
@@ -87,6 +89,9 @@
 	if config.Budget == nil {
 		config.Budget = freeBudget{}
 	}
+	if config.Admission == nil {
+		config.Admission = openAdmission{}
+	}
 	if config.NewHealth == nil {
 		config.NewHealth = func(string) Health { return noHealth{} }
 	}
--- a/internal/daemon/entry/ports.go
+++ b/internal/daemon/entry/ports.go
@@ -42,6 +42,13 @@
 	Authenticate(config *model.Config, key string) (model.KeySpec, bool)
 }
 
+// Admission limits organisations at the entry instance.
+type Admission interface {
+	// Admit takes tokens or returns the time after which to come back. The
+	// number of live entry instances divides the organisation's rate.
+	Admit(now time.Time, entries int, organisation model.OrganisationSpec, tokens model.Tokens) (time.Duration, bool)
+}
+
 // Conn carries one call to a side process.
 type Conn interface {
 	drpc.Conn
@@ -78,6 +85,13 @@
 	Add(name string, delta int64)
 }
 
+// openAdmission leaves limits to the side processes.
+type openAdmission struct{}
+
+func (openAdmission) Admit(time.Time, int, model.OrganisationSpec, model.Tokens) (time.Duration, bool) {
+	return 0, true
+}
+
 type freeBudget struct{}
 
 func (freeBudget) Deposit(time.Time)         {}
--- a/internal/daemon/entry/run.go
+++ b/internal/daemon/entry/run.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
 )
 
 // maxHandbacks bounds how often one request is handed back by side processes
@@ -15,6 +16,9 @@
 // serve runs the job within the request limit and answers the caller.
 func (job *job) serve() *fault.Fault {
 	exchange := job.exchange
+	if refusal := job.admit(); refusal != nil {
+		return refusal
+	}
 	limit := exchange.arrived.Add(exchange.entry.config.Limits.Request)
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), limit)
 	defer cancel()
@@ -33,6 +37,18 @@
 	return err
 }
 
+// admit asks the Admission for the tokens that the work may use.
+func (job *job) admit() *fault.Fault {
+	config := &job.exchange.entry.config
+	tokens := model.Tokens(job.template.GetPromptTokens() + job.template.GetMaxTokens())
+	after, ok := config.Admission.Admit(time.Now(), config.Roster.Entries(), job.exchange.organisation, tokens)
+	if ok {
+		return nil
+	}
+	return fault.New(fault.RateExceeded, fault.NotRun,
+		"the organisation's part of its rate at this instance is used up; come back after the time in retry-after").WithRetryAfter(after)
+}
+
 // run makes attempts until one finishes or none is left.
 func (job *job) run(ctx context.Context) *fault.Fault {
 	var last *fault.Fault
--- a/internal/daemon/side/run.go
+++ b/internal/daemon/side/run.go
@@ -152,6 +152,9 @@
 
 // share returns what the organisation's requests may use.
 func (server *Server) share(name string) queue.Share {
+	if server.config.FirstCome {
+		return queue.Share{}
+	}
 	organisation, _ := server.current().Organisation(name)
 	share := queue.Share{Rate: organisation.Rate, Burst: organisation.Burst}
 	if estimator, ok := server.config.Limiter.(Estimator); ok {
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -39,6 +39,9 @@
 	Queue       queue.Config
 	Slots       slots.Config
 	Records     once.RecordsConfig
+	// FirstCome serves requests in the order of their arrival, whatever their
+	// organisation and class. It is for comparison.
+	FirstCome bool
 	// MaxRunning bounds the requests at the upstream.
 	MaxRunning int
 	// UnloadChecked says that the engine refuses to unload an adapter that a
--- a/internal/daemon/side/ticket.go
+++ b/internal/daemon/side/ticket.go
@@ -73,6 +73,9 @@
 		ticket.cost = route.Cost
 	}
 	ticket.entry = newEntry(ticket)
+	if server.config.FirstCome {
+		ticket.entry.Organisation, ticket.entry.Class = "", model.Interactive
+	}
 	return ticket
 }
 
--- a/internal/daemon/start/entry.go
+++ b/internal/daemon/start/entry.go
@@ -54,6 +54,7 @@
 		Authenticator: authenticator{},
 		Sides:         sides{parts},
 		NewPolicy:     newPolicy(settings, parts),
+		Admission:     newAdmission(settings.Routing.Policy),
 		Logger:        parts.logger,
 		Counters:      telem.Map("entry"),
 		Limits:        limits,
--- a/internal/daemon/start/side.go
+++ b/internal/daemon/start/side.go
@@ -56,6 +56,9 @@
 		RequestLimit: settings.RequestLimit,
 		DrainLimit:   settings.Shutdown.DrainLimit,
 	}
+	if settings.Policy == "naive" {
+		useNaive(&config)
+	}
 	return side.New(config)
 }
 
