Let every setting of the side process take effect

Cause: queue.requests was read and not used, and upstream.kind and upstream.fencing stood in the settings and in the numbered configuration. Change: queue.requests and queue.tokens reach the queue; kind and fencing are taken from the configuration only. Before: changing them changed nothing. After: the checks cover what is used. Conclusion: one place for each value.

--- a/internal/base/setup/setup_test.go
+++ b/internal/base/setup/setup_test.go
@@ -34,7 +34,7 @@
 		{"unknown key", "a misspelt key must not be ignored", goodSide + "cuncurrency = 3\n", "unknown key upstream.cuncurrency"},
 		{"wrong type", "a number given as text must name its line", goodSide + "concurrency = \"x\"\n", "concurrency"},
 		{"syntax", "a syntax error must name its line", goodSide + "x = = 3\n", "line 14"},
-		{"choice", "a wrong choice must list the right ones", goodSide + "fencing = \"maybe\"\n", "write ignored or checked"},
+		{"choice", "a wrong choice must list the right ones", goodSide + "[log]\nlevel = \"loud\"\n", "write debug or info or warn or error"},
 		{"address", "a host name is not an IP address", strings.Replace(goodSide, "127.0.0.1:9101", "localhost:9101", 1), "listen.peers is \"localhost:9101\"; write IP:port"},
 		{"short drain", "a drain limit below the request limit cuts requests", goodSide + "[shutdown]\ndrain-limit = \"30s\"\n", "shutdown.drain-limit"},
 		{"window", "claims must not outlive the log's records", goodSide + "[claims]\nwindow = \"1000h\"\n", "log-retention"},
--- a/internal/base/setup/side.go
+++ b/internal/base/setup/side.go
@@ -8,12 +8,8 @@
 	ID string `toml:"id"`
 	// URL is its HTTP address.
 	URL string `toml:"url"`
-	// Kind is engine or plain.
-	Kind string `toml:"kind"`
-	// Fencing is ignored or checked.
-	Fencing string `toml:"fencing"`
-	// Concurrency is the largest number of requests running at a time; 0 takes
-	// the engine's batch limit.
+	// Concurrency is the largest number of requests running at a time; 0 means
+	// 32.
 	Concurrency int `toml:"concurrency"`
 }
 
@@ -21,8 +17,8 @@
 type Queue struct {
 	// Requests is the largest number of queued requests.
 	Requests int `toml:"requests"`
-	// PerOrganisation is the largest number of queued requests of one organisation.
-	PerOrganisation int `toml:"per-organisation"`
+	// Tokens is the largest cost of all queued requests.
+	Tokens int64 `toml:"tokens"`
 }
 
 // Claims configures idempotency claims.
@@ -49,18 +45,17 @@
 }
 
 const (
-	defaultQueueRequests        = 1024
-	defaultQueuePerOrganisation = 512
-	defaultClaimPartitions      = 256
-	defaultClaimWindow          = 24 * time.Hour
+	defaultQueueRequests   = 1024
+	defaultQueueTokens     = 1 << 20
+	defaultClaimPartitions = 256
+	defaultClaimWindow     = 24 * time.Hour
 )
 
 // DefaultSide returns the defaults of a side process.
 func DefaultSide() Side {
 	return Side{
 		Process:      defaultProcess(),
-		Upstream:     Upstream{Kind: "engine", Fencing: "ignored"},
-		Queue:        Queue{Requests: defaultQueueRequests, PerOrganisation: defaultQueuePerOrganisation},
+		Queue:        Queue{Requests: defaultQueueRequests, Tokens: defaultQueueTokens},
 		Claims:       Claims{Partitions: defaultClaimPartitions, Window: defaultClaimWindow},
 		RequestLimit: defaultRequestLimit,
 		Policy:       "default",
@@ -80,12 +75,10 @@
 	checks := side.checks(file)
 	checks.present("upstream.id", side.Upstream.ID)
 	checks.url("upstream.url", side.Upstream.URL)
-	checks.oneOf("upstream.kind", side.Upstream.Kind, "engine", "plain")
-	checks.oneOf("upstream.fencing", side.Upstream.Fencing, "ignored", "checked")
 	checks.oneOf("policy", side.Policy, "default", "naive")
 	checks.atLeast("upstream.concurrency", int64(side.Upstream.Concurrency), 0)
 	checks.atLeast("queue.requests", int64(side.Queue.Requests), 1)
-	checks.atLeast("queue.per-organisation", int64(side.Queue.PerOrganisation), 1)
+	checks.atLeast("queue.tokens", side.Queue.Tokens, 1)
 	checks.atLeast("claims.partitions", int64(side.Claims.Partitions), 1)
 	checks.positive("request-limit", side.RequestLimit)
 	checks.longer("shutdown.drain-limit", side.Shutdown.DrainLimit, "request-limit", side.RequestLimit)
--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -46,9 +46,9 @@
 
 // Fleet is a running deployment.
 type Fleet struct {
-	config   FleetConfig
-	plan     load.Plan
-	client   *http.Client
+	config FleetConfig
+	plan   load.Plan
+	client *http.Client
 	// delays is nil without delays between failure domains.
 	delays   *delays
 	platform *plat.Platform
@@ -270,7 +270,6 @@
 	settings.Upstream.URL = fleet.urls[upstream]
 	domain := deployment.domain(upstream)
 	if upstream >= deployment.Runners {
-		settings.Upstream.Kind = "plain"
 		settings.Upstream.ID = deployment.plainID(upstream - deployment.Runners)
 		domain = deployment.domain(upstream - deployment.Runners)
 	}
--- a/internal/bench/slope/fixture.go
+++ b/internal/bench/slope/fixture.go
@@ -32,8 +32,12 @@
 
 func upstreamName(index int) string     { return fmt.Sprintf("%s-%04d", serviceName, index) }
 func organisationName(index int) string { return fmt.Sprintf("organisation-%04d", index) }
-func adapterName(index int) string      { return fmt.Sprintf("organisation-%04d-letters-%06d", index%50, index) }
-func domainName(index int) string       { return fmt.Sprintf("region-%d-domain-%02d", index%6, index%targetDomains) }
+func adapterName(index int) string {
+	return fmt.Sprintf("organisation-%04d-letters-%06d", index%50, index)
+}
+func domainName(index int) string {
+	return fmt.Sprintf("region-%d-domain-%02d", index%6, index%targetDomains)
+}
 
 // adapterSpec returns an adapter with two versions, as after one update.
 func adapterSpec(index, organisations int) model.AdapterSpec {
--- a/internal/daemon/start/side.go
+++ b/internal/daemon/start/side.go
@@ -10,7 +10,9 @@
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/side"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
 	"jacinthfront.dev/jacinthfront/internal/flow/quota"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
 	"jacinthfront.dev/jacinthfront/internal/link/engine"
 	"jacinthfront.dev/jacinthfront/internal/link/roster"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
@@ -51,6 +53,8 @@
 		NewShard:     newShard,
 		Metrics:      telem.Map("side"),
 		Logger:       parts.logger,
+		Queue:        queue.Config{Requests: settings.Queue.Requests, Tokens: model.Tokens(settings.Queue.Tokens)},
+		Slots:        slots.Config{Seed: settings.Seed},
 		MaxRunning:   settings.Upstream.Concurrency,
 		Partitions:   settings.Claims.Partitions,
 		ClaimWindow:  settings.Claims.Window,
