Measure the time that entry instance and side process add to a call

Cause: the added latency was unknown. Change: testbed overhead compares calls of the plain service at a fixed rate.

--- /dev/null
+++ b/internal/bench/demo/overhead.go
@@ -0,0 +1,113 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
+)
+
+// OverheadConfig configures a measurement of the time that an entry instance
+// and a side process add to a call.
+type OverheadConfig struct {
+	// Rate is in calls per second, for each of the two ways in turn.
+	Rate   float64
+	Length time.Duration
+	Seed   uint64
+}
+
+// Overhead compares calls of the plain service through one entry instance with
+// direct calls, at the same rate.
+type Overhead struct {
+	Rate    float64 `json:"calls-per-second"`
+	Length  string  `json:"length"`
+	Direct  Latency `json:"direct"`
+	Through Latency `json:"through-entry"`
+	Failed  int     `json:"failed"`
+	// AddedP50 and AddedP99 are differences of quantiles in milliseconds.
+	AddedP50 float64 `json:"added-p50-ms"`
+	AddedP99 float64 `json:"added-p99-ms"`
+}
+
+// MeasureOverhead runs one entry instance, one engine and four plain services
+// on TCP loopback.
+func MeasureOverhead(ctx context.Context, config OverheadConfig) (Overhead, error) {
+	deployment := Bonsai()
+	deployment.Runners, deployment.Plains, deployment.Adapters = 1, 4, 50
+	// The organisations' rates follow from the load; the first one sends all.
+	deployment.Requests = 4 * config.Rate
+	fleet, err := NewFleet(FleetConfig{Deployment: deployment, Network: NewTCP(), Policy: "default", Entries: 1, Seed: config.Seed})
+	if err != nil {
+		return Overhead{}, err
+	}
+	defer fleet.Close()
+	if err := fleet.Start(ctx); err != nil {
+		return Overhead{}, err
+	}
+	key := fleet.plan.Organisations[0].Key
+	entry := fleet.Entries()[0] + "/services/" + deployment.PlainService
+	direct, directFailed := fleet.pace(ctx, config, func(index int) (string, string) {
+		return fleet.urls[deployment.Runners+index%deployment.Plains], ""
+	})
+	through, throughFailed := fleet.pace(ctx, config, func(int) (string, string) { return entry, key })
+	return Overhead{
+		Rate: config.Rate, Length: config.Length.String(), Direct: latency(direct), Through: latency(through),
+		Failed:   directFailed + throughFailed,
+		AddedP50: toMS(through.Quantile(50) - direct.Quantile(50)),
+		AddedP99: toMS(through.Quantile(99) - direct.Quantile(99)),
+	}, ctx.Err()
+}
+
+// pace sends calls at a fixed rate and returns their durations.
+func (fleet *Fleet) pace(ctx context.Context, config OverheadConfig, target func(index int) (base, key string)) (*telem.Histogram, int) {
+	histogram := telem.NewHistogram()
+	var calls sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	begin := time.Now()
+	for index := range int(config.Rate * config.Length.Seconds()) {
+		due := begin.Add(time.Duration(float64(index) / config.Rate * float64(time.Second)))
+		if pause(ctx, time.Until(due)) != nil {
+			break
+		}
+		base, key := target(index)
+		calls.Go(func() {
+			sent := time.Now()
+			if err := fleet.check(ctx, fmt.Sprintf("%s/stock/%d", base, index), key); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				failed++
+				return
+			}
+			histogram.Observe(time.Since(sent))
+		})
+	}
+	calls.Wait()
+	return histogram, failed
+}
+
+func (fleet *Fleet) check(ctx context.Context, url, key string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := fleet.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %s", response.Status)
+	}
+	return nil
+}
