Prove the whole path over mutual TLS

Cause: TLS between processes was tested for one connection only. Change: internal/bench/certs issues certificates; the virtual-time demo runs once with mutual TLS; the reload of certificates is tested in virtual time.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/bench/load"
 	"jacinthfront.dev/jacinthfront/internal/bench/model"
 )
@@ -20,6 +21,7 @@
 	Entries    int
 	Seed       uint64
 	Length     time.Duration
+	TLS        setup.TLS
 	Logger     *zap.Logger
 	// Progress receives one line a second; nil means none.
 	Progress io.Writer
@@ -50,7 +52,7 @@
 func Run(ctx context.Context, config Config) (Result, error) {
 	fleet, err := NewFleet(FleetConfig{
 		Deployment: config.Deployment, Network: config.Network, Policy: config.Policy,
-		Entries: config.Entries, Seed: config.Seed, Logger: config.Logger,
+		Entries: config.Entries, Seed: config.Seed, TLS: config.TLS, Logger: config.Logger,
 	})
 	if err != nil {
 		return Result{}, err
--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -30,6 +30,9 @@
 	Seed    uint64
 	// Delays adds the deployment's delays between failure domains.
 	Delays bool
+	// TLS names the certificate files of all processes; empty means plain
+	// connections between them.
+	TLS    setup.TLS
 	Logger *zap.Logger
 }
 
@@ -251,6 +254,7 @@
 	process.Instance = fmt.Sprintf("%s-%d", role, fleet.next)
 	fleet.mu.Unlock()
 	process.FailureDomain = domain
+	process.TLS = fleet.config.TLS
 	process.Platform = setup.Platform{LogURL: "http://" + fleet.address, InstancesURL: "http://" + fleet.address}
 	var err error
 	if process.Listen.Peers, err = fleet.config.Network.Reserve(); err != nil {
--- a/internal/wire/conns/conns_test.go
+++ b/internal/wire/conns/conns_test.go
@@ -1,24 +1,20 @@
-package conns
+package conns_test
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"storj.io/drpc"
 
+	"jacinthfront.dev/jacinthfront/internal/bench/certs"
+	"jacinthfront.dev/jacinthfront/internal/wire/conns"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -30,72 +26,25 @@
 	return &wirepb.StatusResponse{Instance: "side-1"}, nil
 }
 
-// authority issues certificates of one fleet.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) authority {
+// newAuthority and issue fail the test when a certificate cannot be made.
+func newAuthority(t *testing.T) *certs.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "fleet CA"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	authority, err := certs.NewAuthority()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return authority{cert: cert, key: key}
+	return authority
 }
 
-func (authority authority) issue(t *testing.T, directory string, serial int64) CertFiles {
+func issue(t *testing.T, authority *certs.Authority, directory string, serial int64) conns.CertFiles {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	files, err := authority.Issue(directory, serial)
 	if err != nil {
 		t.Fatal(err)
 	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), DNSNames: []string{FleetName},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, authority.cert, &key.PublicKey, authority.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := CertFiles{
-		Cert: filepath.Join(directory, "cert.pem"),
-		Key:  filepath.Join(directory, "key.pem"),
-		CA:   filepath.Join(directory, "ca.pem"),
-	}
-	writePEM(t, files.Cert, "CERTIFICATE", der)
-	writePEM(t, files.Key, "EC PRIVATE KEY", keyDER)
-	writePEM(t, files.CA, "CERTIFICATE", authority.cert.Raw)
 	return files
 }
 
-func writePEM(t *testing.T, file, kind string, der []byte) {
-	t.Helper()
-	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	if err := os.WriteFile(file, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
 func TestTLS(t *testing.T) {
 	fleet, stranger := newAuthority(t), newAuthority(t)
 	tests := []struct {
@@ -108,7 +57,7 @@
 		{"other CA", "a process with another CA must be refused", certClient(stranger), false},
 		{"no TLS", "a plain connection must be refused", func(*testing.T) func() (*tls.Config, error) { return nil }, false},
 	}
-	certs, err := NewCerts(fleet.issue(t, t.TempDir(), 2))
+	loaded, err := conns.NewCerts(issue(t, fleet, t.TempDir(), 2))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,13 +69,13 @@
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
-		_ = Serve(ctx, listener, certs.Server(), func(mux drpc.Mux) error {
+		_ = conns.Serve(ctx, listener, loaded.Server(), func(mux drpc.Mux) error {
 			return wirepb.DRPCRegisterPeer(mux, &peerServer{})
 		})
 	}()
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			pool := New(Config{TLS: test.client(t)})
+			pool := conns.New(conns.Config{TLS: test.client(t)})
 			defer func() { _ = pool.Close() }()
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
@@ -148,40 +97,40 @@
 	<-served
 }
 
-func certClient(authority authority) func(t *testing.T) func() (*tls.Config, error) {
+func certClient(authority *certs.Authority) func(t *testing.T) func() (*tls.Config, error) {
 	return func(t *testing.T) func() (*tls.Config, error) {
-		certs, err := NewCerts(authority.issue(t, t.TempDir(), 3))
+		loaded, err := conns.NewCerts(issue(t, authority, t.TempDir(), 3))
 		if err != nil {
 			t.Fatal(err)
 		}
-		return certs.Client
+		return loaded.Client
 	}
 }
 
 func TestCertsReload(t *testing.T) {
 	fleet := newAuthority(t)
 	directory := t.TempDir()
-	certs, err := NewCerts(fleet.issue(t, directory, 10))
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := fleet.issue(t, directory, 11)
-	later := time.Now().Add(time.Minute)
-	if err := os.Chtimes(files.Cert, later, later); err != nil {
-		t.Fatal(err)
-	}
-	certs.mu.Lock()
-	certs.checked = time.Time{}
-	certs.mu.Unlock()
-	config, err := certs.Client()
-	if err != nil {
-		t.Fatal(err)
-	}
-	leaf, err := x509.ParseCertificate(config.Certificates[0].Certificate[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := cmp.Diff(int64(11), leaf.SerialNumber.Int64()); diff != "" {
-		t.Errorf("a renewed certificate must be used without a restart: %s", diff)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		loaded, err := conns.NewCerts(issue(t, fleet, directory, 10))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files := issue(t, fleet, directory, 11)
+		later := time.Now().Add(time.Hour)
+		if err := os.Chtimes(files.Cert, later, later); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(11 * time.Second)
+		config, err := loaded.Client()
+		if err != nil {
+			t.Fatal(err)
+		}
+		leaf, err := x509.ParseCertificate(config.Certificates[0].Certificate[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(int64(11), leaf.SerialNumber.Int64()); diff != "" {
+			t.Errorf("a renewed certificate must be used without a restart: %s", diff)
+		}
+	})
 }
