--- a/internal/daemon/syncer/follow.go
+++ b/internal/daemon/syncer/follow.go
@@ -84,6 +84,11 @@
 	}
 	log.first = max(log.first, page.First)
 	log.position = max(from, page.First)
+	if syncer.gapped() && !log.snapshots.Collect {
+		syncer.metrics.Add("gaps", 1)
+		syncer.config.Logger.Warn("config: records expired before they were read; waiting for a snapshot or a peer",
+			zap.Uint64("first", log.first), zap.Uint64("next", syncer.fold.Next()))
+	}
 	log.snapshots.Collect = syncer.gapped()
 	noted := false
 	for _, record := range page.Records {
--- a/internal/daemon/syncer/snapshot.go
+++ b/internal/daemon/syncer/snapshot.go
@@ -75,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	written := 0
 	for _, chunk := range chunks {
 		if syncer.snapshotWritten(chunk, due) {
 			continue
@@ -82,10 +83,13 @@
 		if err := syncer.appendChunk(ctx, chunk); err != nil {
 			return err
 		}
+		written++
+	}
+	if written > 0 {
+		syncer.metrics.Add("snapshots-written", 1)
+		syncer.config.Logger.Info("config: wrote snapshot",
+			zap.Uint64("version", chunks[0].Version), zap.Int("chunks", len(chunks)), zap.Int("written", written))
 	}
-	syncer.metrics.Add("snapshots-written", 1)
-	syncer.config.Logger.Info("config: wrote snapshot",
-		zap.Uint64("version", chunks[0].Version), zap.Int("chunks", len(chunks)))
 	return nil
 }
 
--- /dev/null
+++ b/internal/daemon/syncer/world_test.go
@@ -0,0 +1,281 @@
+package syncer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// fakeLog is the log service: every record it ever took, of which it serves
+// those within the retention.
+type fakeLog struct {
+	mutex     sync.Mutex
+	random    *rand.Rand
+	retention time.Duration
+	records   []Record
+	changed   chan struct{}
+}
+
+func newFakeLog(seed uint64, retention time.Duration) *fakeLog {
+	return &fakeLog{random: rand.New(rand.NewPCG(seed, 1)), retention: retention, changed: make(chan struct{})}
+}
+
+func (log *fakeLog) add(data []byte) uint64 {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	offset := uint64(len(log.records))
+	log.records = append(log.records, Record{Offset: offset, Time: time.Now(), Data: data})
+	close(log.changed)
+	log.changed = make(chan struct{})
+	return offset
+}
+
+func (log *fakeLog) page(from uint64) (Page, <-chan struct{}) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	page := Page{Next: uint64(len(log.records))}
+	for page.First < page.Next && time.Since(log.records[page.First].Time) > log.retention {
+		page.First++
+	}
+	for offset := max(from, page.First); offset < page.Next && len(page.Records) < 8; offset++ {
+		page.Records = append(page.Records, log.records[offset])
+	}
+	return page, log.changed
+}
+
+// chance reports true one time in n.
+func (log *fakeLog) chance(n int) bool {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.random.IntN(n) == 0
+}
+
+// link is one process's way to the log, which may be cut.
+type link struct {
+	log   *fakeLog
+	mutex sync.Mutex
+	cut   chan struct{} // closed while the log is out of reach
+	hangs bool          // whether calls hang while it is, or fail at once
+	loses int           // one append in so many loses its reply
+}
+
+func newLink(log *fakeLog) *link { return &link{log: log, cut: make(chan struct{})} }
+
+func (link *link) set(up, hangs bool) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.hangs = hangs
+	select {
+	case <-link.cut:
+		if up {
+			link.cut = make(chan struct{})
+		}
+	default:
+		if !up {
+			close(link.cut)
+		}
+	}
+}
+
+func (link *link) state() (<-chan struct{}, bool) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.cut, link.hangs
+}
+
+func (link *link) Append(ctx context.Context, _ string, data []byte) (uint64, error) {
+	time.Sleep(2 * time.Millisecond)
+	cut, hangs := link.state()
+	select {
+	case <-cut:
+		return 0, link.fail(ctx, hangs)
+	default:
+	}
+	offset := link.log.add(data)
+	if link.loses > 0 && link.log.chance(link.loses) {
+		return 0, fault.New(fault.LogUnavailable, fault.Unknown, "reply lost")
+	}
+	return offset, nil
+}
+
+func (link *link) Read(ctx context.Context, _ string, from uint64, wait time.Duration) (Page, error) {
+	time.Sleep(2 * time.Millisecond)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		cut, hangs := link.state()
+		page, changed := link.log.page(from)
+		select {
+		case <-cut:
+			return Page{}, link.fail(ctx, hangs)
+		default:
+		}
+		if len(page.Records) > 0 {
+			return page, nil
+		}
+		select {
+		case <-cut:
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
+
+func (link *link) fail(ctx context.Context, hangs bool) error {
+	if hangs {
+		<-ctx.Done()
+	}
+	return fault.New(fault.LogUnavailable, fault.NotRun, "log is out")
+}
+
+// network carries Sync calls between the processes of a test.
+type network struct {
+	mutex   sync.Mutex
+	servers map[string]*Syncer
+	cut     map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{servers: map[string]*Syncer{}, cut: map[string]bool{}}
+}
+
+func (network *network) server(from, to string) *Syncer {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	if network.cut[from] || network.cut[to] {
+		return nil
+	}
+	return network.servers[to]
+}
+
+type fakeConn struct {
+	drpc.Conn
+	server *Syncer
+}
+
+func (conn fakeConn) Release() {}
+
+// Invoke encodes both messages, as a connection does.
+func (conn fakeConn) Invoke(ctx context.Context, _ string, encoding drpc.Encoding, in, out drpc.Message) error {
+	time.Sleep(time.Millisecond)
+	data, err := encoding.Marshal(in)
+	if err != nil {
+		return err
+	}
+	var request wirepb.SyncRequest
+	if err := proto.Unmarshal(data, &request); err != nil {
+		return err
+	}
+	response, err := conn.server.Sync(ctx, &request)
+	if err != nil {
+		return err
+	}
+	if data, err = encoding.Marshal(response); err != nil {
+		return err
+	}
+	return encoding.Unmarshal(data, out)
+}
+
+// member is one process of a test, which may be restarted.
+type member struct {
+	*Syncer
+	name string
+	link *link
+	stop func()
+}
+
+type world struct {
+	t       *testing.T
+	log     *fakeLog
+	network *network
+	members []*member
+	change  func(*Config)
+}
+
+func newWorld(t *testing.T, seed uint64, retention time.Duration, count int, change func(*Config)) *world {
+	world := &world{t: t, log: newFakeLog(seed, retention), network: newNetwork(), change: change}
+	for index := range count {
+		member := &member{name: fmt.Sprintf("instance-%d", index), link: newLink(world.log)}
+		world.members = append(world.members, member)
+	}
+	for _, member := range world.members {
+		world.start(member)
+	}
+	return world
+}
+
+func (world *world) start(member *member) {
+	var peers []string
+	for _, peer := range world.members {
+		if peer != member {
+			peers = append(peers, peer.name)
+		}
+	}
+	config := Config{
+		Instance: member.name, Address: member.name, Log: member.link, Retention: world.log.retention,
+		Peers: func() []string { return peers }, Seed: uint64(len(member.name)),
+		Dial: func(_ context.Context, address string) (PeerConn, error) {
+			if server := world.network.server(member.name, address); server != nil {
+				return fakeConn{server: server}, nil
+			}
+			return nil, fault.New(fault.NoUpstream, fault.NotRun, "peer is out of reach")
+		},
+	}
+	if world.change != nil {
+		world.change(&config)
+	}
+	started, err := New(config)
+	if err != nil {
+		world.t.Fatal(err)
+	}
+	member.Syncer = started
+	world.network.mutex.Lock()
+	world.network.servers[member.name] = started
+	world.network.mutex.Unlock()
+	ctx, cancel := context.WithCancel(world.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = started.Run(ctx)
+	}()
+	member.stop = func() {
+		cancel()
+		<-done
+		world.network.mutex.Lock()
+		delete(world.network.servers, member.name)
+		world.network.mutex.Unlock()
+	}
+}
+
+func (world *world) stop() {
+	for _, member := range world.members {
+		member.stop()
+	}
+}
+
+// change returns a patch that puts one upstream or adapter.
+func change(random *rand.Rand, id string, base uint64) patch.Patch {
+	name := fmt.Sprintf("name-%d", random.IntN(40))
+	var op patch.Op = patch.PutUpstream{Upstream: model.UpstreamSpec{ID: name, Service: "advisor", FailureDomain: "one"}}
+	switch random.IntN(4) {
+	case 0:
+		op = patch.PutAdapter{Adapter: model.AdapterSpec{Name: name, Service: "advisor", Versions: []uint32{1}, DefaultVersion: 1}}
+	case 1:
+		op = patch.RemoveAdapter{Name: name}
+	}
+	return patch.Patch{ID: id, Base: base, Operator: "anna", Ops: []patch.Op{op}}
+}
