--- a/internal/daemon/start/limiter.go
+++ b/internal/daemon/start/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/daemon/side"
 	"jacinthfront.dev/jacinthfront/internal/flow/quota"
-	"jacinthfront.dev/jacinthfront/internal/link/roster"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -231,13 +229,3 @@
 	defer conn.Release()
 	return remote(wirepb.NewDRPCSideClient(conn), ctx, request)
 }
-
-// leaving reports whether the instance list shows an upstream as leaving.
-type leavingList struct{ parts *parts }
-
-// Leaving implements side.Roster.
-func (list leavingList) Leaving(upstream string) bool {
-	return slices.ContainsFunc(list.parts.roster.Instances(), func(instance roster.Instance) bool {
-		return instance.Upstream == upstream && instance.ID == list.parts.settings.Instance && instance.Leaving
-	})
-}
