--- a/internal/daemon/syncer/follow.go
+++ b/internal/daemon/syncer/follow.go
@@ -56,13 +56,17 @@
 		// What a peer already gave need not be read again.
 		syncer.log.position = max(syncer.log.position, syncer.fold.Next())
 	}
-	from := syncer.log.position
+	from, wait := syncer.log.position, syncer.config.PollWait
+	if !syncer.log.reached {
+		// The first page confirms the version without delay.
+		wait = 0
+	}
 	syncer.mutex.Unlock()
 
-	ctx, cancel := context.WithTimeout(ctx, syncer.config.PollWait+syncer.config.LogTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+syncer.config.LogTimeout)
 	defer cancel()
 	sent := time.Now()
-	page, err := syncer.config.Log.Read(ctx, Stream, from, syncer.config.PollWait)
+	page, err := syncer.config.Log.Read(ctx, Stream, from, wait)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/syncer/world_test.go
+++ b/internal/daemon/syncer/world_test.go
@@ -138,6 +138,7 @@
 func (link *link) fail(ctx context.Context, hangs bool) error {
 	if hangs {
 		<-ctx.Done()
+		return fault.New(fault.LogUnavailable, fault.Unknown, "log does not answer")
 	}
 	return fault.New(fault.LogUnavailable, fault.NotRun, "log is out")
 }
--- /dev/null
+++ b/internal/wire/codec/codec_test.go
@@ -0,0 +1,276 @@
+package codec
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/state/fold"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+)
+
+// everyOp holds each operation with every field set.
+func everyOp() patch.Patch {
+	return patch.Patch{ID: "patch-1", Base: 7, Operator: "anna", Force: true, Ops: []patch.Op{
+		patch.PutOrganisation{Organisation: model.OrganisationSpec{Name: "looms", Half: "east", Rate: 5, Burst: 9, Shards: []string{"up-1"}}},
+		patch.RemoveOrganisation{Name: "kilns"},
+		patch.PutKey{Key: model.KeySpec{ID: "0123456789abcdef", Organisation: "looms", Salt: bytes.Repeat([]byte{7}, 16), Digest: [32]byte{1, 2}}},
+		patch.WithdrawKey{ID: "fedcba9876543210"},
+		patch.PutRoute{Route: model.RouteSpec{
+			Name: "stock", Service: "counter", Plain: true, PathPrefix: "/stock", Methods: []string{"GET"}, Class: model.Patient,
+			LongestWait: 1500 * time.Millisecond, Idempotent: true, Open: true, DefaultMaxTokens: 3, Cost: 4,
+		}},
+		patch.RemoveRoute{Name: "letters"},
+		patch.PutAdapter{Adapter: model.AdapterSpec{Name: "felt", Organisation: "looms", Service: "advisor", Versions: []uint32{1, 4}, DefaultVersion: 4}},
+		patch.RemoveAdapter{Name: "wool"},
+		patch.PutUpstream{Upstream: model.UpstreamSpec{ID: "up-1", Service: "counter", Plain: true, Half: "east", FailureDomain: "one", FencingChecked: true}},
+		patch.RemoveUpstream{ID: "up-2", Ended: true},
+		patch.PutFleet{Fleet: model.FleetSpec{LoadRateMilli: 3000, LoadBurst: 8, LoadShards: []string{"up-1"}}},
+	}}
+}
+
+// Guards against a field that is lost on the log or in JSON.
+func TestPatchRoundTrip(t *testing.T) {
+	want := everyOp()
+	tests := []struct {
+		name   string
+		encode func(patch.Patch) ([]byte, error)
+		decode func([]byte) (patch.Patch, error)
+	}{
+		{name: "log", encode: EncodePatch, decode: func(data []byte) (patch.Patch, error) {
+			record, err := DecodeRecord(data)
+			return *record.Patch, err
+		}},
+		{name: "JSON", encode: EncodePatchJSON, decode: DecodePatchJSON},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			data, err := test.encode(want)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := test.decode(data)
+			if diff := cmp.Diff(want, got); diff != "" || err != nil {
+				t.Errorf("error %v (-want +got):\n%s", err, diff)
+			}
+		})
+	}
+}
+
+// Guards against JSON that is taken although it holds a mistake.
+func TestDecodePatchJSONRefuses(t *testing.T) {
+	for _, text := range []string{
+		``, `{`, `[]`, `{"id":"a","bas":1}`, `{"id":"a"} {}`,
+		`{"ops":[{}]}`, `{"ops":[{"remove-adapter":"a","remove-route":"b"}]}`, `{"ops":[{"put-adapter":{"nam":"a"}}]}`,
+		`{"ops":[{"put-route":{"longest-wait":5}}]}`, `{"ops":[{"put-route":{"longest-wait":"5"}}]}`,
+		`{"ops":[{"put-route":{"class":"lazy"}}]}`, `{"ops":[{"put-key":{"digest":"AA=="}}]}`,
+	} {
+		if got, err := DecodePatchJSON([]byte(text)); err == nil {
+			t.Errorf("%s was taken as %+v", text, got)
+		}
+	}
+}
+
+// filled returns a state with adapters, put in one patch each of 5,000.
+func filled(t testing.TB, adapters int) *fold.Fold {
+	folded := fold.New()
+	ops := []patch.Op{}
+	for index := range 40 {
+		ops = append(ops, patch.PutUpstream{Upstream: model.UpstreamSpec{ID: fmt.Sprintf("up-%d", index), Service: "advisor", FailureDomain: "one"}})
+	}
+	commit := func() {
+		version := folded.Config().Version()
+		result, _ := folded.Patch(version, patch.Patch{ID: fmt.Sprintf("patch-%d", version), Base: version, Ops: ops})
+		if result.Kind != patch.Accepted {
+			t.Fatal(result)
+		}
+		ops = nil
+	}
+	commit()
+	for index := range adapters {
+		ops = append(ops, patch.PutAdapter{Adapter: adapterNamed(index, 1)})
+		if len(ops) == 5000 || index == adapters-1 {
+			commit()
+		}
+	}
+	return folded
+}
+
+func adapterNamed(index int, version uint32) model.AdapterSpec {
+	return model.AdapterSpec{
+		Name: fmt.Sprintf("adapter-of-some-team-%06d", index), Service: "advisor",
+		Versions: []uint32{version}, DefaultVersion: version,
+	}
+}
+
+// Guards against a state that differs after a snapshot.
+func TestStateRoundTrip(t *testing.T) {
+	want := filled(t, 12_000).State()
+	data, err := EncodeState(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeState(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := EncodeState(got)
+	if err != nil || !bytes.Equal(data, again) {
+		t.Errorf("the second encoding differs, error %v", err)
+	}
+	if diff := cmp.Diff(want.Config.Adapters(), got.Config.Adapters()); diff != "" {
+		t.Errorf("adapters differ (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(want.Accepted, got.Accepted); diff != "" || got.Offset != want.Offset || got.Config.Version() != want.Config.Version() {
+		t.Errorf("got offset %d and version %d (-want +got):\n%s", got.Offset, got.Config.Version(), diff)
+	}
+}
+
+// Guards against records that stop a process or that are void in one process
+// only: folding any bytes must not panic and must give equal states.
+func FuzzDecodeRecord(f *testing.F) {
+	data, _ := EncodePatch(everyOp())
+	f.Add(data)
+	for _, op := range everyOp().Ops {
+		data, _ = EncodePatch(patch.Patch{ID: "patch-2", Base: 2, Force: true, Ops: []patch.Op{op}})
+		f.Add(data)
+	}
+	for _, chunk := range fold.Split(3, 9, []byte("state")) {
+		data, _ = EncodeChunk(chunk)
+		f.Add(data)
+	}
+	base, _ := EncodeState(filled(f, 10).State())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var encodings [2][]byte
+		for index := range encodings {
+			state, err := DecodeState(base)
+			if err != nil {
+				t.Fatal(err)
+			}
+			folded := fold.New()
+			folded.Adopt(state, 2)
+			record, err := DecodeRecord(data)
+			switch {
+			case err != nil:
+				folded.Skip(2)
+			case record.Patch != nil:
+				folded.Patch(2, *record.Patch)
+			case record.Chunk != nil:
+				snapshots := fold.Snapshots{Collect: true}
+				if encoded, _, ok := snapshots.Add(*record.Chunk, time.Time{}); ok {
+					_, _ = DecodeState(encoded)
+				}
+			}
+			if encodings[index], err = EncodeState(folded.State()); err != nil {
+				t.Fatalf("an accepted patch cannot be encoded: %v", err)
+			}
+		}
+		if !bytes.Equal(encodings[0], encodings[1]) {
+			t.Error("two processes fold the record to different states")
+		}
+		if state, err := DecodeState(encodings[0]); err != nil {
+			t.Errorf("the state cannot be decoded: %v", err)
+		} else if again, _ := EncodeState(state); !bytes.Equal(encodings[0], again) {
+			t.Error("the state differs after a snapshot")
+		}
+	})
+}
+
+// Guards against JSON that stops a process or changes on its way to the log.
+func FuzzDecodePatchJSON(f *testing.F) {
+	data, _ := EncodePatchJSON(everyOp())
+	f.Add(data)
+	f.Add([]byte(`{"id":"a","base":1,"ops":[{"remove-adapter":"a"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		record, err := DecodePatchJSON(data)
+		if err != nil {
+			return
+		}
+		problem := patch.Check(record)
+		wire, err := EncodePatch(record)
+		if err != nil {
+			return
+		}
+		decoded, err := DecodeRecord(wire)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(problem, patch.Check(*decoded.Patch)); diff != "" {
+			t.Errorf("the patch is checked differently on the log (-JSON +log):\n%s", diff)
+		}
+	})
+}
+
+// Guards against snapshots that stop a process.
+func FuzzDecodeState(f *testing.F) {
+	data, _ := EncodeState(filled(f, 10).State())
+	f.Add(data)
+	f.Add([]byte{8, 1, 82, 1, 65})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		state, err := DecodeState(data)
+		if err != nil {
+			return
+		}
+		for adapter := range state.Config.AllAdapters() {
+			state.Config.Adapter(adapter.Name)
+		}
+		folded := fold.New()
+		folded.Adopt(state, 1)
+		folded.Patch(1, patch.Patch{ID: "next", Base: state.Config.Version(), Ops: []patch.Op{patch.RemoveAdapter{Name: "a"}}})
+	})
+}
+
+var sizes = []int{20_000, 60_000, 110_000, 170_000}
+
+func BenchmarkState(b *testing.B) {
+	for _, size := range sizes {
+		state := filled(b, size).State()
+		encoded, err := EncodeState(state)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("encode-%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = EncodeState(state)
+			}
+			b.ReportMetric(float64(len(encoded)), "bytes")
+		})
+		b.Run(fmt.Sprintf("decode-%d", size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = DecodeState(encoded)
+			}
+		})
+	}
+}
+
+// BenchmarkRecord measures a record from its bytes to the next version.
+func BenchmarkRecord(b *testing.B) {
+	for _, size := range sizes {
+		folded := filled(b, size)
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				version := folded.Config().Version()
+				data, err := EncodePatch(patch.Patch{ID: fmt.Sprintf("patch-%d", version), Base: version, Ops: []patch.Op{
+					patch.PutAdapter{Adapter: adapterNamed(int(version)*7919%size, uint32(version))},
+				}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				record, err := DecodeRecord(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if result, _ := folded.Patch(version+1000, *record.Patch); result.Kind != patch.Accepted {
+					b.Fatal(result)
+				}
+			}
+		})
+	}
+}
