--- a/internal/daemon/admin/admin.go
+++ b/internal/daemon/admin/admin.go
@@ -80,7 +80,6 @@
 		DisableInterruptHandler:   true,
 		DisablePathCorrection:     true,
 		DisableAutoFireStatusCode: true,
-		FireMethodNotAllowed:      true,
 	}))
 	admin.routes(app)
 	if err := app.Build(); err != nil {
@@ -102,7 +101,7 @@
 	app.Get("/debug/vars", iris.FromStd(expvar.Handler()))
 	app.Get("/healthz", admin.wrap(admin.getHealth))
 	app.Get("/readyz", admin.wrap(admin.getReady))
-	app.OnAnyErrorCode(admin.wrap(admin.serveNothing))
+	app.Any("/{path:path}", admin.wrap(admin.serveNothing))
 }
 
 // Handler returns the interface as an HTTP handler.
