Prove that each check of the side process can fail

Cause: a test that passes with its rule removed guards nothing. Change: tests of half moves with a free place, loads charged in fair order, refused evictions, an engine restart while tokens are taken, permits, tokens of calls that were not received, load reports on the first and last event, callers who leave the queue, and a claim whose append reply is lost before an outage. Each test ends with a check that nothing is queued, running or live.

--- a/internal/daemon/side/claims_test.go
+++ b/internal/daemon/side/claims_test.go
@@ -75,6 +75,10 @@
 		{"key reused", []step{{nil, "x", booked, 1}, {nil, "y", refused("idempotency-key-reused"), 1}}},
 		{"log out", []step{{logOut(true), "x", refused("log-unavailable"), 0}, {logOut(false), "x", booked, 1}}},
 		{"append reply lost", []step{{func(rig *rig) { rig.log.lose = 1 }, "x", booked, 1}, {nil, "x", booked, 1}}},
+		{"append reply lost and log out", []step{
+			{func(rig *rig) { rig.log.lose, rig.log.outAfter = 1, true }, "x", refused("log-unavailable"), 0},
+			{logOut(false), "x", booked, 1},
+		}},
 		{"claimed elsewhere", []step{{func(rig *rig) { rig.claimElsewhere(nil) }, "x", unknown, 0}}},
 		{"claimed elsewhere for another request", []step{{func(rig *rig) { rig.claimElsewhere(nil) }, "y", refused("idempotency-key-reused"), 0}}},
 		{"run elsewhere", []step{{func(rig *rig) { rig.claimElsewhere(&once.Outcome{Status: 201, Body: []byte("booked")}) }, "x", booked, 0}}},
--- a/internal/daemon/side/delivery_test.go
+++ b/internal/daemon/side/delivery_test.go
@@ -138,17 +138,18 @@
 	tests := []struct {
 		call func(context.Context, Call) (*Reply, error)
 		want result
+		cost model.Tokens
 	}{
 		{func(context.Context, Call) (*Reply, error) {
 			return nil, fault.New(fault.UpstreamFailed, fault.NotRun, "connection refused")
-		}, refused("upstream-failed")},
+		}, refused("upstream-failed"), 0},
 		{func(context.Context, Call) (*Reply, error) {
 			return &Reply{Status: 200, Body: io.NopCloser(io.MultiReader(strings.NewReader("bo"), iotest.ErrReader(errCut)))}, nil
-		}, result{Text: "bo", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}},
+		}, result{Text: "bo", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}, 10},
 		{func(ctx context.Context, _ Call) (*Reply, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
-		}, result{Failed: "deadline-exceeded", Ran: wirepb.Ran_RAN_UNKNOWN}},
+		}, result{Failed: "deadline-exceeded", Ran: wirepb.Ran_RAN_UNKNOWN}, 10},
 	}
 	for _, test := range tests {
 		inRig(t, plainUpstream, func(rig *rig) {
@@ -157,6 +158,9 @@
 			if diff := cmp.Diff(test.want, got, ignoreDetail); diff != "" {
 				t.Errorf("result (-want +got):\n%s", diff)
 			}
+			if used := 1e6 - rig.limiter.level["oak"]; used != test.cost {
+				t.Errorf("%+v used %d tokens", got, used)
+			}
 		})
 	}
 }
@@ -187,6 +191,23 @@
 	})
 }
 
+// Guards against a place at the upstream that is given to a request whose
+// caller left the queue.
+func TestCallerLeavesQueue(t *testing.T) {
+	inRig(t, func(config *Config) { config.MaxRunning = 1 }, func(rig *rig) {
+		running := rig.start(rig.ctx, rig.request())
+		time.Sleep(115 * time.Millisecond)
+		ctx, cancel := context.WithCancel(rig.ctx)
+		rig.start(ctx, rig.request())
+		time.Sleep(time.Millisecond)
+		cancel()
+		<-running
+		if got := rig.do(rig.ctx, rig.request()); !got.Done || got.took > 50*time.Millisecond {
+			t.Errorf("next request: %+v", got)
+		}
+	})
+}
+
 // Guards against a key, a cookie or a request id of the caller's choice that
 // reaches the upstream.
 func TestHeaders(t *testing.T) {
--- a/internal/daemon/side/fakes_test.go
+++ b/internal/daemon/side/fakes_test.go
@@ -36,6 +36,13 @@
 	request.Method, request.Path, request.Idempotent = "POST", "/kilns", false
 }
 
+func adapter(name string) func(*wirepb.RunRequest) {
+	return func(request *wirepb.RunRequest) { request.Adapter = name }
+}
+
+// ash makes a request one of the other organisation.
+func ash(request *wirepb.RunRequest) { request.Organisation, request.KeyId = "ash", "ash-key" }
+
 // fakeConfigs is a configuration that tests change.
 type fakeConfigs struct {
 	config   atomic.Pointer[model.Config]
@@ -91,8 +98,10 @@
 	inUse   map[slots.Ref]int
 	running int
 	// reports are the running requests over time; State lags behind.
-	reports  []report
-	silent   bool
+	reports []report
+	silent  bool
+	// refusals is how many orders to unload are refused.
+	refusals int
 	calls    []string
 	loadTime time.Duration
 	loadErr  error
@@ -194,6 +203,9 @@
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	ref := slots.Ref{Adapter: adapter, Version: version}
+	if engine.refusals--; engine.refusals >= 0 {
+		return errCut
+	}
 	engine.note("unload %s", ref)
 	if engine.inUse[ref] > 0 {
 		engine.faults = append(engine.faults, "evicted in use: "+ref.String())
@@ -354,6 +366,8 @@
 	records map[string][]LogRecord
 	out     bool
 	lose    int
+	// outAfter says that the log is out after a lost reply.
+	outAfter bool
 }
 
 var errOut = errors.New("log out")
@@ -372,6 +386,7 @@
 	log.records[stream] = append(log.records[stream], LogRecord{Offset: offset, Time: time.Now(), Data: record})
 	if log.lose > 0 {
 		log.lose--
+		log.out = log.outAfter
 		return 0, errOut
 	}
 	return offset, nil
@@ -420,9 +435,13 @@
 		go func() { defer close(over); _ = rig.Serve(ctx) }()
 		time.Sleep(time.Millisecond)
 		test(rig)
-		time.Sleep(time.Millisecond)
+		time.Sleep(10 * time.Second)
 		cancel()
 		<-over
+		if rig.queue.Len() > 0 || len(rig.running) > 0 || rig.live > 0 || len(rig.gathering) > 0 {
+			t.Errorf("left over: %d queued, %d running, %d live, %d gathering",
+				rig.queue.Len(), len(rig.running), rig.live, len(rig.gathering))
+		}
 		for _, seen := range rig.fake.faults {
 			t.Errorf("engine saw: %s", seen)
 		}
--- a/internal/daemon/side/gate_test.go
+++ b/internal/daemon/side/gate_test.go
@@ -111,6 +111,9 @@
 				if diff := cmp.Diff(test.want, got, ignoreDetail); diff != "" {
 					t.Errorf("result (-want +got):\n%s", diff)
 				}
+				if rig.limiter.level["oak"] != 1e6 {
+					t.Error("tokens were taken without the organisation's key")
+				}
 			})
 		})
 	}
@@ -133,32 +136,30 @@
 // Guards against work of the new half that starts while work of the old half
 // runs, and against queued work of the old half that runs after the move.
 func TestHalfMove(t *testing.T) {
-	inRig(t, func(config *Config) { config.MaxRunning = 2 }, func(rig *rig) {
-		rig.configs.edit(func(editor *model.Editor) {
-			editor.PutUpstream(model.UpstreamSpec{ID: "up", Service: "advisor", Half: "oak-half"})
-		})
-		rig.fake.pace = 400 * time.Millisecond
-		running, second := rig.start(rig.ctx, rig.request()), rig.start(rig.ctx, rig.request())
-		time.Sleep(300 * time.Millisecond)
-		queued := rig.start(rig.ctx, rig.request())
-		time.Sleep(200 * time.Millisecond)
-		rig.configs.edit(func(editor *model.Editor) {
-			editor.PutUpstream(model.UpstreamSpec{ID: "up", Service: "advisor", Half: "ash-half"})
-		})
-		next := rig.start(rig.ctx, rig.request(func(request *wirepb.RunRequest) {
-			request.Organisation, request.KeyId = "ash", "ash-key"
-		}))
+	move := func(half model.Half) func(*model.Editor) {
+		return func(editor *model.Editor) {
+			editor.PutUpstream(model.UpstreamSpec{ID: "up", Service: "advisor", Half: half})
+		}
+	}
+	inRig(t, nil, func(rig *rig) {
+		rig.configs.edit(move("oak-half"))
+		rig.do(rig.ctx, rig.request())
+		rig.fake.mu.Lock()
+		rig.fake.pace, rig.fake.loadTime = 400*time.Millisecond, time.Second
+		rig.fake.mu.Unlock()
+		running, queued := rig.start(rig.ctx, rig.request()), rig.start(rig.ctx, rig.request(adapter("b")))
+		time.Sleep(500 * time.Millisecond)
+		rig.configs.edit(move("ash-half"))
+		next := rig.start(rig.ctx, rig.request(ash))
 		if got := <-queued; got.Refused != "wrong-half" {
 			t.Errorf("queued work of the old half: %+v", got)
 		}
 		time.Sleep(500 * time.Millisecond)
-		if sent := rig.fake.seen("generate r4"); len(sent) > 0 {
+		if len(rig.fake.seen("generate r4")) > 0 {
 			t.Error("work of the new half started while the old half ran")
 		}
-		for name, results := range map[string]<-chan result{"running": running, "second": second, "next": next} {
-			if got := <-results; !got.Done {
-				t.Errorf("%s: %+v", name, got)
-			}
+		if old, got := <-running, <-next; !old.Done || !got.Done {
+			t.Errorf("old half %+v, new half %+v", old, got)
 		}
 	})
 }
--- a/internal/daemon/side/loads_test.go
+++ b/internal/daemon/side/loads_test.go
@@ -1,7 +1,9 @@
 package side
 
 import (
+	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,15 +13,12 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-func adapter(name string) func(*wirepb.RunRequest) {
-	return func(request *wirepb.RunRequest) { request.Adapter = name }
-}
-
 // Guards against several loads of one adapter, against requests that wait for
 // another one's load, and against an eviction of an adapter in use, which the
 // fake engine reports.
 func TestLoads(t *testing.T) {
-	inRig(t, nil, func(rig *rig) {
+	var permits countingPermits
+	inRig(t, func(config *Config) { config.Permits = &permits }, func(rig *rig) {
 		rig.do(rig.ctx, rig.request())
 		var results []<-chan result
 		for _, name := range []string{"a", "b", "b", "c", "a", "d", "b", "a"} {
@@ -35,8 +34,55 @@
 				t.Errorf("a request for a loaded adapter took %v", got.took)
 			}
 		}
-		if loads := rig.fake.seen("load b"); len(loads) != 1 {
-			t.Errorf("loads %v", loads)
+		if loads := rig.fake.seen("load"); len(rig.fake.seen("load b")) != 1 || int(permits) != len(loads) {
+			t.Errorf("loads %v with %d permits", loads, permits)
+		}
+	})
+}
+
+type countingPermits int
+
+func (permits *countingPermits) Acquire(context.Context) error {
+	*permits++
+	return nil
+}
+
+// Guards against loads that cost nothing: an organisation that causes one lets
+// others go first.
+func TestLoadCharge(t *testing.T) {
+	charged := func(config *Config) { config.MaxRunning, config.Queue.Quantum = 1, 50 }
+	inRig(t, charged, func(rig *rig) {
+		rig.fake.loadTime = time.Millisecond
+		rig.do(rig.ctx, rig.request())
+		var last <-chan result
+		for _, change := range []func(*wirepb.RunRequest){ash, adapter("b"), ash, ash, ash} {
+			last = rig.start(rig.ctx, rig.request(change))
+			time.Sleep(time.Millisecond)
+		}
+		<-last
+		time.Sleep(100 * time.Millisecond)
+		if sent := rig.fake.seen("generate"); !strings.Contains(sent[len(sent)-1], "r3") {
+			t.Errorf("the organisation that caused a load did not go last: %v", sent)
+		}
+	})
+}
+
+// Guards against an eviction that the engine refuses and that counts as a
+// failed load, which would turn the waiting requests away.
+func TestRefusedEviction(t *testing.T) {
+	inRig(t, func(config *Config) { config.Engine.(*fakeEngine).slots = 1 }, func(rig *rig) {
+		rig.do(rig.ctx, rig.request())
+		rig.fake.mu.Lock()
+		rig.fake.refusals = 1
+		rig.fake.loadErr = errCut
+		rig.fake.mu.Unlock()
+		time.AfterFunc(time.Millisecond, func() {
+			rig.fake.mu.Lock()
+			defer rig.fake.mu.Unlock()
+			rig.fake.loadErr = nil
+		})
+		if got := rig.do(rig.ctx, rig.request(adapter("b"))); !got.Done || rig.table.Concurrency() < 2 {
+			t.Errorf("result %+v", got)
 		}
 	})
 }
@@ -69,6 +115,14 @@
 		if got := rig.do(rig.ctx, rig.request()); !got.Done || len(rig.fake.seen("load a")) != 2 {
 			t.Errorf("result %+v, loads %v", got, rig.fake.seen("load"))
 		}
+		rig.limiter.taken = func() {
+			rig.limiter.taken = nil
+			rig.fake.restart()
+			rig.poll(rig.ctx)
+		}
+		if got := rig.do(rig.ctx, rig.request()); !got.Done || len(rig.fake.seen("load a")) != 3 {
+			t.Errorf("restart while tokens are taken: %+v, loads %v", got, rig.fake.seen("load"))
+		}
 		if token := rig.FencingToken(); token != 91 {
 			t.Errorf("fencing token %d, want 91", token)
 		}
@@ -84,8 +138,8 @@
 		rig.limiter.set("oak", 0)
 		patient := rig.start(rig.ctx, rig.request(func(request *wirepb.RunRequest) { request.Class = wirepb.Class_CLASS_PATIENT }))
 		time.Sleep(50 * time.Millisecond)
-		other := rig.do(rig.ctx, rig.request(func(request *wirepb.RunRequest) { request.Organisation, request.KeyId = "ash", "ash-key" }))
-		if !other.Done || other.took > 100*time.Millisecond {
+		other := rig.do(rig.ctx, rig.request(ash))
+		if !other.Done || other.took > 45*time.Millisecond {
 			t.Errorf("other organisation: %+v", other)
 		}
 		interactive := rig.start(rig.ctx, rig.request())
@@ -98,6 +152,10 @@
 		if got := <-patient; got.Refused != "wait-exceeded" || got.took != 2*time.Second {
 			t.Errorf("patient, without tokens: %+v", got)
 		}
+		rig.limiter.set("oak", 30)
+		if got := rig.do(rig.ctx, rig.request()); !got.Done {
+			t.Errorf("after a withdrawn request: %+v", got)
+		}
 	})
 }
 
@@ -120,8 +178,11 @@
 func TestDebits(t *testing.T) {
 	inRig(t, nil, func(rig *rig) {
 		rig.limiter.lapsed = 2
-		if got := rig.do(rig.ctx, rig.request()); !got.Done {
-			t.Errorf("result %+v", got)
+		got := rig.do(rig.ctx, rig.request())
+		for index, event := range got.events {
+			if edge := index == 0 || index == len(got.events)-1; !got.Done || edge != (event.GetLoad() != nil) {
+				t.Errorf("event %d of %+v: %v", index, got, event)
+			}
 		}
 		if diff := cmp.Diff([]model.Tokens{0, 0, 13}, rig.limiter.settled); diff != "" {
 			t.Errorf("settled (-want +got):\n%s", diff)
