--- a/internal/bench/demo/delays.go
+++ b/internal/bench/demo/delays.go
@@ -106,7 +106,9 @@
 	for {
 		select {
 		case packet := <-conn.outgoing:
-			time.Sleep(time.Until(packet.due))
+			if !conn.await(packet.due) {
+				return
+			}
 			if _, err := conn.Conn.Write(packet.data); err != nil {
 				return
 			}
@@ -116,6 +118,19 @@
 	}
 }
 
+// await waits until a time and reports whether the connection is still open. A
+// close must not wait for packets under way: callers close under locks.
+func (conn *delayedConn) await(due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-conn.closed:
+		return false
+	}
+}
+
 // Read implements net.Conn.
 func (conn *delayedConn) Read(into []byte) (int, error) {
 	for len(conn.rest) == 0 {
@@ -123,7 +138,9 @@
 		if !ok {
 			return 0, io.EOF
 		}
-		time.Sleep(time.Until(packet.due))
+		if !conn.await(packet.due) {
+			return 0, net.ErrClosed
+		}
 		if conn.rest = packet.data; len(packet.data) == 0 && packet.err != nil {
 			return 0, packet.err
 		}
--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -44,9 +44,9 @@
 
 // Fleet is a running deployment.
 type Fleet struct {
-	config   FleetConfig
-	plan     load.Plan
-	client   *http.Client
+	config FleetConfig
+	plan   load.Plan
+	client *http.Client
 	// delays is nil without delays between failure domains.
 	delays   *delays
 	platform *plat.Platform
@@ -63,7 +63,8 @@
 	next    int
 	// baseline holds the engines' counts at the end of the warm-up time.
 	baseline []counts
-	begun    time.Time
+	// split is when the deployment was split into halves.
+	split time.Time
 }
 
 // NewFleet starts the stand-ins and publishes the initial configuration. The
@@ -343,3 +344,6 @@
 	}
 	fleet.client.CloseIdleConnections()
 }
+
+// Client returns an HTTP client of the fleet's network.
+func (fleet *Fleet) Client() *http.Client { return fleet.client }
--- a/internal/bench/demo/measure.go
+++ b/internal/bench/demo/measure.go
@@ -46,20 +46,20 @@
 	TokensPerStep float64 `json:"tokens-per-step"`
 	// Worst is the highest p95 first-token time of an organisation's model
 	// requests. An organisation whose load surges is left out.
-	Worst             float64          `json:"worst-organisation-p95-ms"`
-	WorstOrganisation string           `json:"worst-organisation"`
+	Worst             float64 `json:"worst-organisation-p95-ms"`
+	WorstOrganisation string  `json:"worst-organisation"`
 	// Interactive and Patient are the p95 first-token times by class.
 	Interactive float64 `json:"interactive-p95-ms"`
 	Patient     float64 `json:"patient-p95-ms"`
-	Wrongful          int64            `json:"wrongful-refusals"`
+	Wrongful    int64   `json:"wrongful-refusals"`
 	// ByDesign counts those refusals that the design asks for while the log
 	// is out; they are not among the wrongful ones.
-	ByDesign int64 `json:"refusals-by-design"`
-	Sent              int64            `json:"sent"`
-	Completed         int64            `json:"completed"`
-	Unknown           int64            `json:"unknown"`
-	Errors            map[string]int64 `json:"errors"`
-	Groups            []Group          `json:"groups"`
+	ByDesign  int64            `json:"refusals-by-design"`
+	Sent      int64            `json:"sent"`
+	Completed int64            `json:"completed"`
+	Unknown   int64            `json:"unknown"`
+	Errors    map[string]int64 `json:"errors"`
+	Groups    []Group          `json:"groups"`
 }
 
 // Measure computes the measures from what callers and engines saw.
--- a/internal/bench/load/report.go
+++ b/internal/bench/load/report.go
@@ -55,7 +55,7 @@
 	model  map[string]*telem.Histogram
 	// refusedWaits holds the time that refused model requests waited.
 	refusedWaits []time.Duration
-	traces   []Trace
+	traces       []Trace
 }
 
 const maxProblems = 20
--- /dev/null
+++ b/internal/bench/trial/table.go
@@ -0,0 +1,64 @@
+package trial
+
+import (
+	"fmt"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/demo"
+)
+
+// Lines returns the results as lines with tab-separated columns.
+func Lines(results []Result) []string {
+	lines := []string{"SCENARIO\tPOLICY\tLOAD STALL\tSTALLED\tTOKENS/STEP\tWORST ORGANISATION p95\tINTERACTIVE/PATIENT p95\tWRONGFUL REFUSALS\tLOADS\tPROMISES"}
+	for index := range results {
+		result := &results[index]
+		measures := &result.Measures
+		lines = append(lines, fmt.Sprintf("%s\t%s\t%.1f ms\t%.1f%%\t%.2f\t%.0f ms (%s)\t%.0f/%.0f ms\t%d of %d\t%d\t%s",
+			result.Scenario, result.Policy, measures.LoadStall, 100*measures.Stalled, measures.TokensPerStep,
+			measures.Worst, measures.WorstOrganisation, measures.Interactive, measures.Patient,
+			measures.Wrongful, measures.Sent, measures.Loads, promises(result)))
+	}
+	if comparisons := Compare(results); len(comparisons) > 0 {
+		lines = append(lines, "", "DEFAULT/NAIVE\tLOAD STALL\tTOKENS/STEP\tWORST ORGANISATION\tWRONGFUL REFUSALS")
+		for _, comparison := range comparisons {
+			lines = append(lines, fmt.Sprintf("%s\t%.2f\t%.2f\t%.2f\t%+d",
+				comparison.Scenario, comparison.Stall, comparison.Tokens, comparison.Worst, comparison.Wrongful))
+		}
+	}
+	for index := range results {
+		lines = append(lines, groupLines(&results[index])...)
+	}
+	return lines
+}
+
+// promises sums up the promise table of a result.
+func promises(result *Result) string {
+	for _, promise := range result.Promises {
+		if !promise.Held {
+			return "BROKEN: " + promise.Name + ": " + promise.Seen
+		}
+	}
+	return fmt.Sprintf("%d held", len(result.Promises))
+}
+
+func groupLines(result *Result) []string {
+	lines := []string{
+		"", result.Scenario + ", " + result.Policy + ", errors " + fmt.Sprint(result.Measures.Errors),
+		"ORGANISATION\tKIND\tSENT\tDONE\tREFUSED\tWRONGFUL\tFIRST TOKEN p50/p95/p99\tBETWEEN TOKENS p50/p95/p99",
+	}
+	for _, group := range result.Measures.Groups {
+		lines = append(lines, fmt.Sprintf("%s\t%s, %s\t%d\t%d\t%d\t%d\t%s\t%s", group.Organisation, group.Kind, class(group.Kind),
+			group.Sent, group.Completed, group.Refused, group.Wrongful, latency(group.FirstToken), latency(group.Gap)))
+	}
+	return lines
+}
+
+func class(kind string) string {
+	if kind == "letter" {
+		return "patient"
+	}
+	return "interactive"
+}
+
+func latency(latency demo.Latency) string {
+	return fmt.Sprintf("%.0f/%.0f/%.0f ms", latency.P50, latency.P95, latency.P99)
+}
--- /dev/null
+++ b/internal/bench/trial/trial.go
@@ -0,0 +1,154 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/demo"
+	"jacinthfront.dev/jacinthfront/internal/bench/load"
+)
+
+// The policies that are compared.
+const (
+	Naive   = "naive"
+	Default = "default"
+)
+
+// Config configures runs.
+type Config struct {
+	Deployment demo.Deployment
+	// Network returns the network of one run.
+	Network func() demo.Network
+	Seed    uint64
+	// Warmup comes before the measured Length.
+	Warmup  time.Duration
+	Length  time.Duration
+	Entries int
+	Logger  *zap.Logger
+}
+
+// Result is the outcome of one scenario under one policy.
+type Result struct {
+	Scenario   string         `json:"scenario"`
+	Deployment string         `json:"deployment"`
+	Policy     string         `json:"policy"`
+	Seed       uint64         `json:"seed"`
+	Length     string         `json:"length"`
+	Promises   []demo.Promise `json:"promises"`
+	Measures   demo.Measures  `json:"measures"`
+	Problems   []string       `json:"problems"`
+}
+
+// Held reports whether all promises held.
+func (result *Result) Held() bool {
+	for _, promise := range result.Promises {
+		if !promise.Held {
+			return false
+		}
+	}
+	return true
+}
+
+// Run runs one scenario under one policy.
+func Run(ctx context.Context, config Config, scenario Scenario, policy string) (Result, error) {
+	fleet, err := demo.NewFleet(demo.FleetConfig{
+		Deployment: config.Deployment, Network: config.Network(), Policy: policy, Entries: config.Entries,
+		Seed: config.Seed, Delays: true, Logger: config.Logger,
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer fleet.Close()
+	if err := fleet.Start(ctx); err != nil {
+		return Result{}, err
+	}
+	plan := fleet.Plan()
+	if scenario.plan != nil {
+		scenario.plan(&plan, config.Warmup, config.Length)
+		fleet.SetSurge(plan.Surge)
+	}
+	generator := load.New(load.Config{
+		Entries: fleet.Entries, Client: fleet.Client(), Plan: plan, Seed: config.Seed, Expect: demo.Expect,
+		Warmup: config.Warmup, AfterWarmup: fleet.BeginMeasure,
+	})
+	acted := make(chan error, 1)
+	go func() { acted <- act(ctx, fleet, scenario, config) }()
+	generator.Run(ctx, config.Warmup+config.Length)
+	if err := <-acted; err != nil {
+		return Result{}, fmt.Errorf("scenario %s: %w", scenario.Name, err)
+	}
+	report := generator.Report()
+	result := Result{
+		Scenario: scenario.Name, Deployment: config.Deployment.Name, Policy: policy, Seed: config.Seed,
+		Length: config.Length.String(), Promises: fleet.CheckLoad(report), Measures: fleet.Measure(report), Problems: report.Problems(),
+	}
+	if scenario.check != nil {
+		result.Promises = append(result.Promises, scenario.check(fleet))
+	}
+	return result, ctx.Err()
+}
+
+// act performs the steps of a scenario at their times.
+func act(ctx context.Context, fleet *demo.Fleet, scenario Scenario, config Config) error {
+	begin := time.Now().Add(config.Warmup)
+	for _, step := range scenario.steps {
+		timer := time.NewTimer(time.Until(begin.Add(part(config.Length, step.at))))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+		if err := step.action(ctx, fleet, config.Length); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Comparison holds the ratios of two policies under one scenario.
+type Comparison struct {
+	Scenario string `json:"scenario"`
+	// Stall is the default policy's load stall in parts of the naive one's.
+	Stall float64 `json:"load-stall-ratio"`
+	// Tokens is the default policy's tokens per step in parts of the naive one's.
+	Tokens float64 `json:"tokens-per-step-ratio"`
+	// Worst is the worst-served organisation's time in parts of the naive one's.
+	Worst float64 `json:"worst-organisation-ratio"`
+	// Wrongful is the difference in wrongful refusals.
+	Wrongful int64 `json:"wrongful-refusals-difference"`
+}
+
+// Compare returns the ratios of each scenario that ran under both policies.
+func Compare(results []Result) []Comparison {
+	naive := map[string]demo.Measures{}
+	for _, result := range results {
+		if result.Policy == Naive {
+			naive[result.Scenario] = result.Measures
+		}
+	}
+	var comparisons []Comparison
+	for _, result := range results {
+		base, ok := naive[result.Scenario]
+		if !ok || result.Policy != Default {
+			continue
+		}
+		measures := result.Measures
+		comparisons = append(comparisons, Comparison{
+			Scenario: result.Scenario, Stall: ratio(measures.LoadStall, base.LoadStall),
+			Tokens: ratio(measures.TokensPerStep, base.TokensPerStep), Worst: ratio(measures.Worst, base.Worst),
+			Wrongful: measures.Wrongful - base.Wrongful,
+		})
+	}
+	return comparisons
+}
+
+func ratio(value, base float64) float64 {
+	if base == 0 {
+		return 0
+	}
+	return value / base
+}
