--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -30,6 +30,9 @@
 	Seed    uint64
 	// Delays adds the deployment's delays between failure domains.
 	Delays bool
+	// TLS names the certificate files of all processes; empty means plain
+	// connections between them.
+	TLS    setup.TLS
 	Logger *zap.Logger
 }
 
@@ -38,8 +41,10 @@
 	process *start.Process
 	listed  plat.Instance
 	// callers is the base URL of an entry instance.
-	callers  string
-	upstream int
+	callers string
+	// operators is the base URL of the operator interface.
+	operators string
+	upstream  int
 }
 
 // Fleet is a running deployment.
@@ -250,6 +255,7 @@
 	process.Instance = fmt.Sprintf("%s-%d", role, fleet.next)
 	fleet.mu.Unlock()
 	process.FailureDomain = domain
+	process.TLS = fleet.config.TLS
 	process.Platform = setup.Platform{LogURL: "http://" + fleet.address, InstancesURL: "http://" + fleet.address}
 	var err error
 	if process.Listen.Peers, err = fleet.config.Network.Reserve(); err != nil {
@@ -269,7 +275,6 @@
 	settings.Upstream.URL = fleet.urls[upstream]
 	domain := deployment.domain(upstream)
 	if upstream >= deployment.Runners {
-		settings.Upstream.Kind = "plain"
 		settings.Upstream.ID = deployment.plainID(upstream - deployment.Runners)
 		domain = deployment.domain(upstream - deployment.Runners)
 	}
@@ -311,7 +316,7 @@
 	if err != nil {
 		return err
 	}
-	entry := &instance{process: started, callers: "http://" + settings.Listen.Callers, listed: plat.Instance{
+	entry := &instance{process: started, callers: "http://" + settings.Listen.Callers, operators: "http://" + settings.Listen.Operators, listed: plat.Instance{
 		ID: process.Instance, Role: "entry", Address: process.Listen.Peers, FailureDomain: domain, State: plat.StateLive,
 	}}
 	fleet.mu.Lock()
--- a/internal/daemon/start/side.go
+++ b/internal/daemon/start/side.go
@@ -10,8 +10,11 @@
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/side"
+	"jacinthfront.dev/jacinthfront/internal/flow/queue"
 	"jacinthfront.dev/jacinthfront/internal/flow/quota"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
 	"jacinthfront.dev/jacinthfront/internal/link/engine"
+	"jacinthfront.dev/jacinthfront/internal/link/roster"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -50,6 +53,8 @@
 		NewShard:     newShard,
 		Metrics:      telem.Map("side"),
 		Logger:       parts.logger,
+		Queue:        queue.Config{Requests: settings.Queue.Requests, Tokens: model.Tokens(settings.Queue.Tokens)},
+		Slots:        slots.Config{Seed: settings.Seed},
 		MaxRunning:   settings.Upstream.Concurrency,
 		Partitions:   settings.Claims.Partitions,
 		ClaimWindow:  settings.Claims.Window,
@@ -71,12 +76,15 @@
 		return err
 	}
 	ready := func() bool { return parts.syncer.Current().Version() > 0 }
-	process := &Process{parts: parts, serve: cancel, drain: drain, ready: ready, done: make(chan struct{})}
+	process := &Process{
+		parts: parts, serve: cancel, drain: drain, ready: ready, done: make(chan struct{}),
+		status: func() (string, any) { return roster.RoleSide, server.Status() },
+	}
 	parts.run(ctx, group, func(mux drpc.Mux) error {
 		if err := wirepb.DRPCRegisterSide(mux, server); err != nil {
 			return err
 		}
-		return parts.registerPeer(mux, func() (string, any) { return "side", sideStatus{Ready: ready()} })
+		return parts.registerPeer(mux, process.status)
 	})
 	group.Go(func() error { return ended(ctx, server.Serve(ctx)) })
 	group.Go(func() error { return ended(ctx, parts.serveOperators(ctx, process)) })
@@ -84,11 +92,6 @@
 	return process
 }
 
-// sideStatus is the detail of a side process's status.
-type sideStatus struct {
-	Ready bool `json:"ready"`
-}
-
 // hostedShard implements side.Shard.
 type hostedShard struct{ *quota.Shard }
 
