Decide what to load when a load permit is there

Cause: the plan chose adapters and took their slots before the permit. While permits were scarce, up to eight orders of an engine held slots that had neither the old nor the new adapter, and chats waited behind earlier letters.

Change: a side process acquires one permit at a time for no particular adapter. When it is there, the plan chooses the demand and the eviction.

--- a/internal/daemon/side/loads.go
+++ b/internal/daemon/side/loads.go
@@ -64,13 +64,8 @@
 	return &state
 }
 
-// give waits for a permit, evicts, and loads.
+// give evicts and loads.
 func (server *Server) give(ctx context.Context, order slots.Order, generation uint64) error {
-	if order.Load != (slots.Ref{}) {
-		if err := server.config.Permits.Acquire(ctx); err != nil {
-			return err
-		}
-	}
 	server.mu.Lock()
 	current := generation == server.engine.generation
 	server.table.Start(time.Now(), order.Load)
--- a/internal/daemon/side/pump.go
+++ b/internal/daemon/side/pump.go
@@ -103,13 +103,18 @@
 	for _, demand := range byRef {
 		list = append(list, demand.Demand)
 	}
-	for _, order := range server.table.Plan(now, list) {
+	orders, more := server.table.PlanLoads(now, list, server.permits.take(now))
+	for _, order := range orders {
 		if demand, ok := byRef[order.Load]; ok {
 			server.queue.Charge(demand.organisation, queue.LoadCost)
+			server.permits.held--
 		}
 		server.loads.Add(1)
 		go server.execute(order, server.engine.generation)
 	}
+	if more {
+		server.askPermit()
+	}
 	return list
 }
 
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -137,6 +137,7 @@
 	mu      sync.Mutex
 	queue   *queue.Queue[*ticket]
 	table   *slots.Table
+	permits permits
 	records *once.Records
 	flights map[flightKey]*flight
 	engine  engineView
--- a/internal/flow/slots/plan.go
+++ b/internal/flow/slots/plan.go
@@ -28,6 +28,13 @@
 // call of Finish. Demands name loaded adapters too, whose waiting requests
 // put off their eviction.
 func (table *Table) Plan(now time.Time, demands []Demand) []Order {
+	orders, _ := table.PlanLoads(now, demands, len(demands))
+	return orders
+}
+
+// PlanLoads is Plan with a bound on the orders that load, and reports whether
+// the bound held one back.
+func (table *Table) PlanLoads(now time.Time, demands []Demand, most int) (orders []Order, more bool) {
 	waiting := make(map[Ref]bool, len(demands))
 	wanted := demands[:0:0]
 	for _, demand := range demands {
@@ -38,7 +45,7 @@
 		}
 	}
 	slices.SortFunc(wanted, func(left, right Demand) int { return table.compare(now, left, right) })
-	orders := table.trim(now)
+	orders = table.trim(now)
 	if len(wanted) == 0 {
 		table.reopen()
 	}
@@ -54,12 +61,15 @@
 			}
 			continue
 		}
+		if most--; most < 0 {
+			return orders, true
+		}
 		delete(table.slots, evict)
 		table.slots[demand.Ref] = &slot{loading: true, started: now, lastUsed: now}
 		table.throttle.start()
 		orders = append(orders, Order{Load: demand.Ref, Evict: evict})
 	}
-	return orders
+	return orders, false
 }
 
 // trim evicts what the engine holds beyond its slots, which can be seen after
