--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -68,7 +68,8 @@
 	next    int
 	// baseline holds the engines' counts at the end of the warm-up time.
 	baseline []counts
-	begun    time.Time
+	// split is when the deployment was split into halves.
+	split time.Time
 }
 
 // NewFleet starts the stand-ins and publishes the initial configuration. The
@@ -348,3 +349,6 @@
 	}
 	fleet.client.CloseIdleConnections()
 }
+
+// Client returns an HTTP client of the fleet's network.
+func (fleet *Fleet) Client() *http.Client { return fleet.client }
