--- a/internal/bench/slope/rows_peer.go
+++ b/internal/bench/slope/rows_peer.go
@@ -37,6 +37,16 @@
 
 // servePeer serves a quietPeer on loopback until the returned function is called.
 func servePeer(ctx context.Context) (string, func(), error) {
+	return serveDRPC(ctx, func(mux drpc.Mux) error {
+		if err := wirepb.DRPCRegisterSide(mux, &quietPeer{}); err != nil {
+			return err
+		}
+		return wirepb.DRPCRegisterPeer(mux, &quietPeer{})
+	})
+}
+
+// serveDRPC serves on loopback until the returned function is called.
+func serveDRPC(ctx context.Context, add conns.Register) (string, func(), error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
@@ -45,12 +55,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = conns.Serve(ctx, listener, nil, func(mux drpc.Mux) error {
-			if err := wirepb.DRPCRegisterSide(mux, &quietPeer{}); err != nil {
-				return err
-			}
-			return wirepb.DRPCRegisterPeer(mux, &quietPeer{})
-		})
+		_ = conns.Serve(ctx, listener, nil, add)
 	}()
 	return listener.Addr().String(), func() {
 		cancel()
