--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -28,7 +28,12 @@
 	Policy  string
 	Entries int
 	Seed    uint64
-	Logger  *zap.Logger
+	// Delays adds the deployment's delays between failure domains.
+	Delays bool
+	// TLS names the certificate files of all processes; empty means plain
+	// connections between them.
+	TLS    setup.TLS
+	Logger *zap.Logger
 }
 
 // instance is a running process of ours with its entry in the instance list.
@@ -36,15 +41,19 @@
 	process *start.Process
 	listed  plat.Instance
 	// callers is the base URL of an entry instance.
-	callers  string
-	upstream int
+	callers string
+	// operators is the base URL of the operator interface.
+	operators string
+	upstream  int
 }
 
 // Fleet is a running deployment.
 type Fleet struct {
-	config   FleetConfig
-	plan     load.Plan
-	client   *http.Client
+	config FleetConfig
+	plan   load.Plan
+	client *http.Client
+	// delays is nil without delays between failure domains.
+	delays   *delays
 	platform *plat.Platform
 	address  string
 	engines  []*model.Engine
@@ -57,6 +66,9 @@
 	entries []*instance
 	sides   []*instance
 	next    int
+	// baseline holds the engines' counts at the end of the warm-up time.
+	baseline []counts
+	begun    time.Time
 }
 
 // NewFleet starts the stand-ins and publishes the initial configuration. The
@@ -66,6 +78,9 @@
 		config.Logger = zap.NewNop()
 	}
 	fleet := &Fleet{config: config, plan: config.Deployment.Plan(), client: client(config.Network)}
+	if config.Delays {
+		fleet.delays = newDelays(config.Network, config.Deployment.DomainDelay)
+	}
 	if err := fleet.startStandIns(); err != nil {
 		fleet.Close()
 		return nil, err
@@ -217,10 +232,16 @@
 	}
 }
 
-func (fleet *Fleet) environment() start.Environment {
+// environment is that of a process in a failure domain, whose peers reach it at
+// the given address.
+func (fleet *Fleet) environment(domain, address string) start.Environment {
+	network := fleet.config.Network
+	if fleet.delays != nil {
+		network = fleet.delays.from(domain, address)
+	}
 	return start.Environment{
-		Listen: fleet.config.Network.Listen,
-		Dial:   dialer(fleet.config.Network),
+		Listen: network.Listen,
+		Dial:   dialer(network),
 		HTTP:   fleet.client,
 		Logger: fleet.config.Logger,
 	}
@@ -233,6 +254,7 @@
 	process.Instance = fmt.Sprintf("%s-%d", role, fleet.next)
 	fleet.mu.Unlock()
 	process.FailureDomain = domain
+	process.TLS = fleet.config.TLS
 	process.Platform = setup.Platform{LogURL: "http://" + fleet.address, InstancesURL: "http://" + fleet.address}
 	var err error
 	if process.Listen.Peers, err = fleet.config.Network.Reserve(); err != nil {
@@ -246,11 +268,12 @@
 func (fleet *Fleet) StartSide(ctx context.Context, upstream int) error {
 	deployment := fleet.config.Deployment
 	settings := setup.DefaultSide()
+	settings.Policy = fleet.config.Policy
+	settings.Seed = fleet.config.Seed + uint64(upstream) + 1
 	settings.Upstream.ID = deployment.runnerID(upstream)
 	settings.Upstream.URL = fleet.urls[upstream]
 	domain := deployment.domain(upstream)
 	if upstream >= deployment.Runners {
-		settings.Upstream.Kind = "plain"
 		settings.Upstream.ID = deployment.plainID(upstream - deployment.Runners)
 		domain = deployment.domain(upstream - deployment.Runners)
 	}
@@ -259,7 +282,7 @@
 		return err
 	}
 	settings.Process = process
-	started, err := start.Side(settings, fleet.environment())
+	started, err := start.Side(settings, fleet.environment(domain, process.Listen.Peers))
 	if err != nil {
 		return err
 	}
@@ -288,11 +311,11 @@
 	if settings.Listen.Callers, err = fleet.config.Network.Reserve(); err != nil {
 		return err
 	}
-	started, err := start.Entry(settings, fleet.environment())
+	started, err := start.Entry(settings, fleet.environment(domain, process.Listen.Peers))
 	if err != nil {
 		return err
 	}
-	entry := &instance{process: started, callers: "http://" + settings.Listen.Callers, listed: plat.Instance{
+	entry := &instance{process: started, callers: "http://" + settings.Listen.Callers, operators: "http://" + settings.Listen.Operators, listed: plat.Instance{
 		ID: process.Instance, Role: "entry", Address: process.Listen.Peers, FailureDomain: domain, State: plat.StateLive,
 	}}
 	fleet.mu.Lock()
