Eject failing upstreams and bound retries at the entry instances

Cause: entry instances retried without a budget and kept choosing upstreams that fail. Change: the retry budget and outlier ejection are wired in; a policy wrapper sends one probe at a time to an upstream whose ejection is over. Before: no ejection. After: TestProbes counts 0, 1 and 5 of 10 requests at an ejected, a probed and a recovered upstream; without the call of Probe it counts 5 in place of 1.

--- a/internal/daemon/start/entry.go
+++ b/internal/daemon/start/entry.go
@@ -14,6 +14,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/entry"
+	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/flow/route"
 	"jacinthfront.dev/jacinthfront/internal/link/roster"
 	"jacinthfront.dev/jacinthfront/internal/state/creds"
@@ -49,12 +50,18 @@
 	limits.InFlight = settings.Limits.InFlight
 	limits.Request = settings.Limits.RequestLimit
 	limits.Drain = settings.Shutdown.DrainLimit
+	budget, err := retry.New(retry.Config{Seed: routeSeed(settings)})
+	if err != nil {
+		return nil, err
+	}
 	return entry.New(entry.Config{
 		Configs:       parts.syncer,
 		Roster:        entryRoster{parts},
 		Authenticator: authenticator{},
 		Sides:         sides{parts},
 		NewPolicy:     newPolicy(settings, parts),
+		NewHealth:     newHealth,
+		Budget:        retryBudget{budget},
 		Admission:     newAdmission(settings.Routing.Policy),
 		Logger:        parts.logger,
 		Counters:      telem.Map("entry"),
@@ -82,7 +89,7 @@
 func newPolicy(settings setup.Entry, parts *parts) func(string, bool, route.Health) route.Policy {
 	return func(service string, _ bool, health route.Health) route.Policy {
 		if settings.Routing.Policy == "naive" {
-			return route.NewRoundRobin(health)
+			return withProbes(route.NewRoundRobin(health), health)
 		}
 		router, err := route.New(route.Config{
 			Weights:       route.Profiles[settings.Routing.Profile](),
@@ -93,9 +100,9 @@
 		if err != nil {
 			// The profiles' weights are constants that pass every check.
 			parts.logger.Error("route: weights refused, routing in rotation", zap.Error(err))
-			return route.NewRoundRobin(health)
+			return withProbes(route.NewRoundRobin(health), health)
 		}
-		return router
+		return withProbes(router, health)
 	}
 }
 
