Unpin adapters of cancelled requests once the engine has reported twice

Cause: after a caller went away, the adapter stayed pinned until the engine's lagging count was accounted for, which under steady load took up to the request limit. Change: two reports, asked for at least 1 s after the connection was closed, settle the end unless they count more requests than this process can have.

--- a/internal/daemon/side/delivery_test.go
+++ b/internal/daemon/side/delivery_test.go
@@ -165,28 +165,39 @@
 	}
 }
 
-// Guards against an engine that works on for a caller who has gone, and
-// against the eviction of the adapter before the engine confirmed the end.
+// Guards against an engine that works on for a caller who has gone, against
+// the eviction of the adapter before the engine confirmed the end, also by an
+// engine that does not cancel, and against a pin that stays under steady load.
 func TestCallerGone(t *testing.T) {
-	oneSlot := func(config *Config) {
-		engine := config.Engine.(*fakeEngine)
-		engine.slots, engine.tokens = 1, 1000
-	}
-	inRig(t, oneSlot, func(rig *rig) {
-		ctx, cancel := context.WithCancel(rig.ctx)
-		results := rig.start(ctx, rig.request())
-		time.Sleep(305 * time.Millisecond) // between two tokens
-		cancel()
-		<-results
-		rig.fake.set(func() { rig.fake.tokens = 3 })
-		got := rig.do(rig.ctx, rig.request(func(request *wirepb.RunRequest) { request.Adapter = "b" }))
-		if !got.Done {
-			t.Errorf("next request: %+v", got)
+	for _, test := range []struct{ afterlife, least, most time.Duration }{
+		{300 * time.Millisecond, time.Second, 2 * time.Second}, {5 * time.Second, 5 * time.Second, 8 * time.Second},
+	} {
+		oneSlot := func(config *Config) {
+			engine := config.Engine.(*fakeEngine)
+			engine.slots, engine.tokens, engine.afterlife = 1, 1000, test.afterlife
 		}
-		if diff := cmp.Diff([]string{"cancel r1"}, rig.fake.seen("cancel")); diff != "" {
-			t.Error(diff)
-		}
-	})
+		inRig(t, oneSlot, func(rig *rig) {
+			rig.configs.edit(func(editor *model.Editor) {
+				editor.PutRoute(model.RouteSpec{Name: "chat", Service: "advisor", LongestWait: time.Minute, Idempotent: true})
+			})
+			ctx, cancel := context.WithCancel(rig.ctx)
+			results := rig.start(ctx, rig.request())
+			time.Sleep(305 * time.Millisecond) // between two tokens
+			cancel()
+			<-results
+			rig.fake.set(func() { rig.fake.tokens = 3 })
+			for range 2 { // short requests keep the engine's count above 0
+				rig.start(rig.ctx, rig.request())
+			}
+			got := rig.do(rig.ctx, rig.request(adapter("b")))
+			if !got.Done || got.took < test.least || got.took > test.most {
+				t.Errorf("next request: %+v", got)
+			}
+			if diff := cmp.Diff([]string{"cancel r1"}, rig.fake.seen("cancel")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
 }
 
 // Guards against a place at the upstream that is given to a request whose
--- a/internal/daemon/side/dispatch.go
+++ b/internal/daemon/side/dispatch.go
@@ -111,6 +111,7 @@
 	now := time.Now()
 	server.records.End(now, ticket.attempt, ending.ran, ending.status)
 	delete(server.running, ticket)
+	server.ends = append(server.ends, now)
 	ticket.committed = false
 	if ticket.plain || ending.confirmed {
 		server.unpin(ticket)
--- a/internal/daemon/side/fakes_test.go
+++ b/internal/daemon/side/fakes_test.go
@@ -100,6 +100,8 @@
 	// reports are the running requests over time; State lags behind.
 	reports []report
 	silent  bool
+	// afterlife is how long a request goes on after its connection was closed.
+	afterlife time.Duration
 	// refusals is how many orders to unload are refused.
 	refusals int
 	calls    []string
@@ -133,7 +135,7 @@
 func newFakeEngine() *fakeEngine {
 	return &fakeEngine{
 		epoch: "e1", slots: 2, loaded: map[slots.Ref]bool{}, inUse: map[slots.Ref]int{},
-		loadTime: 100 * time.Millisecond, tokens: 3, pace: 10 * time.Millisecond,
+		loadTime: 100 * time.Millisecond, afterlife: 300 * time.Millisecond, tokens: 3, pace: 10 * time.Millisecond,
 	}
 }
 
@@ -283,7 +285,7 @@
 	defer stream.engine.mu.Unlock()
 	if !stream.ended {
 		stream.engine.note("cancel %s", stream.generation.RequestID)
-		time.AfterFunc(300*time.Millisecond, func() { stream.engine.set(stream.end) })
+		time.AfterFunc(stream.engine.afterlife, func() { stream.engine.set(stream.end) })
 	}
 }
 
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -41,10 +41,6 @@
 	Records     once.RecordsConfig
 	// MaxRunning bounds the requests at the upstream.
 	MaxRunning int
-	// UnloadChecked says that the engine refuses to unload an adapter that a
-	// request still uses. Otherwise an adapter whose request ended without
-	// confirmation stays until the engine's report accounts for the request.
-	UnloadChecked bool
 	// Partitions is the number of claim streams.
 	Partitions  int
 	ClaimWindow time.Duration
@@ -138,6 +134,8 @@
 	flights map[flightKey]*flight
 	engine  engineView
 	lingers []linger
+	// ends are the times at which requests ended lately.
+	ends    []time.Time
 	running map[*ticket]bool
 	// taking counts the committed requests of each organisation whose tokens
 	// are not debited yet.
--- a/internal/daemon/side/watch.go
+++ b/internal/daemon/side/watch.go
@@ -2,24 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
-
-	"jacinthfront.dev/jacinthfront/internal/flow/slots"
 )
 
-// linger is the use of an adapter by a request whose end the engine has not
-// confirmed.
-type linger struct {
-	requestID  string
-	ref        slots.Ref
-	generation uint64
-	ended      time.Time
-}
-
 // Serve follows the configuration, the list of instances and the engine until
 // ctx ends. It returns when no load is under way.
 func (server *Server) Serve(ctx context.Context) error {
@@ -113,52 +101,3 @@
 	server.config.Logger.Info("place: engine started anew", zap.String("epoch", state.Epoch),
 		zap.Int("slots", state.Slots), zap.Int("loaded", len(state.Loaded)), zap.String("upstream", server.config.Upstream))
 }
-
-// worked returns the requests that the engine had begun to answer long enough
-// ago for its report to count them.
-func (server *Server) worked(now time.Time) []*ticket {
-	server.mu.Lock()
-	defer server.mu.Unlock()
-	if len(server.lingers) == 0 {
-		return nil
-	}
-	var tickets []*ticket
-	for ticket := range server.running {
-		if !ticket.firstToken.IsZero() && now.Sub(ticket.firstToken) >= reportLag {
-			tickets = append(tickets, ticket)
-		}
-	}
-	return tickets
-}
-
-// settleLingers unpins adapters of requests whose end was not confirmed, once
-// a report shows that the engine is done with them or they cannot run any more.
-func (server *Server) settleLingers(asked time.Time, state State, before []*ticket) {
-	idle := !state.Listed && (server.config.UnloadChecked || server.accounted(state, before))
-	kept := server.lingers[:0]
-	for _, linger := range server.lingers {
-		over := asked.Sub(linger.ended) >= server.config.RequestLimit
-		if asked.Sub(linger.ended) >= reportLag {
-			over = over || idle || state.Listed && !slices.Contains(state.Active, linger.requestID)
-		}
-		if !over {
-			kept = append(kept, linger)
-		} else if linger.generation == server.engine.generation {
-			server.table.Unpin(linger.ref)
-		}
-	}
-	server.lingers = kept
-}
-
-// accounted reports whether the engine works on no more than the requests that
-// are known to run. Those that began or ended around the report do not count
-// as known.
-func (server *Server) accounted(state State, before []*ticket) bool {
-	known := 0
-	for _, ticket := range before {
-		if server.running[ticket] {
-			known++
-		}
-	}
-	return state.Running+state.Waiting <= known
-}
