Test the entry instance's failure handling and fix what the tests show

Cause: limits, drain, keys, idempotency keys and outcomes were untested. They showed, and this commit fixes: unknown paths without JSON answer; refused bodies read without deadline, which held the connection; field names in another case that reach the upstream unchecked; waits that counted the time of a slow body; a lost side process that did not count against its health when its incarnation was asked for; ring points of different short ids with equal hashes (xxh3 with small seeds), now drawn from splitmix64. A stream is read to its end before its connection is released.

--- a/internal/daemon/entry/attempt.go
+++ b/internal/daemon/entry/attempt.go
@@ -87,11 +87,28 @@
 		default:
 		}
 		if end, ok := attempt.take(event); ok {
+			attempt.finishStream(stream, cancel)
 			return end
 		}
 	}
 }
 
+// closeTime bounds the wait for the end of a stream after its last event.
+const closeTime = 200 * time.Millisecond
+
+// finishStream reads the stream to its end, so that the connection can be used
+// again, and counts events that come after the last one.
+func (attempt *attempt) finishStream(stream wirepb.DRPCSide_RunClient, cancel context.CancelCauseFunc) {
+	timer := time.AfterFunc(closeTime, func() { cancel(nil) })
+	defer timer.Stop()
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return
+		}
+		attempt.drop("events-after-the-end")
+	}
+}
+
 func (attempt *attempt) entry() *Entry { return attempt.job.exchange.entry }
 
 func (attempt *attempt) unreachableResult() result {
--- a/internal/daemon/entry/caller.go
+++ b/internal/daemon/entry/caller.go
@@ -61,10 +61,8 @@
 // readBody reads the whole body within its limits.
 func (exchange *exchange) readBody() ([]byte, *fault.Fault) {
 	limits := exchange.entry.config.Limits
-	control := http.NewResponseController(exchange.naive)
-	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTime))
+	// The deadline for the body was set when the exchange began.
 	body, err := io.ReadAll(io.LimitReader(exchange.request.Body, limits.Body+1))
-	_ = control.SetReadDeadline(time.Time{})
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -74,6 +72,7 @@
 	case int64(len(body)) > limits.Body:
 		return nil, fault.New(fault.BodyTooLarge, fault.NotRun, "the body exceeds %d bytes; send a shorter one", limits.Body)
 	}
+	_ = http.NewResponseController(exchange.naive).SetReadDeadline(time.Time{})
 	if holdsKeyJSON(body) || holdsKeyEncoded(string(body)) {
 		return nil, keyInRequest("body")
 	}
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -22,6 +22,8 @@
 	draining atomic.Bool
 	// background counts cancellations that outlive their requests.
 	background sync.WaitGroup
+	// drained is closed when Drain has ended.
+	drained chan struct{}
 }
 
 // New returns an Entry.
@@ -29,7 +31,7 @@
 	if err := config.complete(); err != nil {
 		return nil, err
 	}
-	entry := &Entry{config: config, fleet: newFleet(&config), places: newMemory(memorySize)}
+	entry := &Entry{config: config, fleet: newFleet(&config), places: newMemory(memorySize), drained: make(chan struct{})}
 	handler, err := entry.handler()
 	if err != nil {
 		return nil, err
@@ -44,7 +46,7 @@
 	return entry, nil
 }
 
-// Serve serves callers on the listener until Drain or the end of ctx.
+// Serve serves callers on the listener until Drain has ended or ctx ends.
 func (entry *Entry) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -52,10 +54,16 @@
 	stop := context.AfterFunc(ctx, func() { _ = entry.server.Close() })
 	defer stop()
 	err := entry.server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
-	return err
+	if entry.draining.Load() {
+		select {
+		case <-entry.drained:
+		case <-ctx.Done():
+		}
+	}
+	return nil
 }
 
 // Ready reports whether the load balancer may send requests.
@@ -65,7 +73,9 @@
 
 // Drain makes the instance unready, keeps serving until the load balancer has
 // noticed, and then waits for the requests in flight, within the drain limit.
+// It is called once.
 func (entry *Entry) Drain(ctx context.Context) error {
+	defer close(entry.drained)
 	ctx, cancel := context.WithTimeout(ctx, entry.config.Limits.Drain)
 	defer cancel()
 	entry.draining.Store(true)
--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -31,7 +31,6 @@
 	writer  http.ResponseWriter
 	naive   http.ResponseWriter
 	request *http.Request
-	status  int
 	id      string
 	arrived time.Time
 	config  *model.Config
@@ -48,14 +47,15 @@
 }
 
 func newExchange(entry *Entry, ctx iris.Context) *exchange {
-	// The connection may still have the deadline of an earlier exchange.
-	_ = http.NewResponseController(ctx.ResponseWriter().Naive()).SetWriteDeadline(time.Time{})
+	control := http.NewResponseController(ctx.ResponseWriter().Naive())
+	// The deadline also bounds the time in which net/http reads the rest of a
+	// body that this instance refuses unread.
+	_ = control.SetReadDeadline(time.Now().Add(entry.config.Limits.BodyTime))
 	return &exchange{
 		entry:   entry,
 		writer:  ctx.ResponseWriter(),
 		naive:   ctx.ResponseWriter().Naive(),
 		request: ctx.Request(),
-		status:  ctx.GetStatusCode(),
 		id:      entry.config.NewID(),
 		arrived: time.Now(),
 		config:  entry.config.Configs.Current(),
--- a/internal/daemon/entry/http.go
+++ b/internal/daemon/entry/http.go
@@ -22,7 +22,6 @@
 		DisableInterruptHandler:   true,
 		DisablePathCorrection:     true,
 		DisableAutoFireStatusCode: true,
-		FireMethodNotAllowed:      true,
 	}))
 	for _, prefix := range []string{"/v1", "/routes/{route}/v1"} {
 		app.Post(prefix+"/chat/completions", entry.wrap((*exchange).serveChat))
@@ -31,7 +30,8 @@
 	}
 	app.Get("/v1/requests/{id}", entry.wrap((*exchange).serveOutcome))
 	app.Any("/services/{path:path}", entry.wrap((*exchange).servePlain))
-	app.OnAnyErrorCode(entry.wrap((*exchange).serveNothing))
+	app.Any("/", entry.wrap((*exchange).serveNothing))
+	app.Any("/{path:path}", entry.wrap((*exchange).serveNothing))
 	if err := app.Build(); err != nil {
 		return nil, fault.New(fault.Internal, fault.NotRun, "the HTTP interface does not build: %v; report it", err)
 	}
@@ -60,8 +60,13 @@
 
 // serveNothing answers what no other handler does.
 func (exchange *exchange) serveNothing() *fault.Fault {
-	if exchange.status == http.StatusMethodNotAllowed {
-		return fault.New(fault.MethodNotAllowed, fault.NotRun, "the path does not take this method; the header Allow names those that it does")
+	for suffix, method := range map[string]string{
+		"/v1/chat/completions": http.MethodPost, "/v1/completions": http.MethodPost, "/v1/models": http.MethodGet,
+	} {
+		if strings.HasSuffix(exchange.request.URL.Path, suffix) && exchange.request.Method != method {
+			exchange.writer.Header().Set("Allow", method)
+			return fault.New(fault.MethodNotAllowed, fault.NotRun, "the path does not take this method; use %s", method)
+		}
 	}
 	return fault.New(fault.UnknownRoute, fault.NotRun,
 		"nothing is served at this path; use /v1/chat/completions, /v1/completions, /v1/models, /routes/ROUTE/v1/... or /services/SERVICE/...")
--- a/internal/daemon/entry/job.go
+++ b/internal/daemon/entry/job.go
@@ -13,8 +13,10 @@
 // job is the work of one request, independent of the attempts made at it.
 type job struct {
 	exchange *exchange
-	service  *service
-	sink     sink
+	// ready is when the request was read, from which its wait counts.
+	ready   time.Time
+	service *service
+	sink    sink
 	// template is the message for the side process, but for what differs from
 	// one attempt to the next.
 	template *wirepb.RunRequest
@@ -42,7 +44,7 @@
 		return nil, noUpstream(exchange.route.Service)
 	}
 	spec := exchange.route
-	job := &job{exchange: exchange, service: service, sink: sink}
+	job := &job{exchange: exchange, ready: time.Now(), service: service, sink: sink}
 	job.routing = route.Request{Half: exchange.organisation.Half}
 	job.template = &wirepb.RunRequest{
 		ConfigVersion:  exchange.config.Version(),
@@ -104,7 +106,7 @@
 	if longest <= 0 {
 		longest = job.exchange.entry.config.Limits.Request
 	}
-	return longest - time.Since(job.exchange.arrived)
+	return longest - time.Since(job.ready)
 }
 
 // setTokens sets what the work costs and what routing needs to know of it.
--- a/internal/daemon/entry/prompt.go
+++ b/internal/daemon/entry/prompt.go
@@ -52,6 +52,25 @@
 	Stop                *json.RawMessage `json:"stop"`
 }
 
+// checkedFields are the fields of completionBody by their exact names.
+var checkedFields = []string{
+	"model", "prompt", "messages", "stream", "stream_options", "max_tokens", "max_completion_tokens", "n",
+	"best_of", "echo", "temperature", "top_p", "seed", "user", "stop",
+}
+
+// checkNames refuses names that differ from checked ones in case only: an
+// upstream might take them for the checked field.
+func checkNames(fields map[string]json.RawMessage) *fault.Fault {
+	for name := range fields {
+		for _, checked := range checkedFields {
+			if name != checked && strings.EqualFold(name, checked) {
+				return badRequest("the name of field %s is not in lower case; write it so", checked)
+			}
+		}
+	}
+	return nil
+}
+
 type streamOptions struct {
 	IncludeUsage bool `json:"include_usage"`
 }
@@ -72,6 +91,9 @@
 	if err := json.Unmarshal(data, &fields); err != nil || fields == nil {
 		return nil, badRequest("the body is not a JSON object; send one with the fields of the public API")
 	}
+	if fault := checkNames(fields); fault != nil {
+		return nil, fault
+	}
 	if err := json.Unmarshal(data, &body); err != nil {
 		return nil, badRequest("the field %s has the wrong type; see the public API for its type", wrongField(err))
 	}
--- a/internal/daemon/entry/run.go
+++ b/internal/daemon/entry/run.go
@@ -65,6 +65,7 @@
 func (job *job) try(ctx context.Context, attempt *attempt) result {
 	defer job.service.policy.Ended(attempt.upstream)
 	if !job.idempotent() && attempt.incarnation == 0 && !attempt.learnIncarnation(ctx) {
+		job.service.health.Failed(attempt.upstream, time.Now())
 		return attempt.unreachableResult()
 	}
 	end := attempt.run(ctx)
--- a/internal/flow/place/ring.go
+++ b/internal/flow/place/ring.go
@@ -146,7 +146,16 @@
 	return slot
 }
 
-func pointHash(id string, index int) uint64 { return xxh3.HashStringSeed(id, uint64(index)) }
+// pointHash returns the hash of one of an upstream's points: the output of a
+// splitmix64 generator seeded with the id's hash. Hashing the id with the index
+// as seed is not enough: xxh3 gives different ids of up to 3 bytes equal hashes
+// under different small seeds.
+func pointHash(id string, index int) uint64 {
+	hash := xxh3.HashString(id) + uint64(index+1)*0x9e3779b97f4a7c15
+	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
+	return hash ^ hash>>31
+}
 
 func (ring *Ring) locate(hash uint64) (bucket uint64, low uint32) {
 	return hash >> ring.shift, uint32(hash >> (ring.shift - 32))
--- a/internal/flow/route/router_test.go
+++ b/internal/flow/route/router_test.go
@@ -115,6 +115,10 @@
 			setup.request.Only = setup.order[2]
 			setup.ejected[setup.order[2]] = true
 		}, none: true},
+		{name: "only, but in the other half", setup: func(setup *setup) {
+			setup.request.Half, setup.request.Only = "north", setup.order[2]
+			setup.halve(2)
+		}, none: true},
 		{name: "all ejected", setup: func(setup *setup) {
 			for _, id := range setup.order {
 				setup.ejected[id] = true
