Count the backlog of an upstream in the expected load time

Cause: the score took 250 ms for a load, however many others waited for permits at the same side process.

Change: each queued request of the last report counts as one more load time.

--- a/internal/flow/route/upstream.go
+++ b/internal/flow/route/upstream.go
@@ -16,6 +16,8 @@
 	sendMarks = 8
 	// fullBatch bounds the running requests that the weight Batch counts.
 	fullBatch = 32
+	// fullBacklog bounds the queued requests that count as pending loads.
+	fullBacklog = 32
 )
 
 // maxLoaded is the number of loaded adapters that a load report holds.
@@ -31,6 +33,7 @@
 	wait      time.Duration
 	inFlight  int32
 	running   uint32
+	queued    uint32
 	slots     uint32
 	freeSlots uint32
 	// sent and sentTokens count the sends since the report.
@@ -58,7 +61,7 @@
 	upstream.incarnation = load.Incarnation
 	upstream.reported = now
 	upstream.wait = load.ExpectedWait
-	upstream.running = load.Running
+	upstream.running, upstream.queued = load.Running, load.Queued
 	upstream.slots, upstream.freeSlots = load.Slots, load.FreeSlots
 	upstream.draining = load.Draining
 	upstream.loadedCount = uint8(min(len(load.Loaded), maxLoaded))
@@ -123,6 +126,10 @@
 		return score, false
 	}
 	left, loaded := upstream.loadLeft(now, request.Adapter, config.LoadTime)
+	if !loaded {
+		// Requests queue for loads, which get their permits one after another.
+		left += time.Duration(min(upstream.queued, fullBacklog)) * config.LoadTime
+	}
 	score += weights.Load * milliseconds(left)
 	if loaded {
 		score -= weights.Batch * float64(min(upstream.running, fullBatch))
