--- a/internal/bench/demo/delays.go
+++ b/internal/bench/demo/delays.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -64,6 +65,9 @@
 // packetBuffer bounds the packets on their way in one direction.
 const packetBuffer = 1024
 
+// readBuffer is the largest packet.
+const readBuffer = 16 << 10
+
 // delayedConn delays what it reads and writes.
 type delayedConn struct {
 	net.Conn
@@ -88,11 +92,11 @@
 // receive reads ahead, so that the delay of one packet does not add to the next.
 func (conn *delayedConn) receive() {
 	defer close(conn.incoming)
+	buffer := make([]byte, readBuffer)
 	for {
-		buffer := make([]byte, 16<<10)
 		count, err := conn.Conn.Read(buffer)
 		select {
-		case conn.incoming <- packet{time.Now().Add(conn.delay), buffer[:count], err}:
+		case conn.incoming <- packet{time.Now().Add(conn.delay), bytes.Clone(buffer[:count]), err}:
 		case <-conn.closed:
 			return
 		}
