--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/bench/load"
 	"jacinthfront.dev/jacinthfront/internal/bench/model"
 )
@@ -20,6 +21,7 @@
 	Entries    int
 	Seed       uint64
 	Length     time.Duration
+	TLS        setup.TLS
 	Logger     *zap.Logger
 	// Progress receives one line a second; nil means none.
 	Progress io.Writer
@@ -50,7 +52,7 @@
 func Run(ctx context.Context, config Config) (Result, error) {
 	fleet, err := NewFleet(FleetConfig{
 		Deployment: config.Deployment, Network: config.Network, Policy: config.Policy,
-		Entries: config.Entries, Seed: config.Seed, Logger: config.Logger,
+		Entries: config.Entries, Seed: config.Seed, TLS: config.TLS, Logger: config.Logger,
 	})
 	if err != nil {
 		return Result{}, err
@@ -117,11 +119,16 @@
 	base := fleet.Entries()[0]
 	header := fmt.Sprintf("-H 'Authorization: Bearer %s' -H 'Content-Type: application/json'", organisation.Key)
 	adapter := load.AdapterName(organisation.Name, 0)
+	fleet.mu.Lock()
+	operators := fleet.entries[0].operators
+	fleet.mu.Unlock()
 	return []string{
 		fmt.Sprintf("curl -s %s %s/v1/models | head -c 400", header, base),
 		fmt.Sprintf(`curl -sN %s %s/v1/chat/completions -d '{"model":"%s","messages":[{"role":"user","content":"How do I water a juniper?"}],"max_tokens":12,"stream":true}'`, header, base, adapter),
 		fmt.Sprintf(`curl -s %s %s/v1/completions -d '{"model":"%s@1","prompt":"Describe an oak slab.","max_tokens":12}'`, header, base, adapter),
 		fmt.Sprintf(`curl -s %s -H 'Idempotency-Key: order-1' %s/services/%s/orders/1 -d '{"quantity":1}'`, header, base, fleet.plan.PlainService),
 		fmt.Sprintf("curl -s %s %s/services/%s/stock/7", header, base, fleet.plan.PlainService),
+		fmt.Sprintf("go run ./cmd/jacinthfront status --address %s", operators),
+		fmt.Sprintf("go run ./cmd/jacinthfront key issue --organisation %s --address %s", organisation.Name, operators),
 	}
 }
--- a/internal/daemon/syncer/follow.go
+++ b/internal/daemon/syncer/follow.go
@@ -56,13 +56,17 @@
 		// What a peer already gave need not be read again.
 		syncer.log.position = max(syncer.log.position, syncer.fold.Next())
 	}
-	from := syncer.log.position
+	from, wait := syncer.log.position, syncer.config.PollWait
+	if !syncer.log.reached {
+		// The first page confirms the version without delay.
+		wait = 0
+	}
 	syncer.mutex.Unlock()
 
-	ctx, cancel := context.WithTimeout(ctx, syncer.config.PollWait+syncer.config.LogTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+syncer.config.LogTimeout)
 	defer cancel()
 	sent := time.Now()
-	page, err := syncer.config.Log.Read(ctx, Stream, from, syncer.config.PollWait)
+	page, err := syncer.config.Log.Read(ctx, Stream, from, wait)
 	if err != nil {
 		return err
 	}
@@ -84,6 +88,11 @@
 	}
 	log.first = max(log.first, page.First)
 	log.position = max(from, page.First)
+	if syncer.gapped() && !log.snapshots.Collect {
+		syncer.metrics.Add("gaps", 1)
+		syncer.config.Logger.Warn("config: records expired before they were read; waiting for a snapshot or a peer",
+			zap.Uint64("first", log.first), zap.Uint64("next", syncer.fold.Next()))
+	}
 	log.snapshots.Collect = syncer.gapped()
 	noted := false
 	for _, record := range page.Records {
