Replay an answer with the finish reason and version of its run

Cause: a repeat of a request with an Idempotency-Key got the HTTP status text as finish_reason, no usage, and the version that is the default now in place of the one that ran; a model answer above the stored size was replayed as a complete empty answer. Change: claim outcomes keep finish reason, version and token counts; a replay names the version of the run; a model answer that is no longer stored is refused as ran; the digest header of plain answers reaches the caller.

--- a/internal/daemon/entry/attempt.go
+++ b/internal/daemon/entry/attempt.go
@@ -179,6 +179,10 @@
 }
 
 func (attempt *attempt) takeStarted(event *wirepb.Started) (result, bool) {
+	if event.GetReplayed() && !attempt.job.sink.committed() {
+		// The default version may have changed since the run.
+		attempt.job.exchange.version = event.GetAdapterVersion()
+	}
 	if attempt.started || !attempt.matches(event.GetAdapter(), event.GetAdapterVersion()) {
 		attempt.drop("events-of-other-adapters")
 		return result{}, false
--- a/internal/daemon/entry/headers.go
+++ b/internal/daemon/entry/headers.go
@@ -17,7 +17,7 @@
 var answerHeaders = map[string]bool{
 	"Accept-Ranges": true, "Allow": true, "Cache-Control": true, "Content-Disposition": true,
 	"Content-Language": true, "Content-Range": true, "Content-Type": true, "Etag": true, "Expires": true,
-	"Last-Modified": true, "Location": true, "Retry-After": true, "Vary": true,
+	"Last-Modified": true, "Location": true, "Retry-After": true, "Vary": true, "X-Answer-Digest": true,
 }
 
 // forwarded returns the headers for the upstream.
--- a/internal/daemon/side/answer.go
+++ b/internal/daemon/side/answer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -82,6 +83,15 @@
 	}}}, false)
 }
 
+// replayed begins the answer of an earlier run, which may have been of another
+// version than the one that is the default now.
+func (answer *answer) replayed(ticket *ticket, outcome *once.Outcome, headers []Header) error {
+	return answer.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Started{Started: &wirepb.Started{
+		Adapter: ticket.ref.Adapter, AdapterVersion: outcome.AdapterVersion, Incarnation: answer.server.config.Incarnation,
+		Status: outcome.Status, Headers: wireHeaders(headers), Replayed: true,
+	}}}, false)
+}
+
 func (answer *answer) chunk(index int64, data []byte) error {
 	if answer.recorder != nil {
 		answer.recorder.write(data)
@@ -90,10 +100,13 @@
 }
 
 func (answer *answer) done(done *wirepb.Done) error {
+	done.Adapter = answer.request.GetAdapter()
+	if !done.GetReplayed() {
+		done.AdapterVersion = answer.request.GetAdapterVersion()
+	}
 	if answer.recorder != nil {
-		answer.recorder.done()
+		answer.recorder.done(done)
 	}
-	done.Adapter, done.AdapterVersion = answer.request.GetAdapter(), answer.request.GetAdapterVersion()
 	return answer.send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Done{Done: done}}, true)
 }
 
--- a/internal/daemon/side/flights.go
+++ b/internal/daemon/side/flights.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/hex"
-	"net/http"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
@@ -30,6 +29,7 @@
 	body     []byte
 	oversize bool
 	complete bool
+	ending   *wirepb.Done
 	reason   *fault.Fault
 	digest   hashWriter
 }
@@ -45,7 +45,7 @@
 	recorder.body = append(recorder.body, data...)
 }
 
-func (recorder *recorder) done() { recorder.complete = true }
+func (recorder *recorder) done(done *wirepb.Done) { recorder.complete, recorder.ending = true, done }
 
 func (recorder *recorder) fail(reason *fault.Fault) {
 	if recorder.reason == nil {
@@ -55,14 +55,18 @@
 
 // outcome returns the recorded answer, or nil if there is none that is whole.
 func (recorder *recorder) outcome() *once.Outcome {
-	switch {
-	case !recorder.complete:
+	if !recorder.complete {
 		return nil
-	case recorder.oversize:
-		return &once.Outcome{Status: recorder.status, Body: recorder.digest.sum(), Truncated: true}
-	default:
-		return &once.Outcome{Status: recorder.status, Body: recorder.body}
 	}
+	outcome := &once.Outcome{
+		Status: recorder.status, Body: recorder.body, FinishReason: recorder.ending.GetFinishReason(),
+		AdapterVersion: recorder.ending.GetAdapterVersion(),
+		PromptTokens:   recorder.ending.GetPromptTokens(), GeneratedTokens: recorder.ending.GetGeneratedTokens(),
+	}
+	if recorder.oversize {
+		outcome.Body, outcome.Truncated = recorder.digest.sum(), true
+	}
+	return outcome
 }
 
 // runKeyed runs a request with an idempotency key, or answers it with the run
@@ -147,17 +151,21 @@
 }
 
 // replay answers with a stored outcome. Of an answer that was too large, only
-// the status and the digest are left.
+// the status and the digest are left, which are no answer of a model.
 func (server *Server) replay(ticket *ticket, answer *answer, outcome *once.Outcome) error {
 	server.count("replayed")
 	server.mu.Lock()
 	server.records.End(time.Now(), ticket.attempt, fault.DidRun, outcome.Status)
 	server.mu.Unlock()
+	if outcome.Truncated && !ticket.plain {
+		return server.turnDown(ticket, answer, fault.New(fault.OutcomeUnknown, fault.DidRun,
+			"the request ran before and its answer is no longer stored; send it with a new idempotency key for a new run"))
+	}
 	var headers []Header
 	if outcome.Truncated {
 		headers = append(headers, Header{Name: "X-Answer-Digest", Value: "sha-256=" + hex.EncodeToString(outcome.Body)})
 	}
-	if err := answer.started(ticket, int(outcome.Status), headers); err != nil {
+	if err := answer.replayed(ticket, outcome, headers); err != nil {
 		return err
 	}
 	if !outcome.Truncated && len(outcome.Body) > 0 {
@@ -165,5 +173,8 @@
 			return err
 		}
 	}
-	return answer.done(&wirepb.Done{Replayed: true, FinishReason: http.StatusText(int(outcome.Status))})
+	return answer.done(&wirepb.Done{
+		Replayed: true, FinishReason: outcome.FinishReason, AdapterVersion: outcome.AdapterVersion,
+		PromptTokens: outcome.PromptTokens, GeneratedTokens: outcome.GeneratedTokens,
+	})
 }
--- a/internal/flow/once/claims.go
+++ b/internal/flow/once/claims.go
@@ -40,6 +40,10 @@
 	// Body is the answer, or its SHA-256 digest when Truncated is set.
 	Body      []byte
 	Truncated bool
+	// FinishReason, AdapterVersion and the token counts are those of the run.
+	FinishReason                  string
+	AdapterVersion                uint32
+	PromptTokens, GeneratedTokens int64
 }
 
 // Holder is the claim that holds a key.
@@ -131,7 +135,11 @@
 		}
 		return
 	}
-	claims.store(name, held, Outcome{Status: outcome.GetStatus(), Body: outcome.GetBody(), Truncated: outcome.GetTruncated()})
+	claims.store(name, held, Outcome{
+		Status: outcome.GetStatus(), Body: outcome.GetBody(), Truncated: outcome.GetTruncated(),
+		FinishReason: outcome.GetFinishReason(), AdapterVersion: outcome.GetAdapterVersion(),
+		PromptTokens: outcome.GetPromptTokens(), GeneratedTokens: outcome.GetGeneratedTokens(),
+	})
 }
 
 // Settle stores the outcome of a claim in memory, where the body may be larger
--- a/internal/flow/once/record.go
+++ b/internal/flow/once/record.go
@@ -34,6 +34,8 @@
 	return proto.Marshal(&wirepb.ClaimRecord{Body: &wirepb.ClaimRecord_Outcome{Outcome: &wirepb.ClaimOutcome{
 		Organisation: organisation, KeyHash: hash, RequestId: requestID,
 		Status: outcome.Status, Body: outcome.Body, Truncated: outcome.Truncated,
+		FinishReason: outcome.FinishReason, AdapterVersion: outcome.AdapterVersion,
+		PromptTokens: outcome.PromptTokens, GeneratedTokens: outcome.GeneratedTokens,
 	}}})
 }
 
@@ -41,5 +43,6 @@
 // digest.
 func Digested(outcome Outcome) Outcome {
 	digest := sha256.Sum256(outcome.Body)
-	return Outcome{Status: outcome.Status, Body: digest[:], Truncated: true}
+	outcome.Body, outcome.Truncated = digest[:], true
+	return outcome
 }
