--- a/internal/bench/slope/process.go
+++ b/internal/bench/slope/process.go
@@ -235,7 +235,7 @@
 		return nil, err
 	}
 	settings.Upstream.ID, settings.Upstream.URL, settings.Upstream.Concurrency = upstream, url, concurrency
-	settings.Queue.Requests, settings.Queue.PerOrganisation = 8192, 8192
+	settings.Queue.Requests = 8192
 	process := &osProcess{operators: settings.Listen.Operators, peers: settings.Listen.Peers}
 	if err := ground.start(ctx, process, "side", settings); err != nil {
 		return nil, err
--- a/internal/bench/slope/rows_process.go
+++ b/internal/bench/slope/rows_process.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	table.add(prefix+"-idle", "% of a core", size, 100*(after-before).Seconds()/idleTime.Seconds())
-	for suffix, field := range map[string]string{"-resident": "VmRSS", "-peak": "VmHWM"} {
+	for suffix, field := range map[string]string{"-resident": "VmRSS", "-private": "RssAnon", "-peak": "VmHWM"} {
 		value, err := process.status(field)
 		if err != nil {
 			return err
