--- a/internal/bench/slope/rows_peer.go
+++ b/internal/bench/slope/rows_peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -37,7 +38,7 @@
 
 // servePeer serves a quietPeer on loopback until the returned function is called.
 func servePeer(ctx context.Context) (string, func(), error) {
-	return serveDRPC(ctx, func(mux drpc.Mux) error {
+	return serveDRPC(ctx, nil, func(mux drpc.Mux) error {
 		if err := wirepb.DRPCRegisterSide(mux, &quietPeer{}); err != nil {
 			return err
 		}
@@ -46,7 +47,7 @@
 }
 
 // serveDRPC serves on loopback until the returned function is called.
-func serveDRPC(ctx context.Context, add conns.Register) (string, func(), error) {
+func serveDRPC(ctx context.Context, secure *tls.Config, add conns.Register) (string, func(), error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
@@ -55,7 +56,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = conns.Serve(ctx, listener, nil, add)
+		_ = conns.Serve(ctx, listener, secure, add)
 	}()
 	return listener.Addr().String(), func() {
 		cancel()
--- a/internal/bench/slope/rows_start.go
+++ b/internal/bench/slope/rows_start.go
@@ -194,7 +194,7 @@
 }
 
 func serveSyncer(ctx context.Context, served *syncer.Syncer) (string, func(), error) {
-	return serveDRPC(ctx, func(mux drpc.Mux) error {
+	return serveDRPC(ctx, nil, func(mux drpc.Mux) error {
 		return wirepb.DRPCRegisterPeer(mux, &syncServer{syncer: served})
 	})
 }
