Dial side processes before a call, so that a refused connection is not-run

Change: Get takes an unused connection or dials at once, and Release gives it back; the pool's goroutine for each stream is gone. Ruled out: the entry instance's use of the error, which was right already. Conclusion: a connection that could not be made is reported as not-run.

--- a/internal/wire/conns/conns_test.go
+++ b/internal/wire/conns/conns_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net"
 	"os"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"storj.io/drpc"
 
+	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/bench/certs"
 	"jacinthfront.dev/jacinthfront/internal/wire/conns"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -79,12 +81,7 @@
 			defer func() { _ = pool.Close() }()
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
-			conn, err := pool.Get(ctx, listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Release()
-			response, err := wirepb.NewDRPCPeerClient(conn).Status(ctx, &wirepb.StatusRequest{})
+			response, err := status(ctx, pool, listener.Addr().String())
 			if diff := cmp.Diff(test.ok, err == nil); diff != "" {
 				t.Fatalf("%s: %v\n%s", test.guards, err, diff)
 			}
@@ -97,6 +94,30 @@
 	<-served
 }
 
+func status(ctx context.Context, pool *conns.Pool, address string) (*wirepb.StatusResponse, error) {
+	conn, err := pool.Get(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Release()
+	return wirepb.NewDRPCPeerClient(conn).Status(ctx, &wirepb.StatusRequest{})
+}
+
+// TestNothingSent guards against a failed dial that looks like a lost answer,
+// which made non-idempotent work end as unknown.
+func TestNothingSent(t *testing.T) {
+	pool := conns.New(conns.Config{Dial: func(context.Context, string) (net.Conn, error) {
+		return nil, errors.New("connection refused")
+	}})
+	for _, address := range []string{"127.0.0.1:1", ""} {
+		_, err := pool.Get(t.Context(), address)
+		reason, ok := fault.As(err)
+		if !ok || reason.Ran() != fault.NotRun {
+			t.Errorf("address %q: %v, want a fault that says not-run", address, err)
+		}
+	}
+}
+
 func certClient(authority *certs.Authority) func(t *testing.T) func() (*tls.Config, error) {
 	return func(t *testing.T) func() (*tls.Config, error) {
 		loaded, err := conns.NewCerts(issue(t, authority, t.TempDir(), 3))
--- a/internal/wire/conns/pool.go
+++ b/internal/wire/conns/pool.go
@@ -8,7 +8,6 @@
 	"net"
 	"time"
 
-	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
@@ -69,26 +68,36 @@
 	}
 }
 
-// Get returns a connection to address. It dials when a call is made and no
-// unused connection is left.
+// Get returns a connection to address for one call at a time: an unused one, or
+// a new one. An error means that nothing was sent.
 func (pool *Pool) Get(ctx context.Context, address string) (*Conn, error) {
 	if address == "" {
 		return nil, fault.New(fault.NoUpstream, fault.NotRun, "the instance list has no address for this instance; try again")
 	}
-	return &Conn{Conn: pool.pool.Get(ctx, address, pool.dial)}, nil
+	conn, ok := pool.pool.Take(address)
+	if !ok {
+		var err error
+		if conn, err = pool.dial(ctx, address); err != nil {
+			return nil, err
+		}
+	}
+	return &Conn{Conn: conn, pool: pool, address: address}, nil
 }
 
 // Close closes all unused connections.
 func (pool *Pool) Close() error { return pool.pool.Close() }
 
-// Conn makes drpc calls to one address.
+// Conn makes drpc calls to one address, one at a time.
 type Conn struct {
-	drpc.Conn
+	*drpcconn.Conn
+
+	pool    *Pool
+	address string
 }
 
-// Release ends the use of the connection. Streams that are still open end by
-// their own contexts.
-func (conn *Conn) Release() { _ = conn.Close() }
+// Release gives the connection back. It is used again only after its last
+// stream has ended on both sides; a closed one is dropped.
+func (conn *Conn) Release() { conn.pool.pool.Put(conn.address, conn.Conn) }
 
 func (pool *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	raw, err := pool.config.Dial(ctx, address)
