--- a/internal/bench/proof/caller.go
+++ b/internal/bench/proof/caller.go
@@ -77,8 +77,8 @@
 // entryFor returns the entry instance for a sending, as a load balancer does
 // that leaves out instances that are not ready.
 func (world *world) entryFor(request Request, copied int) *process {
-	for offset := range entryCount {
-		entry := world.entries[(request.Entry+copied+offset)%entryCount]
+	for offset := range world.entries {
+		entry := world.entries[(request.Entry+copied+offset)%len(world.entries)]
 		if entry.ready() {
 			return entry
 		}
--- a/internal/bench/proof/configure.go
+++ b/internal/bench/proof/configure.go
@@ -49,7 +49,7 @@
 
 // upstreamHalves returns the half of each upstream at the start.
 func upstreamHalf(index int) config.Half {
-	return [...]config.Half{halfA, "", halfB, halfA, halfB}[index]
+	return [...]config.Half{halfA, "", halfB, halfA, halfB, ""}[index]
 }
 
 func upstreamSpec(index int, name string, half config.Half) config.UpstreamSpec {
--- a/internal/bench/proof/failures.go
+++ b/internal/bench/proof/failures.go
@@ -169,7 +169,7 @@
 // pair returns two processes that talk to each other.
 func (world *world) pair(failure Failure) direction {
 	side := failure.among(world.sides)
-	other := world.entries[failure.Pick>>8%entryCount].name
+	other := world.entries[failure.Pick>>8%uint64(len(world.entries))].name
 	switch failure.Pick >> 16 % 4 {
 	case 0:
 		other = side.upstream
@@ -202,7 +202,7 @@
 
 // loseReplies cuts connections when a side process answers on them.
 func (world *world) loseReplies(ctx context.Context, failure Failure) {
-	side, entry := failure.among(world.sides), world.entries[failure.Pick>>8%entryCount]
+	side, entry := failure.among(world.sides), world.entries[failure.Pick>>8%uint64(len(world.entries))]
 	way := direction{side.name, entry.name}
 	world.note("lose replies %v", way)
 	world.network.Lose(way, 3)
@@ -211,9 +211,9 @@
 }
 
 func (world *world) serviceFault(ctx context.Context, failure Failure, fault *plat.Fault) {
-	service := world.services[failure.Pick%serviceCount]
+	service := world.services[failure.Pick%uint64(len(world.services))]
 	fault.For = plat.Duration(failure.For)
-	world.note("service %d: %s", failure.Pick%serviceCount+1, fault.Mode)
+	world.note("service %d: %s", failure.Pick%uint64(len(world.services))+1, fault.Mode)
 	if err := service.Control(plain.Control{Calls: fault}); err != nil {
 		world.problem("%v", err)
 	}
--- a/internal/bench/proof/network.go
+++ b/internal/bench/proof/network.go
@@ -114,6 +114,11 @@
 	network.change(func() { network.delays[way] = limit })
 }
 
+// Exempt keeps a direction free from pauses.
+func (network *Network) Exempt(way direction) {
+	network.change(func() { network.exempt[way] = true })
+}
+
 // Lose cuts a number of connections in place of the next delivery.
 func (network *Network) Lose(way direction, count int) {
 	network.change(func() { network.losses[way] = count })
--- a/internal/bench/proof/operate.go
+++ b/internal/bench/proof/operate.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return
 	}
-	url := "http://" + address(platformName, servicePort) + "/v1/streams/" + configStream + "/records"
+	url := "http://" + world.address(platformName, servicePort) + "/v1/streams/" + configStream + "/records"
 	for range appendTries {
 		if world.post(ctx, url, data) == nil || pause(ctx, publishPause) != nil {
 			return
--- a/internal/bench/proof/platform.go
+++ b/internal/bench/proof/platform.go
@@ -66,7 +66,7 @@
 func (world *world) returningList(ctx context.Context, failure Failure) {
 	gone := plat.Instance{
 		ID: "side-gone", Role: "side", Upstream: world.upstreams[failure.Pick%uint64(len(world.upstreams))],
-		Address: address("side-gone", peersPort), FailureDomain: "domain-a",
+		Address: world.address("side-gone", peersPort), FailureDomain: "domain-a",
 	}
 	if err := world.platform.Announce(gone); err != nil {
 		world.problem("%v", err)
--- a/internal/bench/proof/process.go
+++ b/internal/bench/proof/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -24,7 +25,9 @@
 	entry    setup.Entry
 	side     setup.Side
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// probe replaces the readiness of running for a process of the system.
+	probe   func() bool
 	running *start.Process
 	client  *http.Client
 	started time.Time
@@ -45,8 +48,8 @@
 
 func (world *world) settings(process setup.Process, name string) setup.Process {
 	process.Instance, process.FailureDomain = name, "domain-a"
-	process.Listen.Peers, process.Listen.Operators = address(name, peersPort), address(name, operatorsPort)
-	platform := "http://" + address(platformName, servicePort)
+	process.Listen.Peers, process.Listen.Operators = world.address(name, peersPort), world.address(name, operatorsPort)
+	platform := "http://" + world.address(platformName, servicePort)
 	process.Platform = setup.Platform{LogURL: platform, InstancesURL: platform}
 	process.Shutdown.DrainLimit = requestLimit + 3*time.Second
 	return process
@@ -56,18 +59,18 @@
 	side := setup.DefaultSide()
 	name := "side-" + upstream
 	side.Process = world.settings(side.Process, name)
-	side.Upstream.ID, side.Upstream.URL = upstream, "http://"+address(upstream, servicePort)
+	side.Upstream.ID, side.Upstream.URL = upstream, "http://"+world.address(upstream, servicePort)
 	side.RequestLimit, side.Seed = requestLimit, world.schedule.Seed+uint64(index)+1
 	side.Claims.Partitions = 8
-	world.network.exempt[direction{name, upstream}] = true
+	world.network.Exempt(direction{name, upstream})
 	return &process{world: world, name: name, upstream: upstream, side: side}
 }
 
 func (world *world) newEntry(index int) *process {
 	entry := setup.DefaultEntry()
-	name := []string{"entry-1", "entry-2"}[index]
+	name := fmt.Sprintf("entry-%d", index+1)
 	entry.Process = world.settings(entry.Process, name)
-	entry.Listen.Callers = address(name, callersPort)
+	entry.Listen.Callers = world.address(name, callersPort)
 	entry.Limits.RequestLimit = requestLimit
 	entry.Routing.Seed = world.schedule.Seed + uint64(index) + 1
 	return &process{world: world, name: name, callers: entry.Listen.Callers, entry: entry}
@@ -120,7 +123,7 @@
 		role = "side"
 	}
 	return plat.Instance{
-		ID: process.name, Role: role, Upstream: process.upstream, Address: address(process.name, peersPort),
+		ID: process.name, Role: role, Upstream: process.upstream, Address: process.world.address(process.name, peersPort),
 		FailureDomain: "domain-a", State: state,
 	}
 }
@@ -133,6 +136,9 @@
 }
 
 func (process *process) ready() bool {
+	if process.probe != nil {
+		return process.probe()
+	}
 	running := process.current()
 	return running != nil && running.Ready()
 }
--- a/internal/bench/proof/proof.go
+++ b/internal/bench/proof/proof.go
@@ -30,7 +30,7 @@
 
 // Run runs a schedule. It is meant for virtual time.
 func Run(ctx context.Context, schedule Schedule) (*Report, error) {
-	world, err := newWorld(schedule)
+	world, err := newWorld(schedule, serviceCount, nil)
 	defer world.close()
 	if err != nil {
 		return nil, err
--- a/internal/bench/proof/world.go
+++ b/internal/bench/proof/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -52,7 +53,11 @@
 	client    *http.Client
 	operator  *http.Client
 	stops     []func()
-	begin     time.Time
+	// addresses holds the addresses of a deployment on TCP; it is nil for one
+	// in memory.
+	addresses    map[string]string
+	serviceCount int
+	begin        time.Time
 
 	mutex   sync.Mutex
 	answers []*Answer
@@ -92,7 +97,10 @@
 }
 
 // address returns the fixed address of a process's listener.
-func address(name string, port int) string {
+func (world *world) address(name string, port int) string {
+	if world.addresses != nil {
+		return world.addresses[fmt.Sprintf("%s:%d", name, port)]
+	}
 	number := 1
 	for _, letter := range []byte(name) {
 		number = (number*31 + int(letter)) % 250
@@ -102,12 +110,18 @@
 
 func (world *world) httpClient(process string) *http.Client {
 	dial := world.dialer(process)
+	if world.addresses != nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 64}}
 }
 
 // newWorld starts the stand-ins.
-func newWorld(schedule Schedule) (*world, error) {
-	world := &world{schedule: schedule, network: NewNetwork(schedule.Seed), lines: &lineScan{}, begin: time.Now()}
+func newWorld(schedule Schedule, serviceCount int, addresses map[string]string) (*world, error) {
+	world := &world{
+		schedule: schedule, network: NewNetwork(schedule.Seed), lines: &lineScan{}, begin: time.Now(),
+		serviceCount: serviceCount, addresses: addresses,
+	}
 	world.logger = world.lines.logger()
 	world.client, world.operator = world.httpClient(callerName), world.httpClient(operatorName)
 	if err := world.startStandIns(); err != nil {
@@ -132,7 +146,7 @@
 			return err
 		}
 	}
-	for index := range serviceCount {
+	for index := range world.serviceCount {
 		name := fmt.Sprintf("%s-%d", plainService, index+1)
 		service, err := plain.New(plain.Config{Seed: world.schedule.Seed + uint64(index), Latency: 5 * time.Millisecond})
 		if err != nil {
@@ -174,7 +188,7 @@
 const servicePort = 80
 
 func (world *world) serve(name string, handler http.Handler) error {
-	listener, err := world.network.Listen(name, address(name, servicePort))
+	listener, err := world.listen(name, world.address(name, servicePort))
 	if err != nil {
 		return err
 	}
@@ -212,6 +226,13 @@
 	return pause(ctx, settleTime)
 }
 
+func (world *world) listen(name, address string) (net.Listener, error) {
+	if world.addresses != nil {
+		return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	}
+	return world.network.Listen(name, address)
+}
+
 // startLimit bounds the start of all processes.
 const startLimit = time.Minute
 
