--- a/internal/bench/proof/check.go
+++ b/internal/bench/proof/check.go
@@ -103,7 +103,7 @@
 			return false
 		}
 	}
-	return true
+	return len(world.schedule.Failures) > 0
 }
 
 func (checker *checker) checkComplete(answer *Answer) {
