--- a/internal/bench/proof/naive.go
+++ b/internal/bench/proof/naive.go
@@ -45,6 +45,11 @@
 	return versions
 }
 
+// naiveShares reports whether work of one half may run at the other.
+func naiveShares(asked, served config.Half) bool {
+	return asked == "" || served == "" || asked == served
+}
+
 // find returns the accepted version with an operation that matches.
 func find[T patch.Op](versions []version, match func(T) bool) (version, T, bool) {
 	for _, version := range versions {
