Admit 'unknown' only for a copy sent while another copy was in flight

Change: the check admits the unknown of a copy only while another copy of the same request is in flight, which is when an open claim exists; everything else still fails.

--- a/internal/bench/proof/check.go
+++ b/internal/bench/proof/check.go
@@ -91,17 +91,19 @@
 	default:
 		checker.checkRefusal(answer)
 	}
-	if checker.gentle() && !answer.Complete && answer.Ran != "not-run" && !checker.answeredElsewhere(answer) {
+	if checker.gentle() && !answer.Complete && answer.Ran != "not-run" && !checker.meetsClaim(answer) {
 		checker.fail(11, "the request was interrupted although no failure interrupts requests: %s", answer)
 	}
 }
 
-// answeredElsewhere reports whether another copy of a keyed request got the
-// answer. A copy that meets an earlier claim without an outcome is answered
-// unknown by design, which interrupts nothing.
-func (checker *checker) answeredElsewhere(answer *Answer) bool {
+// meetsClaim reports whether an answer is the unknown of a copy that met the
+// claim of another copy, which was in flight when it was sent. Section 10 of
+// the design page requires this answer, and it interrupts nothing.
+func (checker *checker) meetsClaim(answer *Answer) bool {
 	for _, other := range checker.answers {
-		if answer.Request.Kind.Keyed() && other.Request.Index == answer.Request.Index && other.Complete {
+		same := other != answer && other.Request.Index == answer.Request.Index && answer.Request.Kind.Keyed()
+		flying := !other.Sent.After(answer.Sent) && other.Sent.Add(other.Took).After(answer.Sent)
+		if same && flying && answer.Kind == "outcome-unknown" && answer.Ran == "unknown" {
 			return true
 		}
 	}
