Leave refused connections to the pool

Cause: both the pool and the entry instance told a refused connection apart. Change: the entry instance's check is removed, since Open reports it now. Before and after: TestNothingSent passes. Conclusion: one place.

--- a/internal/daemon/entry/attempt.go
+++ b/internal/daemon/entry/attempt.go
@@ -69,11 +69,6 @@
 	}
 	defer conn.Release()
 	stream, err := wirepb.NewDRPCSideClient(conn).Run(ctx, attempt.job.request(ctx, attempt.number, attempt.incarnation))
-	if reason, ok := fault.As(err); ok && reason.Ran() == fault.NotRun {
-		// The pool connects at the first call, so that a refused connection
-		// shows here and not in Open.
-		return attempt.unreachableResult()
-	}
 	if err != nil {
 		return attempt.brokenResult()
 	}
