--- /dev/null
+++ b/internal/daemon/syncer/gap_test.go
@@ -0,0 +1,78 @@
+package syncer
+
+import (
+	"testing"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/state/fold"
+	"jacinthfront.dev/jacinthfront/internal/state/patch"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+)
+
+// Guards against a process that folds records although earlier ones expired:
+// from a snapshot older than the expired records, or from a page that was asked
+// for before a peer closed the gap.
+func TestGap(t *testing.T) {
+	folded := fold.New()
+	for version := range uint64(3) {
+		if result, _ := folded.Patch(version, putUpstream(string(rune('a'+version)), version)); result.Kind != patch.Accepted {
+			t.Fatal(result)
+		}
+	}
+	encoded, err := codec.EncodeState(folded.State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := func(offset uint64, data []byte, err error) Record {
+		if err != nil {
+			t.Fatal(err)
+		}
+		return Record{Offset: offset, Time: time.Now(), Data: data}
+	}
+	chunk := func(offset, next uint64) Record {
+		data, err := codec.EncodeChunk(fold.Split(3, next, encoded)[0])
+		return record(offset, data, err)
+	}
+	next, err := codec.EncodePatch(putUpstream("d", 3))
+	patched := record(61, next, err)
+	tests := []struct {
+		name     string
+		pages    []Page
+		peer     uint64 // offset until which a peer's snapshot holds, after the first page
+		version  uint64
+		position uint64
+	}{
+		{name: "snapshot before the gap", version: 0, position: 61, pages: []Page{{First: 50, Next: 61, Records: []Record{chunk(60, 49)}}}},
+		{name: "snapshot at the gap", version: 3, position: 50, pages: []Page{{First: 50, Next: 61, Records: []Record{chunk(60, 50)}}}},
+		{name: "records after the snapshot are read again", version: 3, position: 55, pages: []Page{
+			{First: 50, Next: 62, Records: []Record{chunk(60, 55), patched}},
+		}},
+		{name: "page asked for before a peer's snapshot", peer: 55, version: 3, position: 55, pages: []Page{
+			{First: 50, Next: 61, Records: []Record{record(60, nil, nil)}},
+			{First: 50, Next: 62, Records: []Record{patched}},
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			syncer, err := New(Config{Instance: "instance-1", Log: newLink(newFakeLog(1, time.Hour))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			from := uint64(0)
+			for index, page := range test.pages {
+				if err := syncer.foldPage(page, from, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+				from = page.Next
+				if index == 0 && test.peer > 0 {
+					syncer.mutex.Lock()
+					syncer.adopt(encoded, test.peer)
+					syncer.mutex.Unlock()
+				}
+			}
+			if got := syncer.fold.Config().Version(); got != test.version || syncer.log.position != test.position {
+				t.Errorf("got version %d and position %d, want %d and %d", got, syncer.log.position, test.version, test.position)
+			}
+		})
+	}
+}
--- a/internal/state/fold/fold_test.go
+++ b/internal/state/fold/fold_test.go
@@ -98,6 +98,7 @@
 	first := Split(3, 10, encoded)
 	second := Split(3, 12, encoded)
 	other := Split(4, 14, append([]byte("x"), encoded...))
+	same := Split(3, 14, append([]byte("y"), encoded...))
 	damaged := first[0]
 	damaged.Data = bytes.Clone(damaged.Data)
 	damaged.Data[0]++
@@ -114,7 +115,8 @@
 		{name: "two writers", chunks: []Chunk{first[0], second[1], other[0], first[2]}, next: 12, newest: 0},
 		{name: "written again", chunks: []Chunk{first[0], first[1], second[0], second[2]}, next: 12, newest: 1},
 		{name: "incomplete", chunks: []Chunk{first[0], other[1], first[2]}, newest: -1},
-		{name: "other count", chunks: []Chunk{recounted, first[1], first[2]}, newest: -1},
+		{name: "other digest", chunks: []Chunk{first[0], same[1], first[2]}, newest: -1},
+		{name: "other count", chunks: []Chunk{recounted, first[0], first[1], first[2]}, next: 10, newest: 1},
 	}
 	start := time.Unix(1000, 0)
 	for _, test := range tests {
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfront.dev/jacinthfront/internal/state/fold"
 	"jacinthfront.dev/jacinthfront/internal/state/model"
 	"jacinthfront.dev/jacinthfront/internal/state/patch"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
 // everyOp holds each operation with every field set.
@@ -61,6 +63,49 @@
 	}
 }
 
+// Guards against values that become valid because they do not fit the model,
+// and against chunks whose numbers contradict each other.
+func TestDecodeRecordRefuses(t *testing.T) {
+	route := func(change func(*wirepb.Route)) *wirepb.Record {
+		route := routeToWire(model.RouteSpec{Name: "letters", Service: "advisor", LongestWait: time.Second, DefaultMaxTokens: 1})
+		change(route)
+		return &wirepb.Record{Body: &wirepb.Record_Patch{Patch: &wirepb.PatchRecord{
+			Id: "patch", Ops: []*wirepb.Op{{Op: &wirepb.Op_PutRoute{PutRoute: route}}},
+		}}}
+	}
+	chunk := func(index, count uint32) *wirepb.Record {
+		return &wirepb.Record{Body: &wirepb.Record_Chunk{Chunk: &wirepb.SnapshotChunk{
+			Version: 1, Digest: make([]byte, 32), Index: index, Count: count, Data: []byte("x"),
+		}}}
+	}
+	tests := []struct {
+		name   string
+		record *wirepb.Record
+		ok     bool
+	}{
+		{name: "route", record: route(func(*wirepb.Route) {}), ok: true},
+		{name: "class 256", record: route(func(route *wirepb.Route) { route.Class = 256 })},
+		{name: "class -1", record: route(func(route *wirepb.Route) { route.Class = -1 })},
+		{name: "wait that overflows", record: route(func(route *wirepb.Route) { route.LongestWaitUs = 1 << 55 })},
+		{name: "chunk", record: chunk(0, 1), ok: true},
+		{name: "chunk beyond the count", record: chunk(1, 1)},
+		{name: "short chunk that is not the last", record: chunk(0, 2)},
+		{name: "no body", record: &wirepb.Record{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			data, err := proto.Marshal(test.record)
+			if err != nil {
+				t.Fatal(err)
+			}
+			record, err := DecodeRecord(data)
+			if ok := err == nil && (record.Patch == nil || patch.Check(*record.Patch) == nil); ok != test.ok {
+				t.Errorf("got %+v, error %v", record, err)
+			}
+		})
+	}
+}
+
 // Guards against JSON that is taken although it holds a mistake.
 func TestDecodePatchJSONRefuses(t *testing.T) {
 	for _, text := range []string{
