Keep zero timers out of the wallet and fix races in its tests

Change: returns of unspent tokens wait 1 ms, which also lets grants given back together share a goroutine. The cluster sends messages outside its wait group, reads state under its locks and ends with synctest.Wait. BenchmarkMemory reports the bytes of shards and wallets.

--- a/internal/flow/quota/bound_test.go
+++ b/internal/flow/quota/bound_test.go
@@ -22,6 +22,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					cluster := newCluster(newSchedule(seed, 20*time.Second), nil)
 					cluster.run()
+					synctest.Wait()
 					if excess := cluster.observer.excess(); excess > 0 {
 						t.Errorf("excess of %d billionths of a token", excess)
 					}
--- a/internal/flow/quota/cluster_test.go
+++ b/internal/flow/quota/cluster_test.go
@@ -113,6 +113,12 @@
 	}
 }
 
+func (process *process) ended() bool {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.dead
+}
+
 // chance draws from the schedule's randomness.
 func (cluster *cluster) chance(probability float64) bool { return cluster.random64() < probability }
 
@@ -186,7 +192,7 @@
 		return run(shard, time.Now()), nil
 	}
 	reply := make(chan Grant, 1)
-	process.cluster.running.Go(func() {
+	go func() {
 		cluster := process.cluster
 		if !process.await() || !cluster.travel() {
 			return
@@ -207,7 +213,7 @@
 		if host.await() && cluster.travel() && process.await() {
 			reply <- grant
 		}
-	})
+	}()
 	select {
 	case grant := <-reply:
 		return grant, nil
@@ -234,14 +240,14 @@
 	for _, process := range cluster.processes {
 		process.wallet.Close(context.Background())
 	}
-	cluster.running.Wait()
+	// Messages under way and repeated refunds end within a minute.
 	time.Sleep(2 * time.Minute)
 }
 
 // serve plays one request at its process, or at the next one that lives.
 func (cluster *cluster) serve(request request) {
 	process := cluster.process(request.process % len(cluster.processes))
-	for index := 1; process.dead && index < len(cluster.processes); index++ {
+	for index := 1; process.ended() && index < len(cluster.processes); index++ {
 		process = cluster.process((request.process + index) % len(cluster.processes))
 	}
 	arrived := time.Now()
--- a/internal/flow/quota/compare_test.go
+++ b/internal/flow/quota/compare_test.go
@@ -124,6 +124,7 @@
 		group.Go(references[organisation].run)
 	}
 	group.Wait()
+	synctest.Wait()
 	result := result{excess: -nanos(maxBurst) * perToken, appends: logbook.appends}
 	for organisation, cluster := range clusters {
 		result.excess = max(result.excess, cluster.observer.excess())
--- a/internal/flow/quota/refund.go
+++ b/internal/flow/quota/refund.go
@@ -10,6 +10,9 @@
 	// refundDelay is how long returns wait, so that several debits of one grant
 	// share a message.
 	refundDelay = 100 * time.Millisecond
+	// promptDelay is how long returns of unspent tokens wait. It lets the grants
+	// that are given back together share one goroutine.
+	promptDelay = time.Millisecond
 	// idleDelay is how long unused tokens are kept after the last request.
 	idleDelay = 100 * time.Millisecond
 	// A failed return is repeated after retryDelay, doubling, refundAttempts
@@ -23,10 +26,11 @@
 	if len(wallet.holdings) == 0 {
 		return
 	}
-	wait := max(time.Millisecond, wallet.demand.at.Add(idleDelay).Sub(now))
+	wait := wallet.demand.at.Add(idleDelay).Sub(now)
 	for _, holding := range wallet.holdings {
-		wait = min(wait, max(0, holding.expires.Sub(now)-spendMargin))
+		wait = min(wait, holding.expires.Sub(now)-spendMargin)
 	}
+	wait = max(promptDelay, wait)
 	if wallet.sweeper == nil {
 		wallet.sweeper = time.AfterFunc(wait, wallet.sweep)
 		return
@@ -73,7 +77,7 @@
 	wallet.views[released.shard].credited(released.left)
 	released.left = 0
 	wallet.holdings = slices.DeleteFunc(wallet.holdings, func(holding *holding) bool { return holding == released })
-	wallet.schedule(released, 0)
+	wallet.schedule(released, promptDelay)
 }
 
 // schedule queues a return for a grant.
@@ -93,8 +97,8 @@
 	case view.sending:
 	case view.scheduled == nil:
 		view.scheduled = time.AfterFunc(delay, func() { wallet.send(context.Background(), shard) })
-	case delay == 0:
-		view.scheduled.Reset(0)
+	case delay == promptDelay:
+		view.scheduled.Reset(promptDelay)
 	}
 }
 
--- a/internal/flow/quota/wallet_test.go
+++ b/internal/flow/quota/wallet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -59,6 +61,19 @@
 	}
 }
 
+// sent returns the refunds so far.
+func (shelf *shelf) sent() []Refund {
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	return slices.Clone(shelf.refunds)
+}
+
+func (shelf *shelf) silence() {
+	shelf.mutex.Lock()
+	defer shelf.mutex.Unlock()
+	shelf.silent = true
+}
+
 func newShelf(shards int, level model.Tokens) (*shelf, *Wallet) {
 	shelf := &shelf{levels: make([]model.Tokens, shards)}
 	shelf.put(level)
@@ -178,7 +193,7 @@
 				committed := test.run(wallet, debit)
 				time.Sleep(time.Second)
 				wallet.Close(context.Background())
-				if diff := cmp.Diff(test.want, shelf.refunds); diff != "" {
+				if diff := cmp.Diff(test.want, shelf.sent()); diff != "" {
 					t.Errorf("refunds (-want +got), committed %v:\n%s", committed, diff)
 				}
 			})
@@ -200,16 +215,16 @@
 			debits = append(debits, debit)
 		}
 		time.Sleep(idleDelay + 10*time.Millisecond)
-		if len(shelf.refunds) == 0 || shelf.refunds[0].Settled {
-			t.Errorf("refunds of a remainder with uncommitted debits: %+v", shelf.refunds)
+		if sent := shelf.sent(); len(sent) == 0 || sent[0].Settled {
+			t.Errorf("refunds of a remainder with uncommitted debits: %+v", sent)
 		}
 		for _, debit := range debits {
 			wallet.Commit(debit)
 			wallet.Settle(debit, 20)
 		}
 		time.Sleep(time.Second)
-		if last := shelf.refunds[len(shelf.refunds)-1]; !last.Settled {
-			t.Errorf("last refund %+v does not settle", last)
+		if sent := shelf.sent(); !sent[len(sent)-1].Settled {
+			t.Errorf("last of the refunds does not settle: %+v", sent)
 		}
 		wallet.Close(context.Background())
 	})
@@ -224,19 +239,20 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		shelf.silent = true
+		shelf.silence()
 		wallet.Settle(debit, 60)
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
 		if _, err := wallet.Take(ctx, 100); kindOf(err) != fault.WaitExceeded {
 			t.Errorf("Take: %v", err)
 		}
+		synctest.Wait()
 		// Each of 8 shards is asked at 0, 0.1, 0.3, 0.7, 1.5, 3.1 s and then every 5 s.
 		if shelf.draws > 8*14 || shelf.draws < 8*8 {
 			t.Errorf("%d draws in 30 s", shelf.draws)
 		}
 		time.Sleep(time.Minute)
-		if got := len(shelf.refunds); got != refundAttempts {
+		if got := len(shelf.sent()); got != refundAttempts {
 			t.Errorf("refund sent %d times, want %d", got, refundAttempts)
 		}
 		wallet.Close(context.Background())
@@ -291,3 +307,39 @@
 	source.shard.Return(time.Now().Add(24*365*20*time.Hour), refund.ID, refund.Tokens, refund.Settled)
 	return nil
 }
+
+// BenchmarkMemory reports the bytes of a shard and of a wallet, idle and after
+// 1,000 draws within the memory of the shard.
+func BenchmarkMemory(b *testing.B) {
+	tests := []struct {
+		name  string
+		build func() any
+	}{
+		{"shard/idle", func() any { return newTestShard(1000, 4000) }},
+		{"shard/1000-draws", func() any {
+			shard := newTestShard(1000, 4000)
+			for draw := range 1000 {
+				shard.Draw(epoch.Add(time.Second+time.Duration(draw)*100*time.Millisecond), 100, 1)
+			}
+			return shard
+		}},
+		{"wallet/idle", func() any { return NewWallet(WalletConfig{Shards: 8, Rate: 8000, Burst: 32000}) }},
+	}
+	for _, test := range tests {
+		b.Run(test.name, func(b *testing.B) {
+			kept := make([]any, 200)
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for index := range kept {
+					kept[index] = test.build()
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(kept)), "bytes/each")
+				clear(kept)
+			}
+		})
+	}
+}
