--- a/internal/bench/slope/count.go
+++ b/internal/bench/slope/count.go
@@ -15,6 +15,7 @@
 	kindList   = "instance-list"
 	kindLog    = "log-config"
 	kindClaims = "log-claims"
+	kindAppend = "log-claim-appends"
 	kindSync   = "sync"
 	kindDraw   = "draw"
 	kindRun    = "run"
@@ -28,6 +29,7 @@
 var marks = []struct{ text, kind string }{
 	{"GET /v1/instances", kindList},
 	{"/v1/streams/config", kindLog},
+	{"POST /v1/streams/claims", kindAppend},
 	{"/v1/streams/claims", kindClaims},
 	{"GET /v1/state", kindState},
 	{"POST /v1/", kindEngine},
