Call a small set of peers in turn

Each process called another random peer each second. In a fleet of more than about 60 processes nearly every call opened a connection, since idle ones are closed after a minute.

A process now calls 16 random peers in turn and replaces one of them after each round, so that the set changes all the time and a fleet of up to 16 peers is called completely as before.

At the measured 4.1 kB, sent as caller and as callee, that is 7 KB/s before and 0.5 KB/s after with TLS, against a budget of 3 KB/s. The time in which a change spreads among peers alone was not measured at this scale.

--- a/internal/daemon/syncer/peers.go
+++ b/internal/daemon/syncer/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,6 +22,10 @@
 	// pushGap is the least time between calls on account of new versions, so
 	// that a burst of patches costs no more than ten rounds of calls a second.
 	pushGap = 100 * time.Millisecond
+	// neighbourCount is how many peers are called in turn. Calls to ever other
+	// peers of a large fleet would each open a connection, and a TLS handshake
+	// each second in both roles exceeds the budget of 3 KB/s.
+	neighbourCount = 16
 )
 
 // answers is what a peer did last.
@@ -29,11 +34,14 @@
 	answered time.Time
 }
 
-// peerList chooses peers in random order, each once before any a second time,
-// and remembers which of them answered.
+// peerList chooses peers and remembers which of them answered. It calls a random
+// sample of the list in random order, each once before any a second time, and
+// replaces one of the sample after each round.
 type peerList struct {
 	listed []string
-	order  []string
+	// neighbours is the sample, the one called the longest first.
+	neighbours []string
+	order      []string
 	seen   map[string]answers
 	wanted uint64
 	tries  int
@@ -52,7 +60,8 @@
 // next returns the next peer.
 func (peers *peerList) next(random *rand.Rand) (string, bool) {
 	if len(peers.order) == 0 {
-		peers.order = slices.Clone(peers.listed)
+		peers.sample(random)
+		peers.order = slices.Clone(peers.neighbours)
 		random.Shuffle(len(peers.order), func(left, right int) {
 			peers.order[left], peers.order[right] = peers.order[right], peers.order[left]
 		})
@@ -65,6 +74,29 @@
 	return address, true
 }
 
+// sample drops peers that are not listed any more and one other, and fills up
+// the sample from the list.
+func (peers *peerList) sample(random *rand.Rand) {
+	known := make(map[string]bool, len(peers.listed))
+	for _, address := range peers.listed {
+		known[address] = true
+	}
+	if len(known) <= neighbourCount {
+		peers.neighbours = slices.Sorted(maps.Keys(known))
+		return
+	}
+	peers.neighbours = slices.DeleteFunc(peers.neighbours, func(address string) bool { return !known[address] })
+	if len(peers.neighbours) >= neighbourCount {
+		peers.neighbours = slices.Delete(peers.neighbours, 0, len(peers.neighbours)-neighbourCount+1)
+	}
+	for len(peers.neighbours) < neighbourCount {
+		address := peers.listed[random.IntN(len(peers.listed))]
+		if !slices.Contains(peers.neighbours, address) {
+			peers.neighbours = append(peers.neighbours, address)
+		}
+	}
+}
+
 func (peers *peerList) note(address string, change func(*answers)) {
 	if peers.seen == nil {
 		peers.seen = map[string]answers{}
