--- a/internal/bench/slope/slope.go
+++ b/internal/bench/slope/slope.go
@@ -91,7 +91,7 @@
 	for _, row := range rows {
 		sizes := row.sizes
 		if config.Quick {
-			sizes = row.quick
+			sizes, row.once = row.quick, true
 		}
 		if !strings.HasPrefix(row.name, config.Only) || len(sizes) == 0 {
 			continue
--- a/internal/daemon/syncer/peers.go
+++ b/internal/daemon/syncer/peers.go
@@ -42,9 +42,9 @@
 	// neighbours is the sample, the one called the longest first.
 	neighbours []string
 	order      []string
-	seen   map[string]answers
-	wanted uint64
-	tries  int
+	seen       map[string]answers
+	wanted     uint64
+	tries      int
 }
 
 // refresh takes over the instance list and forgets calls before a time.
