--- a/internal/bench/slope/rows_process.go
+++ b/internal/bench/slope/rows_process.go
@@ -163,8 +163,17 @@
 	return shape{organisations: 50, upstreams: int(size), adapters: 1000}, int(size) * targetInstances / targetUpstreams
 }
 
+// byScale returns a part of the configuration in two years, in percent.
+func byScale(size float64) (state shape, instances int) {
+	return shape{
+		organisations: 50, upstreams: int(size) * targetUpstreams / 100, adapters: int(size) * targetAdapters / 100,
+	}, int(size) * targetInstances / 100
+}
+
 func init() {
 	register(
+		row{name: "process-scale", what: "real binary with 50 organisations and parts of 170,000 adapters, 7,200 upstreams and 7,620 instances",
+			unit: "MB", size: "percent of the size in two years", sizes: []float64{25, 50, 75, 100}, target: 100, all: processes(byScale)},
 		row{name: "process-adapters", what: "real binary with 10 upstreams and 50 organisations", unit: "MB",
 			size: "adapters", sizes: append([]float64{1000}, adapterSizes...), target: targetAdapters, all: processes(byAdapters)},
 		row{name: "process-upstreams", what: "real binary with 1,000 adapters, 50 organisations and all instances listed", unit: "MB",
