Find keys beside wrong escapes and watch attempts without per-token work

Cause: a wrong escape in a query hid an escaped key beside it, since url.QueryUnescape gives up; the watch of an attempt woke up and allocated a timer for every token; a broken answer of a plain service that cannot be resumed was not cancelled. Change: lenient decoding of up to three layers; the watch compares the time of the last event once per interval; resumesHere asks the sink.

--- a/internal/daemon/entry/attempt.go
+++ b/internal/daemon/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
@@ -52,8 +53,8 @@
 	from int64
 	// held keeps chunks that arrived before an earlier one.
 	held map[int64][]byte
-	// heard is signalled at every event.
-	heard chan struct{}
+	// heard is when the last event came, in nanoseconds of Unix time.
+	heard atomic.Int64
 }
 
 // maxHeld bounds the chunks kept for reordering.
@@ -73,7 +74,7 @@
 		return attempt.brokenResult()
 	}
 	defer func() { _ = stream.Close() }()
-	attempt.heard = make(chan struct{}, 1)
+	attempt.heard.Store(time.Now().UnixNano())
 	go attempt.watch(ctx, cancel)
 	for {
 		event, err := stream.Recv()
@@ -82,10 +83,7 @@
 			end.silent = errors.Is(context.Cause(ctx), errSilent)
 			return end
 		}
-		select {
-		case attempt.heard <- struct{}{}:
-		default:
-		}
+		attempt.heard.Store(time.Now().UnixNano())
 		if end, ok := attempt.take(event); ok {
 			attempt.finishStream(stream, cancel)
 			return end
--- a/internal/daemon/entry/keyscan.go
+++ b/internal/daemon/entry/keyscan.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/url"
+	"strconv"
 	"strings"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
@@ -58,25 +58,49 @@
 	}
 }
 
+// encodings bounds how often a key may be percent-encoded over.
+const encodings = 3
+
 // holdsKeyEncoded also finds keys behind percent encoding.
 func holdsKeyEncoded(text string) bool {
-	if holdsKey([]byte(text)) {
-		return true
-	}
-	for range 3 {
-		if !strings.ContainsRune(text, '%') {
-			return false
+	for range encodings {
+		if holdsKey([]byte(text)) {
+			return true
 		}
-		plain, err := url.QueryUnescape(text)
-		if err != nil || plain == text {
+		plain := unescape(text)
+		if plain == text {
 			return false
 		}
-		if holdsKey([]byte(plain)) {
-			return true
-		}
 		text = plain
 	}
-	return false
+	return holdsKey([]byte(text))
+}
+
+// unescape decodes percent encoding and keeps what is no valid encoding, as
+// lenient parsers of queries do.
+func unescape(escaped string) string {
+	at := strings.IndexByte(escaped, '%')
+	if at < 0 {
+		return escaped
+	}
+	text := []byte(escaped[:at])
+	for at < len(escaped) {
+		if value, ok := hexByte(escaped[at:]); ok {
+			text, at = append(text, value), at+3
+			continue
+		}
+		text = append(text, escaped[at])
+		at++
+	}
+	return string(text)
+}
+
+func hexByte(text string) (byte, bool) {
+	if len(text) < 3 || text[0] != '%' {
+		return 0, false
+	}
+	value, err := strconv.ParseUint(text[1:3], 16, 8)
+	return byte(value), err == nil
 }
 
 // holdsKeyJSON also finds keys behind JSON escapes.
--- a/internal/daemon/entry/refusal_test.go
+++ b/internal/daemon/entry/refusal_test.go
@@ -32,6 +32,7 @@
 		{"malformed key on an open route", "GET", "/services/counter/stock", "nothing", "", nil, 401, "unauthenticated"},
 		{"key in query", "POST", completions + "?key=" + ashKey, ashKey, goodBody, nil, 400, "key-in-request"},
 		{"escaped key in query", "POST", completions + "?key=" + strings.Replace(ashKey, "_", "%255F", 2), ashKey, goodBody, nil, 400, "key-in-request"},
+		{"escaped key beside a wrong escape", "GET", "/services/counter/stock?a=%zz&b=%6A" + ashKey[1:], "", "", nil, 400, "key-in-request"},
 		{"key in path", "GET", "/services/counter/stock/" + ashKey, "", "", nil, 400, "key-in-request"},
 		{"key in body", "POST", completions, ashKey, `{"model":"oak","prompt":"` + birchKey + `"}`, nil, 400, "key-in-request"},
 		{"escaped key in body", "POST", completions, ashKey, `{"model":"oak","prompt":"\u006a` + ashKey[1:] + `"}`, nil, 400, "key-in-request"},
--- a/internal/daemon/entry/settle.go
+++ b/internal/daemon/entry/settle.go
@@ -40,7 +40,8 @@
 // resumesHere reports whether the broken answer may still be resumed at this
 // upstream, so that its work must not be cancelled.
 func (attempt *attempt) resumesHere(end result) bool {
-	return end.outcome == broken && !end.silent && attempt.job.sink.committed() && attempt.from < attempt.job.next
+	sink := attempt.job.sink
+	return end.outcome == broken && !end.silent && sink.committed() && sink.resumable() && attempt.from < attempt.job.next
 }
 
 // cancelLater cancels the attempt without keeping the caller waiting.
--- a/internal/daemon/entry/watch.go
+++ b/internal/daemon/entry/watch.go
@@ -22,15 +22,18 @@
 	if !attempt.job.idempotent() {
 		limit = 10 * silence
 	}
+	ticker := time.NewTicker(silence)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-attempt.heard:
+		case <-ticker.C:
+		}
+		if time.Since(time.Unix(0, attempt.heard.Load())) < silence {
 			continue
-		case <-time.After(silence):
 		}
-		if ctx.Err() == nil && !attempt.alive(ctx, limit) {
+		if !attempt.alive(ctx, limit) && ctx.Err() == nil {
 			attempt.drop("silent-side-processes")
 			cancel(errSilent)
 			return
--- a/internal/daemon/entry/world_test.go
+++ b/internal/daemon/entry/world_test.go
@@ -216,7 +216,7 @@
 
 // world is an entry instance with fake side processes.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	entry    *Entry
 	config   *Config
 	pipes    *pipes
@@ -281,7 +281,7 @@
 	})
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t testing.TB) *world {
 	core, logs := observer.New(zapcore.InfoLevel)
 	world := &world{
 		t: t, pipes: &pipes{servers: map[string]func(net.Conn){}},
