Match the entry's ports to the health, retry and key packages

Cause: the ports that entry and route declare differed from the packages that are to be put behind them, and an ejected upstream's probe was not taken when it was chosen. Change: Budget has Request, Allow and Backoff; Health has Usable, Probe, Follow, Succeeded and Failed; Authenticate is a function. The policies call Probe for the upstream that they choose. Round robin names the reason last-resort when only an upstream to avoid is left.

--- a/internal/daemon/entry/caller.go
+++ b/internal/daemon/entry/caller.go
@@ -30,8 +30,8 @@
 	if !strings.EqualFold(scheme, "Bearer") || !wellFormed(key) {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the header Authorization is malformed; send Bearer and a key as it was issued")
 	}
-	spec, ok := exchange.entry.config.Authenticator.Authenticate(exchange.config, key)
-	if !ok {
+	spec, err := exchange.entry.config.Authenticate(exchange.config, key)
+	if err != nil {
 		return fault.New(fault.Unauthenticated, fault.NotRun, "the key is not known or was withdrawn; ask an operator for another")
 	}
 	organisation, ok := exchange.config.Organisation(spec.Organisation)
--- a/internal/daemon/entry/config.go
+++ b/internal/daemon/entry/config.go
@@ -8,6 +8,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
 	"jacinthfront.dev/jacinthfront/internal/flow/route"
+	"jacinthfront.dev/jacinthfront/internal/state/model"
 )
 
 // Limits bounds what callers may send and for how long.
@@ -33,10 +34,11 @@
 
 // Config configures an Entry.
 type Config struct {
-	Configs       Configs
-	Roster        Roster
-	Authenticator Authenticator
-	Sides         Sides
+	Configs Configs
+	Roster  Roster
+	Sides   Sides
+	// Authenticate returns the configured key that was presented.
+	Authenticate func(config *model.Config, key string) (model.KeySpec, error)
 	// Budget defaults to one that permits every retry.
 	Budget Budget
 	// NewHealth returns the health record of a service. The default ejects
@@ -75,8 +77,8 @@
 }
 
 func (config *Config) complete() error {
-	if config.Configs == nil || config.Roster == nil || config.Authenticator == nil || config.Sides == nil || config.NewPolicy == nil {
-		return fault.New(fault.Invalid, fault.NotRun, "entry needs Configs, Roster, Authenticator, Sides and NewPolicy; set them all")
+	if config.Configs == nil || config.Roster == nil || config.Authenticate == nil || config.Sides == nil || config.NewPolicy == nil {
+		return fault.New(fault.Invalid, fault.NotRun, "entry needs Configs, Roster, Authenticate, Sides and NewPolicy; set them all")
 	}
 	if config.Limits == (Limits{}) {
 		config.Limits = DefaultLimits()
--- a/internal/daemon/entry/fleet.go
+++ b/internal/daemon/entry/fleet.go
@@ -89,6 +89,7 @@
 		for _, spec := range specs {
 			group.ids = append(group.ids, spec.ID)
 		}
+		group.health.Follow(group.ids)
 		next[name] = group
 	}
 	fleet.services = next
--- a/internal/daemon/entry/life_test.go
+++ b/internal/daemon/entry/life_test.go
@@ -100,7 +100,7 @@
 
 type emptyBudget struct{ freeBudget }
 
-func (emptyBudget) Withdraw(time.Time) bool { return false }
+func (emptyBudget) Allow() bool { return false }
 
 // TestBudget guards against retries beyond the budget, late give-ups, and
 // planned stops that use the budget up.
@@ -213,11 +213,18 @@
 	noHealth
 	mutex  sync.Mutex
 	events map[string]int
+	// followed counts the upstreams named to Follow.
+	followed int
 }
 
-func (healthLog *healthLog) Succeeded(upstream string, _ time.Time) { healthLog.add(upstream, 1) }
+func (healthLog *healthLog) Follow(upstreams []string) { healthLog.followed += len(upstreams) }
 
-func (healthLog *healthLog) Failed(upstream string, _ time.Time) { healthLog.add(upstream, -1) }
+func (healthLog *healthLog) Succeeded(upstream string) { healthLog.add(upstream, 1) }
+
+func (healthLog *healthLog) Failed(upstream string) bool {
+	healthLog.add(upstream, -1)
+	return false
+}
 
 func (healthLog *healthLog) add(upstream string, value int) {
 	healthLog.mutex.Lock()
@@ -243,6 +250,9 @@
 					}
 				}
 			})
+			if log.followed != 5 {
+				t.Errorf("%d upstreams followed, want 5", log.followed)
+			}
 			if lost := log.events["engine-a"] + log.events["plain-a"]; lost >= 0 || log.events["engine-b"]+log.events["plain-b"] != 4 {
 				t.Errorf("recorded results %v", log.events)
 			}
--- a/internal/daemon/entry/ports.go
+++ b/internal/daemon/entry/ports.go
@@ -36,12 +36,6 @@
 	Entries() int
 }
 
-// Authenticator checks callers' keys.
-type Authenticator interface {
-	// Authenticate returns the key that the secret text belongs to.
-	Authenticate(config *model.Config, key string) (model.KeySpec, bool)
-}
-
 // Conn carries one call to a side process.
 type Conn interface {
 	drpc.Conn
@@ -56,10 +50,10 @@
 
 // Budget bounds the retries.
 type Budget interface {
-	// Deposit counts a request.
-	Deposit(now time.Time)
-	// Withdraw takes a retry from the budget if one is left.
-	Withdraw(now time.Time) bool
+	// Request counts a request.
+	Request()
+	// Allow takes a retry from the budget if one is left.
+	Allow() bool
 	// Backoff returns the jittered pause before the given retry, from 1.
 	Backoff(retry int) time.Duration
 }
@@ -67,10 +61,13 @@
 // Health records the results of requests to the upstreams of one service.
 type Health interface {
 	route.Health
+	// Follow sets the upstreams of the service.
+	Follow(upstreams []string)
 	// Succeeded records an answer.
-	Succeeded(upstream string, now time.Time)
-	// Failed records a lost or failed answer.
-	Failed(upstream string, now time.Time)
+	Succeeded(upstream string)
+	// Failed records a lost or failed answer, and reports whether it ejects
+	// the upstream.
+	Failed(upstream string) bool
 }
 
 // Counters counts events by kebab-case names. *expvar.Map implements it.
@@ -80,14 +77,15 @@
 
 type freeBudget struct{}
 
-func (freeBudget) Deposit(time.Time)         {}
-func (freeBudget) Withdraw(time.Time) bool   { return true }
+func (freeBudget) Request()                  {}
+func (freeBudget) Allow() bool               { return true }
 func (freeBudget) Backoff(int) time.Duration { return 10 * time.Millisecond }
 
 type noHealth struct{ route.Healthy }
 
-func (noHealth) Succeeded(string, time.Time) {}
-func (noHealth) Failed(string, time.Time)    {}
+func (noHealth) Follow([]string)    {}
+func (noHealth) Succeeded(string)   {}
+func (noHealth) Failed(string) bool { return false }
 
 type noCounters struct{}
 
--- a/internal/daemon/entry/run.go
+++ b/internal/daemon/entry/run.go
@@ -18,7 +18,7 @@
 	limit := exchange.arrived.Add(exchange.entry.config.Limits.Request)
 	ctx, cancel := context.WithDeadline(exchange.request.Context(), limit)
 	defer cancel()
-	exchange.entry.config.Budget.Deposit(time.Now())
+	exchange.entry.config.Budget.Request()
 	err := job.run(ctx)
 	if err == nil {
 		return nil
@@ -65,16 +65,15 @@
 func (job *job) try(ctx context.Context, attempt *attempt) result {
 	defer job.service.policy.Ended(attempt.upstream)
 	if !job.idempotent() && attempt.incarnation == 0 && !attempt.learnIncarnation(ctx) {
-		job.service.health.Failed(attempt.upstream, time.Now())
+		job.service.health.Failed(attempt.upstream)
 		return attempt.unreachableResult()
 	}
 	end := attempt.run(ctx)
-	now := time.Now()
 	switch {
 	case end.outcome == finished:
-		job.service.health.Succeeded(attempt.upstream, now)
+		job.service.health.Succeeded(attempt.upstream)
 	case end.unhealthy && ctx.Err() == nil:
-		job.service.health.Failed(attempt.upstream, now)
+		job.service.health.Failed(attempt.upstream)
 	}
 	return attempt.settle(ctx, end)
 }
@@ -114,7 +113,7 @@
 		config.Counters.Add("handbacks", 1)
 		return true
 	}
-	if !config.Budget.Withdraw(time.Now()) {
+	if !config.Budget.Allow() {
 		config.Counters.Add("retries-denied", 1)
 		return false
 	}
--- a/internal/daemon/entry/world_test.go
+++ b/internal/daemon/entry/world_test.go
@@ -240,10 +240,13 @@
 	return Instance{Address: upstream, Leaving: world.leaving[upstream]}, true
 }
 
-// Authenticate implements Authenticator.
-func (world *world) Authenticate(config *model.Config, key string) (model.KeySpec, bool) {
+// authenticate checks only the id of a key.
+func authenticate(config *model.Config, key string) (model.KeySpec, error) {
 	id, _, _ := strings.Cut(strings.TrimPrefix(key, keyPrefix), "_")
-	return config.Key(id)
+	if spec, ok := config.Key(id); ok {
+		return spec, nil
+	}
+	return model.KeySpec{}, fault.New(fault.Unauthenticated, fault.NotRun, "unknown")
 }
 
 type counts struct {
@@ -293,7 +296,7 @@
 		world.sides[upstream.ID] = &side{incarnation: 7, run: []func(*wirepb.RunRequest, wirepb.DRPCSide_RunStream) error{answer}}
 	}
 	world.config = &Config{
-		Configs: world, Roster: world, Authenticator: world, Sides: world.pipes, Logger: zap.New(core), Counters: world.counts,
+		Configs: world, Roster: world, Authenticate: authenticate, Sides: world.pipes, Logger: zap.New(core), Counters: world.counts,
 		NewPolicy: func(_ string, _ bool, health route.Health) route.Policy { return route.NewRoundRobin(health) },
 		Limits:    DefaultLimits(),
 	}
--- a/internal/flow/route/policy.go
+++ b/internal/flow/route/policy.go
@@ -119,11 +119,17 @@
 // Health says which upstreams are ejected.
 type Health interface {
 	// Usable reports whether the upstream may get a request now.
-	Usable(upstream string, now time.Time) bool
+	Usable(upstream string) bool
+	// Probe says that the upstream was chosen, which takes the only probe of
+	// an ejected one. The choice stands whatever it reports.
+	Probe(upstream string) bool
 }
 
 // Healthy is the default Health: it ejects nothing.
 type Healthy struct{}
 
 // Usable implements Health.
-func (Healthy) Usable(string, time.Time) bool { return true }
+func (Healthy) Usable(string) bool { return true }
+
+// Probe implements Health.
+func (Healthy) Probe(string) bool { return true }
--- a/internal/flow/route/rotate.go
+++ b/internal/flow/route/rotate.go
@@ -33,34 +33,40 @@
 }
 
 // Choose implements Policy.
-func (roundRobin *RoundRobin) Choose(now time.Time, request Request) (Decision, bool) {
+func (roundRobin *RoundRobin) Choose(_ time.Time, request Request) (Decision, bool) {
 	roundRobin.mutex.Lock()
 	defer roundRobin.mutex.Unlock()
 	var last Decision
 	for range roundRobin.members {
 		member := &roundRobin.members[roundRobin.next%len(roundRobin.members)]
 		roundRobin.next++
-		if !roundRobin.usable(now, member, &request) {
+		if !roundRobin.usable(member, &request) {
 			continue
 		}
 		decision := Decision{Upstream: member.ID, Reason: Rotation, Incarnation: roundRobin.incarnations[member.ID]}
 		decision.alternatives[0], decision.count = Alternative{Upstream: member.ID}, 1
 		if !slices.Contains(request.Avoid, member.ID) {
+			roundRobin.health.Probe(member.ID)
 			return decision, true
 		}
 		last = decision
 	}
-	return last, last.Upstream != ""
+	if last.Upstream == "" {
+		return last, false
+	}
+	last.Reason = LastResort
+	roundRobin.health.Probe(last.Upstream)
+	return last, true
 }
 
-func (roundRobin *RoundRobin) usable(now time.Time, member *Member, request *Request) bool {
+func (roundRobin *RoundRobin) usable(member *Member, request *Request) bool {
 	if member.Leaving || !member.Half.Shares(request.Half) {
 		return false
 	}
 	if request.Only != "" && request.Only != member.ID {
 		return false
 	}
-	return roundRobin.health.Usable(member.ID, now)
+	return roundRobin.health.Usable(member.ID)
 }
 
 // Ended implements Policy.
--- a/internal/flow/route/router.go
+++ b/internal/flow/route/router.go
@@ -142,11 +142,12 @@
 	score, loaded := state.score(now.UnixNano(), &router.config, request)
 	decision.alternatives[0], decision.count = Alternative{request.Only, score, loaded}, 1
 	state.send(now.UnixNano(), request)
+	router.config.Health.Probe(request.Only)
 	return decision, true
 }
 
 func (router *Router) usable(now time.Time, slot uint32, request *Request) bool {
-	return router.upstreams[slot].usable(now.UnixNano(), request.Half) && router.config.Health.Usable(router.ring.ID(slot), now)
+	return router.upstreams[slot].usable(now.UnixNano(), request.Half) && router.config.Health.Usable(router.ring.ID(slot))
 }
 
 // replicas returns how many upstreams should serve the request's adapter.
@@ -181,6 +182,7 @@
 		decision.Reason = TwoChoices
 	}
 	router.upstreams[slot].send(search.now.UnixNano(), &search.request)
+	router.config.Health.Probe(decision.Upstream)
 	if prefix := search.request.Prefix; prefix != 0 {
 		router.prefixes[prefix%prefixes] = prefixMark{prefix, slot}
 	}
--- a/internal/flow/route/router_test.go
+++ b/internal/flow/route/router_test.go
@@ -16,7 +16,13 @@
 
 type ejected map[string]bool
 
-func (ejected ejected) Usable(upstream string, _ time.Time) bool { return !ejected[upstream] }
+func (ejected ejected) Usable(upstream string) bool { return !ejected[upstream] }
+
+// Probe marks probed upstreams by a name that no upstream has.
+func (ejected ejected) Probe(upstream string) bool {
+	ejected["probed "+upstream] = true
+	return true
+}
 
 func newRouter(t testing.TB, config Config, members []Member) *Router {
 	t.Helper()
@@ -153,6 +159,9 @@
 			if test.none {
 				return
 			}
+			if !out["probed "+decision.Upstream] {
+				t.Error("the choice was not reported as a probe")
+			}
 			if diff := cmp.Diff([]string{order[test.want], test.reason.String()}, []string{decision.Upstream, decision.Reason.String()}); diff != "" {
 				t.Errorf("choice (-want +got):\n%s%+v", diff, decision.Alternatives())
 			}
