Refuse escaped service names and test what side processes receive

Cause: a service name with percent encoding matched the route, while the path sent to the upstream kept the prefix /services/NAME; nothing tested the message to the side process field by field. Change: such paths are refused; TestRunRequest compares method, path, body, adapter, class and cost. Conclusion: upstreams see the path that was matched.

--- a/internal/daemon/entry/entry_test.go
+++ b/internal/daemon/entry/entry_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
 // TestAnswers guards against answers whose form is not the public API's or
@@ -52,3 +54,42 @@
 		})
 	}
 }
+
+// TestRunRequest guards against work that reaches the side process with another
+// path, adapter, class or cost than the caller's.
+func TestRunRequest(t *testing.T) {
+	type sent struct {
+		Method, Path, Body, Adapter string
+		Version                     uint32
+		Class                       wirepb.Class
+		Prompt, Most                int64
+		Idempotent                  bool
+	}
+	tests := []struct {
+		path, body string
+		want       sent
+	}{
+		{"/v1/completions", `{"model":"oak@1","prompt":"12345","temperature":0.5}`,
+			sent{"POST", "/v1/completions", `{"max_tokens":100,"model":"oak@1","prompt":"12345","stream":true,"temperature":0.5}`, "oak", 1, wirepb.Class_CLASS_INTERACTIVE, 2, 100, true}},
+		{"/routes/once/v1/chat/completions", `{"model":"oak","max_completion_tokens":7,"messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}]}`,
+			sent{"POST", "/v1/chat/completions", `{"max_tokens":7,"messages":[{"role":"user","content":[{"type":"text","text":"hi"}]}],"model":"oak@2","stream":true}`, "oak", 2, wirepb.Class_CLASS_PATIENT, 2, 7, false}},
+		{"/services/counter/orders/7?x=1&y=%20", "order", sent{Method: "POST", Path: "/orders/7?x=1&y=%20", Body: "order", Most: 5}},
+	}
+	for _, test := range tests {
+		t.Run(test.path, func(t *testing.T) {
+			run(t, nil, func(world *world) {
+				if got := world.post(test.path, ashKey, test.body); got.status != 200 {
+					t.Fatalf("answer %+v", got)
+				}
+				runs, _ := world.attempts()
+				got := sent{
+					runs[0].GetMethod(), runs[0].GetPath(), string(runs[0].GetBody()), runs[0].GetAdapter(), runs[0].GetAdapterVersion(),
+					runs[0].GetClass(), runs[0].GetPromptTokens(), runs[0].GetMaxTokens(), runs[0].GetIdempotent(),
+				}
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Errorf("sent (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/entry/plain.go
+++ b/internal/daemon/entry/plain.go
@@ -58,6 +58,9 @@
 	}
 	rest := strings.TrimPrefix(exchange.request.URL.Path, "/services/")
 	service, path, _ = strings.Cut(rest, "/")
+	if !strings.HasPrefix(exchange.request.URL.EscapedPath(), "/services/"+service) {
+		return "", "", badRequest("the name of the service is escaped; send it in its plain form")
+	}
 	for _, segment := range strings.Split(path, "/") {
 		if segment == "." || segment == ".." {
 			return "", "", badRequest("the path holds a dot segment; send the path that it leads to")
--- a/internal/daemon/entry/prompt.go
+++ b/internal/daemon/entry/prompt.go
@@ -141,6 +141,8 @@
 	return nil
 }
 
+// chatText joins the roles and contents of the messages, one a line, as a model
+// sees them in some form.
 func chatText(messages []messageBody) (string, *fault.Fault) {
 	if len(messages) == 0 {
 		return "", badRequest("the field messages is missing or empty; send at least one message")
--- a/internal/daemon/entry/refusal_test.go
+++ b/internal/daemon/entry/refusal_test.go
@@ -63,6 +63,7 @@
 		{"unknown service", "GET", "/services/none/x", ashKey, "", nil, 404, "unknown-route"},
 		{"method without route", "DELETE", "/services/counter/orders", ashKey, "", nil, 404, "unknown-route"},
 		{"dot segment", "POST", "/services/counter/orders/../stock", ashKey, "", nil, 400, "bad-request"},
+		{"escaped service", "POST", "/services/co%75nter/orders", ashKey, "", nil, 400, "bad-request"},
 		{"escaped separator", "POST", "/services/counter/orders%2F7", ashKey, "", nil, 400, "bad-request"},
 		{"root", "GET", "/", ashKey, "", nil, 404, "unknown-route"},
 		{"unknown path", "GET", "/nothing", ashKey, "", nil, 404, "unknown-route"},
