Stop a side process that was succeeded, and check after a pause

Cause: a side process that saw a newer fencing token at its engine took a higher one, so that a process that was paused while its successor started on another address outbid it and both went on; after a pause it also dispatched queued requests and granted tokens before it had heard of withdrawn keys. Change: only the first report leads to a higher token; a newer one later stops the process (queue handed back, running work finished). After a pause of more than 1 s it refuses as not-run until the configuration is confirmed, for 2 s at most, so that a log outage does not hold it up. Conclusion: of two side processes the one that began last stays.

--- a/internal/daemon/side/fakes_test.go
+++ b/internal/daemon/side/fakes_test.go
@@ -55,6 +55,7 @@
 func (configs *fakeConfigs) Changed() <-chan struct{} { return *configs.changed.Load() }
 func (configs *fakeConfigs) Hint(version uint64)      { configs.hinted.Store(version) }
 func (configs *fakeConfigs) Isolated() bool           { return configs.isolated.Load() }
+func (*fakeConfigs) ConfirmedAge() time.Duration      { return time.Hour }
 
 func (configs *fakeConfigs) edit(change func(*model.Editor)) {
 	editor := configs.Current().Edit()
--- a/internal/daemon/side/gate.go
+++ b/internal/daemon/side/gate.go
@@ -14,6 +14,9 @@
 	if server.draining {
 		return fault.New(fault.Leaving, fault.NotRun, "this side process is stopping; send the request to another upstream")
 	}
+	if refusal := server.gateSuccession(); refusal != nil {
+		return refusal
+	}
 	if server.records.Cancelled(ticket.attempt) {
 		return fault.New(fault.Cancelled, fault.NotRun, "the attempt was cancelled; send the request anew")
 	}
--- a/internal/daemon/side/ports.go
+++ b/internal/daemon/side/ports.go
@@ -17,6 +17,8 @@
 	Hint(version uint64)
 	// Isolated says that withdrawals may not reach this process.
 	Isolated() bool
+	// ConfirmedAge is the time since the configuration was known to be current.
+	ConfirmedAge() time.Duration
 }
 
 // Debit is what a request took from its organisation's tokens.
--- a/internal/daemon/side/shards.go
+++ b/internal/daemon/side/shards.go
@@ -48,6 +48,9 @@
 	response := &wirepb.DrawResponse{ConfigVersion: config.Version(), Incarnation: server.config.Incarnation}
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	if refusal := server.gateSuccession(); refusal != nil {
+		return nil, refusal
+	}
 	server.shards.refresh(config)
 	shard, ok := server.shards.hosted[shardKey{request.GetOrganisation(), request.GetShard()}]
 	if !ok {
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -151,6 +151,10 @@
 	empty     chan struct{}
 	timer     *time.Timer
 	fence     uint64
+	// succeeded says that superseded is closed.
+	succeeded  bool
+	superseded chan struct{}
+	guard      pauseGuard
 	// wake asks for the engine's state at once.
 	wake chan struct{}
 	// background is the context of loads; it ends when Serve does.
@@ -181,6 +185,8 @@
 		gathering:  map[string]*gathering{},
 		empty:      make(chan struct{}, 1),
 		wake:       make(chan struct{}, 1),
+		superseded: make(chan struct{}),
+		guard:      pauseGuard{beat: time.Now()},
 		fence:      config.Incarnation,
 		background: background,
 		stop:       stop,
--- a/internal/daemon/side/watch.go
+++ b/internal/daemon/side/watch.go
@@ -59,6 +59,7 @@
 func (server *Server) follow() {
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	server.guard.tick(time.Now())
 	server.shards.refresh(server.current())
 	server.review()
 }
@@ -79,11 +80,7 @@
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	server.engine.answered = asked
-	if state.Fence > server.fence {
-		// This process holds the listening address, so that the holder of the
-		// newer token has ended.
-		server.fence = state.Fence + 1
-	}
+	server.adoptFence(state)
 	if !server.engine.known || state.Epoch != server.engine.epoch {
 		server.restart(state)
 	}
--- a/internal/daemon/start/side.go
+++ b/internal/daemon/start/side.go
@@ -88,6 +88,14 @@
 	})
 	group.Go(func() error { return ended(ctx, server.Serve(ctx)) })
 	group.Go(func() error { return ended(ctx, parts.serveOperators(ctx, process)) })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-server.Superseded():
+			go func() { _ = process.Stop(context.Background()) }()
+		}
+		return nil
+	})
 	process.watch(group)
 	return process
 }
