--- a/internal/daemon/side/succession_test.go
+++ b/internal/daemon/side/succession_test.go
@@ -60,7 +60,7 @@
 		{"first moment", "a dispatch before the first tick after a pause", []time.Duration{statePoll}, 10 * time.Second, time.Hour, true},
 		{"resumed", "a dispatch with the configuration from before the pause", []time.Duration{statePoll, 10 * time.Second}, 10*time.Second + statePoll, 11 * time.Second, true},
 		{"confirmed", "a refusal although the configuration was confirmed", []time.Duration{statePoll, 10 * time.Second}, 10*time.Second + statePoll, statePoll / 2, false},
-		{"log out", "a refusal without end while the log is out", []time.Duration{statePoll, 10 * time.Second, 10*time.Second + freshWait}, 10*time.Second + freshWait, time.Hour, false},
+		{"log out", "a refusal without end while the log is out", []time.Duration{statePoll, 10 * time.Second, 11 * time.Second, 12 * time.Second}, 10*time.Second + freshWait, time.Hour, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
