--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -123,7 +123,7 @@
 // filled returns a state with adapters, put in one patch each of 5,000.
 func filled(t testing.TB, adapters int) *fold.Fold {
 	folded := fold.New()
-	ops := []patch.Op{}
+	ops := []patch.Op{patch.PutOrganisation{Organisation: model.OrganisationSpec{Name: "looms", Rate: 1, Burst: 1}}}
 	for index := range 40 {
 		ops = append(ops, patch.PutUpstream{Upstream: model.UpstreamSpec{ID: fmt.Sprintf("up-%d", index), Service: "advisor", FailureDomain: "one"}})
 	}
@@ -148,7 +148,8 @@
 func adapterNamed(index int, version uint32) model.AdapterSpec {
 	return model.AdapterSpec{
 		Name: fmt.Sprintf("adapter-of-some-team-%06d", index), Service: "advisor",
-		Versions: []uint32{version}, DefaultVersion: version,
+		Organisation: []string{"looms", ""}[index%2],
+		Versions:     []uint32{version}, DefaultVersion: version,
 	}
 }
 
