Assign idempotency keys to upstreams by their partition

Entry instances assigned each Idempotency-Key to an upstream by the key's own rendezvous order. Keys of one of the 256 claim streams therefore met at all upstreams of the service, and each of their side processes read and kept the whole stream: reading grew with keyed requests times upstreams.

The order is now that of the partition.

--- a/internal/daemon/entry/choose.go
+++ b/internal/daemon/entry/choose.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/once"
 	"jacinthfront.dev/jacinthfront/internal/flow/place"
 	"jacinthfront.dev/jacinthfront/internal/flow/route"
 )
@@ -71,7 +72,9 @@
 }
 
 // chooseByClaim takes the first usable upstream in the rendezvous order of the
-// Idempotency-Key, so that copies of a request meet.
+// partition of the Idempotency-Key, so that copies of a request meet. The order
+// is that of the partition and not of the key, because whoever claims a key
+// reads the partition's whole stream.
 func (job *job) chooseByClaim(now time.Time) (route.Decision, bool) {
 	var ids []string
 	for _, spec := range job.service.specs {
@@ -79,8 +82,9 @@
 			ids = append(ids, spec.ID)
 		}
 	}
+	partition := []byte(once.Stream(once.Partition(job.claim, once.DefaultPartitions)))
 	for ; ; job.rank++ {
-		index := place.Rendezvous(job.claim, ids, job.rank)
+		index := place.Rendezvous(partition, ids, job.rank)
 		if index < 0 {
 			return route.Decision{}, false
 		}
--- a/internal/flow/once/claims.go
+++ b/internal/flow/once/claims.go
@@ -17,6 +17,10 @@
 	LogBody = 4 << 10
 	// defaultBodies bounds the memory of all stored bodies of a partition.
 	defaultBodies = 256 << 10
+	// DefaultPartitions is the number of claim streams. With another number at
+	// the side processes, keys of a partition meet at more than one of them,
+	// which costs reads only.
+	DefaultPartitions = 256
 	// defaultWindow is how long claims hold.
 	defaultWindow = 24 * time.Hour
 )
