--- a/internal/bench/proof/link.go
+++ b/internal/bench/proof/link.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -154,7 +155,7 @@
 	if !isStandIn(pump.way.to) {
 		return
 	}
-	text := append(pump.recent, data...)
+	text := slices.Concat(pump.recent, data)
 	for _, secret := range pump.link.network.secrets {
 		if bytes.Contains(text, secret) {
 			pump.link.network.mutex.Lock()
