--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .PHONY: lint
 lint:
-	go tool -modfile=tools/go.mod golangci-lint run ./...
+	go tool -modfile=tools/go.mod golangci-lint run --allow-parallel-runners ./...
 
 .PHONY: test
 test:
