--- a/internal/bench/demo/config.go
+++ b/internal/bench/demo/config.go
@@ -18,9 +18,7 @@
 	// adaptersPerPatch keeps a patch well below the log's record limit.
 	adaptersPerPatch = 1000
 	loadBurst        = 8
-	// operator is who publishes the patches of a demo.
-	operator       = "demo"
-	adapterVersion = 1
+	adapterVersion   = 1
 )
 
 // runnerID and plainID name the upstreams.
