--- a/internal/daemon/start/entry.go
+++ b/internal/daemon/start/entry.go
@@ -55,17 +55,19 @@
 		return nil, err
 	}
 	return entry.New(entry.Config{
-		Configs:       parts.syncer,
-		Roster:        entryRoster{parts},
-		Authenticator: authenticator{},
-		Sides:         sides{parts},
-		NewPolicy:     newPolicy(settings, parts),
-		NewHealth:     newHealth,
-		Budget:        retryBudget{budget},
-		Admission:     newAdmission(settings.Routing.Policy),
-		Logger:        parts.logger,
-		Counters:      telem.Map("entry"),
-		Limits:        limits,
+		Configs: parts.syncer,
+		Roster:  entryRoster{parts},
+		Authenticate: func(config *model.Config, key string) (model.KeySpec, error) {
+			return creds.Authenticate(config, key)
+		},
+		Sides:     sides{parts},
+		NewPolicy: newPolicy(settings, parts),
+		NewHealth: newHealth,
+		Budget:    budget,
+		Admission: newAdmission(settings.Routing.Policy),
+		Logger:    parts.logger,
+		Counters:  telem.Map("entry"),
+		Limits:    limits,
 	})
 }
 
@@ -89,7 +91,7 @@
 func newPolicy(settings setup.Entry, parts *parts) func(string, bool, route.Health) route.Policy {
 	return func(service string, _ bool, health route.Health) route.Policy {
 		if settings.Routing.Policy == "naive" {
-			return withProbes(route.NewRoundRobin(health), health)
+			return route.NewRoundRobin(health)
 		}
 		router, err := route.New(route.Config{
 			Weights:       route.Profiles[settings.Routing.Profile](),
@@ -100,9 +102,9 @@
 		if err != nil {
 			// The profiles' weights are constants that pass every check.
 			parts.logger.Error("route: weights refused, routing in rotation", zap.Error(err))
-			return withProbes(route.NewRoundRobin(health), health)
+			return route.NewRoundRobin(health)
 		}
-		return withProbes(router, health)
+		return router
 	}
 }
 
@@ -144,15 +146,6 @@
 	return max(count, 1)
 }
 
-// authenticator implements entry.Authenticator.
-type authenticator struct{}
-
-// Authenticate returns the configured key that was presented.
-func (authenticator) Authenticate(config *model.Config, key string) (model.KeySpec, bool) {
-	spec, err := creds.Authenticate(config, key)
-	return spec, err == nil
-}
-
 // sides implements entry.Sides.
 type sides struct{ parts *parts }
 
--- a/internal/daemon/start/health_test.go
+++ b/internal/daemon/start/health_test.go
@@ -30,10 +30,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				known := newHealth("advisor")
-				policy := withProbes(route.NewRoundRobin(known), known)
+				policy := route.NewRoundRobin(known)
+				known.Follow([]string{"a", "b"})
 				policy.SetMembers([]route.Member{{ID: "a"}, {ID: "b"}}, 1)
 				for range health.DefaultFailures {
-					known.Failed("a", time.Now())
+					known.Failed("a")
 				}
 				time.Sleep(test.wait)
 				sent := 0
@@ -45,7 +46,7 @@
 					if decision.Upstream == "a" {
 						sent++
 						if test.succeed {
-							known.Succeeded("a", time.Now())
+							known.Succeeded("a")
 						}
 					}
 				}
