--- a/internal/bench/demo/config.go
+++ b/internal/bench/demo/config.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// operator publishes the demo's patches.
-	operator        = "demo"
 	interactiveWait = 5 * time.Second
 	patientWait     = 30 * time.Second
 	// adaptersPerPatch keeps a patch well below the log's record limit.
