--- a/internal/bench/slope/rows_route.go
+++ b/internal/bench/slope/rows_route.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/flow/place"
 	"jacinthfront.dev/jacinthfront/internal/flow/route"
 )
@@ -97,22 +98,57 @@
 
 // rendezvous returns the time in µs of assigning an idempotency key.
 func rendezvous(_ context.Context, size float64) (float64, error) {
-	ids := make([]string, int(size))
-	for index := range ids {
-		ids[index] = upstreamName(index)
-	}
+	list := ids(int(size))
 	key := make([]byte, 32)
 	return timePer(2000, func(index int) {
 		key[0], key[1] = byte(index), byte(index>>8)
-		place.Rendezvous(key, ids, 0)
+		place.Rendezvous(key, list, 0)
 	}) / 1e3, nil
 }
 
+// ids returns the names of upstreams.
+func ids(count int) []string {
+	list := make([]string, count)
+	for index := range list {
+		list[index] = upstreamName(index)
+	}
+	return list
+}
+
+// healthMemory returns the live heap of a service's health records.
+func healthMemory(_ context.Context, size float64) (float64, error) {
+	list := ids(int(size))
+	bytes, _, err := heapOf(func() (*health.Service, error) {
+		service, err := health.New(health.Config{})
+		if err == nil {
+			service.Follow(list)
+		}
+		return service, err
+	})
+	runtime.KeepAlive(list)
+	return bytes, err
+}
+
+// healthCheck returns the time of asking for an upstream's state in ns.
+func healthCheck(_ context.Context, size float64) (float64, error) {
+	list := ids(int(size))
+	service, err := health.New(health.Config{})
+	if err != nil {
+		return 0, err
+	}
+	service.Follow(list)
+	return timePer(200_000, func(index int) { service.State(list[index*7919%len(list)]) }), nil
+}
+
 func init() {
 	quick := []float64{16, 32, 48, 64}
 	register(
 		row{name: "memory-router-upstream", what: "live heap of an entry instance's router", unit: "B",
 			size: "upstreams", sizes: upstreamSizes, quick: quick, target: targetUpstreams, measure: routerMemory},
+		row{name: "memory-health-upstream", what: "live heap of an entry instance's health records", unit: "B",
+			size: "upstreams", sizes: upstreamSizes, quick: quick, target: targetUpstreams, measure: healthMemory},
+		row{name: "time-health", what: "asking for the state of an upstream's health", unit: "ns",
+			size: "upstreams", sizes: upstreamSizes, quick: quick, target: targetUpstreams, measure: healthCheck},
 		row{name: "memory-popularity-adapter", what: "table of adapters' request rates at an entry instance; doubles at powers of two", unit: "B",
 			size: "adapters with an entry", sizes: []float64{6553, 13107, 26214, 52428, 104857}, target: targetAdapters, measure: popularityMemory},
 		row{name: "time-decision", what: "routing decision, adapters drawn evenly from 170,000", unit: "ns",
