Publish each metric map once

Cause: telem.Map looked a map up and published it without a lock; two processes of ours that start at once in one program (parallel schedules) ended it with 'Reuse of exported var name: side', seen in a run of TestLongFailures. Change: a lock from look-up to publication. Before: TestMapAtOnce panics. After: it passes.

--- a/internal/base/telem/metric.go
+++ b/internal/base/telem/metric.go
@@ -9,8 +9,14 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
+// publishing is held from the look-up of a map to its publication, since expvar
+// ends the program when a name is published twice.
+var publishing sync.Mutex
+
 // Map returns the published expvar map of a part and publishes it at first use.
 func Map(name string) *expvar.Map {
+	publishing.Lock()
+	defer publishing.Unlock()
 	if found, ok := expvar.Get(name).(*expvar.Map); ok {
 		return found
 	}
