--- /dev/null
+++ b/internal/bench/proof/long_test.go
@@ -0,0 +1,32 @@
+package proof
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestLongFailures guards against requests that wait beyond their limit for a
+// process that stays away longer than that.
+func TestLongFailures(t *testing.T) {
+	for _, name := range []string{"engine-frozen", "side-paused", "connections-held", "log-out", "partition"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				schedule := Generate(*from)
+				schedule.Failures = []Failure{
+					{Name: name, At: time.Second, For: 25 * time.Second, Pick: 6},
+					{Name: "key-withdrawn", At: 2 * time.Second},
+				}
+				report, err := Run(t.Context(), schedule)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(report.Violations) > 0 {
+					t.Error(strings.Join(report.Lines(false), "\n"))
+				}
+			})
+		})
+	}
+}
