--- a/internal/bench/demo/config.go
+++ b/internal/bench/demo/config.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// operator is who publishes the patches of a demo.
+	operator        = "demo"
 	interactiveWait = 5 * time.Second
 	patientWait     = 30 * time.Second
 	// adaptersPerPatch keeps a patch well below the log's record limit.
