Keep the adapters that a predecessor's requests may still use

Cause: a side process that replaced a killed one took all adapters on the engine for unused and could order one to be unloaded while the engine still ran a request of its predecessor (docs/PROOFS.md lists it as not proved). Change: at the first report of an engine its adapters stay pinned until two reports, at least 1 s later, show no more requests than this process sent. Before: TestInheritedAdapters sees the order 'unload old@1'; after: it does not, and with 'if false && first' it does again.

--- a/internal/daemon/side/fakes_test.go
+++ b/internal/daemon/side/fakes_test.go
@@ -78,6 +78,7 @@
 		}
 		editor.PutRoute(model.RouteSpec{Name: "chat", Service: "advisor", LongestWait: 2 * time.Second, Idempotent: true, DefaultMaxTokens: 50})
 		editor.PutRoute(model.RouteSpec{Name: "book", Service: "counter", Plain: true, LongestWait: time.Second, Cost: 10})
+		editor.PutRoute(model.RouteSpec{Name: "slow", Service: "advisor", LongestWait: 20 * time.Second, Idempotent: true})
 		editor.PutRoute(model.RouteSpec{Name: "open", Service: "advisor", LongestWait: time.Second, Open: true})
 		for _, name := range []string{"a", "b", "c", "d"} {
 			editor.PutAdapter(model.AdapterSpec{Name: name, Service: "advisor", Versions: []uint32{1, 2}})
--- a/internal/daemon/side/linger.go
+++ b/internal/daemon/side/linger.go
@@ -14,6 +14,9 @@
 	ref        slots.Ref
 	generation uint64
 	ended      time.Time
+	// inherited says that a predecessor of this process may have sent requests
+	// for the adapter; requestID is empty then.
+	inherited bool
 	// answers counts the reports that do not contradict the end.
 	answers int
 }
@@ -22,6 +25,17 @@
 // answer the first one before it sees that the connection was closed.
 const lingerAnswers = 2
 
+// inherit keeps the adapters that the engine held before this process began,
+// until its reports show no more requests than this process sent: a killed
+// predecessor's requests may still run.
+func (server *Server) inherit(now time.Time, loaded []slots.Ref) {
+	for _, ref := range loaded {
+		if server.table.Pin(now, ref) {
+			server.lingers = append(server.lingers, linger{ref: ref, generation: server.engine.generation, ended: now, inherited: true})
+		}
+	}
+}
+
 // worked returns the requests that the engine had begun to answer long enough
 // ago for its report to count them.
 func (server *Server) worked(now time.Time) []*ticket {
@@ -66,6 +80,8 @@
 		return false
 	case age >= server.config.RequestLimit:
 		return true
+	case state.Listed && linger.inherited:
+		return len(state.Active) <= len(server.running)
 	case state.Listed:
 		return !slices.Contains(state.Active, linger.requestID)
 	case state.Running+state.Waiting > len(server.running)+len(server.ends):
--- a/internal/daemon/side/succession_test.go
+++ b/internal/daemon/side/succession_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/flow/slots"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -45,6 +46,29 @@
 	})
 }
 
+// Guards against the eviction of an adapter that a killed predecessor's request
+// still uses.
+func TestInheritedAdapters(t *testing.T) {
+	inRig(t, func(config *Config) {
+		engine := config.Engine.(*fakeEngine)
+		engine.slots = 1
+		engine.loaded[slots.Ref{Adapter: "old", Version: 1}] = true
+		engine.work(1)
+	}, func(rig *rig) {
+		done := make(chan result, 1)
+		request := rig.request(func(request *wirepb.RunRequest) { request.Route = "slow" })
+		go func() { done <- rig.do(rig.ctx, request) }()
+		time.Sleep(3 * reportLag)
+		if diff := cmp.Diff([]string(nil), rig.fake.seen("unload")); diff != "" {
+			t.Errorf("evicted although the engine still runs a request: %s", diff)
+		}
+		rig.fake.set(func() { rig.fake.work(-1) })
+		if got := <-done; !got.Done {
+			t.Errorf("after the predecessor's request: %+v", got)
+		}
+	})
+}
+
 func TestPauseGuard(t *testing.T) {
 	begin := time.Now()
 	tests := []struct {
--- a/internal/daemon/side/watch.go
+++ b/internal/daemon/side/watch.go
@@ -91,10 +91,15 @@
 
 // restart takes over the state of an engine that started anew.
 func (server *Server) restart(state State) {
+	first := !server.engine.known
 	server.engine.generation++
 	server.engine.epoch, server.engine.known = state.Epoch, true
 	server.lingers = nil
-	server.table.Reset(time.Now(), state.Slots, state.Loaded)
+	now := time.Now()
+	server.table.Reset(now, state.Slots, state.Loaded)
+	if first {
+		server.inherit(now, state.Loaded)
+	}
 	server.config.Logger.Info("place: engine started anew", zap.String("epoch", state.Epoch),
 		zap.Int("slots", state.Slots), zap.Int("loaded", len(state.Loaded)), zap.String("upstream", server.config.Upstream))
 }
