--- a/internal/bench/slope/process.go
+++ b/internal/bench/slope/process.go
@@ -24,19 +24,41 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 )
 
-// binary builds the product's binary once and returns its path.
-var binary = sync.OnceValues(func() (string, error) {
+// build is the product's binary, built when the first row needs it.
+type build struct {
+	directory string
+}
+
+// product is the build of this run.
+var product build
+
+// path returns the binary's path.
+func (build *build) path(ctx context.Context) (string, error) {
+	const name = "jacinthfront"
+	if build.directory != "" {
+		return filepath.Join(build.directory, name), nil
+	}
 	directory, err := os.MkdirTemp("", "slopes")
 	if err != nil {
 		return "", err
 	}
-	file := filepath.Join(directory, "jacinthfront")
-	build := exec.CommandContext(context.Background(), "go", "build", "-o", file, "jacinthfront.dev/jacinthfront/cmd/jacinthfront")
-	if output, err := build.CombinedOutput(); err != nil {
+	file := filepath.Join(directory, name)
+	command := exec.CommandContext(ctx, "go", "build", "-o", file, "jacinthfront.dev/jacinthfront/cmd/jacinthfront")
+	if output, err := command.CombinedOutput(); err != nil {
+		_ = os.RemoveAll(directory)
 		return "", fmt.Errorf("build: %w: %s; run this command in the repository", err, output)
 	}
+	build.directory = directory
 	return file, nil
-})
+}
+
+// remove deletes the binary.
+func (build *build) remove() {
+	if build.directory != "" {
+		_ = os.RemoveAll(build.directory)
+		build.directory = ""
+	}
+}
 
 // ground is what surrounds processes of the real binary: the platform stand-in
 // and the settings' directory.
@@ -266,7 +288,7 @@
 
 // start runs the binary and waits until the process is ready.
 func (ground *ground) start(ctx context.Context, process *osProcess, role string, settings any) error {
-	path, err := binary()
+	path, err := product.path(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/bench/slope/slope.go
+++ b/internal/bench/slope/slope.go
@@ -87,6 +87,7 @@
 	if config.Progress == nil {
 		config.Progress = io.Discard
 	}
+	defer product.remove()
 	var results []Result
 	for _, row := range rows {
 		sizes := row.sizes
