--- a/internal/bench/proof/proof_test.go
+++ b/internal/bench/proof/proof_test.go
@@ -3,11 +3,12 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/known"
 )
 
 var (
@@ -15,22 +16,6 @@
 	from  = flag.Uint64("from", 1, "first seed")
 )
 
-// knownRed returns what KNOWN-RED.txt says of a test, if it lists it. An entry
-// begins with the test's full name and a colon.
-func knownRed(t *testing.T) string {
-	t.Helper()
-	data, err := os.ReadFile("../../../KNOWN-RED.txt")
-	if err != nil {
-		return ""
-	}
-	for line := range strings.Lines(string(data)) {
-		if strings.HasPrefix(line, t.Name()+":") {
-			return strings.TrimSpace(line)
-		}
-	}
-	return ""
-}
-
 // TestSchedules guards against every broken invariant that two failures at a
 // time can bring about.
 func TestSchedules(t *testing.T) {
@@ -40,10 +25,7 @@
 		for seed := *from; seed < *from+*seeds; seed++ {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
-				if known := knownRed(t); known != "" {
-					fmt.Println("known red:", known)
-					t.Skip(known)
-				}
+				known.Skip(t)
 				synctest.Test(t, func(t *testing.T) {
 					report, err := Run(t.Context(), Generate(seed))
 					if err != nil {
--- a/internal/bench/trial/trial_test.go
+++ b/internal/bench/trial/trial_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/bench/demo"
+	"jacinthfront.dev/jacinthfront/internal/bench/known"
 )
 
 // short returns a deployment of four engines that runs quickly in virtual time.
@@ -57,13 +58,6 @@
 	return result
 }
 
-// Names of targets that are missed somewhere.
-const (
-	fuller    = "tokens per step at least 1.3 times naive"
-	classes   = "interactive p95 not above patient p95"
-	unrefused = "no wrongful refusals"
-)
-
 // targets are the targets that the default policy has to reach, by name.
 var targets = []struct {
 	name string
@@ -72,16 +66,16 @@
 	{"load stall at most a third of naive", func(naive, result, _ *Result) bool {
 		return result.Measures.LoadStall <= naive.Measures.LoadStall/3
 	}},
-	{fuller, func(naive, result, _ *Result) bool {
+	{"tokens per step at least 1.3 times naive", func(naive, result, _ *Result) bool {
 		return result.Measures.TokensPerStep >= 1.3*naive.Measures.TokensPerStep
 	}},
 	{"worst-served organisation within 1.2 times steady", func(_, result, steady *Result) bool {
 		return result.Scenario != surged || result.Measures.Worst <= 1.2*steady.Measures.Worst
 	}},
-	{classes, func(_, result, _ *Result) bool {
+	{"interactive p95 not above patient p95", func(_, result, _ *Result) bool {
 		return result.Measures.Interactive <= result.Measures.Patient
 	}},
-	{unrefused, func(_, result, _ *Result) bool { return result.Measures.Wrongful == 0 }},
+	{"no wrongful refusals", func(_, result, _ *Result) bool { return result.Measures.Wrongful == 0 }},
 }
 
 // surged is the scenario in which another organisation sends five times its load.
@@ -91,32 +85,6 @@
 // in which the default policy's load stall is longest.
 var compared = map[string]bool{"steady": true, "popularity-shift": true, surged: true}
 
-// Causes of missed targets, as far as they are known.
-const (
-	sampled  = "both classes wait for the same loads; the one with stalls in 5% of its requests differs from run to run"
-	spread   = "in this load the naive policy's batches are nearly as full; what empties the default policy's is not examined yet"
-	shifting = "the store takes over 30 s to load the new working set, and chats wait at most 5 s; permits go to side processes without regard to what waits at others"
-	marginal = "up to one request in some runs; the cause is not found yet"
-)
-
-// missed lists the targets that some run did not reach, as deployment, scenario
-// and name, with the cause. They are printed and not asserted. Runs of one seed
-// differ, since goroutines of one virtual moment run in any order.
-var missed = map[string]string{
-	"bonsai, steady, " + classes:                sampled,
-	"bonsai, steady, " + fuller:                 spread,
-	"bonsai, popularity-shift, " + unrefused:    shifting,
-	"bonsai, one-organisation-5x, " + fuller:    spread,
-	"bonsai, one-organisation-5x, " + classes:   sampled,
-	"bonsai, one-organisation-5x, " + unrefused: marginal,
-	"gourd, steady, " + classes:                 sampled,
-	"gourd, steady, " + fuller:                  spread,
-	"gourd, popularity-shift, " + fuller:        spread,
-	"gourd, popularity-shift, " + unrefused:     shifting,
-	"gourd, one-organisation-5x, " + unrefused:  marginal,
-	"gourd, one-organisation-5x, " + classes:    sampled,
-}
-
 // Guards against broken promises under each disturbance, and against a policy
 // that does not reach the targets which it has to reach over the naive one.
 func TestScenarios(t *testing.T) {
@@ -142,19 +110,19 @@
 	}
 }
 
+// checkTargets runs each target as a test of its own, so that KNOWN-RED.txt can
+// name those that are missed.
 func checkTargets(t *testing.T, naive, result, steady Result) {
 	t.Helper()
 	for _, line := range Lines([]Result{naive, result})[:6] {
 		t.Log(line)
 	}
 	for _, target := range targets {
-		name := result.Deployment + ", " + result.Scenario + ", " + target.name
-		met := target.met(&naive, &result, &steady)
-		switch cause, known := missed[name]; {
-		case known:
-			t.Logf("target missed before, met now %t: %s: %s", met, name, cause)
-		case !met:
-			t.Errorf("target missed: %s", name)
-		}
+		t.Run(target.name, func(t *testing.T) {
+			known.Skip(t)
+			if !target.met(&naive, &result, &steady) {
+				t.Error("target missed")
+			}
+		})
 	}
 }
--- a/internal/daemon/side/delivery_test.go
+++ b/internal/daemon/side/delivery_test.go
@@ -45,6 +45,12 @@
 		{"cut once", nil, cuts(1, 1), whole, 2},
 		{"cut before the first token", nil, cuts(1, 0), whole, 2},
 		{"cut too often", nil, cuts(9, 1), result{Text: "t0 ", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}, 1 + maxResumes},
+		{"engine forgot the request", nil, func(generation Generation, token *Token) error {
+			if generation.ResumeFrom > 0 {
+				return fault.New(fault.UnknownRequest, fault.NotRun, "nothing to resume")
+			}
+			return cuts(1, 1)(generation, token)
+		}, result{Text: "t0 ", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}, 1 + maxResumes},
 		{"cut of work that runs once", atMostOnce, cuts(1, 1), result{Text: "t0 ", Failed: "upstream-failed", Ran: wirepb.Ran_RAN_RAN}, 1},
 		{"repeated token", nil, func() func(Generation, *Token) error {
 			repeat := true
--- a/internal/daemon/side/model.go
+++ b/internal/daemon/side/model.go
@@ -87,6 +87,10 @@
 	if !ok {
 		return fault.New(fault.UpstreamFailed, ran, "the engine failed: %v; send the request again if it may be repeated", err)
 	}
+	if reason.Kind() == fault.UnknownRequest && generation.next > 0 {
+		return fault.New(fault.UpstreamFailed, fault.DidRun,
+			"the engine has lost the rest of the answer; send the request again if it may be repeated")
+	}
 	if generation.began && reason.Ran() != fault.DidRun {
 		return reason.WithRan(fault.DidRun)
 	}
