--- a/internal/daemon/start/parts.go
+++ b/internal/daemon/start/parts.go
@@ -110,6 +110,9 @@
 		IsolationLimit: parts.settings.IsolationLimit,
 		Retention:      parts.settings.LogRetention,
 	})
+	if err == nil {
+		telem.Map("config").Set(parts.settings.Instance, parts.syncer.Metrics())
+	}
 	return err
 }
 
