Count chat prompts as engines do, and fuzz the settings

Cause: the entry instance joined role and content by one byte, engines by two, so that a chat could cost a token more than its organisation was debited. Change: the same form as the engine's. Conclusion: the debit is never below the count.

--- a/internal/base/setup/setup_test.go
+++ b/internal/base/setup/setup_test.go
@@ -75,3 +75,21 @@
 		t.Fatal(err)
 	}
 }
+
+// FuzzSettings guards against settings that end a process with a panic, or that
+// pass the checks with values that the checks exclude.
+func FuzzSettings(f *testing.F) {
+	for _, seed := range []string{goodSide, "", "instance = 3", "[listen]\npeers = \"[::1]:1\"", "[queue]\nrequests = -1", "x = [1,", "request-limit = \"-1s\"", "\x00"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		side := DefaultSide()
+		err := decode("side.toml", []byte(text), &side)
+		if err == nil {
+			err = side.check("side.toml")
+		}
+		if err == nil && (side.RequestLimit <= 0 || side.Queue.Requests < 1 || side.Shutdown.DrainLimit <= side.RequestLimit) {
+			t.Errorf("accepted settings with %v, %d and %v", side.RequestLimit, side.Queue.Requests, side.Shutdown.DrainLimit)
+		}
+	})
+}
--- a/internal/daemon/entry/prompt.go
+++ b/internal/daemon/entry/prompt.go
@@ -141,8 +141,8 @@
 	return nil
 }
 
-// chatText joins the roles and contents of the messages, one a line, as a model
-// sees them in some form.
+// chatText joins the roles and contents of the messages, one a line, in the form
+// "role: content". A shorter form would debit fewer tokens than engines count.
 func chatText(messages []messageBody) (string, *fault.Fault) {
 	if len(messages) == 0 {
 		return "", badRequest("the field messages is missing or empty; send at least one message")
@@ -156,8 +156,7 @@
 		if !ok {
 			return "", badRequest("messages[%d].content is neither a string nor a list of text parts; send one of them", index)
 		}
-		text.WriteString(*message.Role)
-		text.WriteByte('\n')
+		text.WriteString(*message.Role + ": ")
 		text.WriteString(content)
 		text.WriteByte('\n')
 	}
--- /dev/null
+++ b/internal/daemon/entry/prompt_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/bench/model"
+)
+
+// TestChatTokens guards against chats that are debited with fewer tokens than an
+// engine counts, which exceeds the organisation's rate unseen.
+func TestChatTokens(t *testing.T) {
+	role := "user"
+	tests := [][]string{{""}, {"a"}, {"water?", "weekly", "and in winter?"}}
+	for _, contents := range tests {
+		var bodies []messageBody
+		var messages []model.Message
+		for _, content := range contents {
+			raw, err := json.Marshal(content)
+			if err != nil {
+				t.Fatal(err)
+			}
+			bodies = append(bodies, messageBody{Role: &role, Content: raw})
+			messages = append(messages, model.Message{Role: role, Content: content})
+		}
+		text, refusal := chatText(bodies)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		if diff := cmp.Diff(model.PromptTokens(model.ChatPrompt(messages)), int64(len(text)+3)/4); diff != "" {
+			t.Errorf("%q: %s", contents, diff)
+		}
+	}
+}
