Name the limiter's entries for what they are

Cause: the type was called purse, which the field does not use. Change: the name. Before and after: the package's tests pass. Conclusion: none further.

--- a/internal/daemon/start/limiter.go
+++ b/internal/daemon/start/limiter.go
@@ -23,11 +23,11 @@
 	own *side.Server
 
 	mu      sync.Mutex
-	wallets map[string]*purse
+	wallets map[string]*walletEntry
 }
 
-// purse is a wallet with the limits that it was given last.
-type purse struct {
+// walletEntry is a wallet with the limits that it was given last.
+type walletEntry struct {
 	wallet *quota.Wallet
 	limits limits
 }
@@ -40,7 +40,7 @@
 }
 
 func newLimiter(parts *parts, upstream string) *limiter {
-	return &limiter{parts: parts, upstream: upstream, wallets: map[string]*purse{}}
+	return &limiter{parts: parts, upstream: upstream, wallets: map[string]*walletEntry{}}
 }
 
 // Take waits for tokens of an organisation.
@@ -86,12 +86,12 @@
 
 func (limiter *limiter) close(ctx context.Context) {
 	limiter.mu.Lock()
-	purses := limiter.wallets
-	limiter.wallets = map[string]*purse{}
+	entries := limiter.wallets
+	limiter.wallets = map[string]*walletEntry{}
 	limiter.mu.Unlock()
 	var closing sync.WaitGroup
-	for _, purse := range purses {
-		closing.Go(func() { purse.wallet.Close(ctx) })
+	for _, entry := range entries {
+		closing.Go(func() { entry.wallet.Close(ctx) })
 	}
 	closing.Wait()
 }
@@ -105,7 +105,7 @@
 	defer limiter.mu.Unlock()
 	found, ok := limiter.wallets[organisation]
 	if !ok || len(found.limits.hosts) != len(limits.hosts) {
-		found = &purse{limits: limits, wallet: limiter.newWallet(organisation, limits)}
+		found = &walletEntry{limits: limits, wallet: limiter.newWallet(organisation, limits)}
 		limiter.wallets[organisation] = found
 		return found.wallet, nil
 	}
