Use the daemons' log adapter in the slopes

Cause: the rows of starts and spread had a copy of the adapter between the log client and the syncer. Change: daemon/start exports SyncLog, and the copy is gone.

--- a/internal/bench/slope/rows_spread.go
+++ b/internal/bench/slope/rows_spread.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+	"jacinthfront.dev/jacinthfront/internal/daemon/start"
 	"jacinthfront.dev/jacinthfront/internal/daemon/syncer"
 	"jacinthfront.dev/jacinthfront/internal/link/logsvc"
 	"jacinthfront.dev/jacinthfront/internal/state/patch"
@@ -38,7 +39,7 @@
 		return 0, err
 	}
 	defer stop()
-	log := logReader{logsvc.New(logsvc.Config{URL: "http://platform:80", HTTP: network.Client()})}
+	log := start.SyncLog{Client: logsvc.New(logsvc.Config{URL: "http://platform:80", HTTP: network.Client()})}
 	processes, err := peersWithout(ctx, network, int(size), log)
 	if err != nil {
 		return 0, err
--- a/internal/bench/slope/rows_start.go
+++ b/internal/bench/slope/rows_start.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"jacinthfront.dev/jacinthfront/internal/bench/plat"
+	"jacinthfront.dev/jacinthfront/internal/daemon/start"
 	"jacinthfront.dev/jacinthfront/internal/daemon/syncer"
 	"jacinthfront.dev/jacinthfront/internal/link/logsvc"
 	"jacinthfront.dev/jacinthfront/internal/state/fold"
@@ -23,22 +24,6 @@
 // snapshot must have expired, since a reader uses a snapshot only then.
 const expiry = 4 * time.Second
 
-// logReader is the log as the syncer uses it.
-type logReader struct{ *logsvc.Client }
-
-// Read implements syncer.LogClient.
-func (log logReader) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (syncer.Page, error) {
-	page, err := log.Client.Read(ctx, stream, from, wait)
-	if err != nil {
-		return syncer.Page{}, err
-	}
-	result := syncer.Page{First: page.First, Next: page.Next}
-	for _, record := range page.Records {
-		result.Records = append(result.Records, syncer.Record(record))
-	}
-	return result, nil
-}
-
 // lostLog is a log that cannot be reached.
 type lostLog struct{}
 
@@ -78,7 +63,7 @@
 		}
 		return counter.wrap(conn, address), nil
 	}
-	log := logReader{logsvc.New(logsvc.Config{URL: client, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}})}
+	log := start.SyncLog{Client: logsvc.New(logsvc.Config{URL: client, HTTP: &http.Client{Transport: &http.Transport{DialContext: dial}}})}
 	first, err := timeStart(ctx, syncer.Config{Instance: "first", Log: log}, counter, "-log", size, table)
 	if err != nil {
 		return err
--- a/internal/daemon/start/logs.go
+++ b/internal/daemon/start/logs.go
@@ -9,13 +9,13 @@
 	"jacinthfront.dev/jacinthfront/internal/link/logsvc"
 )
 
-// syncLog is the log as the syncer uses it.
-type syncLog struct {
+// SyncLog is the log as the syncer uses it. It implements syncer.LogClient.
+type SyncLog struct {
 	*logsvc.Client
 }
 
 // Read returns a page of a stream.
-func (log syncLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (syncer.Page, error) {
+func (log SyncLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (syncer.Page, error) {
 	page, err := log.Client.Read(ctx, stream, from, wait)
 	if err != nil {
 		return syncer.Page{}, err
--- a/internal/daemon/start/parts.go
+++ b/internal/daemon/start/parts.go
@@ -103,7 +103,7 @@
 	parts.syncer, err = syncer.New(syncer.Config{
 		Instance:       parts.settings.Instance,
 		Address:        parts.settings.Listen.Peers,
-		Log:            syncLog{parts.log},
+		Log:            SyncLog{Client: parts.log},
 		Peers:          parts.peerAddresses,
 		Dial:           parts.dialPeer,
 		Logger:         parts.logger,
