--- a/cmd/jacinthfront/main.go
+++ b/cmd/jacinthfront/main.go
@@ -47,6 +47,8 @@
 	commands := []command{
 		{"entry", "Run an entry instance", "Runs an entry instance until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront entry --settings entry.toml", &entryCommand{}},
 		{"side", "Run a side process", "Runs the side process of one upstream until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront side --settings side.toml", &sideCommand{}},
+		{"relay", "Run an entry instance on the platform", "Runs an entry instance that reaches upstreams directly, until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront relay --settings relay.toml", &relayCommand{}},
+		{"loader", "Run a loader on the platform", "Runs the process beside an engine that brings it adapters.\n\nExample: jacinthfront loader --settings loader.toml", &loaderCommand{}},
 		{"check", "Check a settings file", "Checks a settings file and prints the settings in effect, defaults included.\n\nExample: jacinthfront check --role side --settings side.toml", &checkCommand{}},
 		{"config", "Show and change the configuration", "Reads the configuration and publishes patches through the operator interface of any instance.", &configCommand{}},
 		{"key", "Issue, withdraw and list keys", "Manages callers' keys through the operator interface of any instance.", &keyCommand{}},
--- /dev/null
+++ b/internal/base/setup/relay.go
@@ -0,0 +1,116 @@
+package setup
+
+import "time"
+
+// Peers tells how a relay or loader reaches the other processes.
+type Peers struct {
+	// Listen is the datagram address, as IP:port. All processes use one port.
+	Listen string `toml:"listen"`
+}
+
+// RelayListen names the addresses of a relay.
+type RelayListen struct {
+	// Callers is the HTTP address for callers.
+	Callers string `toml:"callers"`
+	// Probes is the HTTP address for readiness and metrics.
+	Probes string `toml:"probes"`
+	// Metrics is the HTTP address for metrics.
+	Metrics string `toml:"metrics"`
+}
+
+// RelayBounds holds what the users promise their callers.
+type RelayBounds struct {
+	// Revoke is how long a withdrawn key may still be used.
+	Revoke time.Duration `toml:"revoke"`
+	// Grace is how long a stop may take.
+	Grace time.Duration `toml:"grace"`
+	// RetryRatio and RetryExtra bound the requests that are sent again within
+	// RetryWindow, over all instances.
+	RetryRatio  float64       `toml:"retry-ratio"`
+	RetryExtra  float64       `toml:"retry-extra"`
+	RetryWindow time.Duration `toml:"retry-window"`
+}
+
+// Relay holds the settings of a relay.
+type Relay struct {
+	Instance      string      `toml:"instance"`
+	FailureDomain string      `toml:"failure-domain"`
+	Store         string      `toml:"store"`
+	Listen        RelayListen `toml:"listen"`
+	Peers         Peers       `toml:"peers"`
+	Bounds        RelayBounds `toml:"bounds"`
+	Log           Log         `toml:"log"`
+}
+
+// Loader holds the settings of a loader.
+type Loader struct {
+	Instance      string `toml:"instance"`
+	FailureDomain string `toml:"failure-domain"`
+	// Engine is the address of the engine beside the loader, as IP:port.
+	Engine string `toml:"engine"`
+	Peers  Peers  `toml:"peers"`
+	// Metrics is the HTTP address for metrics.
+	Metrics string `toml:"metrics"`
+	Log     Log    `toml:"log"`
+}
+
+const (
+	defaultRevoke      = 5 * time.Second
+	defaultGrace       = 8 * time.Second
+	defaultRetryRatio  = 0.2
+	defaultRetryWindow = 10 * time.Second
+)
+
+// DefaultRelay returns the defaults of a relay.
+func DefaultRelay() Relay {
+	return Relay{
+		Bounds: RelayBounds{Revoke: defaultRevoke, Grace: defaultGrace, RetryRatio: defaultRetryRatio, RetryWindow: defaultRetryWindow},
+		Log:    Log{Level: "info", Format: "json"},
+	}
+}
+
+// LoadRelay reads and checks the settings of a relay.
+func LoadRelay(file string) (Relay, error) {
+	relay := DefaultRelay()
+	if err := load(file, &relay); err != nil {
+		return Relay{}, err
+	}
+	return relay, relay.check(file)
+}
+
+func (relay Relay) check(file string) error {
+	checks := &checks{file: file}
+	checks.present("instance", relay.Instance)
+	checks.present("failure-domain", relay.FailureDomain)
+	checks.address("store", relay.Store)
+	checks.address("listen.callers", relay.Listen.Callers)
+	checks.address("listen.probes", relay.Listen.Probes)
+	checks.address("listen.metrics", relay.Listen.Metrics)
+	checks.address("peers.listen", relay.Peers.Listen)
+	checks.positive("bounds.revoke", relay.Bounds.Revoke)
+	checks.positive("bounds.grace", relay.Bounds.Grace)
+	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow)
+	checks.oneOf("log.level", relay.Log.Level, "debug", "info", "warn", "error")
+	checks.oneOf("log.format", relay.Log.Format, "json", "text")
+	return checks.err()
+}
+
+// LoadLoader reads and checks the settings of a loader.
+func LoadLoader(file string) (Loader, error) {
+	loader := Loader{Log: Log{Level: "info", Format: "json"}}
+	if err := load(file, &loader); err != nil {
+		return Loader{}, err
+	}
+	return loader, loader.check(file)
+}
+
+func (loader Loader) check(file string) error {
+	checks := &checks{file: file}
+	checks.present("instance", loader.Instance)
+	checks.address("engine", loader.Engine)
+	checks.address("metrics", loader.Metrics)
+	checks.address("peers.listen", loader.Peers.Listen)
+	checks.oneOf("log.level", loader.Log.Level, "debug", "info", "warn", "error")
+	checks.oneOf("log.format", loader.Log.Format, "json", "text")
+	return checks.err()
+}
--- /dev/null
+++ b/internal/daemon/relay/belief.go
@@ -0,0 +1,201 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
+	"jacinthfront.dev/jacinthfront/internal/flow/health"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/state/table"
+)
+
+// belief is what the instance has read of the platform's store.
+type belief struct {
+	table  atomic.Pointer[table.Table]
+	list   *fleet.List
+	logger *zap.Logger
+
+	mutex    sync.Mutex
+	at       time.Time
+	versions map[adapterName]uint32
+}
+
+type adapterName struct{ model, adapter string }
+
+func newBelief(list *fleet.List, logger *zap.Logger) *belief {
+	return &belief{list: list, logger: logger, versions: make(map[adapterName]uint32)}
+}
+
+// current returns the configuration in force, or nil if none is known.
+func (belief *belief) current() *table.Table { return belief.table.Load() }
+
+// confirmed reports whether the configuration was known to be the newest within
+// the given time. The wall clock counts too, since the other one may stand
+// still while the process does.
+func (belief *belief) confirmed(within time.Duration) bool {
+	belief.mutex.Lock()
+	at := belief.at
+	belief.mutex.Unlock()
+	now := time.Now()
+	return !at.IsZero() && now.Sub(at) < within && now.Round(0).Sub(at.Round(0)) < within
+}
+
+func (belief *belief) confirm(at time.Time) {
+	belief.mutex.Lock()
+	defer belief.mutex.Unlock()
+	belief.at = at
+}
+
+// version returns the newest announced version of an adapter, 0 if none was.
+func (belief *belief) version(model, adapter string) uint32 {
+	belief.mutex.Lock()
+	defer belief.mutex.Unlock()
+	return belief.versions[adapterName{model, adapter}]
+}
+
+// apply takes over changes; versions never go back.
+func (belief *belief) apply(changes []Change) {
+	for _, change := range changes {
+		if change.Table == nil {
+			belief.announce(change)
+			continue
+		}
+		known := belief.current()
+		if known != nil && known.Version() >= change.Table.Version() {
+			continue
+		}
+		belief.table.Store(change.Table)
+		belief.logger.Info("config: version in force", zap.Uint64("version", change.Table.Version()))
+	}
+}
+
+func (belief *belief) announce(change Change) {
+	belief.mutex.Lock()
+	defer belief.mutex.Unlock()
+	name := adapterName{change.Model, change.Adapter.Name}
+	if belief.versions[name] < change.Adapter.Version {
+		belief.versions[name] = change.Adapter.Version
+		belief.logger.Info("config: adapter has a new version",
+			zap.String("adapter", change.Adapter.Name), zap.Uint32("version", change.Adapter.Version))
+	}
+}
+
+func (relay *Relay) followChanges(ctx context.Context) error {
+	return follow.New(follow.Config[Change]{
+		Name: "config", Source: relay.config.Changes, Logger: relay.config.Logger, Wait: configWait,
+		Apply: func(changes []Change, _ bool) {
+			relay.belief.apply(changes)
+			if len(changes) > 0 {
+				relay.changed.fire()
+			}
+		},
+		Reached: relay.belief.confirm,
+	}).Run(ctx)
+}
+
+func (relay *Relay) followListings(ctx context.Context) error {
+	list := relay.belief.list
+	return follow.New(follow.Config[Listing]{
+		Name: "instances", Source: relay.config.Listings, Logger: relay.config.Logger, Pause: listPause,
+		Apply: func(listings []Listing, complete bool) {
+			stamp := list.Stamp()
+			relay.applyListings(listings, complete)
+			if list.Stamp() != stamp {
+				relay.relist()
+			}
+		},
+		Reached: func(time.Time) { list.Up() },
+		Lost:    list.Down,
+	}).Run(ctx)
+}
+
+func (relay *Relay) applyListings(listings []Listing, complete bool) {
+	list := relay.belief.list
+	if complete {
+		present := make([]fleet.Upstream, 0, len(listings))
+		for _, listing := range listings {
+			if listing.Upstream != nil {
+				present = append(present, *listing.Upstream)
+			}
+		}
+		list.Replace(present)
+		return
+	}
+	for _, listing := range listings {
+		switch {
+		case listing.Upstream == nil:
+			if list.Remove(listing.ID) {
+				relay.config.Logger.Info("fleet: upstream is gone", zap.String("upstream", listing.ID))
+			}
+		case list.Set(*listing.Upstream):
+			relay.config.Logger.Info("fleet: upstream changed", zap.String("upstream", listing.ID),
+				zap.String("address", listing.Upstream.Address), zap.Bool("draining", listing.Upstream.Draining))
+		}
+	}
+}
+
+// relist makes the list's upstreams those that requests go to.
+func (relay *Relay) relist() {
+	upstreams := relay.belief.list.Upstreams()
+	relay.board.Follow(upstreams)
+	relay.health.follow(upstreams)
+	relay.changed.fire()
+}
+
+// healths follows the upstreams of all services by how they answer.
+type healths struct {
+	mutex    sync.Mutex
+	services map[string]*health.Service
+}
+
+// Usable implements steer.Health.
+func (healths *healths) Usable(service, id string) bool {
+	known := healths.service(service)
+	if known == nil {
+		return true
+	}
+	return known.State(id) != health.Ejected
+}
+
+func (healths *healths) service(name string) *health.Service {
+	healths.mutex.Lock()
+	defer healths.mutex.Unlock()
+	return healths.services[name]
+}
+
+func (healths *healths) follow(upstreams []fleet.Upstream) {
+	ids := make(map[string][]string)
+	for _, upstream := range upstreams {
+		ids[upstream.Service] = append(ids[upstream.Service], upstream.ID)
+	}
+	healths.mutex.Lock()
+	defer healths.mutex.Unlock()
+	for service, members := range ids {
+		known, ok := healths.services[service]
+		if !ok {
+			// The defaults are in range.
+			known, _ = health.New(health.Config{})
+			healths.services[service] = known
+		}
+		known.Follow(members)
+	}
+}
+
+// answered records how an upstream answered.
+func (healths *healths) answered(service, id string, well bool) (ejected bool) {
+	known := healths.service(service)
+	switch {
+	case known == nil:
+		return false
+	case well:
+		known.Succeeded(id)
+		return false
+	default:
+		return known.Failed(id)
+	}
+}
--- /dev/null
+++ b/internal/daemon/relay/exchange.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/steer"
+	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+const (
+	// exchangePeriod is how often other processes are told what changed.
+	exchangePeriod = 100 * time.Millisecond
+	// idlePeriod is how often they are told although nothing did.
+	idlePeriod = 500 * time.Millisecond
+	// usagePeriod is the same for the other entry instances, which take an
+	// instance for silent after share.DefaultSilence.
+	usagePeriod = 250 * time.Millisecond
+	// peerTime is how long an entry instance is remembered that no loader names.
+	peerTime = 9 * time.Second
+)
+
+// kick makes the next exchange happen at once.
+func (relay *Relay) kick() {
+	select {
+	case relay.wake <- struct{}{}:
+	default:
+	}
+}
+
+// exchange tells loaders what is needed and the other entry instances what was
+// spent.
+func (relay *Relay) exchange(ctx context.Context) {
+	ticker := time.NewTicker(exchangePeriod)
+	defer ticker.Stop()
+	told := make(map[string]told)
+	var spent time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-relay.wake:
+		}
+		relay.tellLoaders(told)
+		if time.Since(spent) >= usagePeriod || relay.ledgerChanged() && time.Since(spent) >= exchangePeriod {
+			spent = time.Now()
+			relay.tellPeers()
+		}
+	}
+}
+
+// told is what a loader was told last.
+type told struct {
+	uses []stock.Use
+	at   time.Time
+}
+
+func (relay *Relay) tellLoaders(last map[string]told) {
+	config := relay.belief.current()
+	if config == nil {
+		return
+	}
+	for _, upstream := range relay.belief.list.Upstreams() {
+		service, ok := config.Service(upstream.Service)
+		if !ok || service.Engine == nil || len(service.Engine.Models) == 0 {
+			continue
+		}
+		uses := relay.board.Uses(upstream.ID)
+		known := last[upstream.ID]
+		if slices.Equal(uses, known.uses) && time.Since(known.at) < idlePeriod {
+			continue
+		}
+		last[upstream.ID] = told{uses: uses, at: time.Now()}
+		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+			Entry:        relay.config.Address,
+			Model:        service.Engine.Models[0].Name,
+			AdapterSlots: uint32(service.Engine.AdapterSlots),
+			Uses:         encodeUses(uses),
+			Upstream:     upstream.ID,
+		}}})
+	}
+}
+
+func encodeUses(uses []stock.Use) []*wirepb.AdapterUse {
+	encoded := make([]*wirepb.AdapterUse, 0, len(uses))
+	for _, use := range uses {
+		encoded = append(encoded, &wirepb.AdapterUse{
+			Adapter: use.Adapter.Name, Version: use.Adapter.Version,
+			Running: uint32(use.Running), Waiting: uint32(use.Waiting),
+		})
+	}
+	return encoded
+}
+
+// loaderAddress returns the datagram address beside an upstream.
+func (relay *Relay) loaderAddress(upstream fleet.Upstream) string {
+	host, _, err := net.SplitHostPort(upstream.Address)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(int(relay.config.Port)))
+}
+
+func (relay *Relay) tell(address string, datagram *wirepb.Datagram) {
+	if err := relay.config.Datagrams.Send(address, datagram); err != nil {
+		relay.metrics.count("datagrams-unsent")
+		relay.config.Logger.Debug("relay: datagram not sent", zap.String("address", address), zap.Error(err))
+	}
+}
+
+// ledgerChanged reports whether something was spent since the last call.
+func (relay *Relay) ledgerChanged() bool {
+	spent := relay.ledger.Spent()
+	changed := !maps.Equal(spent, relay.peers.lastSpent)
+	relay.peers.lastSpent = spent
+	return changed
+}
+
+func (relay *Relay) tellPeers() {
+	usage := &wirepb.Usage{Entry: relay.config.Address, Start: relay.start.UnixNano()}
+	for organisation, spent := range relay.ledger.Spent() {
+		usage.Organisations = append(usage.Organisations, &wirepb.OrganisationUse{Organisation: organisation, Spent: spent})
+	}
+	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: usage}}
+	for _, address := range relay.peers.addresses() {
+		relay.tell(address, datagram)
+	}
+}
+
+// heard takes over a datagram of a loader or another entry instance.
+func (relay *Relay) heard(_ string, datagram *wirepb.Datagram) {
+	switch body := datagram.GetBody().(type) {
+	case *wirepb.Datagram_EngineState:
+		relay.heardLoader(body.EngineState)
+	case *wirepb.Datagram_Usage:
+		relay.heardPeer(body.Usage)
+	}
+}
+
+func (relay *Relay) heardLoader(state *wirepb.EngineState) {
+	for _, address := range state.GetEntries() {
+		relay.peers.seen(address)
+	}
+	relay.board.SetInstances(relay.peers.count())
+	relay.board.Reported(state.GetUpstream(), steer.Report{
+		Born:        state.GetBorn(),
+		Serial:      state.GetSerial(),
+		Running:     int(state.GetRunning()),
+		Queued:      int(state.GetQueued()),
+		UsedTokens:  state.GetUsedTokens(),
+		TotalTokens: state.GetTotalTokens(),
+		ModelLoaded: state.GetModelLoaded(),
+		Draining:    state.GetDraining(),
+		Resident:    decodeAdapters(state.GetResident()),
+		Pending:     decodeAdapters(state.GetPending()),
+	})
+	relay.changed.fire()
+}
+
+func decodeAdapters(encoded []*wirepb.AdapterVersion) []stock.Adapter {
+	adapters := make([]stock.Adapter, 0, len(encoded))
+	for _, adapter := range encoded {
+		adapters = append(adapters, stock.Adapter{Name: adapter.GetAdapter(), Version: adapter.GetVersion()})
+	}
+	return adapters
+}
+
+func (relay *Relay) heardPeer(usage *wirepb.Usage) {
+	spent := make(map[string]float64, len(usage.GetOrganisations()))
+	for _, organisation := range usage.GetOrganisations() {
+		spent[organisation.GetOrganisation()] = organisation.GetSpent()
+	}
+	relay.peers.seen(usage.GetEntry())
+	relay.ledger.Heard(usage.GetEntry(), usage.GetStart(), spent)
+}
+
+// peers holds the datagram addresses of the other entry instances.
+type peers struct {
+	own       string
+	lastSpent map[string]float64
+
+	mutex sync.Mutex
+	at    map[string]time.Time
+}
+
+func newPeers(own string) *peers { return &peers{own: own, at: make(map[string]time.Time)} }
+
+func (peers *peers) seen(address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil || address == peers.own {
+		return
+	}
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.at[address] = time.Now()
+}
+
+func (peers *peers) addresses() []string {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	for address, at := range peers.at {
+		if time.Since(at) > peerTime {
+			delete(peers.at, address)
+		}
+	}
+	return slices.Sorted(maps.Keys(peers.at))
+}
+
+// count returns the number of entry instances, this one included.
+func (peers *peers) count() int { return 1 + len(peers.addresses()) }
--- /dev/null
+++ b/internal/daemon/relay/flight.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/share"
+	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+	"jacinthfront.dev/jacinthfront/internal/link/hop"
+	"jacinthfront.dev/jacinthfront/internal/state/table"
+)
+
+const (
+	// bodyBytes is the size of the largest body that is read.
+	bodyBytes = 8 << 20
+	// defaultPatience bounds requests of callers that do not say how long they
+	// wait.
+	defaultPatience = 60 * time.Second
+	// comeBackUnready is when to come back to an instance that cannot serve yet.
+	comeBackUnready = 300 * time.Millisecond
+	// comeBackFull is when to come back after all upstreams were full.
+	comeBackFull = 500 * time.Millisecond
+	// longestComeBack bounds what a caller is told to wait.
+	longestComeBack = 5 * time.Second
+)
+
+// refusal is a final answer of this instance's own.
+type refusal struct {
+	status int
+	reason string
+	// after is when to come back, or 0 if the request may have run.
+	after time.Duration
+}
+
+// flight is one request on its way.
+type flight struct {
+	relay   *Relay
+	writer  http.ResponseWriter
+	request *http.Request
+	call    Call
+	started time.Time
+	until   time.Time
+
+	route        *table.Route
+	organisation *table.Organisation
+	service      *table.Service
+	body         []byte
+	adapter      stock.Adapter
+
+	// tried holds the upstreams that are not to be tried again.
+	tried []string
+	// runs counts the sends that may have run.
+	runs int
+	// sends counts all sends.
+	sends int
+	// upstream is the last one chosen.
+	upstream string
+	waited   time.Duration
+	load     int
+
+	// failure is an answer that an upstream ran the request and failed, kept
+	// with its body while another upstream may do better.
+	failure     *hop.Response
+	failureText []byte
+
+	// lastEvent is the id of the last event passed on.
+	lastEvent string
+	// begun means that the answer's headers were passed on.
+	begun bool
+}
+
+// serve handles one request of a caller.
+func (relay *Relay) serve(writer http.ResponseWriter, request *http.Request) {
+	flight := &flight{relay: relay, writer: writer, request: request, call: relay.config.Protocol.Call(request), started: time.Now()}
+	relay.metrics.running.Add(1)
+	defer relay.metrics.running.Add(-1)
+	if refused := flight.admit(); refused != nil {
+		flight.refuse(*refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), flight.until)
+	defer cancel()
+	flight.run(ctx)
+}
+
+// admit decides whether the request may be served at all.
+func (flight *flight) admit() *refusal {
+	relay := flight.relay
+	config := relay.belief.current()
+	if config == nil {
+		return &refusal{http.StatusServiceUnavailable, "no configuration is known yet", comeBackUnready}
+	}
+	sure := relay.belief.confirmed(relay.trust())
+	path, _, _ := strings.Cut(flight.request.RequestURI, "?")
+	route, ok := config.Match(hostOnly(flight.request.Host), path)
+	if !ok {
+		if !sure {
+			return &refusal{http.StatusServiceUnavailable, "the configuration may be out of date", comeBackUnready}
+		}
+		return &refusal{http.StatusNotFound, "no route matches", 0}
+	}
+	flight.route = route
+	flight.until = flight.started.Add(flight.patience())
+	if !route.Open {
+		if refused := flight.authenticate(config, sure); refused != nil {
+			return refused
+		}
+	}
+	flight.service, ok = config.Service(route.Pick(rand.Float64()))
+	if !ok {
+		return &refusal{http.StatusServiceUnavailable, "the route names no known service", comeBackFull}
+	}
+	if refused := flight.read(); refused != nil {
+		return refused
+	}
+	return flight.spend()
+}
+
+// authenticate finds the organisation. A configuration that was not confirmed
+// for long may lack a withdrawal, so that no key can be trusted.
+func (flight *flight) authenticate(config *table.Table, sure bool) *refusal {
+	if !sure {
+		return &refusal{http.StatusServiceUnavailable, "keys cannot be checked while the configuration is not confirmed", comeBackUnready}
+	}
+	organisation, ok := config.Authenticate(flight.call.Key)
+	if !ok {
+		return &refusal{http.StatusUnauthorized, "the key is not known", 0}
+	}
+	flight.organisation = organisation
+	return nil
+}
+
+// patience returns how long the caller may be kept waiting.
+func (flight *flight) patience() time.Duration {
+	patience := flight.call.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if flight.route.Timeout > 0 {
+		patience = min(patience, flight.route.Timeout)
+	}
+	return patience
+}
+
+func (flight *flight) read() *refusal {
+	if flight.request.Body == nil || flight.request.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(flight.writer, flight.request.Body, bodyBytes))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
+	case err != nil:
+		return &refusal{http.StatusBadRequest, "the body cannot be read", 0}
+	}
+	flight.body = body
+	return nil
+}
+
+// spend takes the request's cost off the organisation's share.
+func (flight *flight) spend() *refusal {
+	if flight.organisation == nil {
+		return nil
+	}
+	wait, ok := flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
+	if ok {
+		return nil
+	}
+	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", min(wait, longestComeBack)}
+}
+
+func (flight *flight) limit() share.Limit {
+	return share.Limit{Rate: flight.organisation.Rate, Burst: flight.organisation.Burst}
+}
+
+func (flight *flight) cost() float64 {
+	if !flight.call.Counted {
+		return flight.organisation.Cost(0)
+	}
+	return flight.organisation.Cost(flight.call.Prompt + flight.call.Output)
+}
+
+// giveBack returns what the request took, if it did not run.
+func (flight *flight) giveBack() {
+	if flight.organisation != nil && flight.organisation.Rate > 0 && flight.runs == 0 {
+		flight.relay.ledger.Return(flight.organisation.Name, flight.cost())
+	}
+}
+
+// priority returns the rank that an engine is told.
+func (flight *flight) priority() int {
+	if flight.organisation != nil && flight.organisation.Priority != nil {
+		return *flight.organisation.Priority
+	}
+	return flight.route.Priority
+}
+
+// refuse gives the caller a final answer of this instance's own.
+func (flight *flight) refuse(refused refusal) {
+	flight.relay.metrics.count("refused-" + strconv.Itoa(refused.status))
+	flight.log("relay: request refused", zap.Int("status", refused.status), zap.String("reason", refused.reason), zap.Duration("retry-after", refused.after))
+	if flight.begun {
+		panic(http.ErrAbortHandler)
+	}
+	header := flight.writer.Header()
+	flight.relay.config.Protocol.Mark(header, flight.call)
+	if refused.after > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(refused.after.Seconds(), 'f', 3, 64))
+	}
+	header.Set("Content-Type", "text/plain")
+	flight.writer.WriteHeader(refused.status)
+	_, _ = fmt.Fprintln(flight.writer, refused.reason)
+}
+
+// log writes the line of a decision about the request.
+func (flight *flight) log(message string, fields ...zap.Field) {
+	fields = append(fields,
+		zap.String("request", flight.call.ID),
+		zap.String("upstream", flight.upstream),
+		zap.Int("sends", flight.sends),
+		zap.Duration("waited", flight.waited),
+		zap.Int("load", flight.load),
+		zap.Duration("took", time.Since(flight.started)),
+	)
+	if flight.adapter.Name != "" {
+		fields = append(fields, zap.String("adapter", flight.adapter.Name), zap.Uint32("adapter-version", flight.adapter.Version))
+	}
+	if flight.route != nil {
+		fields = append(fields, zap.String("route", flight.route.Name))
+	}
+	if flight.organisation != nil {
+		fields = append(fields, zap.String("organisation", flight.organisation.Name))
+	}
+	flight.relay.config.Logger.Info(message, fields...)
+}
+
+func hostOnly(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
--- /dev/null
+++ b/internal/daemon/relay/relay.go
@@ -0,0 +1,244 @@
+// Package relay is an entry instance for upstreams that are reached directly:
+// it takes callers' requests without looking into their bodies, chooses an
+// upstream for each, and passes the answer on unchanged. Loaders beside the
+// engines bring the adapters that it asks for.
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
+	"jacinthfront.dev/jacinthfront/internal/flow/health"
+	"jacinthfront.dev/jacinthfront/internal/flow/share"
+	"jacinthfront.dev/jacinthfront/internal/flow/steer"
+	"jacinthfront.dev/jacinthfront/internal/link/gossip"
+	"jacinthfront.dev/jacinthfront/internal/link/hop"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+)
+
+// Config configures a Relay.
+type Config struct {
+	// Instance names this entry instance.
+	Instance      string
+	FailureDomain string
+	// Callers is where requests come in, Probes where readiness is asked.
+	Callers net.Listener
+	Probes  net.Listener
+	// ReadyPath is the path of the readiness probe.
+	ReadyPath string
+	Protocol  Protocol
+	// Changes and Listings are followed on the platform's store.
+	Changes  follow.Source[Change]
+	Listings follow.Source[Listing]
+	// Datagrams reaches the loaders and the other entry instances; Port is the
+	// port of all of them.
+	Datagrams *gossip.Conn
+	// Address is this instance's own datagram address.
+	Address string
+	Port    uint16
+	Pool    *hop.Pool
+	Logger  *zap.Logger
+	Bounds  Bounds
+}
+
+// Bounds holds what the users promise their callers.
+type Bounds struct {
+	// Revoke is how long a withdrawn key may still be used. An instance that
+	// has not confirmed its configuration for nearly as long refuses requests
+	// with a key.
+	Revoke time.Duration
+	// Grace is how long a stop may take.
+	Grace time.Duration
+	// RetryRatio and RetryExtra bound the requests sent again in RetryWindow,
+	// over all instances.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+}
+
+const (
+	// confirmMargin is how long before Bounds.Revoke an instance stops trusting
+	// its configuration.
+	confirmMargin = 700 * time.Millisecond
+	// configWait is how long a call for changes of the configuration waits.
+	configWait = time.Second
+	// listPause is the time between two readings of the instance list.
+	listPause = 400 * time.Millisecond
+	// headerTime is how long a caller may take for a request's headers.
+	headerTime = 3 * time.Second
+	// idleTime is how long a caller's connection may be unused. It is longer
+	// than callers keep theirs.
+	idleTime = 60 * time.Second
+	// headerBytes is the size of the largest header.
+	headerBytes = 32 << 10
+	// expirePeriod is how often what is kept for a time is looked through.
+	expirePeriod = 100 * time.Millisecond
+	// probeTimeout is the time for a readiness probe's headers.
+	probeTimeout = 2 * time.Second
+	// acceptAfterStop is how long a stopping instance takes connections from
+	// callers that do not know yet.
+	acceptAfterStop = 2500 * time.Millisecond
+	// stopMargin is how long before the end of Bounds.Grace a stop is done.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Relay is an entry instance. Its methods may be called concurrently.
+type Relay struct {
+	config  Config
+	belief  *belief
+	board   *steer.Board
+	health  *healths
+	ledger  *share.Ledger
+	budget  *budget
+	peers   *peers
+	start   time.Time
+	wake    chan struct{}
+	changed *signal
+	metrics metrics
+
+	stopping atomic.Bool
+	server   *http.Server
+	probes   *http.Server
+}
+
+// New returns a Relay that does not serve yet.
+func New(config Config) *Relay {
+	relay := &Relay{
+		config:  config,
+		health:  &healths{services: make(map[string]*health.Service)},
+		ledger:  share.New(share.Config{}),
+		peers:   newPeers(config.Address),
+		start:   time.Now(),
+		wake:    make(chan struct{}, 1),
+		changed: newSignal(),
+	}
+	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health})
+	relay.belief = newBelief(fleet.New(fleet.Config{}), config.Logger)
+	relay.budget = newBudget(config.Bounds, relay.peers.count)
+	relay.server = &http.Server{
+		Handler:           http.HandlerFunc(relay.serve),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    headerBytes,
+		ErrorLog:          zap.NewStdLog(config.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	probes := http.NewServeMux()
+	probes.HandleFunc(config.ReadyPath, relay.serveReady)
+	probes.Handle("/metrics", http.HandlerFunc(relay.serveMetrics))
+	relay.probes = &http.Server{Handler: probes, ReadHeaderTimeout: probeTimeout}
+	return relay
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (relay *Relay) Run(ctx context.Context) error {
+	group, running := errgroup.WithContext(context.Background())
+	running, cancel := context.WithCancel(running)
+	defer cancel()
+	group.Go(func() error { return ended(relay.server.Serve(relay.config.Callers)) })
+	group.Go(func() error { return ended(relay.probes.Serve(relay.config.Probes)) })
+	group.Go(func() error { return relay.config.Datagrams.Serve(running, relay.heard) })
+	group.Go(func() error { return relay.followChanges(running) })
+	group.Go(func() error { return relay.followListings(running) })
+	group.Go(func() error { relay.exchange(running); return nil })
+	group.Go(func() error { relay.expire(running); return nil })
+	relay.config.Logger.Info("relay: started", zap.String("address", relay.config.Address))
+	select {
+	case <-ctx.Done():
+		relay.drain()
+	case <-running.Done():
+	}
+	cancel()
+	_ = relay.server.Close()
+	_ = relay.probes.Close()
+	err := group.Wait()
+	relay.config.Pool.Close()
+	relay.config.Logger.Info("relay: stopped", zap.Error(err))
+	return err
+}
+
+func ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// drain tells the load balancer, serves callers that do not know yet, and waits
+// for what runs.
+func (relay *Relay) drain() {
+	relay.stopping.Store(true)
+	relay.config.Logger.Info("relay: stopping", zap.Int64("running", relay.metrics.running.Load()))
+	relay.server.SetKeepAlivesEnabled(false)
+	deadline := time.Now().Add(relay.config.Bounds.Grace - stopMargin)
+	time.Sleep(acceptAfterStop)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := relay.server.Shutdown(ctx); err != nil {
+		relay.config.Logger.Warn("relay: requests were cut at the end of the grace period", zap.Int64("running", relay.metrics.running.Load()))
+	}
+}
+
+// Ready reports whether the instance should get new connections.
+func (relay *Relay) Ready() bool {
+	return !relay.stopping.Load() && relay.belief.current() != nil && relay.belief.confirmed(relay.trust())
+}
+
+// trust returns how long a configuration counts after it was confirmed.
+func (relay *Relay) trust() time.Duration { return relay.config.Bounds.Revoke - confirmMargin }
+
+func (relay *Relay) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	if !relay.Ready() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// expire looks through what is kept for a time.
+func (relay *Relay) expire(ctx context.Context) {
+	ticker := time.NewTicker(expirePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			relay.config.Pool.Trim()
+			if gone := relay.belief.list.Expire(); len(gone) > 0 {
+				relay.config.Logger.Info("relay: upstreams did not come back", zap.Strings("upstreams", gone))
+				relay.relist()
+			}
+		}
+	}
+}
+
+// signal wakes all who wait for a change.
+type signal struct {
+	mutex   sync.Mutex
+	channel chan struct{}
+}
+
+func newSignal() *signal { return &signal{channel: make(chan struct{})} }
+
+// next returns a channel that is closed at the next change.
+func (signal *signal) next() <-chan struct{} {
+	signal.mutex.Lock()
+	defer signal.mutex.Unlock()
+	return signal.channel
+}
+
+func (signal *signal) fire() {
+	signal.mutex.Lock()
+	defer signal.mutex.Unlock()
+	close(signal.channel)
+	signal.channel = make(chan struct{})
+}
--- /dev/null
+++ b/internal/daemon/relay/stream.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/link/hop"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+)
+
+const (
+	streamBuffer = 4096
+	// eventBytes is the size of the largest event.
+	eventBytes = 1 << 20
+)
+
+var (
+	errPartialEvent = errors.New("the stream ended within an event")
+	errLargeEvent   = errors.New("an event is too large")
+)
+
+// stream passes on the events of an answer as they come, each one whole.
+func (flight *flight) stream(upstream fleet.Upstream, response *hop.Response) outcome {
+	reader := bufio.NewReaderSize(response.Body, streamBuffer)
+	for {
+		text, err := readEvent(reader)
+		if errors.Is(err, io.EOF) {
+			flight.judge(upstream, true)
+			flight.begin(response)
+			flight.done(response.Status)
+			return answered
+		}
+		if err != nil {
+			if flight.request.Context().Err() != nil || time.Now().After(flight.until) {
+				return unknown
+			}
+			return flight.broken(upstream, err)
+		}
+		if flight.repeats(text) {
+			continue
+		}
+		flight.begin(response)
+		if _, err := flight.writer.Write(text); err != nil {
+			return unknown
+		}
+		flight.flush()
+	}
+}
+
+// begin passes on the headers before the first event. After a break, the
+// headers of the first run stand.
+func (flight *flight) begin(response *hop.Response) {
+	if flight.begun {
+		return
+	}
+	flight.begun = true
+	flight.relay.metrics.firstEvent(time.Since(flight.started))
+	flight.log("relay: stream begun")
+	flight.head(response)
+	flight.writer.WriteHeader(response.Status)
+}
+
+func (flight *flight) flush() {
+	if err := http.NewResponseController(flight.writer).Flush(); err != nil {
+		flight.relay.config.Logger.Debug("relay: flush failed", zap.Error(err))
+	}
+}
+
+// repeats reports whether the caller has an event already, and notes its id if
+// not.
+func (flight *flight) repeats(text []byte) bool {
+	id, ok := eventID(text)
+	if !ok {
+		return false
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	last, err := strconv.ParseUint(flight.lastEvent, 10, 64)
+	if err == nil && number <= last {
+		return true
+	}
+	flight.lastEvent = id
+	return false
+}
+
+// readEvent returns the next event with the empty line that ends it. Its error
+// is io.EOF at a clean end.
+func readEvent(reader *bufio.Reader) ([]byte, error) {
+	var text []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		text = append(text, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(text) > 0:
+			return nil, errPartialEvent
+		case err != nil:
+			return nil, err
+		case len(bytes.TrimRight(line, "\r\n")) == 0:
+			return text, nil
+		}
+		if len(text) > eventBytes {
+			return nil, errLargeEvent
+		}
+	}
+}
+
+// eventID returns the id of an event.
+func eventID(text []byte) (string, bool) {
+	for line := range bytes.Lines(text) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/flow/steer/choose.go
@@ -0,0 +1,222 @@
+package steer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+)
+
+// Need is what a request asks of an upstream.
+type Need struct {
+	Service string
+	// Adapter is empty for requests to plain services.
+	Adapter stock.Adapter
+	// Engine is false for plain services.
+	Engine bool
+	// Tokens is the memory that the request takes up at an engine.
+	Tokens int64
+	// Exclude holds the upstreams that were tried.
+	Exclude []string
+	// Urgent requests may take more of the places beyond an engine's slots.
+	Urgent bool
+}
+
+// Result says what Choose found.
+type Result uint8
+
+const (
+	// Found means that the request may be sent now.
+	Found Result = iota
+	// Absent means that the adapter has to be brought to the upstream first.
+	Absent
+	// Full means that all upstreams have as much as they can take.
+	Full
+	// None means that the service has no usable upstream.
+	None
+)
+
+// Choice is the outcome of Choose.
+type Choice struct {
+	Result   Result
+	Upstream fleet.Upstream
+	// Load is the number of requests that the upstream is thought to hold.
+	Load int
+	// Copy is another upstream that should get the adapter too, if its id is
+	// not empty.
+	Copy fleet.Upstream
+	// Candidates is the number of upstreams that were weighed.
+	Candidates int
+}
+
+// candidate is an upstream with what decides about it.
+type candidate struct {
+	*upstream
+	load  int
+	full  bool
+	holds bool
+	near  bool
+}
+
+// Choose returns the upstream for a request.
+func (board *Board) Choose(need Need) Choice {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	candidates := board.candidates(need)
+	if len(candidates) == 0 {
+		return Choice{Result: None}
+	}
+	var choice Choice
+	if need.Adapter.Name == "" {
+		choice = leastLoaded(candidates, Found)
+	} else {
+		choice = board.chooseHolder(candidates, need)
+	}
+	choice.Candidates = len(candidates)
+	return choice
+}
+
+func (board *Board) candidates(need Need) []candidate {
+	now := time.Now()
+	var candidates []candidate
+	for _, entry := range board.services[need.Service] {
+		if entry.leaving() || slices.Contains(need.Exclude, entry.spec.ID) {
+			continue
+		}
+		if need.Engine && !entry.reported.IsZero() && !entry.report.ModelLoaded {
+			continue
+		}
+		if board.config.Health != nil && !board.config.Health.Usable(need.Service, entry.spec.ID) {
+			continue
+		}
+		load := board.load(entry, now)
+		candidates = append(candidates, candidate{
+			upstream: entry,
+			load:     load,
+			full:     board.full(entry, load, need),
+			holds:    entry.holds(need.Adapter),
+			near:     entry.spec.FailureDomain == board.config.FailureDomain,
+		})
+	}
+	return candidates
+}
+
+// load returns how many requests an upstream is thought to hold: what it
+// reported and what this instance sent since, or what this instance has there
+// times the number of instances.
+func (board *Board) load(entry *upstream, now time.Time) int {
+	if !entry.reported.IsZero() && now.Sub(entry.reported) < board.config.Fresh {
+		return max(entry.report.Running+entry.report.Queued+len(entry.sent), entry.running)
+	}
+	if now.Sub(entry.answeredAt) < board.config.Lag {
+		return max(entry.answered, entry.running)
+	}
+	return entry.running * board.instances
+}
+
+func (board *Board) full(entry *upstream, load int, need Need) bool {
+	limit := entry.spec.Slots
+	if need.Urgent || !need.Engine {
+		limit += board.config.Overfill
+	}
+	if load >= limit {
+		return true
+	}
+	free := entry.report.TotalTokens - entry.report.UsedTokens
+	return need.Engine && entry.report.TotalTokens > 0 && free < need.Tokens*int64(1+len(entry.sent))
+}
+
+// chooseHolder prefers upstreams that hold the adapter, unless they are so much
+// fuller than others that a second copy pays.
+func (board *Board) chooseHolder(candidates []candidate, need Need) Choice {
+	holders := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return !entry.holds })
+	others := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return entry.holds })
+	best := leastLoaded(holders, Found)
+	target, ok := board.target(others, need.Adapter)
+	if best.Result == Found {
+		if ok && best.Load > target.load+board.config.Spread {
+			best.Copy = target.spec
+		}
+		return best
+	}
+	if !ok {
+		return Choice{Result: Full}
+	}
+	return Choice{Result: Absent, Upstream: target.spec, Load: target.load}
+}
+
+// target returns where an adapter should be brought: where it is already on its
+// way, else the less loaded of the two upstreams that rank first for it, so that
+// all instances tend to agree and an engine sees an adapter again.
+func (board *Board) target(candidates []candidate, adapter stock.Adapter) (candidate, bool) {
+	open := slices.DeleteFunc(candidates, func(entry candidate) bool { return entry.full })
+	if len(open) == 0 {
+		return candidate{}, false
+	}
+	coming := slices.DeleteFunc(slices.Clone(open), func(entry candidate) bool { return !entry.coming(adapter) })
+	if len(coming) > 0 {
+		return slices.MinFunc(coming, byLoad), true
+	}
+	slices.SortFunc(open, func(a, b candidate) int {
+		return cmp.Compare(rank(b.spec.ID, adapter.Name), rank(a.spec.ID, adapter.Name))
+	})
+	first := open[0]
+	for _, entry := range open[1:] {
+		if first.load <= entry.load+board.config.Spread {
+			break
+		}
+		first = entry
+	}
+	return first, true
+}
+
+func rank(upstream, adapter string) uint64 { return xxh3.HashString(upstream + "\x00" + adapter) }
+
+func leastLoaded(candidates []candidate, found Result) Choice {
+	open := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return entry.full })
+	if len(open) == 0 {
+		return Choice{Result: Full}
+	}
+	best := slices.MinFunc(open, byLoad)
+	return Choice{Result: found, Upstream: best.spec, Load: best.load}
+}
+
+func byLoad(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.load, b.load), compareBool(b.near, a.near), cmp.Compare(a.spec.ID, b.spec.ID))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+func compareAdapters(a, b stock.Adapter) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
+}
+
+func (entry *upstream) leaving() bool { return entry.spec.Draining || entry.report.Draining }
+
+func (entry *upstream) holds(adapter stock.Adapter) bool {
+	return serves(entry.report.Resident, adapter)
+}
+
+// coming reports whether the adapter is on its way or asked for.
+func (entry *upstream) coming(adapter stock.Adapter) bool {
+	return serves(entry.report.Pending, adapter) || entry.waiting[adapter] > 0
+}
+
+func serves(held []stock.Adapter, wanted stock.Adapter) bool {
+	return slices.ContainsFunc(held, func(adapter stock.Adapter) bool {
+		return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
+	})
+}
--- /dev/null
+++ b/internal/flow/stock/stock.go
@@ -0,0 +1,315 @@
+// Package stock decides which adapters the engine beside a loader holds: it
+// turns what the entry instances ask for, and what the engine reports, into one
+// order at a time. The engine's report is the truth; an order whose outcome is
+// unknown counts as carried out until a report says otherwise.
+package stock
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	// DefaultLinger is how long a demand counts after the entry instance that
+	// sent it was last heard.
+	DefaultLinger = 1500 * time.Millisecond
+	// DefaultTransit is the largest number of adapters on their way at once.
+	DefaultTransit = 4
+	// DefaultKeep is how long an adapter is kept after its last use, so that
+	// requests on their way still find it.
+	DefaultKeep = 300 * time.Millisecond
+)
+
+// Config configures a Planner. Zero values mean the defaults.
+type Config struct {
+	Linger  time.Duration
+	Transit int
+	Keep    time.Duration
+}
+
+// Adapter is an adapter in one version.
+type Adapter struct {
+	Name    string
+	Version uint32
+}
+
+// Engine is what the engine says of itself.
+type Engine struct {
+	// Born is its start in Unix milliseconds.
+	Born int64
+	// Sequence counts the orders that it accepted since.
+	Sequence int64
+	// Busy means that it takes no other order at present.
+	Busy bool
+	// Models holds the models in memory.
+	Models   []string
+	Resident []Adapter
+	Pending  []Adapter
+}
+
+// Use is how many requests of one entry instance use an adapter.
+type Use struct {
+	Adapter Adapter
+	Running int
+	Waiting int
+}
+
+// Demand is what one entry instance asks for.
+type Demand struct {
+	Entry string
+	Model string
+	// Slots is the number of places for adapters.
+	Slots int
+	Uses  []Use
+}
+
+// Operation is what an order does.
+type Operation uint8
+
+const (
+	// Load brings a model, or an adapter of a model that is there.
+	Load Operation = iota
+	// Unload makes room.
+	Unload
+)
+
+// Order is one order to the engine. Sequence must be the engine's own for the
+// order to be valid.
+type Order struct {
+	Operation Operation
+	Model     string
+	// Adapter is empty for an order that concerns the whole model.
+	Adapter  Adapter
+	Sequence int64
+}
+
+// Planner decides the orders for one engine. Its methods may be called
+// concurrently.
+type Planner struct {
+	config Config
+
+	mutex   sync.Mutex
+	engine  Engine
+	known   bool
+	demands map[string]*demand
+	used    map[string]time.Time
+	asked   map[Adapter]time.Time
+}
+
+type demand struct {
+	Demand
+	heard time.Time
+}
+
+// New returns a Planner that knows nothing yet.
+func New(config Config) *Planner {
+	if config.Linger == 0 {
+		config.Linger = DefaultLinger
+	}
+	if config.Transit == 0 {
+		config.Transit = DefaultTransit
+	}
+	if config.Keep == 0 {
+		config.Keep = DefaultKeep
+	}
+	return &Planner{
+		config:  config,
+		demands: make(map[string]*demand),
+		used:    make(map[string]time.Time),
+		asked:   make(map[Adapter]time.Time),
+	}
+}
+
+// Observe records a report of the engine.
+func (planner *Planner) Observe(engine Engine) {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	if planner.known && planner.engine.Born != engine.Born {
+		clear(planner.used)
+	}
+	planner.engine, planner.known = engine, true
+}
+
+// Demand records what an entry instance asks for; it replaces what the instance
+// asked for before.
+func (planner *Planner) Demand(request Demand) {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	now := time.Now()
+	planner.demands[request.Entry] = &demand{Demand: request, heard: now}
+	for _, use := range request.Uses {
+		planner.used[use.Adapter.Name] = now
+		if _, ok := planner.asked[use.Adapter]; !ok && use.Waiting > 0 {
+			planner.asked[use.Adapter] = now
+		}
+	}
+}
+
+// Next returns the order to give now, if there is one.
+func (planner *Planner) Next() (Order, bool) {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	planner.forget()
+	if !planner.known || planner.engine.Busy {
+		return Order{}, false
+	}
+	model, slots := planner.wish()
+	if model == "" {
+		return Order{}, false
+	}
+	if !slices.Contains(planner.engine.Models, model) {
+		return planner.order(Load, model, Adapter{})
+	}
+	return planner.adapterOrder(model, slots)
+}
+
+func (planner *Planner) order(operation Operation, model string, adapter Adapter) (Order, bool) {
+	return Order{Operation: operation, Model: model, Adapter: adapter, Sequence: planner.engine.Sequence}, true
+}
+
+func (planner *Planner) adapterOrder(model string, slots int) (Order, bool) {
+	if len(planner.engine.Pending) >= planner.config.Transit {
+		return Order{}, false
+	}
+	wanted, ok := planner.wanted()
+	if !ok {
+		return Order{}, false
+	}
+	if planner.replaces(wanted) || planner.places() < slots {
+		return planner.order(Load, model, wanted)
+	}
+	victim, ok := planner.victim()
+	if !ok {
+		return Order{}, false
+	}
+	return planner.order(Unload, model, victim)
+}
+
+// places returns the number of places that are taken or promised.
+func (planner *Planner) places() int {
+	names := make(map[string]bool)
+	for _, adapter := range planner.engine.Resident {
+		names[adapter.Name] = true
+	}
+	pending := 0
+	for _, adapter := range planner.engine.Pending {
+		if !names[adapter.Name] {
+			pending++
+		}
+	}
+	return len(names) + pending
+}
+
+func (planner *Planner) replaces(wanted Adapter) bool {
+	return slices.ContainsFunc(planner.engine.Resident, func(adapter Adapter) bool { return adapter.Name == wanted.Name })
+}
+
+// wish returns the model that the latest demand names, and its places.
+func (planner *Planner) wish() (string, int) {
+	var latest *demand
+	for _, demand := range planner.demands {
+		if latest == nil || demand.heard.After(latest.heard) {
+			latest = demand
+		}
+	}
+	if latest == nil {
+		return "", 0
+	}
+	return latest.Model, latest.Slots
+}
+
+// wanted returns the adapter to load next: the one with the most requests
+// waiting, then the one asked for first.
+func (planner *Planner) wanted() (Adapter, bool) {
+	waiting := make(map[Adapter]int)
+	for _, demand := range planner.demands {
+		for _, use := range demand.Uses {
+			if use.Waiting > 0 && !planner.holds(use.Adapter) {
+				waiting[use.Adapter] += use.Waiting
+			}
+		}
+	}
+	if len(waiting) == 0 {
+		return Adapter{}, false
+	}
+	return slices.MinFunc(slices.Collect(maps.Keys(waiting)), func(a, b Adapter) int {
+		return cmp.Or(
+			cmp.Compare(waiting[b], waiting[a]),
+			planner.asked[a].Compare(planner.asked[b]),
+			cmp.Compare(a.Name, b.Name),
+			cmp.Compare(b.Version, a.Version),
+		)
+	}), true
+}
+
+// holds reports whether the adapter is there or on its way, in this version or
+// a newer one.
+func (planner *Planner) holds(wanted Adapter) bool {
+	serves := func(adapter Adapter) bool {
+		return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
+	}
+	return slices.ContainsFunc(planner.engine.Resident, serves) || slices.ContainsFunc(planner.engine.Pending, serves)
+}
+
+// victim returns the adapter unused for longest among those that no entry
+// instance uses.
+func (planner *Planner) victim() (Adapter, bool) {
+	busy := make(map[string]bool)
+	for _, demand := range planner.demands {
+		for _, use := range demand.Uses {
+			busy[use.Adapter.Name] = true
+		}
+	}
+	now := time.Now()
+	var found Adapter
+	for _, adapter := range planner.engine.Resident {
+		used := planner.used[adapter.Name]
+		if busy[adapter.Name] || now.Sub(used) < planner.config.Keep {
+			continue
+		}
+		if found.Name == "" || used.Before(planner.used[found.Name]) {
+			found = adapter
+		}
+	}
+	return found, found.Name != ""
+}
+
+// forget drops the demands of entry instances that fell silent.
+func (planner *Planner) forget() {
+	now := time.Now()
+	wanted := make(map[Adapter]bool)
+	for entry, demand := range planner.demands {
+		if now.Sub(demand.heard) > planner.config.Linger {
+			delete(planner.demands, entry)
+			continue
+		}
+		for _, use := range demand.Uses {
+			wanted[use.Adapter] = wanted[use.Adapter] || use.Waiting > 0
+		}
+	}
+	for adapter := range planner.asked {
+		if !wanted[adapter] {
+			delete(planner.asked, adapter)
+		}
+	}
+}
+
+// Entries returns the names of the entry instances that were heard lately.
+func (planner *Planner) Entries() []string {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	planner.forget()
+	return slices.Sorted(maps.Keys(planner.demands))
+}
+
+// String returns the operation's name.
+func (operation Operation) String() string {
+	if operation == Unload {
+		return "unload"
+	}
+	return "load"
+}
--- /dev/null
+++ b/internal/link/gossip/gossip.go
@@ -0,0 +1,72 @@
+// Package gossip sends and receives the datagrams between entry instances and
+// loaders. A datagram that is lost is replaced by the next one.
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"google.golang.org/protobuf/proto"
+
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// maximum is the size of the largest datagram that is read, in bytes.
+const maximum = 64 << 10
+
+// Conn sends and receives datagrams at one address.
+type Conn struct {
+	packets net.PacketConn
+}
+
+// Listen opens the address, an IP:port.
+func Listen(address string) (*Conn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	packets, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{packets: packets}, nil
+}
+
+// Send sends a datagram to an IP:port. An error means that it was not sent.
+func (conn *Conn) Send(address string, datagram *wirepb.Datagram) error {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return err
+	}
+	text, err := proto.Marshal(datagram)
+	if err != nil {
+		return err
+	}
+	_, err = conn.packets.WriteTo(text, net.UDPAddrFromAddrPort(target))
+	return err
+}
+
+// Serve calls handle for each datagram until ctx ends. What cannot be read is
+// passed over.
+func (conn *Conn) Serve(ctx context.Context, handle func(source string, datagram *wirepb.Datagram)) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.packets.Close() })
+	defer stop()
+	buffer := make([]byte, maximum)
+	for {
+		n, source, err := conn.packets.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		datagram := new(wirepb.Datagram)
+		if proto.Unmarshal(buffer[:n], datagram) == nil {
+			handle(source.String(), datagram)
+		}
+	}
+}
+
+// Close closes the address.
+func (conn *Conn) Close() error { return conn.packets.Close() }
