Let requests in at a gate beside the engine, by the prompt tokens it can read

Ruled out: late first events (p50 220 ms); slow runs (p75 to p99 of the longest pause lie within 20 ms of each other).

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -4,6 +4,7 @@
 package loader
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -13,14 +14,17 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/gossip"
-	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
 const (
 	// reportPeriod is how often the engine is asked for its report.
-	reportPeriod = 50 * time.Millisecond
+	reportPeriod = 40 * time.Millisecond
+	// lostReports is the number of reports that fail in a row before the engine
+	// counts as unreachable.
+	lostReports = 2
 	// tellPeriod is how often the entry instances are told of a changed load.
 	tellPeriod = 100 * time.Millisecond
 	// idlePeriod is how often they are told although nothing changed.
@@ -32,8 +36,6 @@
 // Report is what the engine says of itself.
 type Report struct {
 	stock.Engine
-	// Upstream is the engine's id, or empty if it does not say.
-	Upstream    string
 	Running     int
 	Queued      int
 	UsedTokens  int64
@@ -70,16 +72,24 @@
 type Loader struct {
 	config  Config
 	planner *stock.Planner
-	wake    chan struct{}
-
-	mutex    sync.Mutex
-	report   Report
-	reported bool
+	gate    *admit.Gate
+	// orders and turns wake the loops that give orders and grants.
+	orders chan struct{}
+	turns  chan struct{}
+
+	mutex  sync.Mutex
+	report Report
+	// misses counts the reports that failed in a row.
+	misses int
 	// listed is the engine's id as the entry instances know it.
 	listed string
-	fence  int64
 	serial uint64
 	told   time.Time
+	// sent is the report that the entry instances were told last.
+	sent Report
+
+	// fence is used by the loop that gives orders only.
+	fence int64
 }
 
 // New returns a Loader that does not run yet.
@@ -88,7 +98,10 @@
 	return &Loader{
 		config:  config,
 		planner: stock.New(stock.Config{}),
-		wake:    make(chan struct{}, 1),
+		gate:    admit.New(admit.Config{}),
+		orders:  make(chan struct{}, 1),
+		turns:   make(chan struct{}, 1),
+		misses:  lostReports,
 		fence:   now.UnixMilli(),
 		serial:  uint64(now.UnixMicro()),
 	}
@@ -99,40 +112,15 @@
 	loader.config.Logger.Info("loader: started")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loader.config.Datagrams.Serve(ctx, loader.heard) })
-	group.Go(func() error { loader.work(ctx); return nil })
+	group.Go(func() error { loader.keep(ctx); return nil })
+	group.Go(func() error { loader.grant(ctx); return nil })
 	err := group.Wait()
 	loader.config.Logger.Info("loader: stopped", zap.Error(err))
 	return err
 }
 
-func (loader *Loader) heard(_ string, datagram *wirepb.Datagram) {
-	demand := datagram.GetDemand()
-	if demand == nil {
-		return
-	}
-	uses := make([]stock.Use, 0, len(demand.GetUses()))
-	waiting := false
-	for _, use := range demand.GetUses() {
-		uses = append(uses, stock.Use{
-			Adapter: stock.Adapter{Name: use.GetAdapter(), Version: use.GetVersion()},
-			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()),
-		})
-		waiting = waiting || use.GetWaiting() > 0
-	}
-	loader.planner.Demand(stock.Demand{Entry: demand.GetEntry(), Model: demand.GetModel(), Slots: int(demand.GetAdapterSlots()), Uses: uses})
-	loader.mutex.Lock()
-	loader.listed = demand.GetUpstream()
-	loader.mutex.Unlock()
-	if waiting {
-		select {
-		case loader.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// work asks for reports, gives orders and tells the entry instances.
-func (loader *Loader) work(ctx context.Context) {
+// keep asks for reports and gives orders.
+func (loader *Loader) keep(ctx context.Context) {
 	ticker := time.NewTicker(reportPeriod)
 	defer ticker.Stop()
 	for {
@@ -140,43 +128,53 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-loader.wake:
+		case <-loader.orders:
 		}
 		for loader.refresh(ctx) && loader.order(ctx) {
 		}
+		loader.tellChanges()
 	}
 }
 
-// refresh takes over the engine's report and passes on what changed.
+// refresh takes over the engine's report.
 func (loader *Loader) refresh(ctx context.Context) bool {
 	report, err := loader.config.Engine.Report(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
 	if err != nil {
-		if loader.reported {
+		loader.misses++
+		if loader.misses == lostReports {
 			loader.config.Logger.Warn("loader: engine does not report", zap.Error(err))
+			loader.gate.Observe(admit.State{})
 		}
-		loader.reported = false
 		return false
 	}
-	if !loader.reported || report.Born != loader.report.Born {
-		loader.config.Logger.Info("loader: engine reports", zap.Int64("born", report.Born), zap.String("upstream", report.Upstream),
+	if loader.misses >= lostReports || report.Born != loader.report.Born {
+		loader.config.Logger.Info("loader: engine reports", zap.Int64("born", report.Born),
 			zap.Strings("models", report.Models), zap.Int("adapters", len(report.Resident)))
 	}
-	loader.reported = true
+	loader.misses = 0
+	loader.report = report
 	loader.planner.Observe(report.Engine)
-	since := time.Since(loader.told)
-	held := !sameHeld(loader.report, report)
-	loaded := report.Running != loader.report.Running || report.Queued != loader.report.Queued
-	if held || loaded && since >= tellPeriod || since >= idlePeriod {
-		loader.tell(report)
-		loader.report = report
-	}
+	loader.gate.Observe(admit.State{
+		Running: report.Running + report.Queued, UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
+		Holds: report.holds,
+	})
+	wake(loader.turns)
 	return true
 }
 
-// sameHeld reports whether two reports name the same adapters and state.
-func sameHeld(a, b Report) bool {
-	return a.Born == b.Born && a.Draining == b.Draining && slices.Equal(a.Models, b.Models) &&
-		slices.Equal(a.Resident, b.Resident) && slices.Equal(a.Pending, b.Pending)
+// holds reports whether the adapter is loaded in the version or a newer one.
+func (report Report) holds(wanted stock.Adapter) bool {
+	if wanted.Name == "" {
+		return len(report.Models) > 0
+	}
+	return slices.ContainsFunc(report.Resident, func(adapter stock.Adapter) bool {
+		return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
+	})
 }
 
 // order gives the next order and reports whether there was one that the engine
@@ -187,12 +185,12 @@
 		return false
 	}
 	loader.mutex.Lock()
-	upstream, fence := loader.listed, loader.fence
+	upstream := loader.listed
 	loader.mutex.Unlock()
 	began := time.Now()
-	err := loader.config.Engine.Order(ctx, upstream, order, fence)
+	err := loader.config.Engine.Order(ctx, upstream, order, loader.fence)
 	if errors.Is(err, ErrFenced) {
-		loader.fence = max(fence, time.Now().UnixMilli()) + fenceStep
+		loader.fence = max(loader.fence, time.Now().UnixMilli()) + fenceStep
 	}
 	loader.config.Logger.Info("loader: order given",
 		zap.String("operation", order.Operation.String()), zap.String("model", order.Model),
@@ -201,36 +199,28 @@
 	return err == nil
 }
 
-// tell sends the engine's state to the entry instances that were heard lately.
-func (loader *Loader) tell(report Report) {
-	entries := loader.planner.Entries()
-	loader.mutex.Lock()
-	upstream := loader.listed
-	loader.mutex.Unlock()
-	if upstream == "" || len(entries) == 0 {
-		return
-	}
-	loader.serial++
-	loader.told = time.Now()
-	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: &wirepb.EngineState{
-		Upstream: upstream, Born: report.Born, Serial: loader.serial,
-		Running: uint32(report.Running), Queued: uint32(report.Queued),
-		UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
-		ModelLoaded: len(report.Models) > 0, Draining: report.Draining,
-		Resident: encodeAdapters(report.Resident), Pending: encodeAdapters(report.Pending),
-		Entries: entries,
-	}}}
-	for _, address := range entries {
-		if err := loader.config.Datagrams.Send(address, datagram); err != nil {
-			loader.config.Logger.Debug("loader: datagram not sent", zap.String("address", address), zap.Error(err))
+// grant lets requests in when their turn comes.
+func (loader *Loader) grant(ctx context.Context) {
+	timer := time.NewTimer(idlePeriod)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-loader.turns:
+		case <-timer.C:
+		}
+		granted, changed := loader.gate.Grant()
+		if len(changed) > 0 {
+			loader.tell(changed, granted)
 		}
+		timer.Reset(cmp.Or(loader.gate.Next(), idlePeriod))
 	}
 }
 
-func encodeAdapters(adapters []stock.Adapter) []*wirepb.AdapterVersion {
-	encoded := make([]*wirepb.AdapterVersion, 0, len(adapters))
-	for _, adapter := range adapters {
-		encoded = append(encoded, &wirepb.AdapterVersion{Adapter: adapter.Name, Version: adapter.Version})
+func wake(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
 	}
-	return encoded
 }
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/steer"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -20,7 +21,7 @@
 
 const (
 	// exchangePeriod is how often other processes are told what changed.
-	exchangePeriod = 100 * time.Millisecond
+	exchangePeriod = 50 * time.Millisecond
 	// idlePeriod is how often they are told although nothing did.
 	idlePeriod = 500 * time.Millisecond
 	// usagePeriod is the same for the other entry instances, which take an
@@ -63,6 +64,7 @@
 // told is what a loader was told last.
 type told struct {
 	uses []stock.Use
+	asks []admit.Ask
 	at   time.Time
 }
 
@@ -76,18 +78,29 @@
 		if !ok || service.Engine == nil || len(service.Engine.Models) == 0 {
 			continue
 		}
-		uses := relay.board.Uses(upstream.ID)
+		uses, asks := relay.board.Uses(upstream.ID), relay.board.Asks(upstream.ID)
 		known := last[upstream.ID]
-		if slices.Equal(uses, known.uses) && time.Since(known.at) < idlePeriod {
+		period := idlePeriod
+		switch {
+		case !slices.Equal(asks, known.asks):
+			period = 0
+		case len(asks) > 0 || !slices.Equal(uses, known.uses):
+			period = exchangePeriod
+		}
+		if time.Since(known.at) < period {
 			continue
 		}
-		last[upstream.ID] = told{uses: uses, at: time.Now()}
+		last[upstream.ID] = told{uses: uses, asks: asks, at: time.Now()}
 		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:        relay.config.Address,
 			Model:        service.Engine.Models[0].Name,
 			AdapterSlots: uint32(service.Engine.AdapterSlots),
 			Uses:         encodeUses(uses),
 			Upstream:     upstream.ID,
+			Slots:        uint32(service.Engine.Slots),
+			EventTokens:  uint32(service.Engine.EventTokens),
+			GapMs:        uint32(config.TargetGap(service.Name).Milliseconds()),
+			Asks:         encodeAsks(asks),
 		}}})
 	}
 }
@@ -103,6 +116,17 @@
 	return encoded
 }
 
+func encodeAsks(asks []admit.Ask) []*wirepb.Ask {
+	encoded := make([]*wirepb.Ask, 0, len(asks))
+	for _, ask := range asks {
+		encoded = append(encoded, &wirepb.Ask{
+			Id: ask.ID, Adapter: ask.Adapter.Name, Version: ask.Adapter.Version,
+			PromptTokens: ask.Prompt, OutputTokens: ask.Output, Priority: uint32(max(ask.Priority, 0)),
+		})
+	}
+	return encoded
+}
+
 // loaderAddress returns the datagram address beside an upstream.
 func (relay *Relay) loaderAddress(upstream fleet.Upstream) string {
 	host, _, err := net.SplitHostPort(upstream.Address)
@@ -165,6 +189,7 @@
 		Resident:    decodeAdapters(state.GetResident()),
 		Pending:     decodeAdapters(state.GetPending()),
 	})
+	relay.board.Granted(state.GetUpstream(), state.GetGranted())
 	relay.changed.fire()
 }
 
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -67,6 +67,7 @@
 	upstream string
 	waited   time.Duration
 	load     int
+	backlog  int64
 
 	// failure is an answer that an upstream ran the request and failed, kept
 	// with its body while another upstream may do better.
@@ -75,6 +76,11 @@
 
 	// lastEvent is the id of the last event passed on.
 	lastEvent string
+	// first is the time to the first event, longestGap the longest pause between
+	// two, and eventAt when the last one was passed on.
+	first      time.Duration
+	longestGap time.Duration
+	eventAt    time.Time
 	// begun means that the answer's headers were passed on.
 	begun bool
 }
@@ -231,11 +237,15 @@
 		zap.Int("sends", flight.sends),
 		zap.Duration("waited", flight.waited),
 		zap.Int("load", flight.load),
+		zap.Int64("backlog", flight.backlog),
 		zap.Duration("took", time.Since(flight.started)),
 	)
 	if flight.adapter.Name != "" {
 		fields = append(fields, zap.String("adapter", flight.adapter.Name), zap.Uint32("adapter-version", flight.adapter.Version))
 	}
+	if flight.begun {
+		fields = append(fields, zap.Duration("first-event", flight.first), zap.Duration("longest-gap", flight.longestGap))
+	}
 	if flight.route != nil {
 		fields = append(fields, zap.String("route", flight.route.Name))
 	}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -104,6 +105,9 @@
 	wake    chan struct{}
 	changed *signal
 	metrics metrics
+	// asks numbers the requests that wait for their turn. It begins at random,
+	// so that a loader does not take them for those of an earlier start.
+	asks atomic.Uint64
 
 	stopping atomic.Bool
 	server   *http.Server
@@ -121,6 +125,7 @@
 		wake:    make(chan struct{}, 1),
 		changed: newSignal(),
 	}
+	relay.asks.Store(rand.Uint64())
 	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health})
 	relay.belief = newBelief(fleet.New(fleet.Config{}), config.Logger)
 	relay.budget = newBudget(config.Bounds, relay.peers.count)
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/steer"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/state/table"
@@ -21,6 +22,12 @@
 	adapterGoals = 2
 	// lookAgain is how often a waiting request looks without a change.
 	lookAgain = 40 * time.Millisecond
+	// stayTime is how long a request waits at an upstream before it looks for a
+	// better one.
+	stayTime = 250 * time.Millisecond
+	// readRate is how many prompt tokens an engine reads in a second, to tell
+	// when waiting is in vain.
+	readRate = 18_000
 	// copyTime is how long a second copy of an adapter is asked for.
 	copyTime = 600 * time.Millisecond
 )
@@ -118,6 +125,7 @@
 		Tokens:  flight.call.Prompt + flight.call.Output,
 		Exclude: flight.tried,
 		Urgent:  flight.priority() == 0,
+		Limit:   int64(flight.route.Target.Seconds() * readRate),
 	}
 	if need.Engine && flight.call.Adapter != "" {
 		flight.adapter.Name = flight.call.Adapter
@@ -127,36 +135,22 @@
 	return need
 }
 
-// choose returns an upstream that can take the request now. It waits for the
-// adapter to be brought, and a little for a place.
+// choose returns an upstream that can take the request now. At an engine it
+// waits for its turn, and for the adapter to be brought.
 func (flight *flight) choose(ctx context.Context) (steer.Choice, *refusal) {
 	began := time.Now()
-	defer func() { flight.waited += time.Since(began) }()
-	board := flight.relay.board
-	waitingAt, waitingFor := "", flight.adapter
+	place := &place{flight: flight, number: flight.relay.asks.Add(1)}
 	defer func() {
-		if waitingAt != "" {
-			board.Waited(waitingAt, waitingFor)
-		}
+		place.leave()
+		flight.waited += time.Since(began)
 	}()
 	for {
 		changed := flight.relay.changed.next()
-		choice := board.Choose(flight.need())
-		if choice.Result == steer.Found {
+		choice := place.choose()
+		if place.start(choice) {
 			flight.found(choice)
 			return choice, nil
 		}
-		target := choice.Upstream.ID
-		if target != waitingAt || flight.adapter != waitingFor {
-			if waitingAt != "" {
-				board.Waited(waitingAt, waitingFor)
-			}
-			waitingAt, waitingFor = target, flight.adapter
-			if target != "" {
-				board.Wait(target, flight.adapter)
-				flight.relay.kick()
-			}
-		}
 		if refused := flight.impatient(ctx, choice, time.Since(began)); refused != nil {
 			return choice, refused
 		}
@@ -170,6 +164,71 @@
 	}
 }
 
+// place is where a request waits for its turn.
+type place struct {
+	flight *flight
+	number uint64
+	choice steer.Choice
+	taken  time.Time
+	need   steer.Need
+}
+
+// choose returns the upstream to wait for. The one where the request waits
+// already stays for a while, so that its turn can come.
+func (place *place) choose() steer.Choice {
+	flight := place.flight
+	need := flight.need()
+	kept := place.choice.Upstream.ID != "" && need.Adapter == place.need.Adapter && time.Since(place.taken) < stayTime
+	if kept && flight.relay.board.Turn(place.choice.Upstream.ID, place.number) != steer.Lost {
+		return place.choice
+	}
+	choice := flight.relay.board.Choose(need)
+	if !need.Engine || choice.Result == steer.Full || choice.Result == steer.None {
+		return choice
+	}
+	place.take(choice, need)
+	return choice
+}
+
+// take moves the request to an upstream, unless it waits there already.
+func (place *place) take(choice steer.Choice, need steer.Need) {
+	moved := choice.Upstream.ID != place.choice.Upstream.ID || need.Adapter != place.need.Adapter
+	if moved {
+		place.leave()
+		place.flight.relay.board.Place(choice.Upstream.ID, admit.Ask{
+			ID: place.number, Adapter: need.Adapter, Priority: place.flight.priority(),
+			Prompt: place.flight.call.Prompt, Output: place.flight.call.Output,
+		})
+		place.flight.relay.kick()
+	}
+	place.choice, place.need, place.taken = choice, need, time.Now()
+}
+
+// leave ends the waiting.
+func (place *place) leave() {
+	if place.choice.Upstream.ID != "" {
+		place.flight.relay.board.Withdraw(place.choice.Upstream.ID, place.number)
+	}
+}
+
+// start reports whether the request may be sent to the chosen upstream.
+func (place *place) start(choice steer.Choice) bool {
+	if choice.Result == steer.Full || choice.Result == steer.None {
+		return false
+	}
+	if !place.need.Engine {
+		return choice.Result == steer.Found
+	}
+	switch place.flight.relay.board.Turn(choice.Upstream.ID, place.number) {
+	case steer.Come:
+		return true
+	case steer.Unruled:
+		return choice.Result == steer.Found
+	default:
+		return false
+	}
+}
+
 // impatient returns the refusal of a request that has waited long enough.
 func (flight *flight) impatient(ctx context.Context, choice steer.Choice, waited time.Duration) *refusal {
 	if ctx.Err() != nil {
@@ -187,7 +246,7 @@
 }
 
 func (flight *flight) found(choice steer.Choice) {
-	flight.upstream, flight.load = choice.Upstream.ID, choice.Load
+	flight.upstream, flight.load, flight.backlog = choice.Upstream.ID, choice.Load, choice.Backlog
 	if choice.Copy.ID != "" {
 		flight.relay.bringCopy(choice.Copy, flight)
 	}
@@ -198,7 +257,7 @@
 func (relay *Relay) bringCopy(target fleet.Upstream, flight *flight) {
 	adapter := flight.adapter
 	relay.metrics.count("copies-asked")
-	relay.board.Wait(target.ID, adapter)
+	relay.board.Want(target.ID, adapter)
 	relay.kick()
-	time.AfterFunc(copyTime, func() { relay.board.Waited(target.ID, adapter) })
+	time.AfterFunc(copyTime, func() { relay.board.Unwant(target.ID, adapter) })
 }
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -51,6 +51,7 @@
 			return unknown
 		}
 		flight.flush()
+		flight.passed()
 	}
 }
 
@@ -61,12 +62,21 @@
 		return
 	}
 	flight.begun = true
-	flight.relay.metrics.firstEvent(time.Since(flight.started))
-	flight.log("relay: stream begun")
+	flight.first = time.Since(flight.started)
+	flight.relay.metrics.firstEvent(flight.first)
 	flight.head(response)
 	flight.writer.WriteHeader(response.Status)
 }
 
+// passed notes when an event was passed on.
+func (flight *flight) passed() {
+	now := time.Now()
+	if !flight.eventAt.IsZero() {
+		flight.longestGap = max(flight.longestGap, now.Sub(flight.eventAt))
+	}
+	flight.eventAt = now
+}
+
 func (flight *flight) flush() {
 	if err := http.NewResponseController(flight.writer).Flush(); err != nil {
 		flight.relay.config.Logger.Debug("relay: flush failed", zap.Error(err))
--- /dev/null
+++ b/internal/flow/admit/admit.go
@@ -0,0 +1,291 @@
+// Package admit decides when requests may start at one engine. An engine reads
+// prompts between the tokens of the streams that it runs, so prompts that come
+// together make all its streams pause. A Gate lets in, within any span of the
+// longest pause, no more prompt tokens than the engine reads beside the tokens
+// of one event; the others wait at the gate, the most urgent first.
+package admit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+)
+
+// Defaults of Config.
+const (
+	// DefaultReadRate is how many prompt tokens an engine reads in a
+	// millisecond.
+	DefaultReadRate = 19.0
+	// DefaultStep is the time that an engine takes for one token of all its
+	// streams when it reads no prompts.
+	DefaultStep = 14 * time.Millisecond
+	// DefaultUse is the part of the reading time that is given out. The rest
+	// covers the time between a grant and the request's arrival.
+	DefaultUse = 0.94
+	// DefaultAgeing is by how much earlier a request's turn comes for each rank
+	// that it is more urgent.
+	DefaultAgeing = 300 * time.Millisecond
+	// DefaultForget is how long the asks of an entry instance count after it was
+	// last heard.
+	DefaultForget = 500 * time.Millisecond
+)
+
+// Config configures a Gate. Zero values mean the defaults.
+type Config struct {
+	ReadRate float64
+	Step     time.Duration
+	Use      float64
+	Ageing   time.Duration
+	Forget   time.Duration
+}
+
+// Shape is what the configuration says of the engine and its streams.
+type Shape struct {
+	// Slots is the number of requests that run at once.
+	Slots int
+	// EventTokens is the number of tokens in one event.
+	EventTokens int
+	// Gap is the longest pause between events that meets the goal.
+	Gap time.Duration
+}
+
+// State is what the engine says of itself.
+type State struct {
+	Running     int
+	UsedTokens  int64
+	TotalTokens int64
+	// Holds reports whether an adapter is loaded.
+	Holds func(stock.Adapter) bool
+}
+
+// Ask is a request that waits for its turn.
+type Ask struct {
+	// ID is unique for the entry instance.
+	ID       uint64
+	Adapter  stock.Adapter
+	Prompt   int64
+	Output   int64
+	Priority int
+}
+
+// Gate admits the requests for one engine. Its methods may be called
+// concurrently.
+type Gate struct {
+	config Config
+
+	mutex   sync.Mutex
+	shape   Shape
+	state   State
+	entries map[string]*entry
+	// granted holds what was let in within the last span.
+	granted []grant
+	// unseen holds what was let in and is not in the engine's state yet.
+	unseen []grant
+}
+
+type entry struct {
+	asks  map[uint64]*waiter
+	heard time.Time
+}
+
+type waiter struct {
+	Ask
+	entry   string
+	came    time.Time
+	granted bool
+}
+
+type grant struct {
+	at     time.Time
+	prompt int64
+	memory int64
+}
+
+// New returns a Gate that knows nothing yet.
+func New(config Config) *Gate {
+	if config.ReadRate == 0 {
+		config.ReadRate = DefaultReadRate
+	}
+	if config.Step == 0 {
+		config.Step = DefaultStep
+	}
+	if config.Use == 0 {
+		config.Use = DefaultUse
+	}
+	if config.Ageing == 0 {
+		config.Ageing = DefaultAgeing
+	}
+	if config.Forget == 0 {
+		config.Forget = DefaultForget
+	}
+	return &Gate{config: config, entries: make(map[string]*entry)}
+}
+
+// Observe records the engine's state.
+func (gate *Gate) Observe(state State) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.state = state
+	// A request shows in the engine's state once it has arrived.
+	arrived := time.Now().Add(-arrivalTime)
+	gate.unseen = slices.DeleteFunc(gate.unseen, func(grant grant) bool { return grant.at.Before(arrived) })
+}
+
+// arrivalTime is how long after its grant a request shows in the engine's
+// state.
+const arrivalTime = 60 * time.Millisecond
+
+// Replace records all that an entry instance asks for. Asks that it does not
+// name any more are withdrawn.
+func (gate *Gate) Replace(name string, shape Shape, asks []Ask) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	now := time.Now()
+	gate.shape = shape
+	known, ok := gate.entries[name]
+	if !ok {
+		known = &entry{}
+		gate.entries[name] = known
+	}
+	kept := make(map[uint64]*waiter, len(asks))
+	for _, ask := range asks {
+		if waiting, ok := known.asks[ask.ID]; ok {
+			kept[ask.ID] = waiting
+			continue
+		}
+		kept[ask.ID] = &waiter{Ask: ask, entry: name, came: now}
+	}
+	known.asks, known.heard = kept, now
+}
+
+// Grant lets in the requests whose turn has come, and returns the ids of all
+// that were let in and are still asked for, by entry instance. changed names the
+// entry instances with a new one.
+func (gate *Gate) Grant() (granted map[string][]uint64, changed []string) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	now := time.Now()
+	gate.forget(now)
+	for _, waiting := range gate.line() {
+		if !gate.fits(waiting) {
+			break
+		}
+		gate.admit(waiting, now)
+		if !slices.Contains(changed, waiting.entry) {
+			changed = append(changed, waiting.entry)
+		}
+	}
+	granted = make(map[string][]uint64)
+	for name, entry := range gate.entries {
+		for _, id := range slices.Sorted(maps.Keys(entry.asks)) {
+			if entry.asks[id].granted {
+				granted[name] = append(granted[name], id)
+			}
+		}
+	}
+	return granted, changed
+}
+
+// forget drops what is past the span, and entry instances that fell silent.
+func (gate *Gate) forget(now time.Time) {
+	since := now.Add(-gate.shape.Gap)
+	gate.granted = slices.DeleteFunc(gate.granted, func(grant grant) bool { return !grant.at.After(since) })
+	maps.DeleteFunc(gate.entries, func(_ string, entry *entry) bool {
+		return now.Sub(entry.heard) > gate.config.Forget
+	})
+}
+
+// line returns the requests that wait and whose adapter is loaded, in the order
+// of their turns.
+func (gate *Gate) line() []*waiter {
+	var line []*waiter
+	for _, entry := range gate.entries {
+		for _, waiting := range entry.asks {
+			if !waiting.granted && gate.state.Holds != nil && gate.state.Holds(waiting.Adapter) {
+				line = append(line, waiting)
+			}
+		}
+	}
+	slices.SortFunc(line, func(a, b *waiter) int {
+		return cmp.Or(gate.turn(a).Compare(gate.turn(b)), cmp.Compare(a.entry, b.entry), cmp.Compare(a.ID, b.ID))
+	})
+	return line
+}
+
+func (gate *Gate) turn(waiting *waiter) time.Time {
+	return waiting.came.Add(time.Duration(waiting.Priority) * gate.config.Ageing)
+}
+
+// fits reports whether a request may start now. One that is larger than the
+// whole span allows may start when nothing else did.
+func (gate *Gate) fits(waiting *waiter) bool {
+	if gate.shape.Slots > 0 && gate.state.Running+len(gate.unseen) >= gate.shape.Slots {
+		return false
+	}
+	memory := gate.state.UsedTokens + waiting.Prompt + waiting.Output
+	for _, grant := range gate.unseen {
+		memory += grant.memory
+	}
+	if gate.state.TotalTokens > 0 && memory > gate.state.TotalTokens {
+		return false
+	}
+	limit := gate.spanTokens()
+	return limit == 0 || len(gate.granted) == 0 || gate.spanUse()+waiting.Prompt <= limit
+}
+
+func (gate *Gate) admit(waiting *waiter, now time.Time) {
+	waiting.granted = true
+	let := grant{at: now, prompt: waiting.Prompt, memory: waiting.Prompt + waiting.Output}
+	gate.granted = append(gate.granted, let)
+	gate.unseen = append(gate.unseen, let)
+}
+
+// spanTokens returns how many prompt tokens the engine can read within one span
+// beside the tokens of an event, or 0 if nothing is known of it.
+func (gate *Gate) spanTokens() int64 {
+	left := gate.shape.Gap - time.Duration(gate.shape.EventTokens)*gate.config.Step
+	if left <= 0 {
+		return 0
+	}
+	return int64(left.Seconds() * 1000 * gate.config.ReadRate * gate.config.Use)
+}
+
+func (gate *Gate) spanUse() int64 {
+	var sum int64
+	for _, grant := range gate.granted {
+		sum += grant.prompt
+	}
+	return sum
+}
+
+// Next returns how long it takes until a turn may come although nothing else
+// happens, or 0 if nothing waits.
+func (gate *Gate) Next() time.Duration {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if len(gate.line()) == 0 || len(gate.granted) == 0 {
+		return 0
+	}
+	return max(gate.shape.Gap-time.Since(gate.granted[0].at), time.Millisecond)
+}
+
+// Backlog returns the prompt tokens that were let in within the last span or
+// wait for their turn.
+func (gate *Gate) Backlog() int64 {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.forget(time.Now())
+	sum := gate.spanUse()
+	for _, entry := range gate.entries {
+		for _, waiting := range entry.asks {
+			if !waiting.granted {
+				sum += waiting.Prompt
+			}
+		}
+	}
+	return sum
+}
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -5,11 +5,13 @@
 package steer
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -23,9 +25,13 @@
 	// DefaultOverfill is the number of requests beyond its slots that an engine
 	// is given.
 	DefaultOverfill = 4
-	// DefaultSpread is by how many requests an upstream that holds an adapter
-	// may be fuller than another before a second copy is brought there.
-	DefaultSpread = 10
+	// DefaultSpread is by how many prompt tokens the backlog of an upstream that
+	// holds an adapter may exceed another's before a second copy is brought
+	// there.
+	DefaultSpread = 2500
+	// runningWeight is the backlog in prompt tokens that a running request
+	// counts for, since each makes the others slower.
+	runningWeight = 30
 )
 
 // Health says which upstreams are passed over after failures.
@@ -42,7 +48,7 @@
 	Fresh         time.Duration
 	Lag           time.Duration
 	Overfill      int
-	Spread        int
+	Spread        int64
 }
 
 // Report is what a loader says of its engine.
@@ -55,8 +61,14 @@
 	TotalTokens int64
 	ModelLoaded bool
 	Draining    bool
-	Resident    []stock.Adapter
-	Pending     []stock.Adapter
+	// Unreachable means that the engine does not answer its loader.
+	Unreachable bool
+	// Backlog is the number of prompt tokens that were let in lately or wait.
+	Backlog int64
+	// FreePlaces is the number of places for adapters that no request uses.
+	FreePlaces int
+	Resident   []stock.Adapter
+	Pending    []stock.Adapter
 }
 
 // Board holds the upstreams as one entry instance sees them. Its methods may be
@@ -79,13 +91,23 @@
 	running int
 	// byAdapter counts this instance's running requests by adapter.
 	byAdapter map[stock.Adapter]int
-	// waiting counts this instance's requests that wait for an adapter.
-	waiting map[stock.Adapter]int
+	// wanted counts the copies of adapters that this instance asks for without
+	// a request that waits.
+	wanted map[stock.Adapter]int
+	// asks holds this instance's requests that wait for their turn.
+	asks map[uint64]*ask
 	// answered is the load that the last answer named.
 	answered   int
 	answeredAt time.Time
 }
 
+// ask is a request that waits for its turn at an upstream.
+type ask struct {
+	admit.Ask
+	placed  time.Time
+	granted bool
+}
+
 // New returns a Board without upstreams.
 func New(config Config) *Board {
 	if config.Fresh == 0 {
@@ -114,7 +136,7 @@
 	for _, spec := range listed {
 		entry, ok := known[spec.ID]
 		if !ok {
-			entry = &upstream{byAdapter: make(map[stock.Adapter]int), waiting: make(map[stock.Adapter]int)}
+			entry = &upstream{byAdapter: make(map[stock.Adapter]int), wanted: make(map[stock.Adapter]int), asks: make(map[uint64]*ask)}
 		}
 		if entry.report.Born != spec.Born {
 			entry.report, entry.reported = Report{}, time.Time{}
@@ -150,6 +172,21 @@
 	entry.sent = slices.DeleteFunc(entry.sent, func(at time.Time) bool { return at.Before(cut) })
 }
 
+// Granted records which of this instance's requests may start at an upstream.
+func (board *Board) Granted(id string, asks []uint64) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	entry, ok := board.upstreams[id]
+	if !ok {
+		return
+	}
+	for _, number := range asks {
+		if waiting, ok := entry.asks[number]; ok {
+			waiting.granted = true
+		}
+	}
+}
+
 // Sent records that a request was sent to an upstream.
 func (board *Board) Sent(id string, adapter stock.Adapter) {
 	board.mutex.Lock()
@@ -173,24 +210,96 @@
 	}
 }
 
-// Wait records that a request waits for an adapter at an upstream.
-func (board *Board) Wait(id string, adapter stock.Adapter) {
+// Want asks for a copy of an adapter at an upstream, without a request that
+// waits for it, until Unwant.
+func (board *Board) Want(id string, adapter stock.Adapter) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
-		entry.waiting[adapter]++
+		entry.wanted[adapter]++
 	}
 }
 
-// Waited ends what Wait began.
-func (board *Board) Waited(id string, adapter stock.Adapter) {
+// Unwant ends what Want began.
+func (board *Board) Unwant(id string, adapter stock.Adapter) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
-		decrement(entry.waiting, adapter)
+		decrement(entry.wanted, adapter)
+	}
+}
+
+// Place records that a request waits for its turn at an upstream.
+func (board *Board) Place(id string, request admit.Ask) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if entry, ok := board.upstreams[id]; ok {
+		entry.asks[request.ID] = &ask{Ask: request, placed: time.Now()}
+	}
+}
+
+// Withdraw ends what Place began.
+func (board *Board) Withdraw(id string, number uint64) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if entry, ok := board.upstreams[id]; ok {
+		delete(entry.asks, number)
+	}
+}
+
+// Turn says whether a request that waits at an upstream may start.
+type Turn uint8
+
+const (
+	// Waiting means that its turn has not come.
+	Waiting Turn = iota
+	// Come means that it may start.
+	Come
+	// Unruled means that no loader answers for the upstream, so that the
+	// request may start when the upstream holds its adapter.
+	Unruled
+	// Lost means that the upstream cannot be used any more.
+	Lost
+)
+
+// Turn returns whether a request that waits at an upstream may start.
+func (board *Board) Turn(id string, number uint64) Turn {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	entry, ok := board.upstreams[id]
+	if !ok || entry.leaving() || entry.report.Unreachable {
+		return Lost
+	}
+	waiting, ok := entry.asks[number]
+	switch {
+	case !ok:
+		return Lost
+	case waiting.granted:
+		return Come
+	case board.fresh(entry, time.Now()):
+		return Waiting
+	default:
+		return Unruled
 	}
 }
 
+// Asks returns this instance's requests that wait for their turn at an
+// upstream, ordered by their numbers.
+func (board *Board) Asks(id string) []admit.Ask {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	entry, ok := board.upstreams[id]
+	if !ok || len(entry.asks) == 0 {
+		return nil
+	}
+	asks := make([]admit.Ask, 0, len(entry.asks))
+	for _, waiting := range entry.asks {
+		asks = append(asks, waiting.Ask)
+	}
+	slices.SortFunc(asks, func(a, b admit.Ask) int { return cmp.Compare(a.ID, b.ID) })
+	return asks
+}
+
 func decrement(counts map[stock.Adapter]int, adapter stock.Adapter) {
 	if counts[adapter] <= 1 {
 		delete(counts, adapter)
@@ -229,30 +338,22 @@
 	if !ok {
 		return nil
 	}
-	adapters := make(map[stock.Adapter]bool)
-	for adapter := range entry.byAdapter {
-		adapters[adapter] = true
-	}
-	for adapter := range entry.waiting {
-		adapters[adapter] = true
+	waiting := maps.Clone(entry.wanted)
+	for _, request := range entry.asks {
+		if request.Adapter.Name != "" {
+			waiting[request.Adapter]++
+		}
 	}
+	adapters := maps.Clone(entry.byAdapter)
+	maps.Copy(adapters, waiting)
 	uses := make([]stock.Use, 0, len(adapters))
-	for adapter := range maps.Keys(adapters) {
-		uses = append(uses, stock.Use{Adapter: adapter, Running: entry.byAdapter[adapter], Waiting: entry.waiting[adapter]})
+	for adapter := range adapters {
+		uses = append(uses, stock.Use{Adapter: adapter, Running: entry.byAdapter[adapter], Waiting: waiting[adapter]})
 	}
 	slices.SortFunc(uses, func(a, b stock.Use) int { return compareAdapters(a.Adapter, b.Adapter) })
 	return uses
 }
 
-// Holds reports whether an upstream is known to hold an adapter in the version
-// or a newer one.
-func (board *Board) Holds(id string, adapter stock.Adapter) bool {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	entry, ok := board.upstreams[id]
-	return ok && entry.holds(adapter)
-}
-
 // Listed reports whether an upstream is still in the list and not leaving.
 func (board *Board) Listed(id string) bool {
 	board.mutex.Lock()
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,6 +25,9 @@
 	Exclude []string
 	// Urgent requests may take more of the places beyond an engine's slots.
 	Urgent bool
+	// Limit is the backlog in prompt tokens beyond which waiting is in vain, or
+	// 0 for none.
+	Limit int64
 }
 
 // Result says what Choose found.
@@ -44,8 +48,10 @@
 type Choice struct {
 	Result   Result
 	Upstream fleet.Upstream
-	// Load is the number of requests that the upstream is thought to hold.
-	Load int
+	// Load is the number of requests that the upstream is thought to hold, and
+	// Backlog the number of prompt tokens before this request.
+	Load    int
+	Backlog int64
 	// Copy is another upstream that should get the adapter too, if its id is
 	// not empty.
 	Copy fleet.Upstream
@@ -57,6 +63,7 @@
 type candidate struct {
 	*upstream
 	load  int
+	work  int64
 	full  bool
 	holds bool
 	near  bool
@@ -87,7 +94,7 @@
 		if entry.leaving() || slices.Contains(need.Exclude, entry.spec.ID) {
 			continue
 		}
-		if need.Engine && !entry.reported.IsZero() && !entry.report.ModelLoaded {
+		if need.Engine && !entry.reported.IsZero() && (!entry.report.ModelLoaded || entry.report.Unreachable) {
 			continue
 		}
 		if board.config.Health != nil && !board.config.Health.Usable(need.Service, entry.spec.ID) {
@@ -97,19 +104,40 @@
 		candidates = append(candidates, candidate{
 			upstream: entry,
 			load:     load,
-			full:     board.full(entry, load, need),
+			work:     board.work(entry, load, now),
+			full:     board.full(entry, load, need) || need.Limit > 0 && board.work(entry, load, now) > need.Limit,
 			holds:    entry.holds(need.Adapter),
 			near:     entry.spec.FailureDomain == board.config.FailureDomain,
 		})
 	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates
 }
 
+// work returns how many prompt tokens a request would have before it.
+func (board *Board) work(entry *upstream, load int, now time.Time) int64 {
+	work := int64(load * runningWeight)
+	if board.fresh(entry, now) {
+		work += entry.report.Backlog
+	}
+	unseen := entry.reported.Add(-board.config.Lag)
+	for _, waiting := range entry.asks {
+		if waiting.placed.After(unseen) {
+			work += waiting.Prompt
+		}
+	}
+	return work
+}
+
+func (board *Board) fresh(entry *upstream, now time.Time) bool {
+	return !entry.reported.IsZero() && now.Sub(entry.reported) < board.config.Fresh
+}
+
 // load returns how many requests an upstream is thought to hold: what it
 // reported and what this instance sent since, or what this instance has there
 // times the number of instances.
 func (board *Board) load(entry *upstream, now time.Time) int {
-	if !entry.reported.IsZero() && now.Sub(entry.reported) < board.config.Fresh {
+	if board.fresh(entry, now) {
 		return max(entry.report.Running+entry.report.Queued+len(entry.sent), entry.running)
 	}
 	if now.Sub(entry.answeredAt) < board.config.Lag {
@@ -138,7 +166,7 @@
 	best := leastLoaded(holders, Found)
 	target, ok := board.target(others, need.Adapter)
 	if best.Result == Found {
-		if ok && best.Load > target.load+board.config.Spread {
+		if ok && best.Backlog > target.work+board.config.Spread && !target.coming(need.Adapter) {
 			best.Copy = target.spec
 		}
 		return best
@@ -146,7 +174,7 @@
 	if !ok {
 		return Choice{Result: Full}
 	}
-	return Choice{Result: Absent, Upstream: target.spec, Load: target.load}
+	return Choice{Result: Absent, Upstream: target.spec, Load: target.load, Backlog: target.work}
 }
 
 // target returns where an adapter should be brought: where it is already on its
@@ -157,6 +185,11 @@
 	if len(open) == 0 {
 		return candidate{}, false
 	}
+	if roomy := slices.DeleteFunc(slices.Clone(open), func(entry candidate) bool {
+		return !entry.reported.IsZero() && entry.report.FreePlaces <= 0 && !entry.coming(adapter)
+	}); len(roomy) > 0 {
+		open = roomy
+	}
 	coming := slices.DeleteFunc(slices.Clone(open), func(entry candidate) bool { return !entry.coming(adapter) })
 	if len(coming) > 0 {
 		return slices.MinFunc(coming, byLoad), true
@@ -166,7 +199,7 @@
 	})
 	first := open[0]
 	for _, entry := range open[1:] {
-		if first.load <= entry.load+board.config.Spread {
+		if first.work <= entry.work+board.config.Spread {
 			break
 		}
 		first = entry
@@ -182,11 +215,11 @@
 		return Choice{Result: Full}
 	}
 	best := slices.MinFunc(open, byLoad)
-	return Choice{Result: found, Upstream: best.spec, Load: best.load}
+	return Choice{Result: found, Upstream: best.spec, Load: best.load, Backlog: best.work}
 }
 
 func byLoad(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.load, b.load), compareBool(b.near, a.near), cmp.Compare(a.spec.ID, b.spec.ID))
+	return cmp.Or(cmp.Compare(a.work, b.work), compareBool(b.near, a.near))
 }
 
 func compareBool(a, b bool) int {
@@ -212,7 +245,15 @@
 
 // coming reports whether the adapter is on its way or asked for.
 func (entry *upstream) coming(adapter stock.Adapter) bool {
-	return serves(entry.report.Pending, adapter) || entry.waiting[adapter] > 0
+	if serves(entry.report.Pending, adapter) || entry.wanted[adapter] > 0 {
+		return true
+	}
+	for _, waiting := range entry.asks {
+		if waiting.Adapter == adapter {
+			return true
+		}
+	}
+	return false
 }
 
 func serves(held []stock.Adapter, wanted stock.Adapter) bool {
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -278,6 +278,20 @@
 	return found, found.Name != ""
 }
 
+// Free returns the number of places that no request uses or waits for.
+func (planner *Planner) Free() int {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	_, slots := planner.wish()
+	busy := make(map[string]bool)
+	for _, demand := range planner.demands {
+		for _, use := range demand.Uses {
+			busy[use.Adapter.Name] = true
+		}
+	}
+	return max(slots-len(busy), 0)
+}
+
 // forget drops the demands of entry instances that fell silent.
 func (planner *Planner) forget() {
 	now := time.Now()
--- a/internal/link/hop/hop.go
+++ b/internal/link/hop/hop.go
@@ -96,6 +96,15 @@
 	until time.Time
 }
 
+// abort closes a connection with a reset, so that what was written and not yet
+// delivered is dropped. A request that was given up must not arrive later.
+func (conn *conn) abort() {
+	if lingering, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = lingering.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // New returns a Pool without connections.
 func New(config Config) *Pool {
 	if config.Dialer == nil {
@@ -129,13 +138,13 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = used.Close() })
+	stop := context.AfterFunc(ctx, used.abort)
 	written := make(chan error, 1)
 	go func() { written <- writeRequest(used, request) }()
 	response, err := readResponse(used.reader, request.Method)
 	if err != nil {
 		stop()
-		_ = used.Close()
+		used.abort()
 		return nil, Broken.Wrap(fmt.Errorf("no answer from %s: %w", address, err))
 	}
 	body := &body{pool: pool, address: address, conn: used, response: response, stop: stop, written: written}
@@ -298,7 +307,7 @@
 
 func (body *body) abandon() {
 	body.stop()
-	_ = body.conn.Close()
+	body.conn.abort()
 }
 
 // finish keeps the connection if the answer has a clear end, nothing follows
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -70,6 +70,8 @@
 	Tokens int64
 	// Megabytes is the engine's memory for weights.
 	Megabytes float64
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
 }
 
 // Service is a group of interchangeable upstreams.
@@ -177,6 +179,21 @@
 	return organisation, ok
 }
 
+// TargetGap returns the shortest goal for pauses between events among the
+// routes to a service, or 0 if none has one.
+func (table *Table) TargetGap(service string) time.Duration {
+	var shortest time.Duration
+	for _, route := range table.config.Routes {
+		if route.TargetGap <= 0 || shortest > 0 && route.TargetGap >= shortest {
+			continue
+		}
+		if slices.ContainsFunc(route.Services, func(share Share) bool { return share.Service == service }) {
+			shortest = route.TargetGap
+		}
+	}
+	return shortest
+}
+
 // Pick returns the service for a request, by the weights of the route. point is
 // uniform in [0, 1).
 func (route *Route) Pick(point float64) string {
