--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -26,9 +26,7 @@
 	loader.mutex.Lock()
 	loader.listed = demand.GetUpstream()
 	loader.mutex.Unlock()
-	if len(demand.GetAsks()) > 0 {
-		wake(loader.turns)
-	}
+	wake(loader.turns)
 	for _, use := range demand.GetUses() {
 		if use.GetWaiting() > 0 {
 			wake(loader.orders)
@@ -69,7 +67,7 @@
 	loader.mutex.Unlock()
 	if held || loaded && since >= tellPeriod || since >= idlePeriod {
 		granted, _ := loader.gate.Grant()
-		loader.tell(loader.planner.Entries(), granted)
+		loader.tell(granted, held || since >= idlePeriod)
 	}
 }
 
@@ -79,9 +77,11 @@
 		slices.Equal(a.Resident, b.Resident) && slices.Equal(a.Pending, b.Pending)
 }
 
-// tell sends the engine's state, and what was granted, to entry instances.
-func (loader *Loader) tell(entries []string, granted map[string][]uint64) {
-	state := loader.state()
+// tell sends the engine's state, and what was granted, to the entry instances.
+// Only a full state names the adapters.
+func (loader *Loader) tell(granted map[string][]uint64, full bool) {
+	entries := loader.planner.Entries()
+	state := loader.state(full, entries)
 	if state == nil {
 		return
 	}
@@ -96,8 +96,7 @@
 
 // state returns what the entry instances are told, or nil if there is nothing
 // to tell yet.
-func (loader *Loader) state() *wirepb.EngineState {
-	entries := loader.planner.Entries()
+func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
 	backlog, free := loader.gate.Backlog(), loader.planner.Free()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
@@ -106,16 +105,20 @@
 		return nil
 	}
 	loader.serial++
-	loader.told, loader.sent = time.Now(), report
-	return &wirepb.EngineState{
+	state := &wirepb.EngineState{
 		Upstream: loader.listed, Born: report.Born, Serial: loader.serial,
 		Running: uint32(report.Running), Queued: uint32(report.Queued),
 		UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
 		ModelLoaded: len(report.Models) > 0, Draining: report.Draining,
-		Unreachable: loader.misses >= lostReports,
-		Resident:    encodeAdapters(report.Resident), Pending: encodeAdapters(report.Pending),
-		Entries: entries, BacklogTokens: backlog, FreePlaces: uint32(free),
+		Unreachable:   loader.misses >= lostReports,
+		BacklogTokens: backlog, FreePlaces: uint32(free),
+	}
+	if full {
+		loader.told, loader.sent, loader.full = time.Now(), report, loader.serial
+		state.Resident, state.Pending, state.Entries = encodeAdapters(report.Resident), encodeAdapters(report.Pending), entries
 	}
+	state.Brief, state.FullSerial = !full, loader.full
+	return state
 }
 
 func encodeAdapters(adapters []stock.Adapter) []*wirepb.AdapterVersion {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -84,7 +84,9 @@
 	// listed is the engine's id as the entry instances know it.
 	listed string
 	serial uint64
-	told   time.Time
+	// full is the serial of the last state that named the adapters.
+	full uint64
+	told time.Time
 	// sent is the report that the entry instances were told last.
 	sent Report
 
@@ -203,6 +205,7 @@
 func (loader *Loader) grant(ctx context.Context) {
 	timer := time.NewTimer(idlePeriod)
 	defer timer.Stop()
+	var told int64
 	for {
 		select {
 		case <-ctx.Done():
@@ -211,8 +214,9 @@
 		case <-timer.C:
 		}
 		granted, changed := loader.gate.Grant()
-		if len(changed) > 0 {
-			loader.tell(changed, granted)
+		if backlog := loader.gate.Backlog(); len(changed) > 0 || backlog != told {
+			told = backlog
+			loader.tell(granted, false)
 		}
 		timer.Reset(cmp.Or(loader.gate.Next(), idlePeriod))
 	}
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -178,6 +178,11 @@
 	}
 	relay.board.SetInstances(relay.peers.count())
 	relay.board.Reported(state.GetUpstream(), steer.Report{
+		Unreachable: state.GetUnreachable(),
+		Backlog:     state.GetBacklogTokens(),
+		FreePlaces:  int(state.GetFreePlaces()),
+		Brief:       state.GetBrief(),
+		FullSerial:  state.GetFullSerial(),
 		Born:        state.GetBorn(),
 		Serial:      state.GetSerial(),
 		Running:     int(state.GetRunning()),
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -66,8 +66,13 @@
 	// upstream is the last one chosen.
 	upstream string
 	waited   time.Duration
-	load     int
-	backlog  int64
+	// waitedAdapter is the part of waited in which the adapter was not loaded.
+	waitedAdapter time.Duration
+	lookedAt      time.Time
+	// moves counts the upstreams at which it waited.
+	moves   int
+	load    int
+	backlog int64
 
 	// failure is an answer that an upstream ran the request and failed, kept
 	// with its body while another upstream may do better.
@@ -236,7 +241,9 @@
 		zap.String("upstream", flight.upstream),
 		zap.Int("sends", flight.sends),
 		zap.Duration("waited", flight.waited),
+		zap.Duration("waited-adapter", flight.waitedAdapter),
 		zap.Int("load", flight.load),
+		zap.Int("moves", flight.moves),
 		zap.Int64("backlog", flight.backlog),
 		zap.Duration("took", time.Since(flight.started)),
 	)
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -147,6 +147,7 @@
 	for {
 		changed := flight.relay.changed.next()
 		choice := place.choose()
+		flight.noteWait(choice)
 		if place.start(choice) {
 			flight.found(choice)
 			return choice, nil
@@ -164,6 +165,15 @@
 	}
 }
 
+// noteWait adds the time since the last look to what it was waited for.
+func (flight *flight) noteWait(choice steer.Choice) {
+	now := time.Now()
+	if !flight.lookedAt.IsZero() && choice.Result == steer.Absent {
+		flight.waitedAdapter += now.Sub(flight.lookedAt)
+	}
+	flight.lookedAt = now
+}
+
 // place is where a request waits for its turn.
 type place struct {
 	flight *flight
@@ -194,6 +204,7 @@
 func (place *place) take(choice steer.Choice, need steer.Need) {
 	moved := choice.Upstream.ID != place.choice.Upstream.ID || need.Adapter != place.need.Adapter
 	if moved {
+		place.flight.moves++
 		place.leave()
 		place.flight.relay.board.Place(choice.Upstream.ID, admit.Ask{
 			ID: place.number, Adapter: need.Adapter, Priority: place.flight.priority(),
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -67,6 +67,10 @@
 	Backlog int64
 	// FreePlaces is the number of places for adapters that no request uses.
 	FreePlaces int
+	// Brief reports name no adapters; those of the report with the serial
+	// FullSerial stand.
+	Brief      bool
+	FullSerial uint64
 	Resident   []stock.Adapter
 	Pending    []stock.Adapter
 }
@@ -138,7 +142,7 @@
 		if !ok {
 			entry = &upstream{byAdapter: make(map[stock.Adapter]int), wanted: make(map[stock.Adapter]int), asks: make(map[uint64]*ask)}
 		}
-		if entry.report.Born != spec.Born {
+		if spec.Born > entry.report.Born {
 			entry.report, entry.reported = Report{}, time.Time{}
 		}
 		entry.spec = spec
@@ -167,6 +171,12 @@
 	if recent && entry.report.Born == report.Born && report.Serial <= entry.report.Serial {
 		return
 	}
+	if report.Brief {
+		if entry.report.FullSerial != report.FullSerial {
+			return
+		}
+		report.Resident, report.Pending = entry.report.Resident, entry.report.Pending
+	}
 	entry.report, entry.reported = report, now
 	cut := now.Add(-board.config.Lag)
 	entry.sent = slices.DeleteFunc(entry.sent, func(at time.Time) bool { return at.Before(cut) })
