Bring second copies of an adapter only for a long backlog

Cause: a copy costs a load from the weight store, which allows 32 a second; 163 ms of waiting does not miss a goal of 800 ms.

--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -25,10 +25,13 @@
 	// DefaultOverfill is the number of requests beyond its slots that an engine
 	// is given.
 	DefaultOverfill = 4
-	// DefaultSpread is by how many prompt tokens the backlog of an upstream that
-	// holds an adapter may exceed another's before a second copy is brought
-	// there.
-	DefaultSpread = 2500
+	// DefaultSpread is by how many prompt tokens the backlog of the upstream that
+	// ranks first for an adapter may exceed another's before the adapter is
+	// brought there instead.
+	DefaultSpread = 4000
+	// DefaultCopy is the same for an upstream that holds the adapter, before
+	// another copy is brought.
+	DefaultCopy = 6000
 	// runningWeight is the backlog in prompt tokens that a running request
 	// counts for, since each makes the others slower.
 	runningWeight = 30
@@ -49,6 +52,7 @@
 	Lag           time.Duration
 	Overfill      int
 	Spread        int64
+	Copy          int64
 }
 
 // Report is what a loader says of its engine.
@@ -126,6 +130,9 @@
 	if config.Spread == 0 {
 		config.Spread = DefaultSpread
 	}
+	if config.Copy == 0 {
+		config.Copy = DefaultCopy
+	}
 	return &Board{config: config, upstreams: make(map[string]*upstream), services: make(map[string][]*upstream), instances: 1}
 }
 
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -174,7 +174,7 @@
 	best := leastLoaded(holders, Found)
 	target, ok := board.target(others, need.Adapter)
 	if best.Result == Found {
-		if ok && best.Backlog > target.work+board.config.Spread && !target.coming(need.Adapter) {
+		if ok && best.Backlog > target.work+board.config.Copy && !target.coming(need.Adapter) {
 			best.Copy = target.spec
 		}
 		return best
