--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -23,6 +23,9 @@
 	// DefaultStep is the time that an engine takes for one token of all its
 	// streams when it reads no prompts.
 	DefaultStep = 14 * time.Millisecond
+	// DefaultChunk is the largest number of prompt tokens that an engine reads
+	// in one step.
+	DefaultChunk = 2048
 	// DefaultUse is the part of the reading time that is given out. The rest
 	// covers the time between a grant and the request's arrival.
 	DefaultUse = 0.94
@@ -38,6 +41,7 @@
 type Config struct {
 	ReadRate float64
 	Step     time.Duration
+	Chunk    int64
 	Use      float64
 	Ageing   time.Duration
 	Forget   time.Duration
@@ -113,6 +117,9 @@
 	if config.Step == 0 {
 		config.Step = DefaultStep
 	}
+	if config.Chunk == 0 {
+		config.Chunk = DefaultChunk
+	}
 	if config.Use == 0 {
 		config.Use = DefaultUse
 	}
@@ -135,6 +142,10 @@
 	gate.unseen = slices.DeleteFunc(gate.unseen, func(grant grant) bool { return grant.at.Before(arrived) })
 }
 
+// queueSpans is how many spans of reading may wait at an engine whose streams
+// do not suffer from it.
+const queueSpans = 2
+
 // arrivalTime is how long after its grant a request shows in the engine's
 // state.
 const arrivalTime = 60 * time.Millisecond
@@ -244,14 +255,28 @@
 	gate.unseen = append(gate.unseen, let)
 }
 
-// spanTokens returns how many prompt tokens the engine can read within one span
-// beside the tokens of an event, or 0 if nothing is known of it.
+// spanTokens returns how many prompt tokens may be let in within one span, or 0
+// if nothing is known of the engine. Where no steps are so long that the streams
+// pause for too long, only the queue before the engine is bounded.
 func (gate *Gate) spanTokens() int64 {
-	left := gate.shape.Gap - time.Duration(gate.shape.EventTokens)*gate.config.Step
-	if left <= 0 {
+	steps := time.Duration(gate.shape.EventTokens) * gate.config.Step
+	if gate.shape.Gap <= steps {
 		return 0
 	}
-	return int64(left.Seconds() * 1000 * gate.config.ReadRate * gate.config.Use)
+	if steps+gate.reading(int64(gate.shape.EventTokens)*gate.config.Chunk) <= gate.shape.Gap {
+		return queueSpans * gate.readable(gate.shape.Gap)
+	}
+	return gate.readable(gate.shape.Gap - steps)
+}
+
+// readable returns how many prompt tokens an engine reads in a time.
+func (gate *Gate) readable(span time.Duration) int64 {
+	return int64(float64(span.Milliseconds()) * gate.config.ReadRate * gate.config.Use)
+}
+
+// reading returns how long an engine reads prompt tokens.
+func (gate *Gate) reading(tokens int64) time.Duration {
+	return time.Duration(float64(tokens) / gate.config.ReadRate * float64(time.Millisecond))
 }
 
 func (gate *Gate) spanUse() int64 {
