--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -14,7 +14,7 @@
 // heard takes over what an entry instance asks for.
 func (loader *Loader) heard(_ string, datagram *wirepb.Datagram) {
 	demand := datagram.GetDemand()
-	if demand == nil {
+	if demand == nil || !loader.meant(demand) {
 		return
 	}
 	loader.planner.Demand(decodeDemand(demand))
@@ -23,9 +23,6 @@
 		EventTokens: int(demand.GetEventTokens()),
 		Gap:         time.Duration(demand.GetGapMs()) * time.Millisecond,
 	}, decodeAsks(demand.GetAsks()))
-	loader.mutex.Lock()
-	loader.listed = demand.GetUpstream()
-	loader.mutex.Unlock()
 	wake(loader.turns)
 	for _, use := range demand.GetUses() {
 		if use.GetWaiting() > 0 {
@@ -35,8 +32,23 @@
 	}
 }
 
+// meant reports whether a demand is for the present start of the engine. One
+// address may be listed under several ids after a restart.
+func (loader *Loader) meant(demand *wirepb.Demand) bool {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	if demand.GetBorn() != 0 && demand.GetBorn() < loader.report.Born {
+		return false
+	}
+	loader.listed = demand.GetUpstream()
+	return true
+}
+
 func decodeDemand(demand *wirepb.Demand) stock.Demand {
-	decoded := stock.Demand{Entry: demand.GetEntry(), Model: demand.GetModel(), Slots: int(demand.GetAdapterSlots())}
+	decoded := stock.Demand{
+		Entry: demand.GetEntry(), Model: demand.GetModel(),
+		Slots: int(demand.GetAdapterSlots()), Elsewhere: int(demand.GetPendingElsewhere()),
+	}
 	for _, use := range demand.GetUses() {
 		decoded.Uses = append(decoded.Uses, stock.Use{
 			Adapter: stock.Adapter{Name: use.GetAdapter(), Version: use.GetVersion()},
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -27,6 +27,9 @@
 	// usagePeriod is the same for the other entry instances, which take an
 	// instance for silent after share.DefaultSilence.
 	usagePeriod = 250 * time.Millisecond
+	// settleTime is how long after a start the loaders have heard of all entry
+	// instances that started at the same time.
+	settleTime = 700 * time.Millisecond
 	// peerTime is how long an entry instance is remembered that no loader names.
 	peerTime = 9 * time.Second
 )
@@ -92,15 +95,17 @@
 		}
 		last[upstream.ID] = told{uses: uses, asks: asks, at: time.Now()}
 		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
-			Entry:        relay.config.Address,
-			Model:        service.Engine.Models[0].Name,
-			AdapterSlots: uint32(service.Engine.AdapterSlots),
-			Uses:         encodeUses(uses),
-			Upstream:     upstream.ID,
-			Slots:        uint32(service.Engine.Slots),
-			EventTokens:  uint32(service.Engine.EventTokens),
-			GapMs:        uint32(config.TargetGap(service.Name).Milliseconds()),
-			Asks:         encodeAsks(asks),
+			Entry:            relay.config.Address,
+			Model:            service.Engine.Models[0].Name,
+			AdapterSlots:     uint32(service.Engine.AdapterSlots),
+			Uses:             encodeUses(uses),
+			Upstream:         upstream.ID,
+			Slots:            uint32(service.Engine.Slots),
+			EventTokens:      uint32(service.Engine.EventTokens),
+			GapMs:            uint32(config.TargetGap(service.Name).Milliseconds()),
+			Asks:             encodeAsks(asks),
+			Born:             upstream.Born,
+			PendingElsewhere: uint32(relay.board.Coming(upstream.Service, upstream.ID)),
 		}}})
 	}
 }
@@ -177,6 +182,9 @@
 		relay.peers.seen(address)
 	}
 	relay.board.SetInstances(relay.peers.count())
+	if time.Since(relay.start) > settleTime {
+		relay.ledger.SetInstances(relay.peers.count())
+	}
 	relay.board.Reported(state.GetUpstream(), steer.Report{
 		Unreachable: state.GetUnreachable(),
 		Backlog:     state.GetBacklogTokens(),
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -18,6 +18,9 @@
 	DefaultSilence = 700 * time.Millisecond
 	// DefaultForget is how long a silent instance is expected to come back.
 	DefaultForget = 9 * time.Second
+	// DefaultInitial is the part of the burst that all instances together may
+	// spend at once after they started anew. What was spent before is not known.
+	DefaultInitial = 0.4
 	// DefaultUse is the part of rate and burst that is given out. The rest
 	// covers what the instances spend between two exchanges.
 	DefaultUse = 1.0
@@ -27,6 +30,7 @@
 type Config struct {
 	Silence time.Duration
 	Forget  time.Duration
+	Initial float64
 	Use     float64
 }
 
@@ -42,10 +46,11 @@
 type Ledger struct {
 	config Config
 
-	mutex   sync.Mutex
-	start   time.Time
-	buckets map[string]*bucket
-	peers   map[string]*peer
+	mutex     sync.Mutex
+	start     time.Time
+	instances int
+	buckets   map[string]*bucket
+	peers     map[string]*peer
 }
 
 type bucket struct {
@@ -71,6 +76,9 @@
 	if config.Forget == 0 {
 		config.Forget = DefaultForget
 	}
+	if config.Initial == 0 {
+		config.Initial = DefaultInitial
+	}
 	if config.Use == 0 {
 		config.Use = DefaultUse
 	}
@@ -105,13 +113,35 @@
 	}
 }
 
-// refill brings a bucket to the present. A new bucket starts empty, since other
-// instances may have spent its burst just before.
+// SetInstances records how many instances share the rates. Until it is known,
+// new buckets start empty.
+func (ledger *Ledger) SetInstances(count int) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	if ledger.instances > 0 || count <= 0 {
+		return
+	}
+	ledger.instances = count
+	for _, bucket := range ledger.buckets {
+		bucket.level += ledger.initial(bucket.limit)
+	}
+}
+
+// initial returns what a new bucket holds: this instance's part of what all may
+// spend although the burst may have been spent just before.
+func (ledger *Ledger) initial(limit Limit) float64 {
+	if ledger.instances == 0 {
+		return 0
+	}
+	return limit.Burst * ledger.config.Initial / float64(ledger.instances)
+}
+
+// refill brings a bucket to the present.
 func (ledger *Ledger) refill(organisation string, limit Limit) *bucket {
 	now := time.Now()
 	found, ok := ledger.buckets[organisation]
 	if !ok {
-		found = &bucket{limit: limit, drawn: ledger.start}
+		found = &bucket{limit: limit, drawn: ledger.start, level: ledger.initial(limit)}
 		ledger.buckets[organisation] = found
 	}
 	if found.limit != limit {
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -144,7 +144,11 @@
 	known := board.upstreams
 	board.upstreams = make(map[string]*upstream, len(listed))
 	board.services = make(map[string][]*upstream)
+	newest := newestAt(listed)
 	for _, spec := range listed {
+		if spec.Born < newest[spec.Address] {
+			continue
+		}
 		entry, ok := known[spec.ID]
 		if !ok {
 			entry = &upstream{byAdapter: make(map[stock.Adapter]int), wanted: make(map[stock.Adapter]int), asks: make(map[uint64]*ask)}
@@ -158,6 +162,16 @@
 	}
 }
 
+// newestAt returns the latest start listed for each address. What is listed
+// there with an earlier one has ended.
+func newestAt(listed []fleet.Upstream) map[string]int64 {
+	newest := make(map[string]int64, len(listed))
+	for _, spec := range listed {
+		newest[spec.Address] = max(newest[spec.Address], spec.Born)
+	}
+	return newest
+}
+
 // SetInstances records how many entry instances share the upstreams.
 func (board *Board) SetInstances(count int) {
 	board.mutex.Lock()
@@ -300,6 +314,20 @@
 	}
 }
 
+// Coming returns how many adapters are on their way to the upstreams of a
+// service other than the one with the id.
+func (board *Board) Coming(service, id string) int {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	coming := 0
+	for _, entry := range board.services[service] {
+		if entry.spec.ID != id && board.fresh(entry, time.Now()) {
+			coming += len(entry.report.Pending)
+		}
+	}
+	return coming
+}
+
 // Asks returns this instance's requests that wait for their turn at an
 // upstream, ordered by their numbers.
 func (board *Board) Asks(id string) []admit.Ask {
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -245,7 +245,15 @@
 	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
 }
 
-func (entry *upstream) leaving() bool { return entry.spec.Draining || entry.report.Draining }
+func (entry *upstream) leaving() bool {
+	return entry.spec.Draining || entry.report.Draining || entry.restarted()
+}
+
+// restarted reports whether the engine at the address has started anew since
+// the upstream was listed.
+func (entry *upstream) restarted() bool {
+	return entry.spec.Born > 0 && entry.report.Born > entry.spec.Born
+}
 
 func (entry *upstream) holds(adapter stock.Adapter) bool {
 	return serves(entry.report.Resident, adapter)
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -19,6 +19,10 @@
 	DefaultLinger = 1500 * time.Millisecond
 	// DefaultTransit is the largest number of adapters on their way at once.
 	DefaultTransit = 4
+	// DefaultStore is the number of adapters on their way to all engines up to
+	// which the weight store brings each at full speed. Beyond it an engine asks
+	// for one at a time, so that the adapters most asked for come first.
+	DefaultStore = 8
 	// DefaultKeep is how long an adapter is kept after its last use, so that
 	// requests on their way still find it.
 	DefaultKeep = 300 * time.Millisecond
@@ -28,6 +32,7 @@
 type Config struct {
 	Linger  time.Duration
 	Transit int
+	Store   int
 	Keep    time.Duration
 }
 
@@ -64,7 +69,9 @@
 	Model string
 	// Slots is the number of places for adapters.
 	Slots int
-	Uses  []Use
+	// Elsewhere is the number of adapters on their way to other engines.
+	Elsewhere int
+	Uses      []Use
 }
 
 // Operation is what an order does.
@@ -113,6 +120,9 @@
 	if config.Transit == 0 {
 		config.Transit = DefaultTransit
 	}
+	if config.Store == 0 {
+		config.Store = DefaultStore
+	}
 	if config.Keep == 0 {
 		config.Keep = DefaultKeep
 	}
@@ -172,7 +182,7 @@
 }
 
 func (planner *Planner) adapterOrder(model string, slots int) (Order, bool) {
-	if len(planner.engine.Pending) >= planner.config.Transit {
+	if !planner.mayLoad() {
 		return Order{}, false
 	}
 	wanted, ok := planner.wanted()
@@ -189,6 +199,16 @@
 	return planner.order(Unload, model, victim)
 }
 
+// mayLoad reports whether one more adapter may be on its way.
+func (planner *Planner) mayLoad() bool {
+	pending := len(planner.engine.Pending)
+	if pending == 0 {
+		return true
+	}
+	latest := planner.latest()
+	return pending < planner.config.Transit && latest != nil && pending+latest.Elsewhere < planner.config.Store
+}
+
 // places returns the number of places that are taken or promised.
 func (planner *Planner) places() int {
 	names := make(map[string]bool)
@@ -210,16 +230,21 @@
 
 // wish returns the model that the latest demand names, and its places.
 func (planner *Planner) wish() (string, int) {
+	latest := planner.latest()
+	if latest == nil {
+		return "", 0
+	}
+	return latest.Model, latest.Slots
+}
+
+func (planner *Planner) latest() *demand {
 	var latest *demand
 	for _, demand := range planner.demands {
 		if latest == nil || demand.heard.After(latest.heard) {
 			latest = demand
 		}
 	}
-	if latest == nil {
-		return "", 0
-	}
-	return latest.Model, latest.Slots
+	return latest
 }
 
 // wanted returns the adapter to load next: the one with the most requests
