--- /dev/null
+++ b/internal/daemon/follow/follow_test.go
@@ -0,0 +1,119 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+)
+
+// topic is a topic in memory.
+type topic struct {
+	mutex   sync.Mutex
+	records []string
+	first   int
+	down    bool
+	calls   int
+}
+
+var errDown = errors.New("the store is down")
+
+func (topic *topic) Newest(context.Context) ([]string, uint64, error) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.calls++
+	if topic.down {
+		return nil, 0, errDown
+	}
+	return topic.records[len(topic.records)-1:], uint64(len(topic.records)), nil
+}
+
+func (topic *topic) Read(ctx context.Context, from uint64, wait time.Duration) ([]string, uint64, error) {
+	topic.mutex.Lock()
+	topic.calls++
+	end := len(topic.records)
+	down, trimmed := topic.down, int(from) < topic.first
+	topic.mutex.Unlock()
+	switch {
+	case down:
+		return nil, 0, errDown
+	case trimmed:
+		return nil, 0, ErrTrimmed
+	case int(from) == end:
+		pause(ctx, wait)
+	}
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return topic.records[from:], uint64(len(topic.records)), ctx.Err()
+}
+
+func (topic *topic) change(change func()) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	change()
+}
+
+// TestFollow plays a store that drops records before they are read and is down
+// for a while. The follower must end with the newest record, must not confirm
+// what it could not read, and must not storm the store.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &topic{records: []string{"1"}}
+		var last string
+		var reached time.Time
+		lost := 0
+		follower := New(Config[string]{
+			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
+			Apply: func(records []string, _ bool) {
+				if len(records) > 0 {
+					last = records[len(records)-1]
+				}
+			},
+			Reached: func(called time.Time) { reached = called },
+			Lost:    func() { lost++ },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- follower.Run(ctx) }()
+		time.Sleep(100 * time.Millisecond)
+		check := func(moment, want string) {
+			t.Helper()
+			synctest.Wait()
+			if diff := cmp.Diff(want, last); diff != "" {
+				t.Errorf("%s: newest record (-want +got):\n%s", moment, diff)
+			}
+		}
+		check("start", "1")
+		store.change(func() { store.records = append(store.records, "2", "3") })
+		time.Sleep(2 * time.Second)
+		check("records", "3")
+		store.change(func() { store.down = true })
+		downAt := time.Now()
+		before := store.calls
+		time.Sleep(5 * time.Second)
+		if reached.After(downAt) {
+			t.Error("the configuration was confirmed while the store was down")
+		}
+		if calls := store.calls - before; calls > 40 {
+			t.Errorf("%d calls in 5 s to a store that is down", calls)
+		}
+		store.change(func() {
+			store.records = append(store.records, "4", "5")
+			store.first, store.down = 4, false
+		})
+		time.Sleep(2 * time.Second)
+		check("records dropped", "5")
+		if diff := cmp.Diff(1, lost); diff != "" {
+			t.Errorf("losses reported (-want +got):\n%s", diff)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/flow/steer/steer_test.go
@@ -0,0 +1,205 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+)
+
+var wanted = stock.Adapter{Name: "a1", Version: 2}
+
+func engine(number int) fleet.Upstream {
+	return fleet.Upstream{
+		ID: fmt.Sprint("i-", number), Service: "advisor", Address: fmt.Sprintf("10.0.0.%d:80", number),
+		Slots: 64, Born: 1000,
+	}
+}
+
+// report is what a loader says of an engine that holds the adapters.
+func report(serial uint64, backlog int64, adapters ...stock.Adapter) Report {
+	return Report{
+		Born: 1000, Serial: serial, FullSerial: serial, ModelLoaded: true, TotalTokens: 122_000,
+		Backlog: backlog, FreePlaces: 5, Resident: adapters,
+	}
+}
+
+// newBoard returns a Board with three engines and their first reports.
+func newBoard(reports ...Report) *Board {
+	board := New(Config{})
+	var listed []fleet.Upstream
+	for i := range reports {
+		listed = append(listed, engine(i))
+	}
+	board.Follow(listed)
+	for i, report := range reports {
+		board.Reported(listed[i].ID, report)
+	}
+	return board
+}
+
+func need() Need { return Need{Service: "advisor", Engine: true, Adapter: wanted, Tokens: 1600} }
+
+func TestChoose(t *testing.T) {
+	older := stock.Adapter{Name: "a1", Version: 1}
+	tests := []struct {
+		name    string
+		guards  string
+		reports []Report
+		change  func(board *Board, need *Need)
+		result  Result
+		id      string
+		copies  bool
+	}{
+		{
+			name: "holder", guards: "an adapter is brought although an engine holds it",
+			reports: []Report{report(1, 0), report(1, 3000, wanted), report(1, 0)}, result: Found, id: "i-1",
+		},
+		{
+			name: "least backlog", guards: "prompts collect at one of two engines that hold the adapter",
+			reports: []Report{report(1, 900, wanted), report(1, 3000, wanted), report(1, 0)}, result: Found, id: "i-0",
+		},
+		{
+			name: "older version", guards: "a request begins on a version that was replaced",
+			reports: []Report{report(1, 0, older)}, result: Absent, id: "i-0",
+		},
+		{
+			name: "copy", guards: "the most popular adapter stays at one engine",
+			reports: []Report{report(1, 0), report(1, 9000, wanted)}, result: Found, id: "i-1", copies: true,
+		},
+		{
+			name: "no copy", guards: "copies take the weight store's time from adapters that nobody holds",
+			reports: []Report{report(1, 0), report(1, 3000, wanted)}, result: Found, id: "i-1",
+		},
+		{
+			name: "hopeless", guards: "requests wait where they cannot start before the goal",
+			reports: []Report{report(1, 20_000, wanted)}, result: Full,
+			change: func(_ *Board, need *Need) { need.Limit = 14_400 },
+		},
+		{
+			name: "tried", guards: "a request goes twice to the engine that failed it",
+			reports: []Report{report(1, 0, wanted), report(1, 0, wanted)}, result: Found, id: "i-1",
+			change: func(_ *Board, need *Need) { need.Exclude = []string{"i-0"} },
+		},
+		{
+			name: "no places", guards: "an adapter is asked for where all places are in use",
+			reports: []Report{
+				{Born: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000},
+				report(1, 0),
+			},
+			result: Absent, id: "i-1",
+		},
+		{
+			name: "unreachable", guards: "requests are sent to an engine that went dark, until its entry lapses",
+			reports: []Report{report(1, 0, wanted), report(1, 0)}, result: Absent, id: "i-1",
+			change: func(board *Board, _ *Need) {
+				dark := report(2, 0, wanted)
+				dark.Unreachable = true
+				board.Reported("i-0", dark)
+			},
+		},
+		{
+			name: "restarted", guards: "requests are sent to an id whose engine has started anew",
+			reports: []Report{report(1, 0, wanted), report(1, 0)}, result: Absent, id: "i-1",
+			change: func(board *Board, _ *Need) {
+				anew := report(2, 0)
+				anew.Born = 2000
+				board.Reported("i-0", anew)
+			},
+		},
+		{
+			name: "draining", guards: "new work for a leaving engine",
+			reports: []Report{report(1, 0, wanted)}, result: None,
+			change: func(board *Board, _ *Need) {
+				leaving := engine(0)
+				leaving.Draining = true
+				board.Follow([]fleet.Upstream{leaving})
+			},
+		},
+		{
+			name: "address used again", guards: "an ended start that is still listed at its old address",
+			reports: []Report{report(1, 0, wanted)}, result: None,
+			change: func(board *Board, _ *Need) {
+				next := engine(0)
+				next.ID, next.Service, next.Born = "i-9", "counter", 3000
+				board.Follow([]fleet.Upstream{engine(0), next})
+			},
+		},
+		{
+			name: "brief", guards: "residency is lost with each report that names no adapters",
+			reports: []Report{report(1, 0, wanted), report(1, 0)}, result: Found, id: "i-0",
+			change: func(board *Board, _ *Need) {
+				brief := report(2, 100)
+				brief.Brief, brief.FullSerial = true, 1
+				board.Reported("i-0", brief)
+			},
+		},
+		{
+			name: "refused as absent", guards: "a request goes again to an engine that said it lacks the adapter",
+			reports: []Report{report(1, 0, wanted), report(1, 0)}, result: Absent,
+			change: func(board *Board, _ *Need) { board.Absent("i-0", wanted) },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				board, need := newBoard(test.reports...), need()
+				if test.change != nil {
+					test.change(board, &need)
+				}
+				choice := board.Choose(need)
+				if choice.Result != test.result {
+					t.Fatalf("%s: result %d, want %d", test.guards, choice.Result, test.result)
+				}
+				if test.id != "" && choice.Upstream.ID != test.id {
+					t.Errorf("%s: chose %s, want %s", test.guards, choice.Upstream.ID, test.id)
+				}
+				if copies := choice.Copy.ID != ""; copies != test.copies {
+					t.Errorf("%s: copy asked for %v, want %v", test.guards, copies, test.copies)
+				}
+			})
+		})
+	}
+}
+
+// TestBurst plays many requests for one service that come between two reports,
+// as at the start of a burst: own asks count, so that they spread.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newBoard(report(1, 0, wanted), report(1, 0, wanted), report(1, 0, wanted))
+		counts := make(map[string]int)
+		for number := range uint64(30) {
+			choice := board.Choose(need())
+			board.Place(choice.Upstream.ID, admit.Ask{ID: number, Adapter: wanted, Prompt: 1460})
+			counts[choice.Upstream.ID]++
+		}
+		if diff := cmp.Diff(map[string]int{"i-0": 10, "i-1": 10, "i-2": 10}, counts); diff != "" {
+			t.Errorf("requests (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestTurn guards against a request that waits for a loader that has ended.
+func TestTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newBoard(report(1, 0, wanted))
+		board.Place("i-0", admit.Ask{ID: 7, Adapter: wanted})
+		if got := board.Turn("i-0", 7); got != Waiting {
+			t.Errorf("turn %d before the grant, want %d", got, Waiting)
+		}
+		time.Sleep(DefaultFresh + time.Millisecond)
+		if got := board.Turn("i-0", 7); got != Unruled {
+			t.Errorf("turn %d without reports, want %d", got, Unruled)
+		}
+		board.Granted("i-0", []uint64{7})
+		if got := board.Turn("i-0", 7); got != Come {
+			t.Errorf("turn %d after the grant, want %d", got, Come)
+		}
+	})
+}
--- /dev/null
+++ b/internal/flow/stock/stock_test.go
@@ -0,0 +1,198 @@
+package stock
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const places = 4
+
+func adapter(number int) Adapter { return Adapter{Name: fmt.Sprint("a", number), Version: 1} }
+
+func adapters(numbers ...int) []Adapter {
+	list := make([]Adapter, 0, len(numbers))
+	for _, number := range numbers {
+		list = append(list, adapter(number))
+	}
+	return list
+}
+
+func waiting(number, count int) Use { return Use{Adapter: adapter(number), Waiting: count} }
+
+func running(number, count int) Use { return Use{Adapter: adapter(number), Running: count} }
+
+func TestNext(t *testing.T) {
+	tests := []struct {
+		name   string
+		guards string
+		engine Engine
+		uses   []Use
+		other  int
+		want   Order
+		none   bool
+	}{
+		{
+			name: "model first", guards: "adapters ordered at an engine that restarted empty",
+			engine: Engine{Sequence: 3}, uses: []Use{waiting(1, 1)},
+			want: Order{Operation: Load, Model: "m", Sequence: 3},
+		},
+		{
+			name: "most waiting first", guards: "a rare adapter in front of a popular one after a cold start",
+			engine: Engine{Models: []string{"m"}}, uses: []Use{waiting(1, 1), waiting(2, 3)},
+			want: Order{Operation: Load, Model: "m", Adapter: adapter(2)},
+		},
+		{
+			name: "full", guards: "an order beyond the places, which crashes the engine",
+			engine: Engine{Models: []string{"m"}, Resident: adapters(1, 2, 3, 4)}, uses: []Use{waiting(5, 1), running(1, 1), running(2, 1), running(3, 1)},
+			want: Order{Operation: Unload, Model: "m", Adapter: adapter(4)},
+		},
+		{
+			name: "full with one on its way", guards: "a pending adapter that is not counted",
+			engine: Engine{Models: []string{"m"}, Resident: adapters(1, 2, 3), Pending: adapters(4)}, uses: []Use{waiting(5, 1), running(1, 1), running(2, 1)},
+			want: Order{Operation: Unload, Model: "m", Adapter: adapter(3)},
+		},
+		{
+			name: "all in use", guards: "an adapter in use is evicted",
+			engine: Engine{Models: []string{"m"}, Resident: adapters(1, 2, 3, 4)}, uses: []Use{waiting(5, 1), running(1, 1), running(2, 1), running(3, 1), waiting(4, 1)},
+			none: true,
+		},
+		{
+			name: "older version", guards: "a request waits for ever for a version that was announced",
+			engine: Engine{Models: []string{"m"}, Resident: adapters(1, 2, 3, 4)},
+			uses:   []Use{{Adapter: Adapter{Name: "a1", Version: 2}, Waiting: 1}},
+			want:   Order{Operation: Load, Model: "m", Adapter: Adapter{Name: "a1", Version: 2}},
+		},
+		{
+			name: "on its way", guards: "an adapter is ordered twice",
+			engine: Engine{Models: []string{"m"}, Pending: adapters(1)}, uses: []Use{waiting(1, 1)}, none: true,
+		},
+		{
+			name: "busy", guards: "orders that a busy engine refuses",
+			engine: Engine{Models: []string{"m"}, Busy: true}, uses: []Use{waiting(1, 1)}, none: true,
+		},
+		{
+			name: "store busy", guards: "48 adapters on their way, each six times as long, after a cold start",
+			engine: Engine{Models: []string{"m"}, Pending: adapters(2)}, uses: []Use{waiting(1, 1)}, other: 8, none: true,
+		},
+		{
+			name: "store free", guards: "an engine that loads one at a time although the store is idle",
+			engine: Engine{Models: []string{"m"}, Pending: adapters(2)}, uses: []Use{waiting(1, 1)}, other: 3,
+			want: Order{Operation: Load, Model: "m", Adapter: adapter(1)},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				planner := New(Config{})
+				planner.Observe(test.engine)
+				planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Elsewhere: test.other, Uses: test.uses})
+				got, ok := planner.Next()
+				if ok == test.none {
+					t.Fatalf("%s: order given %v: %v", test.guards, ok, got)
+				}
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Errorf("%s: order (-want +got):\n%s", test.guards, diff)
+				}
+			})
+		})
+	}
+}
+
+// TestSilentEntry guards against an adapter that is kept for an entry instance
+// that was killed.
+func TestSilentEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner := New(Config{})
+		planner.Observe(Engine{Models: []string{"m"}, Resident: adapters(1, 2, 3, 4)})
+		planner.Demand(Demand{Entry: "dead", Model: "m", Slots: places, Uses: []Use{running(1, 1), running(2, 1), running(3, 1), running(4, 1)}})
+		time.Sleep(DefaultLinger + time.Millisecond)
+		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: []Use{waiting(5, 1)}})
+		order, ok := planner.Next()
+		if !ok || order.Operation != Unload {
+			t.Errorf("got %v %v, want an unload", order, ok)
+		}
+	})
+}
+
+// lateEngine carries some orders out without an answer, some of them later.
+type lateEngine struct {
+	Engine
+	random *rand.Rand
+	late   []Order
+	most   int
+}
+
+// give takes an order and reports whether it is answered.
+func (engine *lateEngine) give(order Order) bool {
+	switch engine.random.IntN(4) {
+	case 0:
+		return false
+	case 1:
+		engine.late = append(engine.late, order)
+		return false
+	default:
+		engine.carryOut(order)
+		return engine.random.IntN(4) > 0
+	}
+}
+
+func (engine *lateEngine) carryOut(order Order) {
+	if order.Sequence != engine.Sequence {
+		return
+	}
+	engine.Sequence++
+	if order.Operation == Unload {
+		engine.Resident = slices.DeleteFunc(slices.Clone(engine.Resident), func(held Adapter) bool { return held == order.Adapter })
+		return
+	}
+	engine.Pending = append(slices.Clone(engine.Pending), order.Adapter)
+	engine.most = max(engine.most, len(engine.Resident)+len(engine.Pending))
+}
+
+func (engine *lateEngine) step() {
+	if len(engine.Pending) > 0 && engine.random.IntN(3) == 0 {
+		engine.Resident = append(slices.Clone(engine.Resident), engine.Pending[0])
+		engine.Pending = slices.Clone(engine.Pending[1:])
+	}
+	if len(engine.late) > 0 && engine.random.IntN(8) == 0 {
+		engine.carryOut(engine.late[0])
+		engine.late = engine.late[1:]
+	}
+}
+
+// TestLateOrders plays orders without an answer that are carried out later, as
+// on the days of high load. The engine must never hold more than its places,
+// and must go on getting what is asked for.
+func TestLateOrders(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			engine := &lateEngine{Engine: Engine{Models: []string{"m"}}, random: rand.New(rand.NewPCG(seed, 1))}
+			planner := New(Config{})
+			served := 0
+			for round := range 2000 {
+				planner.Observe(engine.Engine)
+				planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: []Use{waiting(round/50, 1)}})
+				if order, ok := planner.Next(); ok {
+					engine.give(order)
+				}
+				engine.step()
+				if slices.Contains(engine.Resident, adapter(round/50)) {
+					served++
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if engine.most > places {
+				t.Errorf("seed %d: %d adapters in %d places", seed, engine.most, places)
+			}
+			if served < 1000 {
+				t.Errorf("seed %d: the adapter asked for was there in %d of 2,000 rounds", seed, served)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/link/hop/hop_test.go
@@ -0,0 +1,205 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// upstream answers each request on a connection with the next text. It ends the
+// connection after the last one.
+func upstream(t *testing.T, answers ...string) (address string, accepted *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go answer(conn, answers)
+		}
+	}()
+	return listener.Addr().String(), accepted
+}
+
+func answer(conn net.Conn, answers []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, text := range answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+	// The end of the connection shows after the last answer, not with it.
+	_, _ = reader.Peek(1)
+}
+
+func get(pool *Pool, address string) (string, error) {
+	response, err := pool.Do(context.Background(), address, Request{Method: "POST", Target: "/x", Host: "a.example", Header: http.Header{}, Body: []byte("body")})
+	if err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(response.Body)
+	return fmt.Sprint(response.Status, " ", string(text)), err
+}
+
+const okay = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		guards  string
+		answers []string
+		want    []string
+		// opened is the number of connections.
+		opened int64
+	}{
+		{
+			name: "kept connection", guards: "a connection for each request",
+			answers: []string{okay, okay}, want: []string{"200 ok", "200 ok"}, opened: 1,
+		},
+		{
+			name: "more than the answer", guards: "bytes after an answer taken for the next one",
+			answers: []string{okay + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate", okay}, want: []string{"200 ok", "200 ok"}, opened: 2,
+		},
+		{
+			name: "leaving", guards: "a request on a connection that the upstream closes",
+			answers: []string{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", okay}, want: []string{"200 ok", "200 ok"}, opened: 2,
+		},
+		{
+			name: "short idle time", guards: "a request that crosses the upstream's close",
+			answers: []string{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok", okay}, want: []string{"200 ok", "200 ok"}, opened: 2,
+		},
+		{
+			name: "provisional", guards: "a provisional answer taken for the final one",
+			answers: []string{"HTTP/1.1 100 Continue\r\n\r\n" + okay, okay}, want: []string{"200 ok", "200 ok"}, opened: 1,
+		},
+		{
+			name: "no answer", guards: "bytes that are no answer passed on",
+			answers: []string{"garbage\r\n\r\n"}, want: []string{"broken"}, opened: 1,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address, accepted := upstream(t, test.answers...)
+			pool := New(Config{})
+			defer pool.Close()
+			for _, want := range test.want {
+				got, err := get(pool, address)
+				if Broken.Has(err) {
+					got = "broken"
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%s: answer (-want +got):\n%s", test.guards, diff)
+				}
+				// Bytes that follow an answer need a moment to arrive.
+				time.Sleep(10 * time.Millisecond)
+			}
+			if diff := cmp.Diff(test.opened, accepted.Load()); diff != "" {
+				t.Errorf("%s: connections (-want +got):\n%s", test.guards, diff)
+			}
+		})
+	}
+}
+
+// TestCut guards against an answer that broke off being passed on as whole.
+func TestCut(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	heads := []string{"Content-Length: 10\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n5\r\n"}
+	go func() {
+		for _, head := range heads {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+head+"cut")
+			_ = conn.Close()
+		}
+	}()
+	for _, head := range heads {
+		pool := New(Config{})
+		if _, err := get(pool, listener.Addr().String()); err == nil {
+			t.Errorf("%q: an answer that broke off has no error", head)
+		}
+	}
+}
+
+// TestGivenUp guards against a request that reaches its upstream after it was
+// given up, because a link held its bytes back: the connection is reset, which
+// drops them.
+func TestGivenUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			ended <- err
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, err = reader.ReadByte()
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = New(Config{}).Do(ctx, listener.Addr().String(), Request{Method: "GET", Target: "/x", Host: "a.example", Header: http.Header{}})
+	if !Broken.Has(err) {
+		t.Errorf("error is %v, want a broken connection", err)
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the upstream saw %v, want a reset", err)
+	}
+}
+
+// TestNotSent guards against a request that was never sent counting as one that
+// may have run.
+func TestNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	if _, err := get(New(Config{}), address); !NotSent.Has(err) {
+		t.Errorf("error is %v, want one that says that nothing was sent", err)
+	}
+}
