--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .PHONY: format
 format:
-	find cmd internal -name '*.go' -not -name '*.pb.go' -print0 | xargs -0 go tool -modfile=tools/go.mod goimports -local jacinthfront.dev/jacinthfront -w
+	find cmd internal platform -name '*.go' -not -name '*.pb.go' -print0 | xargs -0 go tool -modfile=tools/go.mod goimports -local jacinthfront.dev/jacinthfront -w
 
 .PHONY: lint
 lint:
--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -120,9 +120,14 @@
 		follower.config.Apply(records, true)
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, follower.config.CallTime+follower.config.Wait)
+	wait := follower.config.Wait
+	if follower.down {
+		// After an outage, what is known must be confirmed at once.
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, follower.config.CallTime+wait)
 	defer cancel()
-	records, next, err := follower.config.Source.Read(ctx, follower.next, follower.config.Wait)
+	records, next, err := follower.config.Source.Read(ctx, follower.next, wait)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -184,7 +184,7 @@
 	relay.config.Logger.Info("relay: stopping", zap.Int64("running", relay.metrics.running.Load()))
 	relay.server.SetKeepAlivesEnabled(false)
 	deadline := time.Now().Add(relay.config.Bounds.Grace - stopMargin)
-	time.Sleep(acceptAfterStop)
+	time.Sleep(min(acceptAfterStop, relay.config.Bounds.Grace/3))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := relay.server.Shutdown(ctx); err != nil {
