--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/gossip"
@@ -65,9 +68,16 @@
 	Instance  string
 	Engine    Engine
 	Datagrams *gossip.Conn
-	Logger    *zap.Logger
+	// Metrics is where metrics are read.
+	Metrics net.Listener
+	Logger  *zap.Logger
 }
 
+// LineOrder is the message of the line for an order.
+const LineOrder = "loader: order given"
+
+var counters = telem.Map("loader")
+
 // Loader keeps one engine's adapters.
 type Loader struct {
 	config  Config
@@ -115,12 +125,37 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loader.config.Datagrams.Serve(ctx, loader.heard) })
 	group.Go(func() error { loader.keep(ctx); return nil })
+	group.Go(func() error { return loader.serveMetrics(ctx) })
 	group.Go(func() error { loader.grant(ctx); return nil })
 	err := group.Wait()
 	loader.config.Logger.Info("loader: stopped", zap.Error(err))
 	return err
 }
 
+// serveMetrics serves metrics until ctx ends.
+func (loader *Loader) serveMetrics(ctx context.Context) error {
+	server := telem.NewServer("loader", loader.setGauges)
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(loader.config.Metrics); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// setGauges brings the values that change without an event to the present.
+func (loader *Loader) setGauges() {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	telem.Gauge("loader", "running", int64(loader.report.Running))
+	telem.Gauge("loader", "queued", int64(loader.report.Queued))
+	telem.Gauge("loader", "adapters", int64(len(loader.report.Resident)))
+	telem.Gauge("loader", "adapters-pending", int64(len(loader.report.Pending)))
+	telem.Gauge("loader", "backlog-tokens", loader.gate.Backlog())
+	telem.Gauge("loader", "free-places", int64(loader.planner.Free()))
+	telem.Gauge("loader", "reports-missed", int64(loader.misses))
+}
+
 // keep asks for reports and gives orders.
 func (loader *Loader) keep(ctx context.Context) {
 	ticker := time.NewTicker(reportPeriod)
@@ -194,7 +229,11 @@
 	if errors.Is(err, ErrFenced) {
 		loader.fence = max(loader.fence, time.Now().UnixMilli()) + fenceStep
 	}
-	loader.config.Logger.Info("loader: order given",
+	counters.Add("orders-"+order.Operation.String(), 1)
+	if err != nil {
+		counters.Add("orders-failed", 1)
+	}
+	loader.config.Logger.Info(LineOrder,
 		zap.String("operation", order.Operation.String()), zap.String("model", order.Model),
 		zap.String("adapter", order.Adapter.Name), zap.Uint32("version", order.Adapter.Version),
 		zap.Int64("sequence", order.Sequence), zap.Duration("took", time.Since(began)), zap.Error(err))
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -45,6 +45,13 @@
 	return !at.IsZero() && now.Sub(at) < within && now.Round(0).Sub(at.Round(0)) < within
 }
 
+// age returns the time since the configuration was known to be the newest.
+func (belief *belief) age() time.Duration {
+	belief.mutex.Lock()
+	defer belief.mutex.Unlock()
+	return time.Since(belief.at)
+}
+
 func (belief *belief) confirm(at time.Time) {
 	belief.mutex.Lock()
 	defer belief.mutex.Unlock()
--- /dev/null
+++ b/internal/daemon/relay/budget_test.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestBudget plays five instances whose upstreams fail everything. In no window
+// of ten seconds may all of them together send more again than the users allow,
+// also when the requests come in a burst that then stops.
+func TestBudget(t *testing.T) {
+	const instances = 5
+	bounds := Bounds{RetryRatio: 0.2, RetryExtra: 58, RetryWindow: 10 * time.Second}
+	synctest.Test(t, func(t *testing.T) {
+		var budgets []*budget
+		for range instances {
+			budgets = append(budgets, newBudget(bounds, func() int { return instances }))
+		}
+		var requests, retries []time.Time
+		began := time.Now()
+		for step := 0; time.Since(began) < 40*time.Second; step++ {
+			budget := budgets[step%instances]
+			if time.Since(began)%(15*time.Second) < 5*time.Second {
+				budget.request("advisor")
+				requests = append(requests, time.Now())
+			}
+			if budget.allow("advisor") {
+				retries = append(retries, time.Now())
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		within := func(list []time.Time, from time.Time) (count int) {
+			for _, at := range list {
+				if !at.Before(from) && at.Sub(from) < bounds.RetryWindow {
+					count++
+				}
+			}
+			return count
+		}
+		for _, from := range retries {
+			// The rule takes the fullest of three windows.
+			fullest := max(within(requests, from), within(requests, from.Add(-5*time.Second)), within(requests, from.Add(-10*time.Second)))
+			if got, allowed := within(retries, from), bounds.RetryRatio*float64(fullest)+bounds.RetryExtra; float64(got) > allowed {
+				t.Fatalf("%d sent again within 10 s from %v, %.0f allowed", got, from.Sub(began), allowed)
+			}
+		}
+		if len(retries) < 100 {
+			t.Errorf("only %d were sent again", len(retries))
+		}
+	})
+}
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -34,6 +34,9 @@
 	longestComeBack = 5 * time.Second
 )
 
+// LineAnswered is the message of the line for an answered request.
+const LineAnswered = "relay: request answered"
+
 // refusal is a final answer of this instance's own.
 type refusal struct {
 	status int
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"expvar"
 	"fmt"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -36,10 +34,18 @@
 
 func (*metrics) firstEvent(took time.Duration) { firstEvent.Observe(took) }
 
-// serveMetrics writes all metrics as text, one a line.
-func (relay *Relay) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
-	counters.Do(func(entry expvar.KeyValue) {
-		_, _ = fmt.Fprintf(writer, "relay.%s %s\n", entry.Key, entry.Value)
-	})
-	_, _ = fmt.Fprintf(writer, "relay.running %d\n", relay.metrics.running.Load())
+// setGauges brings the values that change without an event to the present.
+func (relay *Relay) setGauges() {
+	heard, silent := relay.ledger.Peers()
+	opened, reused := relay.config.Pool.Opened()
+	telem.Gauge("relay", "running", relay.metrics.running.Load())
+	telem.Gauge("relay", "entries-heard", int64(heard))
+	telem.Gauge("relay", "entries-silent", int64(silent))
+	telem.Gauge("relay", "connections-opened", int64(opened))
+	telem.Gauge("relay", "connections-reused", int64(reused))
+	telem.Gauge("relay", "config-age-ms", relay.belief.age().Milliseconds())
+	telem.Gauge("relay", "upstreams", int64(len(relay.belief.list.Upstreams())))
+	if config := relay.belief.current(); config != nil {
+		telem.Gauge("relay", "config-version", int64(config.Version()))
+	}
 }
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/flow/share"
@@ -31,9 +32,11 @@
 	// Instance names this entry instance.
 	Instance      string
 	FailureDomain string
-	// Callers is where requests come in, Probes where readiness is asked.
+	// Callers is where requests come in, Probes where readiness is asked, and
+	// Metrics where metrics are read.
 	Callers net.Listener
 	Probes  net.Listener
+	Metrics net.Listener
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
 	Protocol  Protocol
@@ -112,6 +115,7 @@
 	stopping atomic.Bool
 	server   *http.Server
 	probes   *http.Server
+	reads    *http.Server
 }
 
 // New returns a Relay that does not serve yet.
@@ -138,7 +142,7 @@
 	}
 	probes := http.NewServeMux()
 	probes.HandleFunc(config.ReadyPath, relay.serveReady)
-	probes.Handle("/metrics", http.HandlerFunc(relay.serveMetrics))
+	relay.reads = telem.NewServer("relay", relay.setGauges)
 	relay.probes = &http.Server{Handler: probes, ReadHeaderTimeout: probeTimeout}
 	return relay
 }
@@ -150,6 +154,7 @@
 	defer cancel()
 	group.Go(func() error { return ended(relay.server.Serve(relay.config.Callers)) })
 	group.Go(func() error { return ended(relay.probes.Serve(relay.config.Probes)) })
+	group.Go(func() error { return ended(relay.reads.Serve(relay.config.Metrics)) })
 	group.Go(func() error { return relay.config.Datagrams.Serve(running, relay.heard) })
 	group.Go(func() error { relay.followChanges(running); return nil })
 	group.Go(func() error { relay.followListings(running); return nil })
@@ -164,6 +169,7 @@
 	cancel()
 	_ = relay.server.Close()
 	_ = relay.probes.Close()
+	_ = relay.reads.Close()
 	err := group.Wait()
 	relay.config.Pool.Close()
 	relay.config.Logger.Info("relay: stopped", zap.Error(err))
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -172,5 +172,5 @@
 
 func (flight *flight) done(status int) {
 	flight.relay.metrics.answered(flight.route.Name, status, time.Since(flight.started))
-	flight.log("relay: request answered", zap.Int("status", status))
+	flight.log(LineAnswered, zap.Int("status", status))
 }
