Leave a silent instance the part of each rate that it spent

Change: what an instance spent of an organisation's rate before it fell silent stays its part; it is gone after 6 s without a loader naming it.

--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -31,9 +31,7 @@
 	// instances that started at the same time.
 	settleTime = 700 * time.Millisecond
 	// peerTime is how long an entry instance is remembered that no loader names.
-	peerTime = 9 * time.Second
-	// loaderTime is the age up to which a loader's word on who is there counts.
-	loaderTime = time.Second
+	peerTime = 6 * time.Second
 )
 
 // kick makes the next exchange happen at once.
@@ -164,7 +162,8 @@
 		usage.Organisations = append(usage.Organisations, &wirepb.OrganisationUse{Organisation: organisation, Spent: spent})
 	}
 	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: usage}}
-	addresses, gone := relay.peers.addresses()
+	heard, engines := relay.board.Heard()
+	addresses, gone := relay.peers.addresses(2*heard > engines)
 	for _, address := range gone {
 		relay.ledger.Gone(address)
 		relay.config.Logger.Info("relay: entry instance is gone", zap.String("address", address))
@@ -238,8 +237,6 @@
 
 	mutex sync.Mutex
 	at    map[string]time.Time
-	// loaderAt is when a loader last named the entry instances that it hears.
-	loaderAt time.Time
 }
 
 func newPeers(own string) *peers { return &peers{own: own, at: make(map[string]time.Time)} }
@@ -253,12 +250,8 @@
 
 // named records the entry instances that a loader hears.
 func (peers *peers) named(addresses []string) {
-	if len(addresses) == 0 {
-		return
-	}
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	peers.loaderAt = time.Now()
 	for _, address := range addresses {
 		peers.note(address)
 	}
@@ -272,11 +265,11 @@
 }
 
 // addresses returns the entry instances that are there, and those that are
-// gone: neither heard nor named for long, by loaders that this instance reaches.
-func (peers *peers) addresses() (present, gone []string) {
+// gone: neither heard nor named by a loader for long. reached tells that this
+// instance hears most loaders; if not, it may be the one that is cut off.
+func (peers *peers) addresses(reached bool) (present, gone []string) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	reached := time.Since(peers.loaderAt) < loaderTime
 	for address, at := range peers.at {
 		if reached && time.Since(at) > peerTime {
 			delete(peers.at, address)
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -24,6 +24,16 @@
 	DefaultUse = 1.0
 )
 
+const (
+	// paceTime is over how long spending is averaged.
+	paceTime = 2 * time.Second
+	// evenPart is the part of a rate that counts as spent evenly, so that an
+	// organisation that was idle is split evenly.
+	evenPart = 0.1
+	// leastPart bounds the part of a rate that an instance has from below.
+	leastPart = 0.01
+)
+
 // Config configures a Ledger. Zero values mean the defaults.
 type Config struct {
 	Silence time.Duration
@@ -53,16 +63,22 @@
 type bucket struct {
 	limit Limit
 	level float64
-	// own is what this instance has spent since its start.
+	// own is what this instance has spent since its start, and pace how fast.
 	own   float64
+	pace  pace
 	drawn time.Time
 }
 
 // peer is another entry instance.
 type peer struct {
-	start int64
-	heard time.Time
-	spent map[string]float64
+	start  int64
+	heard  time.Time
+	silent bool
+	spent  map[string]float64
+	paces  map[string]*pace
+	// kept is the part of each organisation's rate that is left to the instance
+	// while it is silent.
+	kept map[string]float64
 }
 
 // New returns an empty Ledger.
@@ -89,11 +105,12 @@
 	defer ledger.mutex.Unlock()
 	bucket := ledger.refill(organisation, limit)
 	if bucket.level < math.Min(cost, limit.Burst*ledger.config.Use) {
-		rate := limit.Rate * ledger.part()
+		rate := limit.Rate * ledger.part(organisation, limit)
 		return time.Duration((cost - bucket.level) / rate * float64(time.Second)), false
 	}
 	bucket.level -= cost
 	bucket.own += cost
+	bucket.pace.add(cost)
 	return 0, true
 }
 
@@ -145,23 +162,58 @@
 	elapsed := now.Sub(found.drawn).Seconds()
 	found.drawn = now
 	use := ledger.config.Use
-	found.level = math.Min(found.level+elapsed*limit.Rate*use*ledger.part(), limit.Burst*use)
+	found.level = math.Min(found.level+elapsed*limit.Rate*use*ledger.part(organisation, limit), limit.Burst*use)
 	return found
 }
 
-// part returns the part of the rate that this instance may count on: all of it
-// while it hears the others, since what they spend is taken off.
-func (ledger *Ledger) part() float64 {
+// part returns the part of an organisation's rate that this instance may count
+// on: all of it while it hears the others, since what they spend is taken off.
+// A silent instance keeps the part that it spent before, so that both sides of a
+// partition together stay within the rate and each can go on as it did.
+func (ledger *Ledger) part(organisation string, limit Limit) float64 {
 	now := time.Now()
-	silent, heard := 0, 1
 	for _, peer := range ledger.peers {
-		if now.Sub(peer.heard) > ledger.config.Silence {
-			silent++
-		} else {
-			heard++
+		if !peer.silent && now.Sub(peer.heard) > ledger.config.Silence {
+			peer.silent = true
+			peer.kept = make(map[string]float64)
 		}
 	}
-	return float64(heard) / float64(heard+silent)
+	part := 1.0
+	for _, peer := range ledger.peers {
+		if !peer.silent {
+			continue
+		}
+		kept, ok := peer.kept[organisation]
+		if !ok {
+			kept = ledger.proportion(peer, organisation, limit)
+			peer.kept[organisation] = kept
+		}
+		part -= kept
+	}
+	return max(part, leastPart)
+}
+
+// proportion returns the part of an organisation's recent spending that was an
+// instance's. Where little was spent, all count alike.
+func (ledger *Ledger) proportion(peer *peer, organisation string, limit Limit) float64 {
+	base := limit.Rate * evenPart / float64(1+len(ledger.peers))
+	sum := base
+	if bucket, ok := ledger.buckets[organisation]; ok {
+		sum += bucket.pace.at(peer.heard)
+	}
+	for _, other := range ledger.peers {
+		sum += base + other.pace(organisation).at(peer.heard)
+	}
+	return (base + peer.pace(organisation).at(peer.heard)) / sum
+}
+
+func (peer *peer) pace(organisation string) *pace {
+	found, ok := peer.paces[organisation]
+	if !ok {
+		found = &pace{}
+		peer.paces[organisation] = found
+	}
+	return found
 }
 
 // Gone records that another instance has ended, so that its part of the rate is
@@ -180,18 +232,20 @@
 	if !ok {
 		// What it spent before it was known is in no bucket yet: a bucket of
 		// this instance that is as old holds at most what was left over.
-		ledger.peers[name] = &peer{start: start, heard: time.Now(), spent: spent}
+		ledger.peers[name] = &peer{start: start, heard: time.Now(), spent: spent, paces: make(map[string]*pace)}
 		return
 	}
 	if known.start != start {
 		known.start, known.spent = start, nil
 	}
 	for organisation, total := range spent {
+		more := total - known.spent[organisation]
+		known.pace(organisation).add(more)
 		if bucket, ok := ledger.buckets[organisation]; ok {
-			bucket.level -= total - known.spent[organisation]
+			bucket.level -= more
 		}
 	}
-	known.heard, known.spent = time.Now(), spent
+	known.heard, known.silent, known.spent = time.Now(), false, spent
 }
 
 // Spent returns what this instance spent for each organisation since its start.
@@ -230,3 +284,21 @@
 	}
 	return heard, silent
 }
+
+// pace is an exponentially weighted average of units per second.
+type pace struct {
+	value float64
+	since time.Time
+}
+
+func (pace *pace) add(units float64) {
+	now := time.Now()
+	pace.value = pace.at(now) + units/paceTime.Seconds()
+	pace.since = now
+}
+
+// at returns the average at a time.
+func (pace *pace) at(now time.Time) float64 {
+	elapsed := max(now.Sub(pace.since), 0)
+	return pace.value * math.Exp(-elapsed.Seconds()/paceTime.Seconds())
+}
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -144,6 +144,37 @@
 	})
 }
 
+// TestCutWithinRate guards against refusals of an organisation within its rate
+// because an instance that served a tenth of it is cut off.
+func TestCutWithinRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(5, 6))
+		fleet := newInstances(2)
+		refused := 0
+		for step := range 1500 {
+			cut := -1
+			if step > 500 {
+				cut = 1
+			}
+			at := 0
+			if step%10 == 0 {
+				at = 1
+			}
+			// Five ninths of the rate, as the organisations usually send.
+			if _, ok := fleet.ledgers[at].Take(organisation, limit, 600/1.8); !ok && step > 100 {
+				refused++
+			}
+			if step%10 == 0 {
+				fleet.exchange(random, 0, cut)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if refused > 0 {
+			t.Errorf("%d of 1,500 requests refused", refused)
+		}
+	})
+}
+
 // TestLowered guards against a bucket that keeps the burst of a limit that was
 // lowered.
 func TestLowered(t *testing.T) {
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -314,6 +314,24 @@
 	}
 }
 
+// Heard returns how many of the engines that reported once have done so lately,
+// and their number.
+func (board *Board) Heard() (heard, engines int) {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	now := time.Now()
+	for _, entry := range board.upstreams {
+		if entry.reported.IsZero() {
+			continue
+		}
+		engines++
+		if board.fresh(entry, now) {
+			heard++
+		}
+	}
+	return heard, engines
+}
+
 // Lost reports whether an upstream is known to have ended or gone dark, so that
 // what was sent there gets no answer.
 func (board *Board) Lost(id string) bool {
