--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -123,7 +123,7 @@
 		UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
 		ModelLoaded: len(report.Models) > 0, Draining: report.Draining,
 		Unreachable:   loader.misses >= lostReports,
-		BacklogTokens: backlog, FreePlaces: uint32(free),
+		BacklogTokens: backlog, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
 	}
 	if full {
 		loader.told, loader.sent, loader.full = time.Now(), report, loader.serial
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -193,6 +193,7 @@
 		Unreachable: state.GetUnreachable(),
 		Backlog:     state.GetBacklogTokens(),
 		FreePlaces:  int(state.GetFreePlaces()),
+		Loads:       int(state.GetLoadsQueued()),
 		Brief:       state.GetBrief(),
 		FullSerial:  state.GetFullSerial(),
 		Born:        state.GetBorn(),
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -30,6 +30,8 @@
 	comeBackUnready = 300 * time.Millisecond
 	// comeBackFull is when to come back after all upstreams were full.
 	comeBackFull = 500 * time.Millisecond
+	// comeBackStarting is when to come back while engines load their model.
+	comeBackStarting = time.Second
 	// longestComeBack bounds what a caller is told to wait.
 	longestComeBack = 5 * time.Second
 )
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -72,11 +72,11 @@
 const (
 	// confirmMargin is how long before Bounds.Revoke an instance stops trusting
 	// its configuration.
-	confirmMargin = 700 * time.Millisecond
+	confirmMargin = 200 * time.Millisecond
 	// configWait is how long a call for changes of the configuration waits.
-	configWait = time.Second
+	configWait = 1500 * time.Millisecond
 	// listPause is the time between two readings of the instance list.
-	listPause = 400 * time.Millisecond
+	listPause = 650 * time.Millisecond
 	// headerTime is how long a caller may take for a request's headers.
 	headerTime = 3 * time.Second
 	// idleTime is how long a caller's connection may be unused. It is longer
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -193,7 +193,7 @@
 		return place.choice
 	}
 	choice := flight.relay.board.Choose(need)
-	if !need.Engine || choice.Result == steer.Full || choice.Result == steer.None {
+	if !need.Engine || choice.Upstream.ID == "" {
 		return choice
 	}
 	place.take(choice, need)
@@ -224,7 +224,7 @@
 
 // start reports whether the request may be sent to the chosen upstream.
 func (place *place) start(choice steer.Choice) bool {
-	if choice.Result == steer.Full || choice.Result == steer.None {
+	if choice.Upstream.ID == "" {
 		return false
 	}
 	if !place.need.Engine {
@@ -250,6 +250,8 @@
 		return &refusal{http.StatusServiceUnavailable, "the adapter could not be loaded in time", comeBackFull}
 	case choice.Result == steer.Full && waited > flight.route.Target/placePart:
 		return &refusal{http.StatusServiceUnavailable, "all upstreams are full", comeBackFull}
+	case choice.Result == steer.Starting && waited > adapterGoals*flight.route.Target:
+		return &refusal{http.StatusServiceUnavailable, "the engines are still loading their model", comeBackStarting}
 	case choice.Result == steer.None && waited > flight.route.Target/placePart:
 		return &refusal{http.StatusServiceUnavailable, "no upstream is ready", comeBackFull}
 	}
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -35,6 +35,8 @@
 	// runningWeight is the backlog in prompt tokens that a running request
 	// counts for, since each makes the others slower.
 	runningWeight = 30
+	// loadWeight is the same for an adapter that is to be loaded before another.
+	loadWeight = 3000
 )
 
 // Health says which upstreams are passed over after failures.
@@ -71,6 +73,8 @@
 	Backlog int64
 	// FreePlaces is the number of places for adapters that no request uses.
 	FreePlaces int
+	// Loads is the number of adapters on their way or still to be ordered.
+	Loads int
 	// Brief reports name no adapters; those of the report with the serial
 	// FullSerial stand.
 	Brief      bool
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -40,6 +40,8 @@
 	Absent
 	// Full means that all upstreams have as much as they can take.
 	Full
+	// Starting means that the service's engines are loading their model.
+	Starting
 	// None means that the service has no usable upstream.
 	None
 )
@@ -77,7 +79,7 @@
 	defer board.mutex.Unlock()
 	candidates := board.candidates(need)
 	if len(candidates) == 0 {
-		return Choice{Result: None}
+		return Choice{Result: board.nothing(need)}
 	}
 	var choice Choice
 	if need.Adapter.Name == "" {
@@ -89,6 +91,16 @@
 	return choice
 }
 
+// nothing tells apart why a service has no usable upstream.
+func (board *Board) nothing(need Need) Result {
+	for _, entry := range board.services[need.Service] {
+		if need.Engine && !entry.leaving() && !entry.report.Unreachable && !entry.reported.IsZero() && !entry.report.ModelLoaded {
+			return Starting
+		}
+	}
+	return None
+}
+
 func (board *Board) candidates(need Need) []candidate {
 	now := time.Now()
 	var candidates []candidate
@@ -207,7 +219,7 @@
 	})
 	first := open[0]
 	for _, entry := range open[1:] {
-		if first.work <= entry.work+board.config.Spread {
+		if first.loadWork() <= entry.loadWork()+board.config.Spread {
 			break
 		}
 		first = entry
@@ -215,6 +227,12 @@
 	return first, true
 }
 
+// loadWork returns how many prompt tokens are worth the wait of a request whose
+// adapter has to be brought.
+func (candidate candidate) loadWork() int64 {
+	return candidate.work + int64(candidate.report.Loads)*loadWeight
+}
+
 func rank(upstream, adapter string) uint64 { return xxh3.HashString(upstream + "\x00" + adapter) }
 
 func leastLoaded(candidates []candidate, found Result) Choice {
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -95,6 +95,19 @@
 			},
 			result: Absent, id: "i-1",
 		},
+		{
+			name: "starting", guards: "requests are refused while engines load their model after a loss of power",
+			reports: []Report{{Born: 1000, Serial: 1}}, result: Starting,
+		},
+		{
+			name: "load queue", guards: "an adapter is asked for where many others are to be loaded first",
+			reports: []Report{
+				{Born: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000, FreePlaces: 5, Loads: 9},
+				report(1, 0),
+				{Born: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000, FreePlaces: 5, Loads: 9},
+			},
+			result: Absent, id: "i-1",
+		},
 		{
 			name: "unreachable", guards: "requests are sent to an engine that went dark, until its entry lapses",
 			reports: []Report{report(1, 0, wanted), report(1, 0)}, result: Absent, id: "i-1",
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -23,6 +23,9 @@
 	// which the weight store brings each at full speed. Beyond it an engine asks
 	// for one at a time, so that the adapters most asked for come first.
 	DefaultStore = 8
+	// DefaultOverdue is how long a request may wait for its adapter before it
+	// misses its goal anyway. Adapters asked for longer come after the others.
+	DefaultOverdue = 550 * time.Millisecond
 	// DefaultKeep is how long an adapter is kept after its last use, so that
 	// requests on their way still find it.
 	DefaultKeep = 300 * time.Millisecond
@@ -33,6 +36,7 @@
 	Linger  time.Duration
 	Transit int
 	Store   int
+	Overdue time.Duration
 	Keep    time.Duration
 }
 
@@ -123,6 +127,9 @@
 	if config.Store == 0 {
 		config.Store = DefaultStore
 	}
+	if config.Overdue == 0 {
+		config.Overdue = DefaultOverdue
+	}
 	if config.Keep == 0 {
 		config.Keep = DefaultKeep
 	}
@@ -247,22 +254,24 @@
 	return latest
 }
 
-// wanted returns the adapter to load next: the one with the most requests
-// waiting, then the one asked for first.
+// wanted returns the adapter to load next: one whose requests can still meet
+// their goal, the one with the most requests waiting, then the one asked for
+// first.
 func (planner *Planner) wanted() (Adapter, bool) {
-	waiting := make(map[Adapter]int)
-	for _, demand := range planner.demands {
-		for _, use := range demand.Uses {
-			if use.Waiting > 0 && !planner.holds(use.Adapter) {
-				waiting[use.Adapter] += use.Waiting
-			}
-		}
-	}
+	waiting := planner.missing()
 	if len(waiting) == 0 {
 		return Adapter{}, false
 	}
+	now := time.Now()
+	overdue := func(adapter Adapter) int {
+		if now.Sub(planner.asked[adapter]) > planner.config.Overdue {
+			return 1
+		}
+		return 0
+	}
 	return slices.MinFunc(slices.Collect(maps.Keys(waiting)), func(a, b Adapter) int {
 		return cmp.Or(
+			cmp.Compare(overdue(a), overdue(b)),
 			cmp.Compare(waiting[b], waiting[a]),
 			planner.asked[a].Compare(planner.asked[b]),
 			cmp.Compare(a.Name, b.Name),
@@ -271,6 +280,28 @@
 	}), true
 }
 
+// missing returns how many requests wait for each adapter that is neither there
+// nor on its way.
+func (planner *Planner) missing() map[Adapter]int {
+	waiting := make(map[Adapter]int)
+	for _, demand := range planner.demands {
+		for _, use := range demand.Uses {
+			if use.Waiting > 0 && !planner.holds(use.Adapter) {
+				waiting[use.Adapter] += use.Waiting
+			}
+		}
+	}
+	return waiting
+}
+
+// Queue returns the number of adapters that are on their way or still to be
+// ordered.
+func (planner *Planner) Queue() int {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	return len(planner.engine.Pending) + len(planner.missing())
+}
+
 // holds reports whether the adapter is there or on its way, in this version or
 // a newer one.
 func (planner *Planner) holds(wanted Adapter) bool {
--- a/internal/flow/stock/stock_test.go
+++ b/internal/flow/stock/stock_test.go
@@ -104,6 +104,29 @@
 	}
 }
 
+// TestOverdue plays the cold start of scale-1, where more adapters are asked for
+// than the store brings: those whose requests can still meet their goal come
+// before older ones, in place of all being late.
+func TestOverdue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner := New(Config{})
+		planner.Observe(Engine{Models: []string{"m"}})
+		old := []Use{waiting(1, 2)}
+		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: old})
+		time.Sleep(DefaultOverdue + 10*time.Millisecond)
+		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: append(old, waiting(2, 1))})
+		order, _ := planner.Next()
+		if diff := cmp.Diff(adapter(2), order.Adapter); diff != "" {
+			t.Errorf("adapter (-want +got):\n%s", diff)
+		}
+		planner.Observe(Engine{Models: []string{"m"}, Resident: adapters(2)})
+		order, _ = planner.Next()
+		if diff := cmp.Diff(adapter(1), order.Adapter); diff != "" {
+			t.Errorf("adapter when nothing else waits (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestSilentEntry guards against an adapter that is kept for an entry instance
 // that was killed.
 func TestSilentEntry(t *testing.T) {
