Read the instance list less often, and at once when it is found wrong

Change: each 0.9 s in place of 0.65, and when an upstream is lost, not reached or answers for another.

--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -58,6 +58,7 @@
 // Follower follows one topic.
 type Follower[Record any] struct {
 	config Config[Record]
+	wake   chan struct{}
 
 	mutex  sync.Mutex
 	next   uint64
@@ -78,7 +79,7 @@
 	if config.Longest == 0 {
 		config.Longest = DefaultLongest
 	}
-	return &Follower[Record]{config: config}
+	return &Follower[Record]{config: config, wake: make(chan struct{}, 1)}
 }
 
 // Run follows the topic until ctx ends.
@@ -93,7 +94,7 @@
 		case err == nil:
 			backoff = follower.config.First
 			follower.reached(called)
-			pause(ctx, follower.config.Pause)
+			follower.rest(ctx)
 		case errors.Is(err, ErrTrimmed):
 			follower.config.Logger.Info("follow: records were dropped, reading all", zap.String("topic", follower.config.Name))
 			follower.placed = false
@@ -105,6 +106,28 @@
 	}
 }
 
+// Wake ends the present pause between two calls.
+func (follower *Follower[Record]) Wake() {
+	select {
+	case follower.wake <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits between two calls, unless it is woken.
+func (follower *Follower[Record]) rest(ctx context.Context) {
+	if follower.config.Pause <= 0 {
+		return
+	}
+	timer := time.NewTimer(follower.config.Pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-follower.wake:
+	}
+}
+
 // step makes one call.
 func (follower *Follower[Record]) step(ctx context.Context) error {
 	follower.count(&follower.calls)
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -105,9 +105,10 @@
 	}).Run(ctx)
 }
 
-func (relay *Relay) followListings(ctx context.Context) {
+// newListings returns the follower of the instance list.
+func (relay *Relay) newListings() *follow.Follower[Listing] {
 	list := relay.belief.list
-	follow.New(follow.Config[Listing]{
+	return follow.New(follow.Config[Listing]{
 		Name: "instances", Source: relay.config.Listings, Logger: relay.config.Logger, Pause: listPause,
 		Apply: func(listings []Listing, complete bool) {
 			stamp := list.Stamp()
@@ -118,7 +119,17 @@
 		},
 		Reached: func(time.Time) { list.Up() },
 		Lost:    list.Down,
-	}).Run(ctx)
+	})
+}
+
+// readList reads the instance list soon, since an upstream is not as listed.
+// Reads are not more frequent than wakePause allows.
+func (relay *Relay) readList() {
+	now := time.Now().UnixMilli()
+	last := relay.wokenAt.Load()
+	if now-last >= wakePause.Milliseconds() && relay.wokenAt.CompareAndSwap(last, now) {
+		relay.listings.Wake()
+	}
 }
 
 func (relay *Relay) applyListings(listings []Listing, complete bool) {
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -210,6 +210,7 @@
 	relay.board.Granted(state.GetUpstream(), state.GetGranted())
 	if relay.board.Lost(state.GetUpstream()) {
 		relay.abandon(state.GetUpstream())
+		relay.readList()
 	}
 	relay.changed.fire()
 }
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -76,7 +76,9 @@
 	// configWait is how long a call for changes of the configuration waits.
 	configWait = 1500 * time.Millisecond
 	// listPause is the time between two readings of the instance list.
-	listPause = 650 * time.Millisecond
+	listPause = 900 * time.Millisecond
+	// wakePause is the least time between two readings out of turn.
+	wakePause = 300 * time.Millisecond
 	// headerTime is how long a caller may take for a request's headers.
 	headerTime = 3 * time.Second
 	// idleTime is how long a caller's connection may be unused. It is longer
@@ -108,7 +110,11 @@
 	wake    chan struct{}
 	changed *signal
 	sends   *sends
-	metrics metrics
+	// listings follows the instance list; wokenAt is when it was last read out
+	// of turn, in Unix milliseconds.
+	listings *follow.Follower[Listing]
+	wokenAt  atomic.Int64
+	metrics  metrics
 	// asks numbers the requests that wait for their turn. It begins at random,
 	// so that a loader does not take them for those of an earlier start.
 	asks atomic.Uint64
@@ -135,6 +141,7 @@
 	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health})
 	relay.belief = newBelief(fleet.New(fleet.Config{}), config.Logger)
 	relay.budget = newBudget(config.Bounds, relay.peers.count)
+	relay.listings = relay.newListings()
 	relay.server = &http.Server{
 		Handler:           http.HandlerFunc(relay.serve),
 		ReadHeaderTimeout: headerTime,
@@ -159,7 +166,7 @@
 	group.Go(func() error { return ended(relay.reads.Serve(relay.config.Metrics)) })
 	group.Go(func() error { return relay.config.Datagrams.Serve(running, relay.heard) })
 	group.Go(func() error { relay.followChanges(running); return nil })
-	group.Go(func() error { relay.followListings(running); return nil })
+	group.Go(func() error { relay.listings.Run(running); return nil })
 	group.Go(func() error { relay.exchange(running); return nil })
 	group.Go(func() error { relay.expire(running); return nil })
 	relay.config.Logger.Info("relay: started", zap.String("address", relay.config.Address))
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -85,6 +85,7 @@
 	if hop.NotSent.Has(err) {
 		if ctx.Err() == nil {
 			flight.log("relay: upstream not reached", zap.Error(err))
+			flight.relay.readList()
 			flight.judge(upstream, false)
 		}
 		return unreached
@@ -112,8 +113,11 @@
 
 // turnedAway handles an answer that says that the request did not run.
 func (flight *flight) turnedAway(upstream fleet.Upstream, response *hop.Response) outcome {
-	if response.Status == http.StatusMisdirectedRequest && flight.adapter.Name != "" {
-		flight.relay.board.Absent(upstream.ID, flight.adapter)
+	if response.Status == http.StatusMisdirectedRequest {
+		flight.relay.readList()
+		if flight.adapter.Name != "" {
+			flight.relay.board.Absent(upstream.ID, flight.adapter)
+		}
 	}
 	flight.relay.metrics.count("turned-away-" + strconv.Itoa(response.Status))
 	flight.log("relay: upstream turned the request away", zap.Int("status", response.Status))
