--- a/cmd/jacinthfront/daemons.go
+++ b/cmd/jacinthfront/daemons.go
@@ -61,17 +61,22 @@
 // checkCommand prints the settings in effect.
 type checkCommand struct {
 	settingsFlag
-	Role string `long:"role" choice:"entry" choice:"side" required:"true" description:"role that the settings are for"`
+	Role string `long:"role" choice:"entry" choice:"side" choice:"relay" choice:"loader" required:"true" description:"role that the settings are for"`
 }
 
 // Execute implements flags.Commander.
 func (command *checkCommand) Execute([]string) error {
 	var settings any
 	var err error
-	if command.Role == "entry" {
+	switch command.Role {
+	case "entry":
 		settings, err = setup.LoadEntry(command.Settings)
-	} else {
+	case "side":
 		settings, err = setup.LoadSide(command.Settings)
+	case "relay":
+		settings, err = setup.LoadRelay(command.Settings)
+	case "loader":
+		settings, err = setup.LoadLoader(command.Settings)
 	}
 	if err != nil {
 		return err
--- a/internal/base/setup/setup.go
+++ b/internal/base/setup/setup.go
@@ -102,7 +102,7 @@
 	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(settings)
 	var parse toml.ParseError
 	if errors.As(err, &parse) {
-		return fault.New(fault.Invalid, fault.NotRun, "%s line %d: %s; correct the TOML", file, parse.Position.Line, parse.Message)
+		return fault.New(fault.Invalid, fault.NotRun, "%s line %d, key %q: %s; correct the TOML, durations have a unit, such as \"5s\"", file, parse.Position.Line, parse.LastKey, parse.Message)
 	}
 	if err != nil {
 		return fault.New(fault.Invalid, fault.NotRun, "%s: %v; give the value in the type that docs/OPERATING.md names", file, err)
--- a/internal/base/telem/bounded.go
+++ b/internal/base/telem/bounded.go
@@ -40,6 +40,15 @@
 	IsRoutine func(message string) bool
 }
 
+// Error returns the field of an error, without the stack that error classes
+// keep. It is left out if there is no error.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Bounded writes log lines without ever blocking its callers. It leaves lines
 // out when there are too many, or when their reader is slow, and says how many.
 type Bounded struct {
--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 )
 
 // ErrTrimmed means that records were dropped before they were read.
@@ -174,7 +176,7 @@
 		return
 	}
 	follower.down = true
-	follower.config.Logger.Warn("follow: topic cannot be read", zap.String("topic", follower.config.Name), zap.Error(err))
+	follower.config.Logger.Warn("follow: topic cannot be read", zap.String("topic", follower.config.Name), telem.Error(err))
 	if follower.config.Lost != nil {
 		follower.config.Lost()
 	}
--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -101,7 +102,7 @@
 		state.Granted = granted[address]
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
 		if err := loader.config.Datagrams.Send(address, datagram); err != nil {
-			loader.config.Logger.Debug("loader: datagram not sent", zap.String("address", address), zap.Error(err))
+			loader.config.Logger.Debug("loader: datagram not sent", zap.String("address", address), telem.Error(err))
 		}
 	}
 }
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -128,7 +128,7 @@
 	group.Go(func() error { return loader.serveMetrics(ctx) })
 	group.Go(func() error { loader.grant(ctx); return nil })
 	err := group.Wait()
-	loader.config.Logger.Info("loader: stopped", zap.Error(err))
+	loader.config.Logger.Info("loader: stopped", telem.Error(err))
 	return err
 }
 
@@ -184,7 +184,7 @@
 	if err != nil {
 		loader.misses++
 		if loader.misses == lostReports {
-			loader.config.Logger.Warn("loader: engine does not report", zap.Error(err))
+			loader.config.Logger.Warn("loader: engine does not report", telem.Error(err))
 			loader.gate.Observe(admit.State{})
 		}
 		return false
@@ -236,7 +236,7 @@
 	loader.config.Logger.Info(LineOrder,
 		zap.String("operation", order.Operation.String()), zap.String("model", order.Model),
 		zap.String("adapter", order.Adapter.Name), zap.Uint32("version", order.Adapter.Version),
-		zap.Int64("sequence", order.Sequence), zap.Duration("took", time.Since(began)), zap.Error(err))
+		zap.Int64("sequence", order.Sequence), zap.Duration("took", time.Since(began)), telem.Error(err))
 	return err == nil
 }
 
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/steer"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
@@ -144,7 +145,7 @@
 func (relay *Relay) tell(address string, datagram *wirepb.Datagram) {
 	if err := relay.config.Datagrams.Send(address, datagram); err != nil {
 		relay.metrics.count("datagrams-unsent")
-		relay.config.Logger.Debug("relay: datagram not sent", zap.String("address", address), zap.Error(err))
+		relay.config.Logger.Debug("relay: datagram not sent", zap.String("address", address), telem.Error(err))
 	}
 }
 
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -181,7 +181,7 @@
 	_ = relay.reads.Close()
 	err := group.Wait()
 	relay.config.Pool.Close()
-	relay.config.Logger.Info("relay: stopped", zap.Error(err))
+	relay.config.Logger.Info("relay: stopped", telem.Error(err))
 	return err
 }
 
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -5,8 +5,7 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/steer"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -101,7 +100,7 @@
 		panic(http.ErrAbortHandler)
 	case flight.begun:
 		flight.relay.metrics.count("stream-cut")
-		flight.log("relay: answer cut", zap.Error(ctx.Err()))
+		flight.log("relay: answer cut", telem.Error(ctx.Err()))
 		panic(http.ErrAbortHandler)
 	case flight.failure != nil:
 		flight.deliver(flight.failure, flight.failureText)
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/link/hop"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/state/table"
@@ -84,7 +85,7 @@
 	lost := errors.Is(context.Cause(ctx), errUpstreamLost)
 	if hop.NotSent.Has(err) {
 		if ctx.Err() == nil {
-			flight.log("relay: upstream not reached", zap.Error(err))
+			flight.log("relay: upstream not reached", telem.Error(err))
 			flight.relay.readList()
 			flight.judge(upstream, false)
 		}
@@ -92,7 +93,7 @@
 	}
 	flight.sends++
 	if ctx.Err() == nil || lost {
-		flight.log("relay: no answer", zap.Error(err), zap.Bool("upstream-lost", lost))
+		flight.log("relay: no answer", telem.Error(err), zap.Bool("upstream-lost", lost))
 	}
 	return flight.mayHaveRun(upstream)
 }
@@ -106,7 +107,7 @@
 }
 
 func (flight *flight) broken(upstream fleet.Upstream, err error) outcome {
-	flight.log("relay: answer broken", zap.Error(err))
+	flight.log("relay: answer broken", telem.Error(err))
 	flight.judge(upstream, false)
 	return unknown
 }
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -9,8 +9,7 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/link/hop"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -79,7 +78,7 @@
 
 func (flight *flight) flush() {
 	if err := http.NewResponseController(flight.writer).Flush(); err != nil {
-		flight.relay.config.Logger.Debug("relay: flush failed", zap.Error(err))
+		flight.relay.config.Logger.Debug("relay: flush failed", telem.Error(err))
 	}
 }
 
