--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -189,10 +189,11 @@
 	if flight.organisation == nil {
 		return nil
 	}
+	// Where the bucket is about to hold enough, coming back would take longer
+	// than waiting.
+	until := time.Now().Add(flight.route.Target / placePart)
 	wait, ok := flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
-	if !ok && wait <= flight.route.Target/placePart {
-		// The bucket is about to hold enough, so that coming back would take
-		// longer than waiting.
+	for !ok && time.Now().Add(wait).Before(until) {
 		time.Sleep(wait)
 		wait, ok = flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
 	}
@@ -231,7 +232,11 @@
 // refuse gives the caller a final answer of this instance's own.
 func (flight *flight) refuse(refused refusal) {
 	flight.relay.metrics.count("refused-" + strconv.Itoa(refused.status))
-	flight.log("relay: request refused", zap.Int("status", refused.status), zap.String("reason", refused.reason), zap.Duration("retry-after", refused.after))
+	fields := []zap.Field{zap.Int("status", refused.status), zap.String("reason", refused.reason), zap.Duration("retry-after", refused.after)}
+	if config := flight.relay.belief.current(); config != nil {
+		fields = append(fields, zap.Uint64("config-version", config.Version()), zap.Duration("config-age", flight.relay.belief.age()))
+	}
+	flight.log("relay: request refused", fields...)
 	if flight.begun {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -213,3 +213,19 @@
 		}
 	})
 }
+
+// TestWait guards against a wait that is told too short, so that who waits it
+// out is refused again.
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := New(Config{})
+		wait, ok := ledger.Take(organisation, limit, 1460)
+		if ok {
+			t.Fatal("a new bucket holds a whole request before the fleet is known")
+		}
+		time.Sleep(wait + time.Microsecond)
+		if _, ok := ledger.Take(organisation, limit, 1460); !ok {
+			t.Errorf("refused after waiting %v", wait)
+		}
+	})
+}
