--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -40,7 +40,8 @@
 	Absent
 	// Full means that all upstreams have as much as they can take.
 	Full
-	// Starting means that the service's engines are loading their model.
+	// Starting means that engines of the service are loading their model, and
+	// that the others have as much as they can take.
 	Starting
 	// None means that the service has no usable upstream.
 	None
@@ -87,6 +88,9 @@
 	} else {
 		choice = board.chooseHolder(candidates, need)
 	}
+	if choice.Result == Full && board.nothing(need) == Starting {
+		choice.Result = Starting
+	}
 	choice.Candidates = len(candidates)
 	return choice
 }
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -99,6 +99,11 @@
 			name: "starting", guards: "requests are refused while engines load their model after a loss of power",
 			reports: []Report{{Born: 1000, Serial: 1}}, result: Starting,
 		},
+		{
+			name: "others starting", guards: "requests are refused at the first engine that is back after a loss of power",
+			reports: []Report{report(1, 20_000, wanted), {Born: 1000, Serial: 1}}, result: Starting,
+			change: func(_ *Board, need *Need) { need.Limit = 14_400 },
+		},
 		{
 			name: "load queue", guards: "an adapter is asked for where many others are to be loaded first",
 			reports: []Report{
