Leave streams at an engine that is leaving, split files by concept

Ruled out: a run that the runner broke off (its connections were reset by us at the moment of 'sends to a lost upstream ended').

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -124,6 +124,7 @@
 		UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
 		ModelLoaded: len(report.Models) > 0, Draining: report.Draining,
 		Unreachable:   loader.misses >= lostReports,
+		Silent:        loader.misses >= lostReports && loader.silent,
 		BacklogTokens: backlog, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
 	}
 	if full {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,8 +66,10 @@
 
 // Config configures a Loader.
 type Config struct {
-	Instance  string
-	Engine    Engine
+	Instance string
+	Engine   Engine
+	// Address is the engine's, as IP:port.
+	Address   string
 	Datagrams *gossip.Conn
 	// Metrics is where metrics are read.
 	Metrics net.Listener
@@ -91,6 +94,9 @@
 	report Report
 	// misses counts the reports that failed in a row.
 	misses int
+	// silent means that the last report failed without any answer, although the
+	// engine was not leaving.
+	silent bool
 	// listed is the engine's id as the entry instances know it.
 	listed string
 	serial uint64
@@ -121,7 +127,7 @@
 
 // Run works until ctx ends.
 func (loader *Loader) Run(ctx context.Context) error {
-	loader.config.Logger.Info("loader: started")
+	loader.config.Logger.Info("loader: started", zap.String("engine", loader.config.Address))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loader.config.Datagrams.Serve(ctx, loader.heard) })
 	group.Go(func() error { loader.keep(ctx); return nil })
@@ -183,6 +189,7 @@
 	defer loader.mutex.Unlock()
 	if err != nil {
 		loader.misses++
+		loader.silent = !errors.Is(err, syscall.ECONNREFUSED) && !loader.report.Draining
 		if loader.misses == lostReports {
 			loader.config.Logger.Warn("loader: engine does not report", telem.Error(err))
 			loader.gate.Observe(admit.State{})
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -192,6 +192,7 @@
 	}
 	relay.board.Reported(state.GetUpstream(), steer.Report{
 		Unreachable: state.GetUnreachable(),
+		Silent:      state.GetSilent(),
 		Backlog:     state.GetBacklogTokens(),
 		FreePlaces:  int(state.GetFreePlaces()),
 		Loads:       int(state.GetLoadsQueued()),
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -186,6 +186,42 @@
 	}
 }
 
+// TestLost guards against streams that are cut at an engine that is leaving: it
+// refuses connections and goes on serving those that it has (LOST, bench-floor
+// mix, seed 836633669107).
+func TestLost(t *testing.T) {
+	tests := []struct {
+		name        string
+		unreachable bool
+		silent      bool
+		draining    bool
+		born        int64
+		want        bool
+	}{
+		{name: "sound", born: 1000},
+		{name: "refuses connections", unreachable: true, born: 1000},
+		{name: "dark", unreachable: true, silent: true, born: 1000, want: true},
+		{name: "dark after it was listed as leaving", unreachable: true, silent: true, draining: true, born: 1000},
+		{name: "restarted", born: 2000, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				board := newBoard(report(1, 0, wanted))
+				listed := engine(0)
+				listed.Draining = test.draining
+				board.Follow([]fleet.Upstream{listed})
+				next := report(2, 0, wanted)
+				next.Unreachable, next.Silent, next.Born = test.unreachable, test.silent, test.born
+				board.Reported("i-0", next)
+				if got := board.Lost("i-0"); got != test.want {
+					t.Errorf("lost is %v, want %v", got, test.want)
+				}
+			})
+		})
+	}
+}
+
 // TestBurst plays many requests for one service that come between two reports,
 // as at the start of a burst: own asks count, so that they spread.
 func TestBurst(t *testing.T) {
--- /dev/null
+++ b/internal/link/hop/body.go
@@ -0,0 +1,73 @@
+package hop
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// body is the body of an answer. At its end the connection is kept, or closed
+// if it cannot be used again.
+type body struct {
+	pool     *Pool
+	address  string
+	conn     *conn
+	response *http.Response
+	stop     func() bool
+	written  chan error
+	once     sync.Once
+}
+
+// Read implements io.Reader.
+func (body *body) Read(buffer []byte) (int, error) {
+	n, err := body.response.Body.Read(buffer)
+	switch {
+	case err == io.EOF:
+		body.once.Do(body.finish)
+	case err != nil:
+		body.once.Do(body.abandon)
+	}
+	return n, err
+}
+
+func (body *body) abandon() {
+	body.stop()
+	body.conn.abort()
+}
+
+// finish keeps the connection if the answer has a clear end, nothing follows
+// it, and the whole request was written before it came.
+func (body *body) finish() {
+	alive := body.stop()
+	idleTime := body.pool.idleTime(body.response)
+	select {
+	case err := <-body.written:
+		alive = alive && err == nil
+	default:
+		alive = false
+	}
+	if !alive || idleTime <= 0 || body.conn.reader.Buffered() > 0 {
+		_ = body.conn.Close()
+		return
+	}
+	body.pool.put(body.address, body.conn, idleTime)
+}
+
+// idleTime returns how long the connection may be kept after an answer.
+func (pool *Pool) idleTime(response *http.Response) time.Duration {
+	if response.Close {
+		return 0
+	}
+	limit := pool.config.IdleTime
+	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if name == "timeout" && err == nil {
+			limit = min(limit, time.Duration(seconds)*time.Second-keepAliveMargin)
+		}
+	}
+	return limit
+}
--- a/internal/link/hop/hop.go
+++ b/internal/link/hop/hop.go
@@ -13,8 +13,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -152,87 +150,6 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body}, nil
 }
 
-// get returns an unused connection that is still sound, or a new one.
-func (pool *Pool) get(ctx context.Context, address string) (*conn, error) {
-	for {
-		found := pool.take(address)
-		if found == nil {
-			return pool.dial(ctx, address)
-		}
-		if time.Now().Before(found.until) && quiet(found) {
-			return found, nil
-		}
-		_ = found.Close()
-	}
-}
-
-func (pool *Pool) take(address string) *conn {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	list := pool.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	last := list[len(list)-1]
-	pool.idle[address] = list[:len(list)-1]
-	pool.reused++
-	return last
-}
-
-func (pool *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, pool.config.DialTime)
-	defer cancel()
-	opened, err := pool.config.Dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	pool.mutex.Lock()
-	pool.opened++
-	pool.mutex.Unlock()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
-}
-
-// put keeps a connection for later, unless too many are kept already.
-func (pool *Pool) put(address string, used *conn, idleTime time.Duration) {
-	used.until = time.Now().Add(idleTime)
-	pool.mutex.Lock()
-	list := pool.idle[address]
-	kept := len(list) < pool.config.Idle
-	if kept {
-		pool.idle[address] = append(list, used)
-	}
-	pool.mutex.Unlock()
-	if !kept {
-		_ = used.Close()
-	}
-}
-
-// Trim closes the connections whose time has passed.
-func (pool *Pool) Trim() {
-	now := time.Now()
-	var old []*conn
-	pool.mutex.Lock()
-	for address, list := range pool.idle {
-		keep := list[:0]
-		for _, kept := range list {
-			if now.Before(kept.until) {
-				keep = append(keep, kept)
-			} else {
-				old = append(old, kept)
-			}
-		}
-		if len(keep) == 0 {
-			delete(pool.idle, address)
-		} else {
-			pool.idle[address] = keep
-		}
-	}
-	pool.mutex.Unlock()
-	for _, closing := range old {
-		_ = closing.Close()
-	}
-}
-
 // Close closes the unused connections.
 func (pool *Pool) Close() {
 	pool.mutex.Lock()
@@ -276,71 +193,8 @@
 	}
 }
 
-// body is the body of an answer. At its end the connection is kept, or closed
-// if it cannot be used again.
-type body struct {
-	pool     *Pool
-	address  string
-	conn     *conn
-	response *http.Response
-	stop     func() bool
-	written  chan error
-	once     sync.Once
-}
-
-// Read implements io.Reader.
-func (body *body) Read(buffer []byte) (int, error) {
-	n, err := body.response.Body.Read(buffer)
-	switch {
-	case err == io.EOF:
-		body.once.Do(body.finish)
-	case err != nil:
-		body.once.Do(body.abandon)
-	}
-	return n, err
-}
-
 // Close gives up what has not been read.
 func (body *body) Close() error {
 	body.once.Do(body.abandon)
 	return nil
 }
-
-func (body *body) abandon() {
-	body.stop()
-	body.conn.abort()
-}
-
-// finish keeps the connection if the answer has a clear end, nothing follows
-// it, and the whole request was written before it came.
-func (body *body) finish() {
-	alive := body.stop()
-	idleTime := body.pool.idleTime(body.response)
-	select {
-	case err := <-body.written:
-		alive = alive && err == nil
-	default:
-		alive = false
-	}
-	if !alive || idleTime <= 0 || body.conn.reader.Buffered() > 0 {
-		_ = body.conn.Close()
-		return
-	}
-	body.pool.put(body.address, body.conn, idleTime)
-}
-
-// idleTime returns how long the connection may be kept after an answer.
-func (pool *Pool) idleTime(response *http.Response) time.Duration {
-	if response.Close {
-		return 0
-	}
-	limit := pool.config.IdleTime
-	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		seconds, err := strconv.Atoi(value)
-		if name == "timeout" && err == nil {
-			limit = min(limit, time.Duration(seconds)*time.Second-keepAliveMargin)
-		}
-	}
-	return limit
-}
