--- a/cmd/jacinthfront/relays.go
+++ b/cmd/jacinthfront/relays.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -20,7 +22,35 @@
 	}
 	ctx, stop := untilSignal()
 	defer stop()
-	return platform.RunRelay(ctx, settings)
+	return platform.RunRelay(ctx, settings, command.reloads(ctx))
+}
+
+// reloads returns the bounds of the settings file each time SIGHUP says that it
+// has changed. A file that cannot be used is reported and passed over.
+func (command *relayCommand) reloads(ctx context.Context) <-chan setup.RelayBounds {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	bounds := make(chan setup.RelayBounds)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+			}
+			settings, err := setup.LoadRelay(command.Settings)
+			if err != nil {
+				fmt.Fprintln(os.Stderr, "jacinthfront: settings kept as they were:", err)
+				continue
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case bounds <- settings.Bounds:
+			}
+		}
+	}()
+	return bounds
 }
 
 // loaderCommand runs the process beside an engine on the platform.
@@ -32,6 +62,8 @@
 	if err != nil {
 		return err
 	}
+	// Nothing in a loader's settings changes while its engine lives.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := untilSignal()
 	defer stop()
 	return platform.RunLoader(ctx, settings)
@@ -39,6 +71,5 @@
 
 // untilSignal returns a context that the first SIGTERM or SIGINT ends.
 func untilSignal() (context.Context, context.CancelFunc) {
-	signal.Ignore(syscall.SIGHUP)
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
--- a/internal/daemon/relay/budget.go
+++ b/internal/daemon/relay/budget.go
@@ -12,7 +12,7 @@
 // budget is this instance's part of the retry budget that all instances share:
 // the ratio of its own requests, and an equal part of the extra.
 type budget struct {
-	bounds    Bounds
+	bounds    func() Bounds
 	instances func() int
 
 	mutex  sync.Mutex
@@ -30,7 +30,7 @@
 	retry bool
 }
 
-func newBudget(bounds Bounds, instances func() int) *budget {
+func newBudget(bounds func() Bounds, instances func() int) *budget {
 	return &budget{bounds: bounds, instances: instances, counts: make(map[string]*window)}
 }
 
@@ -47,7 +47,8 @@
 	defer budget.mutex.Unlock()
 	window := budget.window(service)
 	requests, retries := window.count()
-	limit := budget.bounds.RetryRatio*float64(requests) + budget.bounds.RetryExtra/float64(budget.instances())
+	bounds := budget.bounds()
+	limit := bounds.RetryRatio*float64(requests) + bounds.RetryExtra/float64(budget.instances())
 	if float64(retries+1) > limit*budgetUse {
 		return false
 	}
@@ -61,7 +62,7 @@
 		found = &window{}
 		budget.counts[service] = found
 	}
-	found.trim(time.Now().Add(-budget.bounds.RetryWindow))
+	found.trim(time.Now().Add(-budget.bounds().RetryWindow))
 	return found
 }
 
--- a/internal/daemon/relay/budget_test.go
+++ b/internal/daemon/relay/budget_test.go
@@ -15,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var budgets []*budget
 		for range instances {
-			budgets = append(budgets, newBudget(bounds, func() int { return instances }))
+			budgets = append(budgets, newBudget(func() Bounds { return bounds }, func() int { return instances }))
 		}
 		var requests, retries []time.Time
 		began := time.Now()
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -52,6 +52,9 @@
 	Pool    *hop.Pool
 	Logger  *zap.Logger
 	Bounds  Bounds
+	// Reloads delivers bounds that were changed while the instance runs. It may
+	// be nil.
+	Reloads <-chan Bounds
 }
 
 // Bounds holds what the users promise their callers.
@@ -115,6 +118,7 @@
 	listings *follow.Follower[Listing]
 	wokenAt  atomic.Int64
 	metrics  metrics
+	bounds   atomic.Pointer[Bounds]
 	// asks numbers the requests that wait for their turn. It begins at random,
 	// so that a loader does not take them for those of an earlier start.
 	asks atomic.Uint64
@@ -140,7 +144,8 @@
 	relay.asks.Store(rand.Uint64())
 	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health})
 	relay.belief = newBelief(fleet.New(fleet.Config{}), config.Logger)
-	relay.budget = newBudget(config.Bounds, relay.peers.count)
+	relay.bounds.Store(&config.Bounds)
+	relay.budget = newBudget(func() Bounds { return *relay.bounds.Load() }, relay.peers.count)
 	relay.listings = relay.newListings()
 	relay.server = &http.Server{
 		Handler:           http.HandlerFunc(relay.serve),
@@ -169,6 +174,7 @@
 	group.Go(func() error { relay.listings.Run(running); return nil })
 	group.Go(func() error { relay.exchange(running); return nil })
 	group.Go(func() error { relay.expire(running); return nil })
+	group.Go(func() error { relay.reload(running); return nil })
 	relay.config.Logger.Info("relay: started", zap.String("address", relay.config.Address))
 	select {
 	case <-ctx.Done():
@@ -198,8 +204,8 @@
 	relay.stopping.Store(true)
 	relay.config.Logger.Info("relay: stopping", zap.Int64("running", relay.metrics.running.Load()))
 	relay.server.SetKeepAlivesEnabled(false)
-	deadline := time.Now().Add(relay.config.Bounds.Grace - stopMargin)
-	time.Sleep(min(acceptAfterStop, relay.config.Bounds.Grace/3))
+	deadline := time.Now().Add(relay.bounds.Load().Grace - stopMargin)
+	time.Sleep(min(acceptAfterStop, relay.bounds.Load().Grace/3))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := relay.server.Shutdown(ctx); err != nil {
@@ -207,13 +213,26 @@
 	}
 }
 
+// reload takes over changed bounds.
+func (relay *Relay) reload(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case bounds := <-relay.config.Reloads:
+			before := relay.bounds.Swap(&bounds)
+			relay.config.Logger.Info("settings: bounds in force", zap.Any("bounds", bounds), zap.Bool("changed", *before != bounds))
+		}
+	}
+}
+
 // Ready reports whether the instance should get new connections.
 func (relay *Relay) Ready() bool {
 	return !relay.stopping.Load() && relay.belief.current() != nil && relay.belief.confirmed(relay.trust())
 }
 
 // trust returns how long a configuration counts after it was confirmed.
-func (relay *Relay) trust() time.Duration { return relay.config.Bounds.Revoke - confirmMargin }
+func (relay *Relay) trust() time.Duration { return relay.bounds.Load().Revoke - confirmMargin }
 
 func (relay *Relay) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if !relay.Ready() {
