--- a/internal/daemon/follow/follow_test.go
+++ b/internal/daemon/follow/follow_test.go
@@ -64,6 +64,7 @@
 func TestFollow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &topic{records: []string{"1"}}
+		// The mutex of the store guards what the follower reports, too.
 		var last string
 		var reached time.Time
 		lost := 0
@@ -71,11 +72,11 @@
 			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
 			Apply: func(records []string, _ bool) {
 				if len(records) > 0 {
-					last = records[len(records)-1]
+					store.change(func() { last = records[len(records)-1] })
 				}
 			},
-			Reached: func(called time.Time) { reached = called },
-			Lost:    func() { lost++ },
+			Reached: func(called time.Time) { store.change(func() { reached = called }) },
+			Lost:    func() { store.change(func() { lost++ }) },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -87,7 +88,9 @@
 		check := func(moment, want string) {
 			t.Helper()
 			synctest.Wait()
-			if diff := cmp.Diff(want, last); diff != "" {
+			var got string
+			store.change(func() { got = last })
+			if diff := cmp.Diff(want, got); diff != "" {
 				t.Errorf("%s: newest record (-want +got):\n%s", moment, diff)
 			}
 		}
@@ -95,26 +98,28 @@
 		store.change(func() { store.records = append(store.records, "2", "3") })
 		time.Sleep(2 * time.Second)
 		check("records", "3")
-		store.change(func() { store.down = true })
 		downAt := time.Now()
-		before := store.calls
+		before := 0
+		store.change(func() { store.down, before = true, store.calls })
 		time.Sleep(5 * time.Second)
-		if reached.After(downAt) {
-			t.Error("the configuration was confirmed while the store was down")
-		}
-		if calls := store.calls - before; calls > 40 {
-			t.Errorf("%d calls in 5 s to a store that is down", calls)
-		}
+		store.change(func() {
+			if reached.After(downAt) {
+				t.Error("the configuration was confirmed while the store was down")
+			}
+			if calls := store.calls - before; calls > 40 {
+				t.Errorf("%d calls in 5 s to a store that is down", calls)
+			}
+		})
 		store.change(func() {
 			store.records = append(store.records, "4", "5")
 			store.first, store.down = 4, false
 		})
 		time.Sleep(2 * time.Second)
 		check("records dropped", "5")
+		cancel()
+		<-done
 		if diff := cmp.Diff(1, lost); diff != "" {
 			t.Errorf("losses reported (-want +got):\n%s", diff)
 		}
-		cancel()
-		<-done
 	})
 }
