Keep a connection whose request was written when its answer ended

Cause: TestAnswers/provisional failed once beside other work (two connections in place of one): the answer was read before the goroutine that wrote the request had said so, and the connection counted as half written. Ruled out: bytes after the answer (the stand-in sends none in that case). Change: the end of an answer waits up to 10 ms for the write to be reported. Conclusion: it cost connections, never an answer.

--- a/internal/link/hop/body.go
+++ b/internal/link/hop/body.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// writeGrace is how long after the end of an answer its request may still be
+// written before the connection is given up.
+const writeGrace = 10 * time.Millisecond
+
 // body is the body of an answer. At its end the connection is kept, or closed
 // if it cannot be used again.
 type body struct {
@@ -39,16 +43,10 @@
 }
 
 // finish keeps the connection if the answer has a clear end, nothing follows
-// it, and the whole request was written before it came.
+// it, and the whole request was written.
 func (body *body) finish() {
-	alive := body.stop()
+	alive := body.stop() && body.sent()
 	idleTime := body.pool.idleTime(body.response)
-	select {
-	case err := <-body.written:
-		alive = alive && err == nil
-	default:
-		alive = false
-	}
 	if !alive || idleTime <= 0 || body.conn.reader.Buffered() > 0 {
 		_ = body.conn.Close()
 		return
@@ -56,6 +54,19 @@
 	body.pool.put(body.address, body.conn, idleTime)
 }
 
+// sent reports whether the whole request was written. An answer may be read
+// before the writing goroutine says that it is done, so that it has a moment.
+func (body *body) sent() bool {
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case err := <-body.written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // idleTime returns how long the connection may be kept after an answer.
 func (pool *Pool) idleTime(response *http.Response) time.Duration {
 	if response.Close {
