Say once whether an adapter serves another, drop what nothing calls

The predicate stood in three packages; it is stock.Adapter.Serves now. A candidate's work was computed twice for each choice. Removed: Board.Listed, Ledger.Level, Bounded.Left, gossip's Close, the follower's counts of calls, and a parameter that was always the same. No change in what the programs do.

--- a/internal/base/telem/bounded.go
+++ b/internal/base/telem/bounded.go
@@ -102,9 +102,6 @@
 // Logger returns the logger.
 func (bounded *Bounded) Logger() *zap.Logger { return bounded.logger }
 
-// Left returns the number of lines left out since the last summary.
-func (bounded *Bounded) Left() int64 { return bounded.left.Load() }
-
 // Write implements zapcore.WriteSyncer. It keeps a copy of the line, or leaves
 // it out when too many wait.
 func (bounded *Bounded) Write(line []byte) (int, error) {
--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,12 +61,9 @@
 	config Config[Record]
 	wake   chan struct{}
 
-	mutex  sync.Mutex
 	next   uint64
 	placed bool
 	down   bool
-	calls  uint64
-	fails  uint64
 }
 
 // New returns a Follower that has read nothing.
@@ -132,7 +128,6 @@
 
 // step makes one call.
 func (follower *Follower[Record]) step(ctx context.Context) error {
-	follower.count(&follower.calls)
 	if !follower.placed {
 		ctx, cancel := context.WithTimeout(ctx, follower.config.CallTime)
 		defer cancel()
@@ -171,7 +166,6 @@
 }
 
 func (follower *Follower[Record]) lost(err error) {
-	follower.count(&follower.fails)
 	if follower.down {
 		return
 	}
@@ -182,19 +176,6 @@
 	}
 }
 
-func (follower *Follower[Record]) count(counter *uint64) {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	*counter++
-}
-
-// Calls returns the number of calls and of those that failed.
-func (follower *Follower[Record]) Calls() (calls, failed uint64) {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	return follower.calls, follower.fails
-}
-
 func pause(ctx context.Context, duration time.Duration) {
 	if duration <= 0 {
 		return
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -9,7 +9,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -216,9 +215,7 @@
 	if wanted.Name == "" {
 		return len(report.Models) > 0
 	}
-	return slices.ContainsFunc(report.Resident, func(adapter stock.Adapter) bool {
-		return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
-	})
+	return stock.AnyServes(report.Resident, wanted)
 }
 
 // order gives the next order and reports whether there was one that the engine
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -141,12 +140,12 @@
 // whole passes on an answer that is not a stream. It is read to its end first,
 // so that one that breaks off never reaches the caller as complete.
 func (flight *flight) whole(upstream fleet.Upstream, response *hop.Response) outcome {
-	var text bytes.Buffer
-	if _, err := io.Copy(&text, response.Body); err != nil {
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
 		return flight.broken(upstream, err)
 	}
 	flight.judge(upstream, true)
-	flight.deliver(response, text.Bytes())
+	flight.deliver(response, text)
 	return answered
 }
 
@@ -165,11 +164,11 @@
 // upstream does better.
 func (flight *flight) keep(upstream fleet.Upstream, response *hop.Response) outcome {
 	flight.log("relay: upstream failed", zap.Int("status", response.Status))
-	var text bytes.Buffer
-	if _, err := io.Copy(&text, response.Body); err != nil {
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
 		return flight.broken(upstream, err)
 	}
-	flight.failure, flight.failureText = response, text.Bytes()
+	flight.failure, flight.failureText = response, text
 	return failed
 }
 
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -259,17 +259,6 @@
 	return spent
 }
 
-// Level returns what an organisation's bucket holds, for metrics.
-func (ledger *Ledger) Level(organisation string) float64 {
-	ledger.mutex.Lock()
-	defer ledger.mutex.Unlock()
-	bucket, ok := ledger.buckets[organisation]
-	if !ok {
-		return 0
-	}
-	return bucket.level
-}
-
 // Peers returns how many other instances are heard, and how many are silent.
 func (ledger *Ledger) Peers() (heard, silent int) {
 	ledger.mutex.Lock()
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -168,11 +168,3 @@
 		decrement(entry.byAdapter, adapter)
 	}
 }
-
-// Listed reports whether an upstream is still in the list and not leaving.
-func (board *Board) Listed(id string) bool {
-	board.mutex.Lock()
-	defer board.mutex.Unlock()
-	entry, ok := board.upstreams[id]
-	return ok && !entry.leaving()
-}
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -84,7 +84,7 @@
 	}
 	var choice Choice
 	if need.Adapter.Name == "" {
-		choice = leastLoaded(candidates, Found)
+		choice = leastLoaded(candidates)
 	} else {
 		choice = board.chooseHolder(candidates, need)
 	}
@@ -119,11 +119,12 @@
 			continue
 		}
 		load := board.load(entry, now)
+		work := board.work(entry, load, now)
 		candidates = append(candidates, candidate{
 			upstream: entry,
 			load:     load,
-			work:     board.work(entry, load, now),
-			full:     board.full(entry, load, need) || need.Limit > 0 && board.work(entry, load, now) > need.Limit,
+			work:     work,
+			full:     board.full(entry, load, need) || need.Limit > 0 && work > need.Limit,
 			holds:    entry.holds(need.Adapter),
 			near:     entry.spec.FailureDomain == board.config.FailureDomain,
 		})
@@ -187,7 +188,7 @@
 }
 
 func (board *Board) weigh(holders, others []candidate, need Need) Choice {
-	best := leastLoaded(holders, Found)
+	best := leastLoaded(holders)
 	target, ok := board.target(others, need.Adapter)
 	if best.Result == Found {
 		if ok && best.Backlog > target.work+board.config.Copy && !target.coming(need.Adapter) {
@@ -239,13 +240,13 @@
 
 func rank(upstream, adapter string) uint64 { return xxh3.HashString(upstream + "\x00" + adapter) }
 
-func leastLoaded(candidates []candidate, found Result) Choice {
+func leastLoaded(candidates []candidate) Choice {
 	open := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return entry.full })
 	if len(open) == 0 {
 		return Choice{Result: Full}
 	}
 	best := slices.MinFunc(open, byLoad)
-	return Choice{Result: found, Upstream: best.spec, Load: best.load, Backlog: best.work}
+	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.work}
 }
 
 func byLoad(a, b candidate) int {
@@ -278,12 +279,12 @@
 }
 
 func (entry *upstream) holds(adapter stock.Adapter) bool {
-	return serves(entry.report.Resident, adapter)
+	return stock.AnyServes(entry.report.Resident, adapter)
 }
 
 // coming reports whether the adapter is on its way or asked for.
 func (entry *upstream) coming(adapter stock.Adapter) bool {
-	if serves(entry.report.Pending, adapter) || entry.wanted[adapter] > 0 {
+	if stock.AnyServes(entry.report.Pending, adapter) || entry.wanted[adapter] > 0 {
 		return true
 	}
 	for _, waiting := range entry.asks {
@@ -293,9 +294,3 @@
 	}
 	return false
 }
-
-func serves(held []stock.Adapter, wanted stock.Adapter) bool {
-	return slices.ContainsFunc(held, func(adapter stock.Adapter) bool {
-		return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
-	})
-}
--- a/internal/flow/stock/plan.go
+++ b/internal/flow/stock/plan.go
@@ -138,10 +138,7 @@
 // holds reports whether the adapter is there or on its way, in this version or
 // a newer one.
 func (planner *Planner) holds(wanted Adapter) bool {
-	serves := func(adapter Adapter) bool {
-		return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
-	}
-	return slices.ContainsFunc(planner.engine.Resident, serves) || slices.ContainsFunc(planner.engine.Pending, serves)
+	return AnyServes(planner.engine.Resident, wanted) || AnyServes(planner.engine.Pending, wanted)
 }
 
 // victim returns the adapter unused for longest among those that no entry
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -45,6 +45,17 @@
 	Version uint32
 }
 
+// Serves reports whether the adapter can answer for the wanted one: it is the
+// same, in that version or a newer one.
+func (adapter Adapter) Serves(wanted Adapter) bool {
+	return adapter.Name == wanted.Name && adapter.Version >= wanted.Version
+}
+
+// AnyServes reports whether one of the adapters can answer for the wanted one.
+func AnyServes(adapters []Adapter, wanted Adapter) bool {
+	return slices.ContainsFunc(adapters, func(adapter Adapter) bool { return adapter.Serves(wanted) })
+}
+
 // Engine is what the engine says of itself.
 type Engine struct {
 	// Born is its start in Unix milliseconds.
--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -67,6 +67,3 @@
 		}
 	}
 }
-
-// Close closes the address.
-func (conn *Conn) Close() error { return conn.packets.Close() }
