Never end a stream that has begun with another answer

Ruled out: a break that was not noticed (the first run's end was seen, the second send followed). Change: once a stream has begun, any answer but a stream counts as broken, and the connection ends without an end of the answer.

--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,6 +51,9 @@
 	if !answer.Sealed {
 		return flight.broken(upstream, errors.New("the answer bears no seal"))
 	}
+	if flight.begun && response.Status != http.StatusOK {
+		return flight.broken(upstream, fmt.Errorf("the stream cannot go on: the upstream answered %d", response.Status))
+	}
 	if response.Status >= http.StatusInternalServerError && flight.mayRepeat() {
 		return flight.keep(upstream, response)
 	}
