Take over the others' buckets after a start, and settle the shares within 120 ms

A new bucket stayed empty for 700 ms, until the entry instances were counted, and then held one instance's part of the initial grant: copies that heard each other did not count the others' parts. One instance that restarted alone knew nothing of what the others' buckets hold.

Change: instances that start together add each other's grants when they meet; one that starts later takes over the levels that the others tell, and heeds them for its first ten seconds. Shares settle by a timer 120 ms after the start (they settled with the next report of a loader, up to 600 ms later). A loader tells all at once when an entry instance has started, in place of within 500 ms. Requests wait for the configuration and the shares for at most 600 ms after the start in place of being refused.

Ruled out: letting requests wait in turn for the bucket (levels below zero).

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	if demand == nil || !loader.meant(demand) {
 		return
 	}
+	loader.meet(demand.GetEntry(), demand.GetStart())
 	loader.planner.Demand(decodeDemand(demand))
 	loader.gate.Replace(demand.GetEntry(), admit.Shape{
 		Slots:       int(demand.GetSlots()),
@@ -33,6 +35,19 @@
 	}
 }
 
+// meet has all told soon when an entry instance has started, so that it learns
+// what the engine holds, and the others that it is there.
+func (loader *Loader) meet(entry string, start int64) {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	if loader.starts[entry] == start {
+		return
+	}
+	loader.starts[entry] = start
+	loader.greet = true
+	wake(loader.orders)
+}
+
 // meant reports whether a demand is for the present start of the engine. One
 // address may be listed under several ids after a restart.
 func (loader *Loader) meant(demand *wirepb.Demand) bool {
@@ -75,7 +90,7 @@
 func (loader *Loader) tellChanges() {
 	loader.mutex.Lock()
 	since := time.Since(loader.told)
-	held := !sameHeld(loader.sent, loader.report) || loader.misses == lostReports
+	held := !sameHeld(loader.sent, loader.report) || loader.misses == lostReports || loader.greet
 	loaded := loader.report.Running != loader.sent.Running || loader.report.Queued != loader.sent.Queued
 	loader.mutex.Unlock()
 	if held || loaded && since >= tellPeriod || since >= idlePeriod {
@@ -129,6 +144,8 @@
 	}
 	if full {
 		loader.told, loader.sent, loader.full = time.Now(), report, loader.serial
+		loader.greet = false
+		maps.DeleteFunc(loader.starts, func(entry string, _ int64) bool { return !slices.Contains(entries, entry) })
 		state.Resident, state.Pending, state.Entries = encodeAdapters(report.Resident), encodeAdapters(report.Pending), entries
 	}
 	state.Brief, state.FullSerial = !full, loader.full
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -104,6 +104,10 @@
 	told time.Time
 	// sent is the report that the entry instances were told last.
 	sent Report
+	// starts holds the entry instances' starts; greet means that a new one has
+	// not been told anything yet.
+	starts map[string]int64
+	greet  bool
 
 	// fence is used by the loop that gives orders only.
 	fence int64
@@ -119,6 +123,7 @@
 		orders:  make(chan struct{}, 1),
 		turns:   make(chan struct{}, 1),
 		misses:  lostReports,
+		starts:  make(map[string]int64),
 		fence:   now.UnixMilli(),
 		serial:  uint64(now.UnixMicro()),
 	}
--- a/internal/daemon/loader/loader_test.go
+++ b/internal/daemon/loader/loader_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+	"jacinthfront.dev/jacinthfront/internal/link/gossip"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -83,6 +86,41 @@
 	}
 }
 
+// TestMeet guards against an entry instance that has started anew at the same
+// address waiting for the next regular report, and against the others learning
+// of it late.
+func TestMeet(t *testing.T) {
+	engine := &engine{report: sound()}
+	datagrams, err := gossip.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	loader := New(Config{Engine: engine, Datagrams: datagrams, Logger: zap.NewNop()})
+	heard := make(chan *wirepb.EngineState, 10)
+	entry, err := gossip.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = entry.Serve(t.Context(), func(_ string, datagram *wirepb.Datagram) { heard <- datagram.GetEngineState() })
+	}()
+	for start := range int64(2) {
+		loader.heard("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+			Entry: entry.Address(), Start: 1 + start, Model: "m", Upstream: "i-1", Born: 1000,
+		}}})
+		loader.refresh(t.Context())
+		loader.tellChanges()
+		select {
+		case state := <-heard:
+			if state.GetBrief() || !slices.Equal(state.GetEntries(), []string{entry.Address()}) {
+				t.Errorf("start %d: told brief %v, entries %v", start, state.GetBrief(), state.GetEntries())
+			}
+		case <-time.After(idlePeriod / 2):
+			t.Errorf("start %d: told nothing", start)
+		}
+	}
+}
+
 // TestFence guards against a loader that gives the same fencing token again
 // after the engine refused it, as when the clock stepped back before a restart.
 func TestFence(t *testing.T) {
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -163,6 +163,7 @@
 	relay.board.Follow(upstreams)
 	relay.health.follow(upstreams)
 	relay.changed.fire()
+	relay.kick()
 }
 
 // healths follows the upstreams of all services by how they answer.
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -14,6 +14,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/share"
 	"jacinthfront.dev/jacinthfront/internal/flow/steer"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -30,7 +31,7 @@
 	usagePeriod = 150 * time.Millisecond
 	// settleTime is how long after a start the loaders have heard of all entry
 	// instances that started at the same time.
-	settleTime = 700 * time.Millisecond
+	settleTime = 120 * time.Millisecond
 	// peerTime is how long an entry instance is remembered that no loader names.
 	peerTime = 6 * time.Second
 )
@@ -58,6 +59,7 @@
 		case <-relay.wake:
 		}
 		relay.tellLoaders(told)
+		relay.settle()
 		if time.Since(spent) >= usagePeriod || relay.ledgerChanged() && time.Since(spent) >= exchangePeriod {
 			spent = time.Now()
 			relay.tellPeers()
@@ -65,6 +67,14 @@
 	}
 }
 
+// settle decides what new buckets hold, once loaders have told of the entry
+// instances that started at the same time.
+func (relay *Relay) settle() {
+	if relay.named.Load() && time.Since(relay.start) > settleTime {
+		relay.ledger.SetInstances(relay.peers.count())
+	}
+}
+
 // told is what a loader was told last.
 type told struct {
 	uses []stock.Use
@@ -97,6 +107,7 @@
 		last[upstream.ID] = told{uses: uses, asks: asks, at: time.Now()}
 		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.Address,
+			Start:            relay.start.UnixNano(),
 			Model:            service.Engine.Models[0].Name,
 			AdapterSlots:     uint32(service.Engine.AdapterSlots),
 			Uses:             encodeUses(uses),
@@ -151,18 +162,14 @@
 
 // ledgerChanged reports whether something was spent since the last call.
 func (relay *Relay) ledgerChanged() bool {
-	spent := relay.ledger.Spent()
+	spent := relay.ledger.Statement().Spent
 	changed := !maps.Equal(spent, relay.peers.lastSpent)
 	relay.peers.lastSpent = spent
 	return changed
 }
 
 func (relay *Relay) tellPeers() {
-	usage := &wirepb.Usage{Entry: relay.config.Address, Start: relay.start.UnixNano()}
-	for organisation, spent := range relay.ledger.Spent() {
-		usage.Organisations = append(usage.Organisations, &wirepb.OrganisationUse{Organisation: organisation, Spent: spent})
-	}
-	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: usage}}
+	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: relay.usage()}}
 	heard, engines := relay.board.Heard()
 	addresses, gone := relay.peers.addresses(2*heard > engines)
 	for _, address := range gone {
@@ -174,6 +181,20 @@
 	}
 }
 
+func (relay *Relay) usage() *wirepb.Usage {
+	statement := relay.ledger.Statement()
+	usage := &wirepb.Usage{
+		Entry: relay.config.Address, Start: relay.start.UnixNano(),
+		UptimeMs: statement.Uptime.Milliseconds(), Settled: statement.Settled,
+	}
+	for organisation, spent := range statement.Spent {
+		usage.Organisations = append(usage.Organisations, &wirepb.OrganisationUse{
+			Organisation: organisation, Spent: spent, Level: statement.Levels[organisation],
+		})
+	}
+	return usage
+}
+
 // heard takes over a datagram of a loader or another entry instance.
 func (relay *Relay) heard(_ string, datagram *wirepb.Datagram) {
 	switch body := datagram.GetBody().(type) {
@@ -187,9 +208,7 @@
 func (relay *Relay) heardLoader(state *wirepb.EngineState) {
 	relay.peers.named(state.GetEntries())
 	relay.board.SetInstances(relay.peers.count())
-	if time.Since(relay.start) > settleTime {
-		relay.ledger.SetInstances(relay.peers.count())
-	}
+	relay.named.Store(true)
 	relay.board.Reported(state.GetUpstream(), steer.Report{
 		Unreachable: state.GetUnreachable(),
 		Silent:      state.GetSilent(),
@@ -226,12 +245,18 @@
 }
 
 func (relay *Relay) heardPeer(usage *wirepb.Usage) {
-	spent := make(map[string]float64, len(usage.GetOrganisations()))
+	statement := share.Statement{
+		Start: usage.GetStart(), Uptime: time.Duration(usage.GetUptimeMs()) * time.Millisecond, Settled: usage.GetSettled(),
+		Spent: make(map[string]float64), Levels: make(map[string]float64),
+	}
 	for _, organisation := range usage.GetOrganisations() {
-		spent[organisation.GetOrganisation()] = organisation.GetSpent()
+		statement.Spent[organisation.GetOrganisation()] = organisation.GetSpent()
+		if statement.Settled {
+			statement.Levels[organisation.GetOrganisation()] = organisation.GetLevel()
+		}
 	}
 	relay.peers.seen(usage.GetEntry())
-	relay.ledger.Heard(usage.GetEntry(), usage.GetStart(), spent)
+	relay.ledger.Heard(usage.GetEntry(), statement)
 }
 
 // peers holds the datagram addresses of the other entry instances.
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -28,6 +28,9 @@
 	defaultPatience = 60 * time.Second
 	// comeBackUnready is when to come back to an instance that cannot serve yet.
 	comeBackUnready = 300 * time.Millisecond
+	// startTime is how long after its start an instance lets requests wait for
+	// the configuration and the shares.
+	startTime = 600 * time.Millisecond
 	// comeBackFull is when to come back after all upstreams were full.
 	comeBackFull = 500 * time.Millisecond
 	// comeBackStarting is when to come back while engines load their model.
@@ -112,6 +115,8 @@
 // admit decides whether the request may be served at all.
 func (flight *flight) admit() *refusal {
 	relay := flight.relay
+	flight.until = flight.started.Add(startTime)
+	flight.awaitStart(func() bool { return relay.belief.current() != nil })
 	config := relay.belief.current()
 	if config == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration is known yet", comeBackUnready}
@@ -189,12 +194,13 @@
 	if flight.organisation == nil {
 		return nil
 	}
+	flight.awaitStart(flight.relay.ledger.Settled)
 	// Where the bucket is about to hold enough, coming back would take longer
 	// than waiting.
 	until := time.Now().Add(flight.route.Target / placePart)
 	wait, ok := flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
-	for !ok && time.Now().Add(wait).Before(until) {
-		time.Sleep(wait)
+	for !ok && time.Now().Add(wait).Before(until) && flight.request.Context().Err() == nil {
+		flight.pause(wait)
 		wait, ok = flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
 	}
 	if ok {
@@ -203,6 +209,26 @@
 	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", min(wait, longestComeBack)}
 }
 
+// awaitStart waits, while the instance starts, until it knows what it needs.
+func (flight *flight) awaitStart(known func() bool) {
+	for !known() && time.Since(flight.relay.start) < startTime {
+		flight.pause(lookAgain)
+	}
+}
+
+// pause waits for a time, or until the caller leaves or has waited long enough.
+func (flight *flight) pause(wait time.Duration) {
+	if wait = min(wait, time.Until(flight.until)); wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-flight.request.Context().Done():
+	}
+}
+
 func (flight *flight) limit() share.Limit {
 	return share.Limit{Rate: flight.organisation.Rate, Burst: flight.organisation.Burst}
 }
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -123,6 +123,8 @@
 	// so that a loader does not take them for those of an earlier start.
 	asks atomic.Uint64
 
+	// named means that a loader has told which entry instances there are.
+	named    atomic.Bool
 	stopping atomic.Bool
 	server   *http.Server
 	probes   *http.Server
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -17,8 +17,8 @@
 	// of the rate is left to it.
 	DefaultSilence = 450 * time.Millisecond
 	// DefaultInitial is the part of the burst that all instances together may
-	// spend at once after they started anew. What was spent before is not known.
-	DefaultInitial = 0.4
+	// spend at once after all started anew. What was spent before is not known.
+	DefaultInitial = 0.6
 	// DefaultUse is the part of rate and burst that is given out. The rest
 	// covers what the instances spend between two exchanges.
 	DefaultUse = 1.0
@@ -30,6 +30,11 @@
 	// evenPart is the part of a rate that counts as spent evenly, so that an
 	// organisation that was idle is split evenly.
 	evenPart = 0.1
+	// recentTime is how long after a start it matters what buckets held then.
+	recentTime = 2 * time.Second
+	// followTime is how long after its start an instance heeds what those that
+	// started earlier say of the buckets.
+	followTime = 10 * time.Second
 	// leastPart bounds the part of a rate that an instance has from below.
 	leastPart = 0.01
 )
@@ -53,11 +58,18 @@
 type Ledger struct {
 	config Config
 
-	mutex     sync.Mutex
-	start     time.Time
+	mutex sync.Mutex
+	start time.Time
+	// since is the time from which the buckets count: the start of this
+	// instance, or of the one whose buckets it took over.
+	since     time.Time
 	instances int
-	buckets   map[string]*bucket
-	peers     map[string]*peer
+	// settled means that it is decided what new buckets hold, and adopted that
+	// the buckets of another instance were taken over.
+	settled bool
+	adopted bool
+	buckets map[string]*bucket
+	peers   map[string]*peer
 }
 
 type bucket struct {
@@ -69,13 +81,29 @@
 	drawn time.Time
 }
 
+// Statement is what an instance says of its spending.
+type Statement struct {
+	// Start identifies the instance's start, and Uptime is the time for which
+	// its buckets count.
+	Start  int64
+	Uptime time.Duration
+	// Settled means that Levels holds all buckets.
+	Settled bool
+	// Spent is what it has spent since its start, and Levels what its buckets
+	// hold, by organisation.
+	Spent  map[string]float64
+	Levels map[string]float64
+}
+
 // peer is another entry instance.
 type peer struct {
-	start  int64
-	heard  time.Time
-	silent bool
-	spent  map[string]float64
-	paces  map[string]*pace
+	Statement
+	// granted means that it started together with this instance, with a grant
+	// of its own.
+	granted bool
+	heard   time.Time
+	silent  bool
+	paces   map[string]*pace
 	// kept is the part of each organisation's rate that is left to the instance
 	// while it is silent.
 	kept map[string]float64
@@ -92,7 +120,8 @@
 	if config.Use == 0 {
 		config.Use = DefaultUse
 	}
-	return &Ledger{config: config, start: time.Now(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	now := time.Now()
+	return &Ledger{config: config, start: now, since: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
 // Take spends cost of an organisation's bucket. If the bucket does not hold it,
@@ -104,9 +133,9 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	bucket := ledger.refill(organisation, limit)
-	if bucket.level < math.Min(cost, limit.Burst*ledger.config.Use) {
-		rate := limit.Rate * ledger.part(organisation, limit)
-		return time.Duration((cost - bucket.level) / rate * float64(time.Second)), false
+	if lacking := math.Min(cost, limit.Burst*ledger.config.Use) - bucket.level; lacking > 0 {
+		rate := limit.Rate * ledger.config.Use * ledger.part(organisation, limit)
+		return time.Duration(lacking / rate * float64(time.Second)), false
 	}
 	bucket.level -= cost
 	bucket.own += cost
@@ -125,47 +154,91 @@
 }
 
 // SetInstances records how many instances share the rates. Until it is known,
-// new buckets start empty.
+// or another instance has told what its buckets hold, new buckets start empty.
 func (ledger *Ledger) SetInstances(count int) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	if ledger.instances > 0 || count <= 0 {
+	if ledger.settled || count <= 0 {
 		return
 	}
-	ledger.instances = count
+	ledger.settled, ledger.instances = true, count
 	for _, bucket := range ledger.buckets {
-		bucket.level += ledger.initial(bucket.limit)
+		bucket.level = math.Min(bucket.level+ledger.granted(bucket.limit), bucket.limit.Burst)
 	}
 }
 
-// initial returns what a new bucket holds: this instance's part of what all may
-// spend although the burst may have been spent just before.
-func (ledger *Ledger) initial(limit Limit) float64 {
+// Settled reports whether it is decided what new buckets hold.
+func (ledger *Ledger) Settled() bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return ledger.settled
+}
+
+// grant returns what each instance may spend although the burst may have been
+// spent just before it started.
+func (ledger *Ledger) grant(limit Limit) float64 {
 	if ledger.instances == 0 {
 		return 0
 	}
 	return limit.Burst * ledger.config.Initial / float64(ledger.instances)
 }
 
+// granted returns the grants of this instance and of those that started with it.
+func (ledger *Ledger) granted(limit Limit) float64 {
+	sum := ledger.grant(limit)
+	if ledger.adopted {
+		return sum
+	}
+	for _, peer := range ledger.peers {
+		if peer.granted {
+			sum += ledger.grant(limit)
+		}
+	}
+	return sum
+}
+
+// create returns a bucket filled since the start, with no more than what
+// instances say that started earlier.
+func (ledger *Ledger) create(organisation string, limit Limit) *bucket {
+	created := &bucket{limit: limit, drawn: ledger.since, level: ledger.granted(limit)}
+	for _, peer := range ledger.peers {
+		if peer.granted && !ledger.adopted {
+			created.level -= peer.Spent[organisation]
+		}
+	}
+	ledger.fill(created, organisation)
+	for _, peer := range ledger.peers {
+		if level, ok := peer.Levels[organisation]; ok && !peer.granted && !peer.silent {
+			created.level = math.Min(created.level, level)
+		}
+	}
+	return created
+}
+
 // refill brings a bucket to the present.
 func (ledger *Ledger) refill(organisation string, limit Limit) *bucket {
-	now := time.Now()
 	found, ok := ledger.buckets[organisation]
 	if !ok {
-		found = &bucket{limit: limit, drawn: ledger.start, level: ledger.initial(limit)}
+		found = ledger.create(organisation, limit)
 		ledger.buckets[organisation] = found
 	}
 	if found.limit != limit {
 		found.limit = limit
 		found.level = math.Min(found.level, limit.Burst)
 	}
-	elapsed := now.Sub(found.drawn).Seconds()
-	found.drawn = now
-	use := ledger.config.Use
-	found.level = math.Min(found.level+elapsed*limit.Rate*use*ledger.part(organisation, limit), limit.Burst*use)
+	ledger.fill(found, organisation)
 	return found
 }
 
+// fill adds to a bucket what its rate gave since it was drawn from.
+func (ledger *Ledger) fill(bucket *bucket, organisation string) {
+	now := time.Now()
+	elapsed := now.Sub(bucket.drawn).Seconds()
+	bucket.drawn = now
+	use, limit := ledger.config.Use, bucket.limit
+	bucket.level = math.Min(bucket.level+elapsed*limit.Rate*use*ledger.part(organisation, limit), limit.Burst*use)
+}
+
 // part returns the part of an organisation's rate that this instance may count
 // on: all of it while it hears the others, since what they spend is taken off.
 // A silent instance keeps the part that it spent before, so that both sides of a
@@ -224,39 +297,94 @@
 	delete(ledger.peers, name)
 }
 
-// Heard records what another instance says it spent since its start.
-func (ledger *Ledger) Heard(name string, start int64, spent map[string]float64) {
+// Heard records what another instance says of its spending.
+func (ledger *Ledger) Heard(name string, statement Statement) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	known, ok := ledger.peers[name]
-	if !ok {
-		// What it spent before it was known is in no bucket yet: a bucket of
-		// this instance that is as old holds at most what was left over.
-		ledger.peers[name] = &peer{start: start, heard: time.Now(), spent: spent, paces: make(map[string]*pace)}
-		return
+	if !ok || known.Start != statement.Start {
+		known = ledger.meet(name, statement)
 	}
-	if known.start != start {
-		known.start, known.spent = start, nil
-	}
-	for organisation, total := range spent {
-		more := total - known.spent[organisation]
+	for organisation, total := range statement.Spent {
+		more := total - known.Spent[organisation]
 		known.pace(organisation).add(more)
 		if bucket, ok := ledger.buckets[organisation]; ok {
 			bucket.level -= more
 		}
 	}
-	known.heard, known.silent, known.spent = time.Now(), false, spent
+	if !ledger.settled && statement.Settled {
+		ledger.adopt(statement)
+	}
+	ledger.follow(statement)
+	known.heard, known.silent, known.Statement = time.Now(), false, statement
+}
+
+// follow bounds the buckets by what another instance says of them, while this
+// one may not know of all that count on a part of the rates.
+func (ledger *Ledger) follow(statement Statement) {
+	if !ledger.adopted || !statement.Settled || time.Since(ledger.start) > followTime {
+		return
+	}
+	for organisation, level := range statement.Levels {
+		if bucket, ok := ledger.buckets[organisation]; ok {
+			ledger.fill(bucket, organisation)
+			bucket.level = math.Min(bucket.level, level)
+		}
+	}
 }
 
-// Spent returns what this instance spent for each organisation since its start.
-func (ledger *Ledger) Spent() map[string]float64 {
+// meet records a start of another instance that was not known. Of what it spent
+// before, that part counts which no bucket of this instance shows yet.
+func (ledger *Ledger) meet(name string, statement Statement) *peer {
+	known, restarted := ledger.peers[name]
+	if !restarted {
+		known = &peer{paces: make(map[string]*pace)}
+		ledger.peers[name] = known
+	}
+	known.Statement = Statement{Start: statement.Start}
+	recent := time.Since(ledger.since) < recentTime && statement.Uptime < recentTime
+	known.granted = recent && ledger.settled == statement.Settled
+	switch {
+	case known.granted:
+		for _, bucket := range ledger.buckets {
+			bucket.level += ledger.grant(bucket.limit)
+		}
+	case !restarted && statement.Uptime >= recentTime:
+		known.Spent = statement.Spent
+	}
+	return known
+}
+
+// adopt takes over what the buckets of another instance hold.
+func (ledger *Ledger) adopt(statement Statement) {
+	ledger.settled, ledger.adopted, ledger.instances = true, true, 1
+	ledger.since = time.Now().Add(-statement.Uptime)
+	for organisation, level := range statement.Levels {
+		if bucket, ok := ledger.buckets[organisation]; ok {
+			bucket.level, bucket.drawn = level-bucket.own, time.Now()
+		}
+	}
+}
+
+// Statement returns what this instance says of its spending. The caller adds
+// what identifies its start.
+func (ledger *Ledger) Statement() Statement {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	spent := make(map[string]float64, len(ledger.buckets))
+	statement := Statement{
+		Uptime:  time.Since(ledger.since),
+		Settled: ledger.settled,
+		Spent:   make(map[string]float64, len(ledger.buckets)),
+		Levels:  make(map[string]float64, len(ledger.buckets)),
+	}
 	for organisation, bucket := range ledger.buckets {
-		spent[organisation] = bucket.own
+		statement.Spent[organisation] = bucket.own
+		if ledger.settled {
+			ledger.fill(bucket, organisation)
+			statement.Levels[organisation] = bucket.level
+		}
 	}
-	return spent
+	return statement
 }
 
 // Peers returns how many other instances are heard, and how many are silent.
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -38,6 +38,21 @@
 	return fleet
 }
 
+// restart replaces an instance by one that knows nothing.
+func (fleet *instances) restart(i int) {
+	fleet.ledgers[i] = New(Config{})
+	fleet.starts[i] += 100
+}
+
+// settle tells the instances of which loaders have heard how many there are.
+func (fleet *instances) settle() {
+	for _, ledger := range fleet.ledgers {
+		if ledger.Statement().Uptime >= 120*time.Millisecond {
+			ledger.SetInstances(len(fleet.ledgers))
+		}
+	}
+}
+
 // exchange tells each what the others spent; a part of it is lost.
 func (fleet *instances) exchange(random *rand.Rand, loss float64, cut int) {
 	for from, ledger := range fleet.ledgers {
@@ -45,7 +60,9 @@
 			if from == to || from == cut || to == cut || random.Float64() < loss {
 				continue
 			}
-			other.Heard(fmt.Sprint(from), fleet.starts[from], ledger.Spent())
+			statement := ledger.Statement()
+			statement.Start = fleet.starts[from]
+			other.Heard(fmt.Sprint(from), statement)
 		}
 	}
 }
@@ -59,11 +76,13 @@
 		loss    float64
 		cut     bool
 		restart bool
+		outage  bool
 	}{
 		{name: "calm"},
 		{name: "loss", loss: 0.3},
 		{name: "cut", cut: true},
 		{name: "restart", restart: true},
+		{name: "all restart", loss: 0.2, outage: true},
 		{name: "all at once", loss: 0.2, cut: true, restart: true},
 	}
 	for _, test := range tests {
@@ -79,10 +98,14 @@
 						cut = 2
 					}
 					if test.restart && step == 1200 {
-						fleet.ledgers[1] = New(Config{})
-						fleet.ledgers[1].SetInstances(5)
-						fleet.starts[1] += 100
+						fleet.restart(1)
 					}
+					if test.outage && step%1000 == 500 {
+						for i := range fleet.ledgers {
+							fleet.restart(i)
+						}
+					}
+					fleet.settle()
 					for range 3 {
 						ledger := fleet.ledgers[random.IntN(5)]
 						cost := 400 + random.Float64()*2000
@@ -175,6 +198,80 @@
 	})
 }
 
+// TestOutage plays the restart of all instances under an organisation that stays
+// within its rate and sends most to one of them. Once they know of each other
+// nothing is refused: none has to serve it from its own part of the burst.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(7, 8))
+		fleet := newInstances(4)
+		refused := 0
+		for step := range 300 {
+			if step == 100 {
+				for i := range fleet.ledgers {
+					fleet.restart(i)
+				}
+			}
+			fleet.settle()
+			at := 0
+			if step%10 == 0 {
+				at = 1 + random.IntN(3)
+			}
+			settled := fleet.ledgers[at].Settled()
+			// Callers come back at once after the outage.
+			cost := 400.0
+			if step > 130 && step < 160 {
+				cost = 1200
+			}
+			if _, ok := fleet.ledgers[at].Take(organisation, limit, cost); !ok && settled {
+				refused++
+			}
+			if step%10 == 0 {
+				fleet.exchange(random, 0, -1)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if refused > 0 {
+			t.Errorf("%d requests refused", refused)
+		}
+	})
+}
+
+// TestAdopt guards against an instance that starts later refusing what the
+// others would serve, or serving what they would refuse.
+func TestAdopt(t *testing.T) {
+	tests := []struct {
+		name  string
+		spent float64
+		want  bool
+	}{
+		{name: "unused", spent: 0, want: true},
+		{name: "half spent", spent: 30_000, want: true},
+		{name: "used up", spent: 59_000, want: false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(9, 10))
+				fleet := newInstances(3)
+				fleet.exchange(random, 0, -1)
+				time.Sleep(5 * time.Second)
+				if _, ok := fleet.ledgers[0].Take(organisation, limit, test.spent); !ok {
+					t.Fatal("the burst is refused")
+				}
+				fleet.restart(2)
+				fleet.exchange(random, 0, -1)
+				if !fleet.ledgers[2].Settled() {
+					t.Fatal("the instance does not take over the buckets of the others")
+				}
+				if _, ok := fleet.ledgers[2].Take(organisation, limit, 25_000); ok != test.want {
+					t.Errorf("admitted %v, want %v", ok, test.want)
+				}
+			})
+		})
+	}
+}
+
 // TestLowered guards against a bucket that keeps the burst of a limit that was
 // lowered.
 func TestLowered(t *testing.T) {
--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -33,6 +33,9 @@
 	return &Conn{packets: packets}, nil
 }
 
+// Address returns the address that was opened.
+func (conn *Conn) Address() string { return conn.packets.LocalAddr().String() }
+
 // Send sends a datagram to an IP:port. An error means that it was not sent.
 func (conn *Conn) Send(address string, datagram *wirepb.Datagram) error {
 	target, err := netip.ParseAddrPort(address)
