Count at the gate what the engine has not read yet

Where streams do not suffer from full steps the gate let in up to twice what an engine reads, and the backlog that entry instances are told held only what was let in within the last 300 ms, so work went on to where the most of it waited.

Change: a gate keeps the prompt tokens that were let in and not read by now, corrected when the engine reports that nothing waits; two spans of reading may wait in the engine, as before, and the told backlog counts all of it.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -208,7 +208,7 @@
 	loader.report = report
 	loader.planner.Observe(report.Engine)
 	loader.gate.Observe(admit.State{
-		Running: report.Running + report.Queued, UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
+		Running: report.Running + report.Queued, Queued: report.Queued, UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
 		Holds: report.holds,
 	})
 	wake(loader.turns)
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -59,7 +59,10 @@
 
 // State is what the engine says of itself.
 type State struct {
-	Running     int
+	Running int
+	// Queued is the part of Running whose prompts the engine has not begun to
+	// read.
+	Queued      int
 	UsedTokens  int64
 	TotalTokens int64
 	// Holds reports whether an adapter is loaded.
@@ -89,6 +92,10 @@
 	granted []grant
 	// unseen holds what was let in and is not in the engine's state yet.
 	unseen []grant
+	// unread is the number of prompt tokens that were let in and that the engine
+	// has not read by the time readAt.
+	unread float64
+	readAt time.Time
 }
 
 type entry struct {
@@ -140,12 +147,27 @@
 	// A request shows in the engine's state once it has arrived.
 	arrived := time.Now().Add(-arrivalTime)
 	gate.unseen = slices.DeleteFunc(gate.unseen, func(grant grant) bool { return grant.at.Before(arrived) })
+	gate.read(time.Now())
+	if state.Queued == 0 {
+		most := float64(gate.config.Chunk)
+		for _, grant := range gate.unseen {
+			most += float64(grant.prompt)
+		}
+		gate.unread = min(gate.unread, most)
+	}
 }
 
 // queueSpans is how many spans of reading may wait at an engine whose streams
 // do not suffer from it.
 const queueSpans = 2
 
+// read brings unread to the present.
+func (gate *Gate) read(now time.Time) {
+	elapsed := now.Sub(gate.readAt)
+	gate.readAt = now
+	gate.unread = max(gate.unread-elapsed.Seconds()*1000*gate.config.ReadRate*gate.config.Use, 0)
+}
+
 // arrivalTime is how long after its grant a request shows in the engine's
 // state.
 const arrivalTime = 60 * time.Millisecond
@@ -181,6 +203,7 @@
 	defer gate.mutex.Unlock()
 	now := time.Now()
 	gate.forget(now)
+	gate.read(now)
 	for _, waiting := range gate.line() {
 		if !gate.fits(waiting) {
 			break
@@ -244,29 +267,55 @@
 	if gate.state.TotalTokens > 0 && memory > gate.state.TotalTokens {
 		return false
 	}
-	limit := gate.spanTokens()
-	return limit == 0 || len(gate.granted) == 0 || gate.spanUse()+waiting.Prompt <= limit
+	limit := gate.limit()
+	if limit == 0 {
+		return true
+	}
+	ahead := gate.ahead()
+	return ahead == 0 || ahead+waiting.Prompt <= limit
 }
 
 func (gate *Gate) admit(waiting *waiter, now time.Time) {
 	waiting.granted = true
 	let := grant{at: now, prompt: waiting.Prompt, memory: waiting.Prompt + waiting.Output}
+	gate.read(now)
+	gate.unread += float64(let.prompt)
 	gate.granted = append(gate.granted, let)
 	gate.unseen = append(gate.unseen, let)
 }
 
-// spanTokens returns how many prompt tokens may be let in within one span, or 0
-// if nothing is known of the engine. Where no steps are so long that the streams
-// pause for too long, only the queue before the engine is bounded.
-func (gate *Gate) spanTokens() int64 {
-	steps := time.Duration(gate.shape.EventTokens) * gate.config.Step
-	if gate.shape.Gap <= steps {
+// paced reports whether steps full of prompt tokens make the streams pause for
+// too long.
+func (gate *Gate) paced() bool {
+	return gate.steps()+gate.reading(int64(gate.shape.EventTokens)*gate.config.Chunk) > gate.shape.Gap
+}
+
+// steps returns how long an engine takes for one event when it reads no prompts.
+func (gate *Gate) steps() time.Duration {
+	return time.Duration(gate.shape.EventTokens) * gate.config.Step
+}
+
+// limit returns how many prompt tokens may be ahead of the next turn, or 0 if
+// nothing is known of the engine.
+func (gate *Gate) limit() int64 {
+	switch {
+	case gate.shape.Gap <= gate.steps():
 		return 0
-	}
-	if steps+gate.reading(int64(gate.shape.EventTokens)*gate.config.Chunk) <= gate.shape.Gap {
+	case gate.paced():
+		return gate.readable(gate.shape.Gap - gate.steps())
+	default:
 		return queueSpans * gate.readable(gate.shape.Gap)
 	}
-	return gate.readable(gate.shape.Gap - steps)
+}
+
+// ahead returns how many prompt tokens are ahead of the next turn: those let in
+// within the last span where the streams suffer from more, else those that the
+// engine has still to read.
+func (gate *Gate) ahead() int64 {
+	if gate.paced() {
+		return gate.spanUse()
+	}
+	return int64(gate.unread)
 }
 
 // readable returns how many prompt tokens an engine reads in a time.
@@ -292,19 +341,27 @@
 func (gate *Gate) Next() time.Duration {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	if len(gate.line()) == 0 || len(gate.granted) == 0 {
+	line := gate.line()
+	if len(line) == 0 || len(gate.granted) == 0 {
 		return 0
 	}
-	return max(gate.shape.Gap-time.Since(gate.granted[0].at), time.Millisecond)
+	gate.read(time.Now())
+	next := gate.shape.Gap - time.Since(gate.granted[0].at)
+	if !gate.paced() {
+		next = gate.reading(gate.ahead() + line[0].Prompt - gate.limit())
+	}
+	return max(next, time.Millisecond)
 }
 
-// Backlog returns the prompt tokens that were let in within the last span or
-// wait for their turn.
+// Backlog returns the prompt tokens that are ahead of the next turn or wait for
+// theirs.
 func (gate *Gate) Backlog() int64 {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	gate.forget(time.Now())
-	sum := gate.spanUse()
+	now := time.Now()
+	gate.forget(now)
+	gate.read(now)
+	sum := gate.ahead()
 	for _, entry := range gate.entries {
 		for _, waiting := range entry.asks {
 			if !waiting.granted {
--- a/internal/flow/admit/admit_test.go
+++ b/internal/flow/admit/admit_test.go
@@ -76,8 +76,53 @@
 	})
 }
 
+// twoTokens is the shape of an engine with two tokens in an event, whose streams
+// meet a goal of 300 ms however much it reads.
+var twoTokens = Shape{Slots: 64, EventTokens: 2, Gap: 300 * time.Millisecond}
+
+// TestFlood plays the load of kalamaki-front scale-1: for two seconds an
+// engine gets twice the prompts that it reads. Those that it cannot read soon
+// wait at the gate, where more urgent ones pass them, and the backlog that is
+// told counts what the engine has not read, so that others take the rest.
+func TestFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			prompt = 1460
+			rate   = 19.0
+			period = 40 * time.Millisecond
+			step   = 10 * time.Millisecond
+		)
+		gate := newGate()
+		var waiting []Ask
+		unread, last := 0.0, time.Now()
+		for at := time.Duration(0); at < 2*time.Second; at += step {
+			if at%period == 0 {
+				waiting = append(waiting, Ask{ID: uint64(at/period) + 1, Prompt: prompt, Output: 170})
+			}
+			unread = max(unread-float64(time.Since(last).Milliseconds())*rate, 0)
+			last = time.Now()
+			gate.Observe(State{Queued: int(unread) / prompt, TotalTokens: 122_000, Holds: holdsAll})
+			gate.Replace("entry", twoTokens, waiting)
+			granted, _ := gate.Grant()
+			for _, id := range granted["entry"] {
+				unread += prompt
+				waiting = slices.DeleteFunc(waiting, func(ask Ask) bool { return ask.ID == id })
+			}
+			if most := 2 * 300 * rate; unread > most {
+				t.Fatalf("%v: the engine has %.0f tokens to read, at most %.0f are read within two pauses", at, unread, most)
+			}
+			if left, told := unread+float64(prompt*len(waiting)), gate.Backlog(); float64(told) < left*0.9 {
+				t.Fatalf("%v: a backlog of %d is told, %.0f tokens are to be read", at, told, left)
+			}
+			time.Sleep(step)
+		}
+		if read := 2000*rate*0.8 - float64(prompt*(50-len(waiting))); read > 0 {
+			t.Errorf("the engine was idle for %.0f tokens", read)
+		}
+	})
+}
+
 func TestGrant(t *testing.T) {
-	twoTokens := Shape{Slots: 64, EventTokens: 2, Gap: 300 * time.Millisecond}
 	tests := []struct {
 		name   string
 		guards string
