Log what an organisation's share held when a request is refused for it

Rate, burst, level, the part of the rate that counts here and the instances that are not heard go into a line of their own, and each line of a request names its cost, so that a refusal within the allowance can be told from one beyond it.

--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -206,9 +206,18 @@
 	if ok {
 		return nil
 	}
+	flight.logShare()
 	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", min(wait, longestComeBack)}
 }
 
+// logShare writes why the organisation's share did not suffice.
+func (flight *flight) logShare() {
+	limit := flight.limit()
+	standing := flight.relay.ledger.Standing(flight.organisation.Name, limit)
+	flight.log("relay: share used up", zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
+		zap.Float64("level", standing.Level), zap.Float64("part", standing.Part), zap.Int("instances-silent", standing.Silent))
+}
+
 // awaitStart waits, while the instance starts, until it knows what it needs.
 func (flight *flight) awaitStart(known func() bool) {
 	for !known() && time.Since(flight.relay.start) < startTime {
@@ -299,7 +308,7 @@
 		fields = append(fields, zap.String("route", flight.route.Name))
 	}
 	if flight.organisation != nil {
-		fields = append(fields, zap.String("organisation", flight.organisation.Name))
+		fields = append(fields, zap.String("organisation", flight.organisation.Name), zap.Float64("cost", flight.cost()))
 	}
 	flight.relay.config.Logger.Info(message, fields...)
 }
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -143,6 +143,30 @@
 	return 0, true
 }
 
+// Standing is what an instance knows of an organisation's share.
+type Standing struct {
+	// Level is what may be spent at once, Part the part of the rate that this
+	// instance counts on.
+	Level float64
+	Part  float64
+	// Silent is the number of instances that are not heard.
+	Silent int
+}
+
+// Standing returns what is known of an organisation's share.
+func (ledger *Ledger) Standing(organisation string, limit Limit) Standing {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	bucket := ledger.refill(organisation, limit)
+	standing := Standing{Level: bucket.level, Part: ledger.part(organisation, limit)}
+	for _, peer := range ledger.peers {
+		if peer.silent {
+			standing.Silent++
+		}
+	}
+	return standing
+}
+
 // Return gives back what a request took that did not run.
 func (ledger *Ledger) Return(organisation string, cost float64) {
 	ledger.mutex.Lock()
