Pass over an engine that is listed until its loader has reported

An engine that has not reported counted as idle, so it drew the adapters that rank it first.

Change: it is passed over for three seconds after it was listed, unless no other engine can be used; after that it counts as one without a loader.

Test: TestNewEngine, failed before."

--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -31,6 +31,9 @@
 	// runningWeight is the backlog in prompt tokens that a running request
 	// counts for, since each makes the others slower.
 	runningWeight = 30
+	// silentStart is how long after it was listed an engine is passed over until
+	// its loader reports.
+	silentStart = 3 * time.Second
 	// loadWeight is the same for an adapter that is to be loaded before another.
 	loadWeight = 3000
 )
@@ -66,6 +69,7 @@
 
 type upstream struct {
 	spec     fleet.Upstream
+	listed   time.Time
 	report   Report
 	reported time.Time
 	// sent holds when this instance sent what a report does not show yet.
@@ -118,10 +122,10 @@
 		}
 		entry, ok := known[spec.ID]
 		if !ok {
-			entry = &upstream{byAdapter: make(map[stock.Adapter]int), wanted: make(map[stock.Adapter]int), asks: make(map[uint64]*ask)}
+			entry = newUpstream()
 		}
 		if spec.Born > entry.report.Born {
-			entry.report, entry.reported = Report{}, time.Time{}
+			entry.report, entry.reported, entry.listed = Report{}, time.Time{}, time.Now()
 		}
 		entry.spec = spec
 		board.upstreams[spec.ID] = entry
@@ -129,6 +133,15 @@
 	}
 }
 
+func newUpstream() *upstream {
+	return &upstream{
+		listed:    time.Now(),
+		byAdapter: make(map[stock.Adapter]int),
+		wanted:    make(map[stock.Adapter]int),
+		asks:      make(map[uint64]*ask),
+	}
+}
+
 // newestAt returns the latest start listed for each address. What is listed
 // there with an earlier one has ended.
 func newestAt(listed []fleet.Upstream) map[string]int64 {
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -107,7 +107,7 @@
 
 func (board *Board) candidates(need Need) []candidate {
 	now := time.Now()
-	var candidates []candidate
+	var candidates, unheard []candidate
 	for _, entry := range board.services[need.Service] {
 		if entry.leaving() || slices.Contains(need.Exclude, entry.spec.ID) {
 			continue
@@ -120,14 +120,22 @@
 		}
 		load := board.load(entry, now)
 		work := board.work(entry, load, now)
-		candidates = append(candidates, candidate{
+		found := candidate{
 			upstream: entry,
 			load:     load,
 			work:     work,
 			full:     board.full(entry, load, need) || need.Limit > 0 && work > need.Limit,
 			holds:    entry.holds(need.Adapter),
 			near:     entry.spec.FailureDomain == board.config.FailureDomain,
-		})
+		}
+		if need.Engine && entry.reported.IsZero() && now.Sub(entry.listed) < silentStart {
+			unheard = append(unheard, found)
+			continue
+		}
+		candidates = append(candidates, found)
+	}
+	if len(candidates) == 0 {
+		candidates = unheard
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -44,6 +44,35 @@
 	return board
 }
 
+// TestNewEngine plays the seconds after a crash in kalamaki-front scale-2: an
+// engine that was just listed, and loads its model, must not draw the requests
+// that others can serve. Once it is known to have no loader it is used.
+func TestNewEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newBoard(report(1, 6000), report(1, 6000))
+		board.Follow([]fleet.Upstream{engine(0), engine(1), engine(2)})
+		chosen := func() (count int) {
+			for number := range 20 {
+				request := need()
+				request.Adapter.Name = fmt.Sprint("a", number)
+				if board.Choose(request).Upstream.ID == "i-2" {
+					count++
+				}
+			}
+			return count
+		}
+		if count := chosen(); count > 0 {
+			t.Errorf("%d of 20 adapters are asked for at an engine that has not reported", count)
+		}
+		time.Sleep(silentStart)
+		board.Reported("i-0", report(2, 9000))
+		board.Reported("i-1", report(2, 9000))
+		if chosen() == 0 {
+			t.Error("an engine without a loader is never used")
+		}
+	})
+}
+
 func need() Need { return Need{Service: "advisor", Engine: true, Adapter: wanted, Tokens: 1600} }
 
 func TestChoose(t *testing.T) {
