--- a/cmd/jacinthfront/operators.go
+++ b/cmd/jacinthfront/operators.go
@@ -175,30 +175,3 @@
 	}
 	return fmt.Sprintf("%d\t%s\t%s\t%s", change.Version, change.Operator, change.ID, ops)
 }
-
-// statusCommand prints the state of a running fleet.
-type statusCommand struct{ operatorFlags }
-
-// Execute implements flags.Commander.
-func (command *statusCommand) Execute([]string) error {
-	list, err := command.client().Fleet(context.Background())
-	if err != nil {
-		return err
-	}
-	lines := []string{"INSTANCE\tROLE\tVERSION\tCONFIRMED\tSTATE"}
-	for _, status := range list {
-		lines = append(lines, fmt.Sprintf("%s\t%s\t%d\t%s ago\t%s", status.Instance, status.Role, status.Version, status.ConfirmedAge, stateText(status)))
-	}
-	return command.print(list, lines)
-}
-
-func stateText(status admin.InstanceStatus) string {
-	switch {
-	case status.Error != "":
-		return "no answer: " + status.Error
-	case status.Leaving:
-		return "leaving " + string(status.Detail)
-	default:
-		return string(status.Detail)
-	}
-}
--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -54,6 +54,8 @@
 	Reached func(called time.Time)
 	// Lost is called when calls begin to fail.
 	Lost func()
+	// Called is called after each call with its error.
+	Called func(err error)
 }
 
 // Follower follows one topic.
@@ -86,9 +88,13 @@
 	for ctx.Err() == nil {
 		called := time.Now()
 		err := follower.step(ctx)
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return
+		}
+		if follower.config.Called != nil {
+			follower.config.Called(err)
+		}
+		switch {
 		case err == nil:
 			backoff = follower.config.First
 			follower.reached(called)
--- a/internal/daemon/follow/follow_test.go
+++ b/internal/daemon/follow/follow_test.go
@@ -67,7 +67,7 @@
 		// The mutex of the store guards what the follower reports, too.
 		var last string
 		var reached time.Time
-		lost := 0
+		lost, failed := 0, 0
 		follower := New(Config[string]{
 			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
 			Apply: func(records []string, _ bool) {
@@ -77,6 +77,11 @@
 			},
 			Reached: func(called time.Time) { store.change(func() { reached = called }) },
 			Lost:    func() { store.change(func() { lost++ }) },
+			Called: func(err error) {
+				if err != nil {
+					store.change(func() { failed++ })
+				}
+			},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -121,5 +126,8 @@
 		if diff := cmp.Diff(1, lost); diff != "" {
 			t.Errorf("losses reported (-want +got):\n%s", diff)
 		}
+		if failed < 2 {
+			t.Errorf("%d failed calls reported in an outage of 5 s", failed)
+		}
 	})
 }
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -102,6 +102,7 @@
 			}
 		},
 		Reached: relay.belief.confirm,
+		Called:  func(err error) { relay.metrics.storeCalled("config", err) },
 	}).Run(ctx)
 }
 
@@ -119,6 +120,7 @@
 		},
 		Reached: func(time.Time) { list.Up() },
 		Lost:    list.Down,
+		Called:  func(err error) { relay.metrics.storeCalled("instances", err) },
 	})
 }
 
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -32,6 +32,15 @@
 	wholeTime.Observe(took)
 }
 
+// storeCalled counts a call to the platform's store by topic and result.
+func (*metrics) storeCalled(topic string, err error) {
+	result := "read"
+	if err != nil {
+		result = "failed"
+	}
+	counters.Add("store-"+topic+"-"+result, 1)
+}
+
 func (*metrics) firstEvent(took time.Duration) { firstEvent.Observe(took) }
 
 // setGauges brings the values that change without an event to the present.
