Serve what arrives on idle connections while an instance stops

Cause: at SIGTERM the server was told to keep no connections alive, which ends all unused ones at once. A request on its way on such a connection is lost unread; its caller must notice and send it again.

Change: connections stay and each answer given while stopping says that its connection ends.

--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -103,6 +103,9 @@
 	flight := &flight{relay: relay, writer: writer, request: request, call: relay.config.Protocol.Call(request), started: time.Now()}
 	relay.metrics.running.Add(1)
 	defer relay.metrics.running.Add(-1)
+	if relay.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
 	if refused := flight.admit(); refused != nil {
 		flight.refuse(*refused)
 		return
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -201,11 +201,11 @@
 }
 
 // drain tells the load balancer, serves callers that do not know yet, and waits
-// for what runs.
+// for what runs. Connections end after their next answer: ending those that are
+// unused at once would meet requests on their way.
 func (relay *Relay) drain() {
 	relay.stopping.Store(true)
 	relay.config.Logger.Info("relay: stopping", zap.Int64("running", relay.metrics.running.Load()))
-	relay.server.SetKeepAlivesEnabled(false)
 	deadline := time.Now().Add(relay.bounds.Load().Grace - stopMargin)
 	time.Sleep(min(acceptAfterStop, relay.bounds.Load().Grace/3))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
