--- a/Makefile
+++ b/Makefile
@@ -14,3 +14,9 @@
 .PHONY: test
 test:
 	go test -p 1 ./...
+
+# Fifty seeds of faults over the real programs; SEED is the first one.
+SEED ?= 1
+.PHONY: soak
+soak:
+	go test ./platform -run TestSoak -timeout 30m -v -soak-first $(SEED) -soak-seeds 50
