--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -14,7 +14,6 @@
 
 	"go.uber.org/zap"
 
-	"jacinthfront.dev/jacinthfront/internal/flow/share"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/hop"
 	"jacinthfront.dev/jacinthfront/internal/state/table"
@@ -192,35 +191,6 @@
 	return nil
 }
 
-// spend takes the request's cost off the organisation's share.
-func (flight *flight) spend() *refusal {
-	if flight.organisation == nil {
-		return nil
-	}
-	flight.awaitStart(flight.relay.ledger.Settled)
-	// Where the bucket is about to hold enough, coming back would take longer
-	// than waiting.
-	until := time.Now().Add(flight.route.Target / placePart)
-	wait, ok := flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
-	for !ok && time.Now().Add(wait).Before(until) && flight.request.Context().Err() == nil {
-		flight.pause(wait)
-		wait, ok = flight.relay.ledger.Take(flight.organisation.Name, flight.limit(), flight.cost())
-	}
-	if ok {
-		return nil
-	}
-	flight.logShare()
-	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", min(wait, longestComeBack)}
-}
-
-// logShare writes why the organisation's share did not suffice.
-func (flight *flight) logShare() {
-	limit := flight.limit()
-	standing := flight.relay.ledger.Standing(flight.organisation.Name, limit)
-	flight.log("relay: share used up", zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
-		zap.Float64("level", standing.Level), zap.Float64("part", standing.Part), zap.Int("instances-silent", standing.Silent))
-}
-
 // awaitStart waits, while the instance starts, until it knows what it needs.
 func (flight *flight) awaitStart(known func() bool) {
 	for !known() && time.Since(flight.relay.start) < startTime {
@@ -241,24 +211,6 @@
 	}
 }
 
-func (flight *flight) limit() share.Limit {
-	return share.Limit{Rate: flight.organisation.Rate, Burst: flight.organisation.Burst}
-}
-
-func (flight *flight) cost() float64 {
-	if !flight.call.Counted {
-		return flight.organisation.Cost(0)
-	}
-	return flight.organisation.Cost(flight.call.Prompt + flight.call.Output)
-}
-
-// giveBack returns what the request took, if it did not run.
-func (flight *flight) giveBack() {
-	if flight.organisation != nil && flight.organisation.Rate > 0 && flight.runs == 0 {
-		flight.relay.ledger.Return(flight.organisation.Name, flight.cost())
-	}
-}
-
 // priority returns the rank that an engine is told.
 func (flight *flight) priority() int {
 	if flight.organisation != nil && flight.organisation.Priority != nil {
--- /dev/null
+++ b/internal/flow/share/peers.go
@@ -0,0 +1,99 @@
+package share
+
+import (
+	"time"
+)
+
+// Statement is what an instance says of its spending.
+type Statement struct {
+	// Start identifies the instance's start, and Uptime is the time for which
+	// its buckets count.
+	Start  int64
+	Uptime time.Duration
+	// Settled means that Levels holds all buckets.
+	Settled bool
+	// Spent is what it has spent since its start, and Levels what its buckets
+	// hold, by organisation.
+	Spent  map[string]float64
+	Levels map[string]float64
+}
+
+// peer is another entry instance.
+type peer struct {
+	Statement
+	// granted means that it started together with this instance, with a grant
+	// of its own.
+	granted bool
+	heard   time.Time
+	silent  bool
+	paces   map[string]*pace
+	// kept is the part of each organisation's rate that is left to the instance
+	// while it is silent.
+	kept map[string]float64
+}
+
+// Statement returns what this instance says of its spending. The caller adds
+// what identifies its start.
+func (ledger *Ledger) Statement() Statement {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	statement := Statement{
+		Uptime:  time.Since(ledger.since),
+		Settled: ledger.settled,
+		Spent:   make(map[string]float64, len(ledger.buckets)),
+		Levels:  make(map[string]float64, len(ledger.buckets)),
+	}
+	for organisation, bucket := range ledger.buckets {
+		statement.Spent[organisation] = bucket.own
+		if ledger.settled {
+			ledger.fill(bucket, organisation)
+			statement.Levels[organisation] = bucket.level
+		}
+	}
+	return statement
+}
+
+// Heard records what another instance says of its spending.
+func (ledger *Ledger) Heard(name string, statement Statement) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	known, ok := ledger.peers[name]
+	if !ok || known.Start != statement.Start {
+		known = ledger.meet(name, statement)
+	}
+	for organisation, total := range statement.Spent {
+		more := total - known.Spent[organisation]
+		known.pace(organisation).add(more)
+		if bucket, ok := ledger.buckets[organisation]; ok {
+			bucket.level -= more
+		}
+	}
+	if !ledger.settled && statement.Settled {
+		ledger.adopt(statement)
+	}
+	ledger.follow(statement)
+	known.heard, known.silent, known.Statement = time.Now(), false, statement
+}
+
+// Gone records that another instance has ended, so that its part of the rate is
+// free. Silence alone does not show this: it may serve behind a partition.
+func (ledger *Ledger) Gone(name string) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	delete(ledger.peers, name)
+}
+
+// Peers returns how many other instances are heard, and how many are silent.
+func (ledger *Ledger) Peers() (heard, silent int) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	now := time.Now()
+	for _, peer := range ledger.peers {
+		if now.Sub(peer.heard) > ledger.config.Silence {
+			silent++
+		} else {
+			heard++
+		}
+	}
+	return heard, silent
+}
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -210,44 +208,6 @@
 	return Choice{Result: Absent, Upstream: target.spec, Load: target.load, Backlog: target.work}
 }
 
-// target returns where an adapter should be brought: where it is already on its
-// way, else the less loaded of the two upstreams that rank first for it, so that
-// all instances tend to agree and an engine sees an adapter again.
-func (board *Board) target(candidates []candidate, adapter stock.Adapter) (candidate, bool) {
-	open := slices.DeleteFunc(candidates, func(entry candidate) bool { return entry.full })
-	if len(open) == 0 {
-		return candidate{}, false
-	}
-	if roomy := slices.DeleteFunc(slices.Clone(open), func(entry candidate) bool {
-		return !entry.reported.IsZero() && entry.report.FreePlaces <= 0 && !entry.coming(adapter)
-	}); len(roomy) > 0 {
-		open = roomy
-	}
-	coming := slices.DeleteFunc(slices.Clone(open), func(entry candidate) bool { return !entry.coming(adapter) })
-	if len(coming) > 0 {
-		return slices.MinFunc(coming, byLoad), true
-	}
-	slices.SortFunc(open, func(a, b candidate) int {
-		return cmp.Compare(rank(b.spec.ID, adapter.Name), rank(a.spec.ID, adapter.Name))
-	})
-	first := open[0]
-	for _, entry := range open[1:] {
-		if first.loadWork() <= entry.loadWork()+board.config.Spread {
-			break
-		}
-		first = entry
-	}
-	return first, true
-}
-
-// loadWork returns how many prompt tokens are worth the wait of a request whose
-// adapter has to be brought.
-func (candidate candidate) loadWork() int64 {
-	return candidate.work + int64(candidate.report.Loads)*loadWeight
-}
-
-func rank(upstream, adapter string) uint64 { return xxh3.HashString(upstream + "\x00" + adapter) }
-
 func leastLoaded(candidates []candidate) Choice {
 	open := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return entry.full })
 	if len(open) == 0 {
