Tell relays that wait for nothing less often where there are many

Every loader told every relay each change of its load and adapters.

Change: a loader tells a relay at once if a request of it waits for its turn or was granted it. With more than eight relays the others are told 20 ms later for each one more, at most 700 ms, which with the regular 500 ms is within the time for which relays believe a state. A relay that was not told the last full state gets it with the next one.

Up to eight relays nothing changes. What relays tell each other still grows with their square.

Test: TestManyEntries; before, each was told all 40 changes."

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
@@ -45,6 +46,7 @@
 	}
 	loader.starts[entry] = start
 	loader.greet = true
+	delete(loader.tellings, entry)
 	wake(loader.orders)
 }
 
@@ -106,14 +108,25 @@
 }
 
 // tell sends the engine's state, and what was granted, to the entry instances.
-// Only a full state names the adapters.
+// Those that ask nothing of the engine at present are told less often where
+// there are many. Only a full state names the adapters; an entry instance that
+// was not told the last one gets it with the next state.
 func (loader *Loader) tell(granted map[string][]uint64, full bool) {
 	entries := loader.planner.Entries()
-	state := loader.state(full, entries)
-	if state == nil {
+	brief := loader.state(full, entries)
+	if brief == nil {
 		return
 	}
+	whole := loader.whole(brief, entries)
 	for _, address := range entries {
+		informed, due := loader.due(address, len(entries), len(granted[address]) > 0, brief.GetFullSerial())
+		if !due {
+			continue
+		}
+		state := whole
+		if informed {
+			state = brief
+		}
 		state.Granted = granted[address]
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
 		if err := loader.config.Datagrams.Send(address, datagram); err != nil {
@@ -122,6 +135,29 @@
 	}
 }
 
+// telling is what an entry instance was told last.
+type telling struct {
+	at time.Time
+	// full is the serial of the full state.
+	full uint64
+}
+
+// due reports whether an entry instance is to be told now, and whether it was
+// told the last full state. If it is due it counts as told.
+func (loader *Loader) due(entry string, entries int, granted bool, full uint64) (informed, due bool) {
+	pause := min(time.Duration(max(entries-promptEntries, 0))*pausePerEntry, longestPause)
+	waits := granted || loader.gate.Waits(entry)
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	last := loader.tellings[entry]
+	now := time.Now()
+	if !waits && now.Sub(last.at) < pause {
+		return false, false
+	}
+	loader.tellings[entry] = telling{at: now, full: full}
+	return last.full == full, true
+}
+
 // state returns what the entry instances are told, or nil if there is nothing
 // to tell yet.
 func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
@@ -141,17 +177,28 @@
 		Unreachable:   loader.misses >= lostReports,
 		Silent:        loader.misses >= lostReports && loader.silent,
 		BacklogTokens: backlog, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
+		Brief: true,
 	}
 	if full {
 		loader.told, loader.sent, loader.full = time.Now(), report, loader.serial
 		loader.greet = false
 		maps.DeleteFunc(loader.starts, func(entry string, _ int64) bool { return !slices.Contains(entries, entry) })
-		state.Resident, state.Pending, state.Entries = encodeAdapters(report.Resident), encodeAdapters(report.Pending), entries
+		maps.DeleteFunc(loader.tellings, func(entry string, _ telling) bool { return !slices.Contains(entries, entry) })
 	}
-	state.Brief, state.FullSerial = !full, loader.full
+	state.FullSerial = loader.full
 	return state
 }
 
+// whole returns the state with the adapters that the last full one named.
+func (loader *Loader) whole(brief *wirepb.EngineState, entries []string) *wirepb.EngineState {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	whole := proto.CloneOf(brief)
+	whole.Brief, whole.Entries = false, entries
+	whole.Resident, whole.Pending = encodeAdapters(loader.sent.Resident), encodeAdapters(loader.sent.Pending)
+	return whole
+}
+
 func encodeAdapters(adapters []stock.Adapter) []*wirepb.AdapterVersion {
 	encoded := make([]*wirepb.AdapterVersion, 0, len(adapters))
 	for _, adapter := range adapters {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -32,6 +32,14 @@
 	tellPeriod = 100 * time.Millisecond
 	// idlePeriod is how often they are told although nothing changed.
 	idlePeriod = 500 * time.Millisecond
+	// promptEntries is the number of entry instances up to which all are told
+	// each change. For each one more, those that wait for nothing are told
+	// pausePerEntry later, up to longestPause.
+	promptEntries = 8
+	pausePerEntry = 20 * time.Millisecond
+	// longestPause and idlePeriod together are shorter than entry instances
+	// believe a state.
+	longestPause = 700 * time.Millisecond
 	// fenceStep raises the fencing token above one that the engine has seen.
 	fenceStep = 10_000
 )
@@ -108,6 +116,8 @@
 	// not been told anything yet.
 	starts map[string]int64
 	greet  bool
+	// tellings holds what the entry instances were told last.
+	tellings map[string]telling
 
 	// fence is used by the loop that gives orders only.
 	fence int64
@@ -117,15 +127,16 @@
 func New(config Config) *Loader {
 	now := time.Now()
 	return &Loader{
-		config:  config,
-		planner: stock.New(stock.Config{}),
-		gate:    admit.New(admit.Config{}),
-		orders:  make(chan struct{}, 1),
-		turns:   make(chan struct{}, 1),
-		misses:  lostReports,
-		starts:  make(map[string]int64),
-		fence:   now.UnixMilli(),
-		serial:  uint64(now.UnixMicro()),
+		config:   config,
+		planner:  stock.New(stock.Config{}),
+		gate:     admit.New(admit.Config{}),
+		orders:   make(chan struct{}, 1),
+		turns:    make(chan struct{}, 1),
+		misses:   lostReports,
+		starts:   make(map[string]int64),
+		tellings: make(map[string]telling),
+		fence:    now.UnixMilli(),
+		serial:   uint64(now.UnixMicro()),
 	}
 }
 
--- a/internal/daemon/loader/loader_test.go
+++ b/internal/daemon/loader/loader_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -121,6 +122,69 @@
 	}
 }
 
+// TestManyEntries plays a deployment of 300 instances (sweep-300), where each
+// engine's load changes 20 times a second: telling every entry instance of each
+// change took most of the bytes between failure domains. The one that waits for
+// its turn is told each; what the others are told must not be too old for them.
+func TestManyEntries(t *testing.T) {
+	const entries = 80
+	engine := &engine{report: sound()}
+	datagrams, err := gossip.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	loader := New(Config{Engine: engine, Datagrams: datagrams, Logger: zap.NewNop()})
+	demand := func(entry string, asks ...*wirepb.Ask) {
+		loader.heard("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+			Entry: entry, Start: 1, Model: "m", Upstream: "i-1", Born: 1000, Slots: 64, EventTokens: 3, GapMs: 300, Asks: asks,
+		}}})
+	}
+	var addresses []string
+	told := make([]atomic.Int64, entries)
+	brief := make([]atomic.Int64, entries)
+	for i := range entries {
+		entry, err := gossip.Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, entry.Address())
+		go func() {
+			_ = entry.Serve(t.Context(), func(_ string, datagram *wirepb.Datagram) {
+				told[i].Add(1)
+				if datagram.GetEngineState().GetBrief() {
+					brief[i].Add(1)
+				}
+			})
+		}()
+		demand(addresses[i])
+	}
+	const changes, period = 40, 50 * time.Millisecond
+	for change := range changes {
+		engine.report.Running = change
+		demand(addresses[0], &wirepb.Ask{Id: 1, Adapter: "absent", PromptTokens: 100})
+		if change%8 == 0 {
+			for _, address := range addresses[1:] {
+				demand(address)
+			}
+		}
+		loader.refresh(t.Context())
+		loader.tell(nil, change%10 == 0)
+		time.Sleep(period)
+	}
+	if got := told[0].Load(); got < changes*9/10 || brief[0].Load() < got/2 {
+		t.Errorf("the entry instance that waits was told %d of %d changes, %d in brief", got, changes, brief[0].Load())
+	}
+	for i := 1; i < entries; i++ {
+		// Two seconds, one state each 700 ms or little later.
+		if got := told[i].Load(); got < 2 || got > 4 {
+			t.Errorf("entry instance %d was told %d times within two seconds, want 2 to 4", i, got)
+		}
+		if brief[i].Load() > 0 && told[i].Load() == brief[i].Load() {
+			t.Errorf("entry instance %d was never told which adapters there are", i)
+		}
+	}
+}
+
 // TestFence guards against a loader that gives the same fencing token again
 // after the engine refused it, as when the clock stepped back before a restart.
 func TestFence(t *testing.T) {
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -213,6 +213,22 @@
 	return granted, changed
 }
 
+// Waits reports whether requests of an entry instance wait for their turn.
+func (gate *Gate) Waits(name string) bool {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	known, ok := gate.entries[name]
+	if !ok {
+		return false
+	}
+	for _, waiting := range known.asks {
+		if !waiting.granted {
+			return true
+		}
+	}
+	return false
+}
+
 // forget drops what is past the span, and entry instances that fell silent.
 func (gate *Gate) forget(now time.Time) {
 	since := now.Add(-gate.shape.Gap)
