Test connections that get bytes or end while they are unused

The last mechanism of the path that no test found when it was taken out: the look into the kernel's buffer before a connection is used again. TestIdle fails without it, with the late answer of the request before in one case.

--- a/internal/link/hop/hop_test.go
+++ b/internal/link/hop/hop_test.go
@@ -126,6 +126,55 @@
 	}
 }
 
+// TestIdle guards against a request sent on a connection that got more bytes, or
+// ended, while it was unused.
+func TestIdle(t *testing.T) {
+	const late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+	tests := []struct {
+		name string
+		then func(conn net.Conn)
+	}{
+		{name: "late answer", then: func(conn net.Conn) { _, _ = io.WriteString(conn, late) }},
+		{name: "end", then: func(conn net.Conn) { _ = conn.Close() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer func() { _ = conn.Close() }()
+						reader := bufio.NewReader(conn)
+						if request, err := http.ReadRequest(reader); err != nil || request.Body.Close() != nil {
+							return
+						}
+						_, _ = io.WriteString(conn, okay)
+						time.Sleep(50 * time.Millisecond)
+						test.then(conn)
+						_, _ = io.Copy(io.Discard, reader)
+					}()
+				}
+			}()
+			pool := New(Config{})
+			defer pool.Close()
+			for range 2 {
+				if got, err := get(pool, listener.Addr().String()); err != nil || got != "200 ok" {
+					t.Errorf("answer %q, error %v; want 200 ok", got, err)
+				}
+				time.Sleep(150 * time.Millisecond)
+			}
+		})
+	}
+}
+
 // TestCut guards against an answer that broke off being passed on as whole.
 func TestCut(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
