--- a/internal/state/creds/creds_test.go
+++ b/internal/state/creds/creds_test.go
@@ -18,6 +18,10 @@
 // they were withdrawn, and against specs that hold the secret.
 func TestAuthenticate(t *testing.T) {
 	key, spec := Issue("looms")
+	for strings.ToUpper(spec.ID) == spec.ID {
+		// One id in 1,800 has digits only, so that capitals are the same.
+		key, spec = Issue("looms")
+	}
 	other, otherSpec := Issue("looms")
 	_, secret, _ := strings.Cut(strings.TrimPrefix(key, Prefix), "_")
 	_, otherSecret, _ := strings.Cut(strings.TrimPrefix(other, Prefix), "_")
