Remove what the platform's set-up has twice or does not use

Found by reading the whole change again; behaviour stays as it is.

The bounds of a relay were two equal structs and a goroutine that passed one on as the other; relay.Bounds now names the settings' type. The checks of log settings stood three times, the signal context of the daemons twice. Defaults are taken with cmp.Or, as elsewhere in the tree, in place of 29 conditions. A loader built the full state for each telling though most relays get the brief one; it is built when one needs it. Two fields of a choice and two of configurations were set or declared and never read. The comment on the window of the retry budget described an earlier version.

Left: the daemons' follow loops over tickers, imports and generated code, which are alike in shape only; both retry budgets, since one earns by request and the other counts a window over all instances."

--- a/cmd/jacinthfront/daemons.go
+++ b/cmd/jacinthfront/daemons.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/BurntSushi/toml"
 
@@ -52,7 +50,7 @@
 // waitForSignal drains the process at the first SIGTERM or SIGINT. A second
 // one ends it at once, since the handler is removed.
 func waitForSignal(process *start.Process) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := untilSignal()
 	defer stop()
 	context.AfterFunc(ctx, stop)
 	return process.Wait(ctx)
--- a/internal/base/setup/check.go
+++ b/internal/base/setup/check.go
@@ -25,8 +25,7 @@
 	checks.address("listen.operators", process.Listen.Operators)
 	checks.url("platform.log-url", process.Platform.LogURL)
 	checks.url("platform.instances-url", process.Platform.InstancesURL)
-	checks.oneOf("log.level", process.Log.Level, "debug", "info", "warn", "error")
-	checks.oneOf("log.format", process.Log.Format, "json", "text")
+	checks.log(process.Log)
 	checks.positive("shutdown.drain-limit", process.Shutdown.DrainLimit)
 	checks.positive("isolation-limit", process.IsolationLimit)
 	checks.positive("log-retention", process.LogRetention)
@@ -69,6 +68,11 @@
 	}
 }
 
+func (checks *checks) log(log Log) {
+	checks.oneOf("log.level", log.Level, "debug", "info", "warn", "error")
+	checks.oneOf("log.format", log.Format, "json", "text")
+}
+
 func (checks *checks) positive(key string, value time.Duration) {
 	if value <= 0 {
 		checks.add(key, value.String(), "write a duration above 0, such as \"5s\"")
--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -20,7 +20,8 @@
 
 // RelayBounds holds what the users promise their callers.
 type RelayBounds struct {
-	// Revoke is how long a withdrawn key may still be used.
+	// Revoke is how long a withdrawn key may still be used. A relay that has not
+	// confirmed its configuration for nearly as long refuses requests with a key.
 	Revoke time.Duration `toml:"revoke"`
 	// Grace is how long a stop may take.
 	Grace time.Duration `toml:"grace"`
@@ -90,8 +91,7 @@
 	checks.positive("bounds.revoke", relay.Bounds.Revoke)
 	checks.positive("bounds.grace", relay.Bounds.Grace)
 	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow)
-	checks.oneOf("log.level", relay.Log.Level, "debug", "info", "warn", "error")
-	checks.oneOf("log.format", relay.Log.Format, "json", "text")
+	checks.log(relay.Log)
 	return checks.err()
 }
 
@@ -110,7 +110,6 @@
 	checks.address("engine", loader.Engine)
 	checks.address("metrics", loader.Metrics)
 	checks.address("peers.listen", loader.Peers.Listen)
-	checks.oneOf("log.level", loader.Log.Level, "debug", "info", "warn", "error")
-	checks.oneOf("log.format", loader.Log.Format, "json", "text")
+	checks.log(loader.Log)
 	return checks.err()
 }
--- a/internal/base/telem/bounded.go
+++ b/internal/base/telem/bounded.go
@@ -1,6 +1,7 @@
 package telem
 
 import (
+	"cmp"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -68,15 +69,9 @@
 			return nil, fault.New(fault.Invalid, fault.NotRun, "log.level is %q; write debug, info, warn or error", config.Level)
 		}
 	}
-	if config.Lines == 0 {
-		config.Lines = DefaultLines
-	}
-	if config.Routine == 0 {
-		config.Routine = DefaultRoutine
-	}
-	if config.Pending == 0 {
-		config.Pending = DefaultPending
-	}
+	config.Lines = cmp.Or(config.Lines, DefaultLines)
+	config.Routine = cmp.Or(config.Routine, DefaultRoutine)
+	config.Pending = cmp.Or(config.Pending, DefaultPending)
 	if config.IsRoutine == nil {
 		config.IsRoutine = func(string) bool { return false }
 	}
--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -4,6 +4,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -70,15 +71,9 @@
 
 // New returns a Follower that has read nothing.
 func New[Record any](config Config[Record]) *Follower[Record] {
-	if config.CallTime == 0 {
-		config.CallTime = DefaultCallTime
-	}
-	if config.First == 0 {
-		config.First = DefaultFirst
-	}
-	if config.Longest == 0 {
-		config.Longest = DefaultLongest
-	}
+	config.CallTime = cmp.Or(config.CallTime, DefaultCallTime)
+	config.First = cmp.Or(config.First, DefaultFirst)
+	config.Longest = cmp.Or(config.Longest, DefaultLongest)
 	return &Follower[Record]{config: config, wake: make(chan struct{}, 1)}
 }
 
--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -117,15 +117,18 @@
 	if brief == nil {
 		return
 	}
-	whole := loader.whole(brief, entries)
+	var whole *wirepb.EngineState
 	for _, address := range entries {
 		informed, due := loader.due(address, len(entries), len(granted[address]) > 0, brief.GetFullSerial())
 		if !due {
 			continue
 		}
-		state := whole
-		if informed {
-			state = brief
+		if !informed && whole == nil {
+			whole = loader.whole(brief, entries)
+		}
+		state := brief
+		if !informed {
+			state = whole
 		}
 		state.Granted = granted[address]
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -73,8 +73,7 @@
 
 // Config configures a Loader.
 type Config struct {
-	Instance string
-	Engine   Engine
+	Engine Engine
 	// Address is the engine's, as IP:port.
 	Address   string
 	Datagrams *gossip.Conn
--- a/internal/daemon/relay/budget.go
+++ b/internal/daemon/relay/budget.go
@@ -19,8 +19,8 @@
 	counts map[string]*window
 }
 
-// window counts the requests and retries of one service over the time that has
-// passed; both fade at the same pace.
+// window holds the requests and retries of one service within
+// Bounds.RetryWindow.
 type window struct {
 	sent []event
 }
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
@@ -29,8 +30,6 @@
 
 // Config configures a Relay.
 type Config struct {
-	// Instance names this entry instance.
-	Instance      string
 	FailureDomain string
 	// Callers is where requests come in, Probes where readiness is asked, and
 	// Metrics where metrics are read.
@@ -58,19 +57,7 @@
 }
 
 // Bounds holds what the users promise their callers.
-type Bounds struct {
-	// Revoke is how long a withdrawn key may still be used. An instance that
-	// has not confirmed its configuration for nearly as long refuses requests
-	// with a key.
-	Revoke time.Duration
-	// Grace is how long a stop may take.
-	Grace time.Duration
-	// RetryRatio and RetryExtra bound the requests sent again in RetryWindow,
-	// over all instances.
-	RetryRatio  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
-}
+type Bounds = setup.RelayBounds
 
 const (
 	// confirmMargin is how long before Bounds.Revoke an instance stops trusting
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -118,24 +118,12 @@
 
 // New returns a Gate that knows nothing yet.
 func New(config Config) *Gate {
-	if config.ReadRate == 0 {
-		config.ReadRate = DefaultReadRate
-	}
-	if config.Step == 0 {
-		config.Step = DefaultStep
-	}
-	if config.Chunk == 0 {
-		config.Chunk = DefaultChunk
-	}
-	if config.Use == 0 {
-		config.Use = DefaultUse
-	}
-	if config.Ageing == 0 {
-		config.Ageing = DefaultAgeing
-	}
-	if config.Forget == 0 {
-		config.Forget = DefaultForget
-	}
+	config.ReadRate = cmp.Or(config.ReadRate, DefaultReadRate)
+	config.Step = cmp.Or(config.Step, DefaultStep)
+	config.Chunk = cmp.Or(config.Chunk, DefaultChunk)
+	config.Use = cmp.Or(config.Use, DefaultUse)
+	config.Ageing = cmp.Or(config.Ageing, DefaultAgeing)
+	config.Forget = cmp.Or(config.Forget, DefaultForget)
 	return &Gate{config: config, entries: make(map[string]*entry)}
 }
 
--- a/internal/flow/share/share.go
+++ b/internal/flow/share/share.go
@@ -6,6 +6,7 @@
 package share
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -83,15 +84,9 @@
 
 // New returns an empty Ledger.
 func New(config Config) *Ledger {
-	if config.Silence == 0 {
-		config.Silence = DefaultSilence
-	}
-	if config.Initial == 0 {
-		config.Initial = DefaultInitial
-	}
-	if config.Use == 0 {
-		config.Use = DefaultUse
-	}
+	config.Silence = cmp.Or(config.Silence, DefaultSilence)
+	config.Initial = cmp.Or(config.Initial, DefaultInitial)
+	config.Use = cmp.Or(config.Use, DefaultUse)
 	now := time.Now()
 	return &Ledger{config: config, start: now, since: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -5,6 +5,7 @@
 package steer
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -89,21 +90,11 @@
 
 // New returns a Board without upstreams.
 func New(config Config) *Board {
-	if config.Fresh == 0 {
-		config.Fresh = DefaultFresh
-	}
-	if config.Lag == 0 {
-		config.Lag = DefaultLag
-	}
-	if config.Overfill == 0 {
-		config.Overfill = DefaultOverfill
-	}
-	if config.Spread == 0 {
-		config.Spread = DefaultSpread
-	}
-	if config.Copy == 0 {
-		config.Copy = DefaultCopy
-	}
+	config.Fresh = cmp.Or(config.Fresh, DefaultFresh)
+	config.Lag = cmp.Or(config.Lag, DefaultLag)
+	config.Overfill = cmp.Or(config.Overfill, DefaultOverfill)
+	config.Spread = cmp.Or(config.Spread, DefaultSpread)
+	config.Copy = cmp.Or(config.Copy, DefaultCopy)
 	return &Board{config: config, upstreams: make(map[string]*upstream), services: make(map[string][]*upstream), instances: 1}
 }
 
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -56,10 +56,6 @@
 	// Copy is another upstream that should get the adapter too, if its id is
 	// not empty.
 	Copy fleet.Upstream
-	// Candidates is the number of upstreams that were weighed, and Holders the
-	// number of those that hold the adapter.
-	Candidates int
-	Holders    int
 }
 
 // candidate is an upstream with what decides about it.
@@ -89,7 +85,6 @@
 	if choice.Result == Full && board.nothing(need) == Starting {
 		choice.Result = Starting
 	}
-	choice.Candidates = len(candidates)
 	return choice
 }
 
@@ -188,9 +183,7 @@
 func (board *Board) chooseHolder(candidates []candidate, need Need) Choice {
 	holders := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return !entry.holds })
 	others := slices.DeleteFunc(slices.Clone(candidates), func(entry candidate) bool { return entry.holds })
-	choice := board.weigh(holders, others, need)
-	choice.Holders = len(holders)
-	return choice
+	return board.weigh(holders, others, need)
 }
 
 func (board *Board) weigh(holders, others []candidate, need Need) Choice {
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -5,6 +5,7 @@
 package stock
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -128,21 +129,11 @@
 
 // New returns a Planner that knows nothing yet.
 func New(config Config) *Planner {
-	if config.Linger == 0 {
-		config.Linger = DefaultLinger
-	}
-	if config.Transit == 0 {
-		config.Transit = DefaultTransit
-	}
-	if config.Store == 0 {
-		config.Store = DefaultStore
-	}
-	if config.Overdue == 0 {
-		config.Overdue = DefaultOverdue
-	}
-	if config.Keep == 0 {
-		config.Keep = DefaultKeep
-	}
+	config.Linger = cmp.Or(config.Linger, DefaultLinger)
+	config.Transit = cmp.Or(config.Transit, DefaultTransit)
+	config.Store = cmp.Or(config.Store, DefaultStore)
+	config.Overdue = cmp.Or(config.Overdue, DefaultOverdue)
+	config.Keep = cmp.Or(config.Keep, DefaultKeep)
 	return &Planner{
 		config:  config,
 		demands: make(map[string]*demand),
--- a/internal/link/hop/hop.go
+++ b/internal/link/hop/hop.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -108,15 +109,9 @@
 	if config.Dialer == nil {
 		config.Dialer = NewDialer()
 	}
-	if config.DialTime == 0 {
-		config.DialTime = DefaultDialTime
-	}
-	if config.IdleTime == 0 {
-		config.IdleTime = DefaultIdleTime
-	}
-	if config.Idle == 0 {
-		config.Idle = DefaultIdle
-	}
+	config.DialTime = cmp.Or(config.DialTime, DefaultDialTime)
+	config.IdleTime = cmp.Or(config.IdleTime, DefaultIdleTime)
+	config.Idle = cmp.Or(config.Idle, DefaultIdle)
 	return &Pool{config: config, idle: make(map[string][]*conn)}
 }
 
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -47,9 +48,7 @@
 
 // New returns an empty List.
 func New(config Config) *List {
-	if config.Return == 0 {
-		config.Return = DefaultReturn
-	}
+	config.Return = cmp.Or(config.Return, DefaultReturn)
 	return &List{config: config, upstreams: make(map[string]Upstream), lapsed: make(map[string]bool)}
 }
 
