Start on every number that the platform can write

Missing values and exponents failed too. Ruled out: bare TOML numbers; whole ones beyond 64 bits are refused by the parser. Negative retry bounds are refused.

--- a/internal/base/setup/check.go
+++ b/internal/base/setup/check.go
@@ -79,6 +79,12 @@
 	}
 }
 
+func (checks *checks) notNegative(key string, value Number) {
+	if value < 0 {
+		checks.add(key, fmt.Sprint(value), "write a number of at least 0")
+	}
+}
+
 func (checks *checks) atLeast(key string, value, least int64) {
 	if value < least {
 		checks.add(key, fmt.Sprint(value), fmt.Sprintf("write a whole number of at least %d", least))
--- /dev/null
+++ b/internal/base/setup/number.go
@@ -0,0 +1,90 @@
+package setup
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"regexp"
+	"strconv"
+	"time"
+)
+
+// Period is a duration in a settings file. Beside the forms of
+// time.ParseDuration it takes any decimal number with one unit, also with an
+// exponent, such as "2.5e3ms". One that is too long for a time.Duration becomes
+// the longest one, and one above 0 is at least a nanosecond.
+type Period struct{ time.Duration }
+
+// Number is a number in a settings file, given bare or quoted. Quoted, it may
+// be of any size; what is too large becomes the largest one.
+type Number float64
+
+var (
+	errNoNumber = errors.New("write a number, such as 58 or 0.2")
+	periodForm  = regexp.MustCompile(`^([-+]?[0-9.]+(?:[eE][-+]?[0-9]+)?)(ns|us|ms|s|m|h)$`)
+	units       = map[string]time.Duration{
+		"ns": time.Nanosecond, "us": time.Microsecond, "ms": time.Millisecond,
+		"s": time.Second, "m": time.Minute, "h": time.Hour,
+	}
+)
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (period *Period) UnmarshalText(text []byte) error {
+	parts := periodForm.FindSubmatch(text)
+	if parts == nil {
+		parsed, err := time.ParseDuration(string(text))
+		if err != nil {
+			return fmt.Errorf("%q is no duration; write one with a unit, such as \"5s\"", text)
+		}
+		period.Duration = parsed
+		return nil
+	}
+	var count Number
+	if err := count.UnmarshalText(parts[1]); err != nil {
+		return err
+	}
+	period.Duration = saturate(float64(count), units[string(parts[2])])
+	return nil
+}
+
+func saturate(count float64, unit time.Duration) time.Duration {
+	length := count * float64(unit)
+	switch {
+	case length >= math.MaxInt64:
+		return math.MaxInt64
+	case length <= math.MinInt64:
+		return math.MinInt64
+	case length > 0:
+		return max(time.Duration(length), 1)
+	default:
+		return time.Duration(length)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (number *Number) UnmarshalText(text []byte) error {
+	parsed, err := strconv.ParseFloat(string(text), 64)
+	switch {
+	case errors.Is(err, strconv.ErrRange):
+		parsed = math.Copysign(math.MaxFloat64, parsed)
+	case err != nil, math.IsNaN(parsed), math.IsInf(parsed, 0):
+		return fmt.Errorf("%q: %w", text, errNoNumber)
+	}
+	*number = Number(parsed)
+	return nil
+}
+
+// UnmarshalTOML implements toml.Unmarshaler.
+func (number *Number) UnmarshalTOML(value any) error {
+	switch value := value.(type) {
+	case int64:
+		*number = Number(value)
+		return nil
+	case float64:
+		return number.UnmarshalText(strconv.AppendFloat(nil, value, 'g', -1, 64))
+	case string:
+		return number.UnmarshalText([]byte(value))
+	default:
+		return fmt.Errorf("%v: %w", value, errNoNumber)
+	}
+}
--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -22,14 +22,14 @@
 type RelayBounds struct {
 	// Revoke is how long a withdrawn key may still be used. A relay that has not
 	// confirmed its configuration for nearly as long refuses requests with a key.
-	Revoke time.Duration `toml:"revoke"`
+	Revoke Period `toml:"revoke"`
 	// Grace is how long a stop may take.
-	Grace time.Duration `toml:"grace"`
+	Grace Period `toml:"grace"`
 	// RetryRatio and RetryExtra bound the requests that are sent again within
 	// RetryWindow, over all instances.
-	RetryRatio  float64       `toml:"retry-ratio"`
-	RetryExtra  float64       `toml:"retry-extra"`
-	RetryWindow time.Duration `toml:"retry-window"`
+	RetryRatio  Number `toml:"retry-ratio"`
+	RetryExtra  Number `toml:"retry-extra"`
+	RetryWindow Period `toml:"retry-window"`
 }
 
 // Relay holds the settings of a relay.
@@ -65,8 +65,11 @@
 // DefaultRelay returns the defaults of a relay.
 func DefaultRelay() Relay {
 	return Relay{
-		Bounds: RelayBounds{Revoke: defaultRevoke, Grace: defaultGrace, RetryRatio: defaultRetryRatio, RetryWindow: defaultRetryWindow},
-		Log:    Log{Level: "info", Format: "json"},
+		Bounds: RelayBounds{
+			Revoke: Period{defaultRevoke}, Grace: Period{defaultGrace},
+			RetryRatio: defaultRetryRatio, RetryWindow: Period{defaultRetryWindow},
+		},
+		Log: Log{Level: "info", Format: "json"},
 	}
 }
 
@@ -88,9 +91,11 @@
 	checks.address("listen.probes", relay.Listen.Probes)
 	checks.address("listen.metrics", relay.Listen.Metrics)
 	checks.address("peers.listen", relay.Peers.Listen)
-	checks.positive("bounds.revoke", relay.Bounds.Revoke)
-	checks.positive("bounds.grace", relay.Bounds.Grace)
-	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow)
+	checks.positive("bounds.revoke", relay.Bounds.Revoke.Duration)
+	checks.positive("bounds.grace", relay.Bounds.Grace.Duration)
+	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow.Duration)
+	checks.notNegative("bounds.retry-ratio", relay.Bounds.RetryRatio)
+	checks.notNegative("bounds.retry-extra", relay.Bounds.RetryExtra)
 	checks.log(relay.Log)
 	return checks.err()
 }
--- a/internal/daemon/relay/budget.go
+++ b/internal/daemon/relay/budget.go
@@ -48,7 +48,7 @@
 	window := budget.window(service)
 	requests, retries := window.count()
 	bounds := budget.bounds()
-	limit := bounds.RetryRatio*float64(requests) + bounds.RetryExtra/float64(budget.instances())
+	limit := float64(bounds.RetryRatio)*float64(requests) + float64(bounds.RetryExtra)/float64(budget.instances())
 	if float64(retries+1) > limit*budgetUse {
 		return false
 	}
@@ -62,7 +62,7 @@
 		found = &window{}
 		budget.counts[service] = found
 	}
-	found.trim(time.Now().Add(-budget.bounds().RetryWindow))
+	found.trim(time.Now().Add(-budget.bounds().RetryWindow.Duration))
 	return found
 }
 
--- a/internal/daemon/relay/budget_test.go
+++ b/internal/daemon/relay/budget_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
 )
 
 // TestBudget plays five instances whose upstreams fail everything. In no window
@@ -11,7 +13,7 @@
 // also when the requests come in a burst that then stops.
 func TestBudget(t *testing.T) {
 	const instances = 5
-	bounds := Bounds{RetryRatio: 0.2, RetryExtra: 58, RetryWindow: 10 * time.Second}
+	bounds := Bounds{RetryRatio: 0.2, RetryExtra: 58, RetryWindow: setup.Period{Duration: 10 * time.Second}}
 	synctest.Test(t, func(t *testing.T) {
 		var budgets []*budget
 		for range instances {
@@ -32,7 +34,7 @@
 		}
 		within := func(list []time.Time, from time.Time) (count int) {
 			for _, at := range list {
-				if !at.Before(from) && at.Sub(from) < bounds.RetryWindow {
+				if !at.Before(from) && at.Sub(from) < bounds.RetryWindow.Duration {
 					count++
 				}
 			}
@@ -41,7 +43,7 @@
 		for _, from := range retries {
 			// The rule takes the fullest of three windows.
 			fullest := max(within(requests, from), within(requests, from.Add(-5*time.Second)), within(requests, from.Add(-10*time.Second)))
-			if got, allowed := within(retries, from), bounds.RetryRatio*float64(fullest)+bounds.RetryExtra; float64(got) > allowed {
+			if got, allowed := within(retries, from), float64(bounds.RetryRatio)*float64(fullest)+float64(bounds.RetryExtra); float64(got) > allowed {
 				t.Fatalf("%d sent again within 10 s from %v, %.0f allowed", got, from.Sub(began), allowed)
 			}
 		}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -193,8 +193,8 @@
 func (relay *Relay) drain() {
 	relay.stopping.Store(true)
 	relay.config.Logger.Info("relay: stopping", zap.Int64("running", relay.metrics.running.Load()))
-	deadline := time.Now().Add(relay.bounds.Load().Grace - stopMargin)
-	time.Sleep(min(acceptAfterStop, relay.bounds.Load().Grace/3))
+	deadline := time.Now().Add(relay.bounds.Load().Grace.Duration - stopMargin)
+	time.Sleep(min(acceptAfterStop, relay.bounds.Load().Grace.Duration/3))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := relay.server.Shutdown(ctx); err != nil {
@@ -221,7 +221,7 @@
 }
 
 // trust returns how long a configuration counts after it was confirmed.
-func (relay *Relay) trust() time.Duration { return relay.bounds.Load().Revoke - confirmMargin }
+func (relay *Relay) trust() time.Duration { return relay.bounds.Load().Revoke.Duration - confirmMargin }
 
 func (relay *Relay) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if !relay.Ready() {
