Learn how fast each engine reads from what its streams show

Cause: the gate beside an engine assumed 19 prompt tokens a millisecond and 14 ms a token. Change: relays tell loaders how long first events took and how far apart the next ones came; the slope over prompts with none before them is the rate (Theil-Sen). Waits, spread and copies are counted in time, by what each gate says it takes in. New engines start with the others' median.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -26,7 +26,9 @@
 		Slots:       int(demand.GetSlots()),
 		EventTokens: int(demand.GetEventTokens()),
 		Gap:         time.Duration(demand.GetGapMs()) * time.Millisecond,
+		Typical:     decodePace(demand.GetTypical()),
 	}, decodeAsks(demand.GetAsks()))
+	loader.gate.Measured(demand.GetEntry(), decodeReadings(demand.GetReadings()))
 	wake(loader.turns)
 	for _, use := range demand.GetUses() {
 		if use.GetWaiting() > 0 {
@@ -87,6 +89,32 @@
 	return asks
 }
 
+func decodePace(encoded *wirepb.Pace) admit.Pace {
+	return admit.Pace{
+		ReadRate: float64(encoded.GetReadRate()) / millisecondsPerSecond,
+		Event:    time.Duration(encoded.GetEventUs()) * time.Microsecond,
+	}
+}
+
+func encodePace(pace admit.Pace) *wirepb.Pace {
+	return &wirepb.Pace{
+		ReadRate: uint32(pace.ReadRate * millisecondsPerSecond),
+		EventUs:  uint32(pace.Event.Microseconds()),
+	}
+}
+
+func decodeReadings(encoded []*wirepb.Reading) []admit.Reading {
+	readings := make([]admit.Reading, 0, len(encoded))
+	for _, reading := range encoded {
+		readings = append(readings, admit.Reading{
+			Ask:   reading.GetAsk(),
+			First: time.Duration(reading.GetFirstUs()) * time.Microsecond,
+			Pause: time.Duration(reading.GetPauseUs()) * time.Microsecond,
+		})
+	}
+	return readings
+}
+
 // tellChanges tells all entry instances what changed, at once if it concerns
 // adapters or the engine's life, else from time to time.
 func (loader *Loader) tellChanges() {
@@ -165,6 +193,7 @@
 // to tell yet.
 func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
 	backlog, free := loader.gate.Backlog(), loader.planner.Free()
+	pace, intake := loader.gate.Pace(), loader.gate.Intake()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	report := loader.report
@@ -180,7 +209,7 @@
 		Unreachable:   loader.misses >= lostReports,
 		Silent:        loader.misses >= lostReports && loader.silent,
 		BacklogTokens: backlog, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
-		Brief: true,
+		Brief: true, Pace: encodePace(pace), Intake: uint32(intake * millisecondsPerSecond),
 	}
 	if full {
 		loader.told, loader.sent, loader.full = time.Now(), report, loader.serial
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -42,6 +42,8 @@
 	longestPause = 700 * time.Millisecond
 	// fenceStep raises the fencing token above one that the engine has seen.
 	fenceStep = 10_000
+	// millisecondsPerSecond converts rates between the wire and the gate.
+	millisecondsPerSecond = 1000
 )
 
 // Report is what the engine says of itself.
@@ -174,6 +176,7 @@
 	telem.Gauge("loader", "backlog-tokens", loader.gate.Backlog())
 	telem.Gauge("loader", "free-places", int64(loader.planner.Free()))
 	telem.Gauge("loader", "reports-missed", int64(loader.misses))
+	telem.Gauge("loader", "intake-tokens", int64(loader.gate.Intake()*millisecondsPerSecond))
 }
 
 // keep asks for reports and gives orders.
@@ -214,6 +217,9 @@
 		loader.config.Logger.Info("loader: engine reports", zap.Int64("born", report.Born),
 			zap.Strings("models", report.Models), zap.Int("adapters", len(report.Resident)))
 	}
+	if report.Born != loader.report.Born {
+		loader.gate.Restarted()
+	}
 	loader.misses = 0
 	loader.report = report
 	loader.planner.Observe(report.Engine)
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -32,6 +32,8 @@
 	settleTime = 120 * time.Millisecond
 	// peerTime is how long an entry instance is remembered that no loader names.
 	peerTime = 6 * time.Second
+	// millisecondsPerSecond converts rates between the wire and the board.
+	millisecondsPerSecond = 1000
 )
 
 // kick makes the next exchange happen at once.
@@ -85,6 +87,7 @@
 	if config == nil {
 		return
 	}
+	typical := make(map[string]*wirepb.Pace)
 	for _, upstream := range relay.belief.list.Upstreams() {
 		service, ok := config.Service(upstream.Service)
 		if !ok || service.Engine == nil || len(service.Engine.Models) == 0 {
@@ -102,6 +105,9 @@
 		if time.Since(known.at) < period {
 			continue
 		}
+		if typical[upstream.Service] == nil {
+			typical[upstream.Service] = encodePace(relay.board.Typical(upstream.Service))
+		}
 		last[upstream.ID] = told{uses: uses, asks: asks, at: time.Now()}
 		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.Address,
@@ -116,6 +122,8 @@
 			Asks:             encodeAsks(asks),
 			Born:             upstream.Born,
 			PendingElsewhere: uint32(relay.board.Coming(upstream.Service, upstream.ID)),
+			Readings:         encodeReadings(relay.board.TakeReadings(upstream.ID)),
+			Typical:          typical[upstream.Service],
 		}}})
 	}
 }
@@ -142,6 +150,30 @@
 	return encoded
 }
 
+func encodePace(pace admit.Pace) *wirepb.Pace {
+	return &wirepb.Pace{
+		ReadRate: uint32(pace.ReadRate * millisecondsPerSecond),
+		EventUs:  uint32(pace.Event.Microseconds()),
+	}
+}
+
+func decodePace(encoded *wirepb.Pace) admit.Pace {
+	return admit.Pace{
+		ReadRate: float64(encoded.GetReadRate()) / millisecondsPerSecond,
+		Event:    time.Duration(encoded.GetEventUs()) * time.Microsecond,
+	}
+}
+
+func encodeReadings(readings []admit.Reading) []*wirepb.Reading {
+	encoded := make([]*wirepb.Reading, 0, len(readings))
+	for _, reading := range readings {
+		encoded = append(encoded, &wirepb.Reading{
+			Ask: reading.Ask, FirstUs: uint32(reading.First.Microseconds()), PauseUs: uint32(reading.Pause.Microseconds()),
+		})
+	}
+	return encoded
+}
+
 // loaderAddress returns the datagram address beside an upstream.
 func (relay *Relay) loaderAddress(upstream fleet.Upstream) string {
 	host, _, err := net.SplitHostPort(upstream.Address)
@@ -211,6 +243,8 @@
 		Unreachable: state.GetUnreachable(),
 		Silent:      state.GetSilent(),
 		Backlog:     state.GetBacklogTokens(),
+		Intake:      float64(state.GetIntake()) / millisecondsPerSecond,
+		Pace:        decodePace(state.GetPace()),
 		FreePlaces:  int(state.GetFreePlaces()),
 		Loads:       int(state.GetLoadsQueued()),
 		Brief:       state.GetBrief(),
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -93,6 +93,12 @@
 	first      time.Duration
 	longestGap time.Duration
 	eventAt    time.Time
+	// ask is the number of the turn that the last send had, 0 if it had none.
+	ask uint64
+	// sentAt is when it was sent, and pauses holds the first pauses between its
+	// events.
+	sentAt time.Time
+	pauses []time.Duration
 	// begun means that the answer's headers were passed on.
 	begun bool
 }
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -24,9 +24,6 @@
 	// stayTime is how long a request waits at an upstream before it looks for a
 	// better one.
 	stayTime = 250 * time.Millisecond
-	// readRate is how many prompt tokens an engine reads in a second, to tell
-	// when waiting is in vain.
-	readRate = 18_000
 	// copyTime is how long a second copy of an adapter is asked for.
 	copyTime = 600 * time.Millisecond
 )
@@ -126,7 +123,7 @@
 		Urgent:  flight.begun || flight.priority() == 0,
 	}
 	if !flight.begun {
-		need.Limit = int64(flight.route.Target.Seconds() * readRate)
+		need.Limit = flight.route.Target
 	}
 	if need.Engine && flight.call.Adapter != "" {
 		flight.adapter.Name = flight.call.Adapter
@@ -151,6 +148,7 @@
 		flight.noteWait(choice)
 		if place.start(choice) {
 			flight.found(choice)
+			flight.ask = place.granted(choice)
 			return choice, nil
 		}
 		if refused := flight.impatient(ctx, choice, time.Since(began)); refused != nil {
@@ -250,6 +248,14 @@
 	}
 }
 
+// granted returns the number of the ask if its turn has come, else 0.
+func (place *place) granted(choice steer.Choice) uint64 {
+	if place.need.Engine && place.flight.relay.board.Turn(choice.Upstream.ID, place.number) == steer.Come {
+		return place.number
+	}
+	return 0
+}
+
 // impatient returns the refusal of a request that has waited long enough.
 func (flight *flight) impatient(ctx context.Context, choice steer.Choice, waited time.Duration) *refusal {
 	if ctx.Err() != nil {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -29,6 +29,7 @@
 		ctx = watched
 	}
 	relay.board.Sent(upstream.ID, flight.adapter)
+	flight.sentAt, flight.pauses = time.Now(), nil
 	defer relay.board.Ended(upstream.ID, flight.adapter)
 	response, err := relay.config.Pool.Do(ctx, upstream.Address, flight.outgoing(upstream))
 	if err != nil {
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -6,10 +6,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/link/hop"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -18,6 +20,10 @@
 	streamBuffer = 4096
 	// eventBytes is the size of the largest event.
 	eventBytes = 1 << 20
+	// measuredPauses and leastPauses bound the pauses of a stream from which the
+	// usual one is taken.
+	measuredPauses = 24
+	leastPauses    = 5
 )
 
 var (
@@ -28,11 +34,13 @@
 // stream passes on the events of an answer as they come, each one whole.
 func (flight *flight) stream(upstream fleet.Upstream, response *hop.Response) outcome {
 	reader := bufio.NewReaderSize(response.Body, streamBuffer)
+	var eventAt time.Time
 	for {
 		text, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
 			flight.judge(upstream, true)
 			flight.begin(response)
+			flight.measureEnd(upstream)
 			flight.done(response.Status)
 			return answered
 		}
@@ -42,6 +50,7 @@
 			}
 			return flight.broken(upstream, err)
 		}
+		flight.measure(upstream, &eventAt)
 		if flight.repeats(text) {
 			continue
 		}
@@ -67,6 +76,28 @@
 	flight.writer.WriteHeader(response.Status)
 }
 
+// measure notes when an event came, for the engine's pace.
+func (flight *flight) measure(upstream fleet.Upstream, last *time.Time) {
+	now := time.Now()
+	switch {
+	case flight.ask == 0:
+	case last.IsZero():
+		flight.relay.board.Measured(upstream.ID, admit.Reading{Ask: flight.ask, First: now.Sub(flight.sentAt)})
+	case len(flight.pauses) < measuredPauses:
+		flight.pauses = append(flight.pauses, now.Sub(*last))
+	}
+	*last = now
+}
+
+// measureEnd notes the usual pause between the events of a stream that ended.
+func (flight *flight) measureEnd(upstream fleet.Upstream) {
+	if flight.ask == 0 || len(flight.pauses) < leastPauses {
+		return
+	}
+	slices.Sort(flight.pauses)
+	flight.relay.board.Measured(upstream.ID, admit.Reading{Ask: flight.ask, Pause: flight.pauses[len(flight.pauses)/2]})
+}
+
 // passed notes when an event was passed on.
 func (flight *flight) passed() {
 	now := time.Now()
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -12,16 +12,17 @@
 	"sync"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/pace"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 )
 
 // Defaults of Config.
 const (
 	// DefaultReadRate is how many prompt tokens an engine reads in a
-	// millisecond.
+	// millisecond, until that is known.
 	DefaultReadRate = 19.0
 	// DefaultStep is the time that an engine takes for one token of all its
-	// streams when it reads no prompts.
+	// streams when it reads no prompts, until that is known.
 	DefaultStep = 14 * time.Millisecond
 	// DefaultChunk is the largest number of prompt tokens that an engine reads
 	// in one step.
@@ -55,6 +56,26 @@
 	EventTokens int
 	// Gap is the longest pause between events that meets the goal.
 	Gap time.Duration
+	// Typical is the pace of the service's other engines.
+	Typical Pace
+}
+
+// Pace is how fast an engine works. Zero values are not known.
+type Pace struct {
+	// ReadRate is how many prompt tokens it reads in a millisecond.
+	ReadRate float64
+	// Event is the time between two events when it reads no prompts.
+	Event time.Duration
+}
+
+// Reading is what one stream showed of the engine's pace.
+type Reading struct {
+	// Ask is the request, as in Ask.ID.
+	Ask uint64
+	// First is the time from sending the request to its first event, and Pause
+	// the usual one between two events; 0 if not known yet.
+	First time.Duration
+	Pause time.Duration
 }
 
 // State is what the engine says of itself.
@@ -96,8 +117,21 @@
 	// has not read by the time readAt.
 	unread float64
 	readAt time.Time
+	pace   pace.Estimator
+	// alone holds the grants that had no prompt before them; what they show of
+	// the engine's pace counts.
+	alone []lone
 }
 
+type lone struct {
+	entry  string
+	ask    uint64
+	prompt int64
+}
+
+// mostAlone is the number of such grants that are remembered.
+const mostAlone = 64
+
 type entry struct {
 	asks  map[uint64]*waiter
 	heard time.Time
@@ -272,6 +306,10 @@
 	waiting.granted = true
 	let := grant{at: now, prompt: waiting.Prompt, memory: waiting.Prompt + waiting.Output}
 	gate.read(now)
+	if gate.unread == 0 {
+		gate.alone = append(gate.alone, lone{waiting.entry, waiting.ID, waiting.Prompt})
+		gate.alone = gate.alone[max(len(gate.alone)-mostAlone, 0):]
+	}
 	gate.unread += float64(let.prompt)
 	gate.granted = append(gate.granted, let)
 	gate.unseen = append(gate.unseen, let)
--- a/internal/flow/admit/admit_test.go
+++ b/internal/flow/admit/admit_test.go
@@ -242,3 +242,77 @@
 		t.Error(fmt.Sprint("the largest prompt was not let in within 2 s; others: ", next))
 	})
 }
+
+// TestFastEngine plays the load of ctpl-front scale-1: engines that read 38
+// prompt tokens in a millisecond get twice what a gate of 19 lets in. Once their
+// streams have shown the pace, prompts must come in as fast as they are read;
+// an engine that starts anew has the pace of the others until its own is known.
+func TestFastEngine(t *testing.T) {
+	const (
+		rate  = 38.0
+		event = 32 * time.Millisecond
+	)
+	shape := Shape{Slots: 32, EventTokens: 6, Gap: 250 * time.Millisecond}
+	readable := (250 - 32) * rate / 250
+	tests := []struct {
+		name    string
+		guards  string
+		learn   bool
+		typical Pace
+		restart bool
+		least   float64
+		most    float64
+	}{
+		{name: "unknown", guards: "a slow engine swamped before its pace is known", least: 9, most: DefaultReadRate},
+		{name: "learned", guards: "an engine that is left idle", learn: true, least: 0.85 * readable, most: readable},
+		{
+			name: "as the others", guards: "a new engine that takes half its load",
+			typical: Pace{ReadRate: rate, Event: event}, least: 0.85 * readable, most: readable,
+		},
+		{name: "restarted", guards: "the pace of an engine that is gone", learn: true, restart: true, least: 9, most: DefaultReadRate},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				gate := newGate()
+				shape.Typical = test.typical
+				gate.Replace("entry", shape, nil)
+				for number := uint64(1); test.learn && number <= 20; number++ {
+					prompt := int64(400 + 70*number)
+					gate.Replace("entry", shape, []Ask{{ID: number, Prompt: prompt}})
+					gate.Grant()
+					gate.Replace("entry", shape, nil)
+					first := time.Duration(float64(prompt)/rate*float64(time.Millisecond)) + 5*time.Millisecond
+					gate.Measured("entry", []Reading{{Ask: number, First: first}, {Pause: event}})
+					time.Sleep(400 * time.Millisecond)
+				}
+				if test.restart {
+					gate.Restarted()
+				}
+				if got := gate.Intake(); got < test.least || got > test.most {
+					t.Errorf("%s: %.1f prompt tokens a millisecond are let in, want %.1f to %.1f", test.guards, got, test.least, test.most)
+				}
+			})
+		})
+	}
+}
+
+// TestCrowded guards against a pace learned from requests that waited behind
+// others.
+func TestCrowded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate()
+		var waiting []Ask
+		for number := uint64(1); number <= 40; number++ {
+			waiting = append(waiting, Ask{ID: number, Prompt: int64(100 * number)})
+		}
+		gate.Replace("entry", twoTokens, waiting)
+		gate.Grant()
+		for _, ask := range waiting {
+			gate.Measured("entry", []Reading{{Ask: ask.ID, First: time.Duration(ask.Prompt) * time.Millisecond}})
+		}
+		if diff := cmp.Diff(Pace{}, gate.Pace()); diff != "" {
+			t.Errorf("pace (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/flow/admit/reading.go
+++ b/internal/flow/admit/reading.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 func (gate *Gate) read(now time.Time) {
 	elapsed := now.Sub(gate.readAt)
 	gate.readAt = now
-	gate.unread = max(gate.unread-elapsed.Seconds()*1000*gate.config.ReadRate*gate.config.Use, 0)
+	gate.unread = max(gate.unread-elapsed.Seconds()*1000*gate.readRate()*gate.config.Use, 0)
 }
 
 // paced reports whether steps full of prompt tokens make the streams pause for
@@ -23,7 +24,55 @@
 
 // steps returns how long an engine takes for one event when it reads no prompts.
 func (gate *Gate) steps() time.Duration {
-	return time.Duration(gate.shape.EventTokens) * gate.config.Step
+	return cmp.Or(gate.pace.Pause(), gate.shape.Typical.Event, time.Duration(gate.shape.EventTokens)*gate.config.Step)
+}
+
+// readRate returns how many prompt tokens the engine reads in a millisecond.
+func (gate *Gate) readRate() float64 {
+	return cmp.Or(gate.pace.Rate(), gate.shape.Typical.ReadRate, gate.config.ReadRate)
+}
+
+// Measured records what streams of an entry instance showed.
+func (gate *Gate) Measured(entry string, readings []Reading) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	for _, reading := range readings {
+		gate.pace.Paused(reading.Pause)
+		if reading.First <= 0 {
+			continue
+		}
+		for _, grant := range gate.alone {
+			if grant.entry == entry && grant.ask == reading.Ask {
+				gate.pace.Read(grant.prompt, reading.First)
+			}
+		}
+	}
+}
+
+// Restarted forgets the engine's pace, since another may have taken its place.
+func (gate *Gate) Restarted() {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.pace.Reset()
+	gate.alone = nil
+}
+
+// Pace returns what was learned of the engine's pace.
+func (gate *Gate) Pace() Pace {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return Pace{ReadRate: gate.pace.Rate(), Event: gate.pace.Pause()}
+}
+
+// Intake returns how many prompt tokens the gate lets in within a millisecond
+// when requests wait.
+func (gate *Gate) Intake() float64 {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if limit := gate.limit(); limit > 0 && gate.paced() {
+		return float64(limit) / float64(gate.shape.Gap.Milliseconds())
+	}
+	return gate.readRate() * gate.config.Use
 }
 
 // limit returns how many prompt tokens may be ahead of the next turn, or 0 if
@@ -51,12 +100,12 @@
 
 // readable returns how many prompt tokens an engine reads in a time.
 func (gate *Gate) readable(span time.Duration) int64 {
-	return int64(float64(span.Milliseconds()) * gate.config.ReadRate * gate.config.Use)
+	return int64(float64(span.Milliseconds()) * gate.readRate() * gate.config.Use)
 }
 
 // reading returns how long an engine reads prompt tokens.
 func (gate *Gate) reading(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / gate.config.ReadRate * float64(time.Millisecond))
+	return time.Duration(float64(tokens) / gate.readRate() * float64(time.Millisecond))
 }
 
 func (gate *Gate) spanUse() int64 {
--- /dev/null
+++ b/internal/flow/pace/pace.go
@@ -0,0 +1,107 @@
+// Package pace estimates how fast an engine works from what its streams show:
+// how long the first event took, by the size of the prompt, and how far apart
+// the next events came. Engines of another make or size need no settings.
+package pace
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// mostReadings and mostPauses bound what is remembered; the newest count.
+	mostReadings = 40
+	mostPauses   = 24
+	// leastReadings and leastPauses are needed for an estimate.
+	leastReadings = 12
+	leastPauses   = 6
+	// leastDifference is by how many prompt tokens two readings must differ to
+	// say something of the rate.
+	leastDifference = 100
+	// slowestRate and fastestRate bound an estimate, in prompt tokens per
+	// millisecond.
+	slowestRate = 0.5
+	fastestRate = 2000
+)
+
+// Estimator learns the pace of one engine. It is not safe for concurrent use.
+type Estimator struct {
+	readings []reading
+	pauses   []time.Duration
+	rate     float64
+}
+
+type reading struct {
+	prompt int64
+	took   time.Duration
+}
+
+// Read records how long it took from sending a prompt, with none before it, to
+// the first event.
+func (estimator *Estimator) Read(prompt int64, took time.Duration) {
+	if prompt <= 0 || took <= 0 {
+		return
+	}
+	estimator.readings = keepNewest(append(estimator.readings, reading{prompt, took}), mostReadings)
+	estimator.rate = estimator.estimate()
+}
+
+// Paused records the usual pause between two events of one stream.
+func (estimator *Estimator) Paused(pause time.Duration) {
+	if pause > 0 {
+		estimator.pauses = keepNewest(append(estimator.pauses, pause), mostPauses)
+	}
+}
+
+// Rate returns how many prompt tokens the engine reads in a millisecond, 0 if
+// that is not known.
+func (estimator *Estimator) Rate() float64 { return estimator.rate }
+
+// Pause returns the usual time between two events, 0 if it is not known.
+func (estimator *Estimator) Pause() time.Duration {
+	if len(estimator.pauses) < leastPauses {
+		return 0
+	}
+	return median(estimator.pauses)
+}
+
+// Reset forgets everything, as after a restart of the engine.
+func (estimator *Estimator) Reset() { *estimator = Estimator{} }
+
+// estimate returns the median of the rates between all pairs of readings (Theil
+// 1950, Sen 1968). What all readings have in common, such as the way there and
+// back, cancels out, and up to a quarter of them may be far off: prompts whose
+// parts the engine had kept, or that waited for others.
+func (estimator *Estimator) estimate() float64 {
+	if len(estimator.readings) < leastReadings {
+		return 0
+	}
+	var times []float64
+	for i, a := range estimator.readings {
+		for _, b := range estimator.readings[i+1:] {
+			tokens := a.prompt - b.prompt
+			if max(tokens, -tokens) < leastDifference {
+				continue
+			}
+			milliseconds := (a.took - b.took).Seconds() * 1000
+			times = append(times, milliseconds/float64(tokens))
+		}
+	}
+	if len(times) < leastReadings {
+		return 0
+	}
+	perToken := median(times)
+	if perToken <= 1.0/fastestRate || perToken >= 1/slowestRate {
+		return 0
+	}
+	return 1 / perToken
+}
+
+func median[Value float64 | time.Duration](values []Value) Value {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+func keepNewest[Value any](values []Value, most int) []Value {
+	return values[max(len(values)-most, 0):]
+}
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -22,21 +23,27 @@
 	// DefaultOverfill is the number of requests beyond its slots that an engine
 	// is given.
 	DefaultOverfill = 4
-	// DefaultSpread is by how many prompt tokens the backlog of the upstream that
-	// ranks first for an adapter may exceed another's before the adapter is
-	// brought there instead.
-	DefaultSpread = 4000
+	// DefaultSpread is by how much the wait at the upstream that ranks first for
+	// an adapter may exceed another's before the adapter is brought there
+	// instead.
+	DefaultSpread = 220 * time.Millisecond
 	// DefaultCopy is the same for an upstream that holds the adapter, before
 	// another copy is brought.
-	DefaultCopy = 6000
+	DefaultCopy = 330 * time.Millisecond
+	// DefaultIntake is how many prompt tokens an engine takes in a millisecond,
+	// until its loader tells.
+	DefaultIntake = 18.0
 	// runningWeight is the backlog in prompt tokens that a running request
 	// counts for, since each makes the others slower.
 	runningWeight = 30
 	// silentStart is how long after it was listed an engine is passed over until
 	// its loader reports.
 	silentStart = 3 * time.Second
-	// loadWeight is the same for an adapter that is to be loaded before another.
-	loadWeight = 3000
+	// loadTime is by how much an adapter that is to be loaded first delays the
+	// next one.
+	loadTime = 165 * time.Millisecond
+	// mostReadings is the number of readings that are kept for a loader.
+	mostReadings = 32
 )
 
 // Health says which upstreams are passed over after failures.
@@ -53,8 +60,9 @@
 	Fresh         time.Duration
 	Lag           time.Duration
 	Overfill      int
-	Spread        int64
-	Copy          int64
+	Spread        time.Duration
+	Copy          time.Duration
+	Intake        float64
 }
 
 // Board holds the upstreams as one entry instance sees them. Its methods may be
@@ -86,6 +94,8 @@
 	// answered is the load that the last answer named.
 	answered   int
 	answeredAt time.Time
+	// readings holds what streams showed and the loader was not told yet.
+	readings []admit.Reading
 }
 
 // New returns a Board without upstreams.
@@ -95,6 +105,7 @@
 	config.Overfill = cmp.Or(config.Overfill, DefaultOverfill)
 	config.Spread = cmp.Or(config.Spread, DefaultSpread)
 	config.Copy = cmp.Or(config.Copy, DefaultCopy)
+	config.Intake = cmp.Or(config.Intake, DefaultIntake)
 	return &Board{config: config, upstreams: make(map[string]*upstream), services: make(map[string][]*upstream), instances: 1}
 }
 
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -23,9 +23,8 @@
 	Exclude []string
 	// Urgent requests may take more of the places beyond an engine's slots.
 	Urgent bool
-	// Limit is the backlog in prompt tokens beyond which waiting is in vain, or
-	// 0 for none.
-	Limit int64
+	// Limit is the wait beyond which waiting is in vain, or 0 for none.
+	Limit time.Duration
 }
 
 // Result says what Choose found.
@@ -53,6 +52,7 @@
 	// Backlog the number of prompt tokens before this request.
 	Load    int
 	Backlog int64
+	wait    time.Duration
 	// Copy is another upstream that should get the adapter too, if its id is
 	// not empty.
 	Copy fleet.Upstream
@@ -63,6 +63,7 @@
 	*upstream
 	load  int
 	work  int64
+	wait  time.Duration
 	full  bool
 	holds bool
 	near  bool
@@ -113,11 +114,13 @@
 		}
 		load := board.load(entry, now)
 		work := board.work(entry, load, now)
+		wait := board.wait(entry, work)
 		found := candidate{
 			upstream: entry,
 			load:     load,
 			work:     work,
-			full:     board.full(entry, load, need) || need.Limit > 0 && work > need.Limit,
+			wait:     wait,
+			full:     board.full(entry, load, need) || need.Limit > 0 && wait > need.Limit,
 			holds:    entry.holds(need.Adapter),
 			near:     entry.spec.FailureDomain == board.config.FailureDomain,
 		}
@@ -149,6 +152,12 @@
 	return work
 }
 
+// wait returns how long an upstream takes to let work in.
+func (board *Board) wait(entry *upstream, work int64) time.Duration {
+	intake := cmp.Or(entry.report.Intake, board.config.Intake)
+	return time.Duration(float64(work) / intake * float64(time.Millisecond))
+}
+
 func (board *Board) fresh(entry *upstream, now time.Time) bool {
 	return !entry.reported.IsZero() && now.Sub(entry.reported) < board.config.Fresh
 }
@@ -190,7 +199,7 @@
 	best := leastLoaded(holders)
 	target, ok := board.target(others, need.Adapter)
 	if best.Result == Found {
-		if ok && best.Backlog > target.work+board.config.Copy && !target.coming(need.Adapter) {
+		if ok && best.wait > target.wait+board.config.Copy && !target.coming(need.Adapter) {
 			best.Copy = target.spec
 		}
 		return best
@@ -207,11 +216,11 @@
 		return Choice{Result: Full}
 	}
 	best := slices.MinFunc(open, byLoad)
-	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.work}
+	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.work, wait: best.wait}
 }
 
 func byLoad(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.work, b.work), compareBool(b.near, a.near))
+	return cmp.Or(cmp.Compare(a.wait, b.wait), compareBool(b.near, a.near))
 }
 
 func compareBool(a, b bool) int {
--- a/internal/flow/steer/report.go
+++ b/internal/flow/steer/report.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 )
 
@@ -23,6 +24,11 @@
 	Silent      bool
 	// Backlog is the number of prompt tokens that were let in lately or wait.
 	Backlog int64
+	// Intake is how many prompt tokens are let in within a millisecond when
+	// requests wait, 0 if it is not known.
+	Intake float64
+	// Pace is what was learned of the engine.
+	Pace admit.Pace
 	// FreePlaces is the number of places for adapters that no request uses.
 	FreePlaces int
 	// Loads is the number of adapters on their way or still to be ordered.
--- a/internal/flow/steer/target.go
+++ b/internal/flow/steer/target.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/zeebo/xxh3"
 
@@ -31,7 +32,7 @@
 	})
 	first := open[0]
 	for _, entry := range open[1:] {
-		if first.loadWork() <= entry.loadWork()+board.config.Spread {
+		if first.bringWait() <= entry.bringWait()+board.config.Spread {
 			break
 		}
 		first = entry
@@ -39,10 +40,10 @@
 	return first, true
 }
 
-// loadWork returns how many prompt tokens are worth the wait of a request whose
-// adapter has to be brought.
-func (candidate candidate) loadWork() int64 {
-	return candidate.work + int64(candidate.report.Loads)*loadWeight
+// bringWait returns how long a request waits whose adapter has to be brought,
+// apart from the time for its own.
+func (candidate candidate) bringWait() time.Duration {
+	return candidate.wait + time.Duration(candidate.report.Loads)*loadTime
 }
 
 func rank(upstream, adapter string) uint64 { return xxh3.HashString(upstream + "\x00" + adapter) }
