Read the store once for each failure domain, tell only what changed

By count: each state named all 68 relays (1.1 kB of 1.3), each usage all 19 organisations, 117 loaders made a full state each 0.5 s. Ruled out: longer pauses between calls, which weaken the bounds; records passed on by datagram, which configurations may exceed. Change: the relay that ranks first in its failure domain reads the store, the others ask it how far it has read (a word counts from its ask) and call only for what is new, or when it is silent. Usages are partial, with all once a second; states name 16 relays by turns; adapters are named again only on a change or when a relay has not said that it has them; loaders of which nothing is needed are told up to 1 s apart.

--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +26,9 @@
 	DefaultLongest  = 400 * time.Millisecond
 )
 
+// hintPause is how often hints are looked at.
+const hintPause = 100 * time.Millisecond
+
 // Source reads a topic as decoded records.
 type Source[Record any] interface {
 	// Newest returns the newest record of each key and where to read on.
@@ -48,25 +52,70 @@
 	// First is the pause after a failed call. It doubles up to Longest.
 	First   time.Duration
 	Longest time.Duration
-	// Apply takes over records. complete means that keys not among them were
-	// removed.
-	Apply func(records []Record, complete bool)
+	// Apply takes over records and reports whether they change anything.
+	// complete means that keys not among them were removed.
+	Apply func(records []Record, complete bool) bool
+	// Hint may be nil. It says what another process read lately, if that is
+	// known; a call that would return nothing new is left out then.
+	Hint func() (Position, bool)
 	// Reached is called after Apply with the time at which the call was made.
 	Reached func(called time.Time)
+	// Changed may be nil. It is called after a call that changed something.
+	Changed func()
 	// Lost is called when calls begin to fail.
 	Lost func()
 	// Called is called after each call with its error.
 	Called func(err error)
 }
 
+// Position is how far a process has read a topic.
+type Position struct {
+	// Next is the offset to read on from, and Changed the one after the last
+	// record that changed anything.
+	Next    uint64
+	Changed uint64
+	// At is when the process knew that there was nothing after Next.
+	At time.Time
+}
+
 // Follower follows one topic.
 type Follower[Record any] struct {
 	config Config[Record]
 	wake   chan struct{}
 
-	next   uint64
 	placed bool
 	down   bool
+	// hinted means that a hint took the place of the last call.
+	hinted bool
+	// news means that the last call changed something.
+	news bool
+
+	mutex    sync.Mutex
+	position Position
+}
+
+// Position returns how far the topic was read. Its time is zero if it was not.
+func (follower *Follower[Record]) Position() Position {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.position
+}
+
+// advance records that everything before next was read by a call.
+func (follower *Follower[Record]) advance(next uint64, changed bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.position.Next = next
+	if changed {
+		follower.position.Changed = next
+	}
+}
+
+// confirm records when it was known that there was nothing more to read.
+func (follower *Follower[Record]) confirm(at time.Time) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.position.At = at
 }
 
 // New returns a Follower that has read nothing.
@@ -93,7 +142,11 @@
 		case err == nil:
 			backoff = follower.config.First
 			follower.reached(called)
+			if follower.config.Changed != nil && follower.news {
+				follower.config.Changed()
+			}
 			follower.rest(ctx)
+			follower.restOnHints(ctx)
 		case errors.Is(err, ErrTrimmed):
 			follower.config.Logger.Info("follow: records were dropped, reading all", zap.String("topic", follower.config.Name))
 			follower.placed = false
@@ -127,6 +180,39 @@
 	}
 }
 
+// restOnHints waits for as long as another process says that there is nothing
+// new.
+func (follower *Follower[Record]) restOnHints(ctx context.Context) {
+	for ctx.Err() == nil && follower.takeHint() {
+		follower.hinted = true
+		select {
+		case <-ctx.Done():
+		case <-time.After(hintPause):
+		case <-follower.wake:
+		}
+	}
+}
+
+// takeHint reports whether another process says that there is nothing new, and
+// takes over its position.
+func (follower *Follower[Record]) takeHint() bool {
+	if follower.config.Hint == nil {
+		return false
+	}
+	hint, ok := follower.config.Hint()
+	own := follower.Position()
+	if !ok || hint.Changed > own.Next {
+		return false
+	}
+	if hint.Next > own.Next {
+		follower.advance(hint.Next, false)
+	}
+	if hint.At.After(own.At) {
+		follower.reached(hint.At)
+	}
+	return true
+}
+
 // step makes one call.
 func (follower *Follower[Record]) step(ctx context.Context) error {
 	if !follower.placed {
@@ -136,23 +222,26 @@
 		if err != nil {
 			return err
 		}
-		follower.next, follower.placed = next, true
 		follower.config.Apply(records, true)
+		follower.advance(next, true)
+		follower.placed, follower.news = true, true
 		return nil
 	}
 	wait := follower.config.Wait
-	if follower.down {
-		// After an outage, what is known must be confirmed at once.
+	if follower.down || follower.hinted {
+		// After an outage, or when no hint comes any more, what is known must be
+		// confirmed at once.
 		wait = 0
+		follower.hinted = false
 	}
 	ctx, cancel := context.WithTimeout(ctx, follower.config.CallTime+wait)
 	defer cancel()
-	records, next, err := follower.config.Source.Read(ctx, follower.next, wait)
+	records, next, err := follower.config.Source.Read(ctx, follower.Position().Next, wait)
 	if err != nil {
 		return err
 	}
-	follower.next = next
-	follower.config.Apply(records, false)
+	follower.news = follower.config.Apply(records, false)
+	follower.advance(next, follower.news)
 	return nil
 }
 
@@ -161,6 +250,7 @@
 		follower.down = false
 		follower.config.Logger.Info("follow: topic is read again", zap.String("topic", follower.config.Name))
 	}
+	follower.confirm(called)
 	if follower.config.Reached != nil {
 		follower.config.Reached(called)
 	}
--- a/internal/daemon/follow/follow_test.go
+++ b/internal/daemon/follow/follow_test.go
@@ -70,10 +70,11 @@
 		lost, failed := 0, 0
 		follower := New(Config[string]{
 			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
-			Apply: func(records []string, _ bool) {
+			Apply: func(records []string, _ bool) bool {
 				if len(records) > 0 {
 					store.change(func() { last = records[len(records)-1] })
 				}
+				return len(records) > 0
 			},
 			Reached: func(called time.Time) { store.change(func() { reached = called }) },
 			Lost:    func() { store.change(func() { lost++ }) },
@@ -131,3 +132,79 @@
 		}
 	})
 }
+
+// hints is what another process says it has read.
+type hints struct {
+	mutex    sync.Mutex
+	position Position
+	silent   bool
+}
+
+func (hints *hints) hint() (Position, bool) {
+	hints.mutex.Lock()
+	defer hints.mutex.Unlock()
+	position := hints.position
+	position.At = time.Now()
+	return position, !hints.silent
+}
+
+func (hints *hints) set(position Position, silent bool) {
+	hints.mutex.Lock()
+	defer hints.mutex.Unlock()
+	hints.position, hints.silent = position, silent
+}
+
+// TestHint plays a process whose failure domain has a reader: it must not call
+// the store while the reader knows of nothing new, must call for what is new,
+// and must confirm by itself at once when the reader falls silent.
+func TestHint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &topic{records: []string{"1"}}
+		reader := &hints{position: Position{Next: 1, Changed: 1}}
+		var last string
+		var reached time.Time
+		follower := New(Config[string]{
+			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
+			Apply: func(records []string, _ bool) bool {
+				if len(records) > 0 {
+					store.change(func() { last = records[len(records)-1] })
+				}
+				return len(records) > 0
+			},
+			Hint:    reader.hint,
+			Reached: func(called time.Time) { store.change(func() { reached = called }) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx)
+		}()
+		expect := func(moment, newest string, calls int, age time.Duration) {
+			t.Helper()
+			synctest.Wait()
+			store.change(func() {
+				if last != newest || store.calls > calls || time.Since(reached) > age {
+					t.Errorf("%s: read %q in %d calls, confirmed %v ago; want %q in at most %d, at most %v ago",
+						moment, last, store.calls, time.Since(reached), newest, calls, age)
+				}
+			})
+		}
+		time.Sleep(10 * time.Second)
+		expect("nothing new", "1", 1, hintPause)
+		store.change(func() { store.records = append(store.records, "-", "-", "2") })
+		reader.set(Position{Next: 3, Changed: 1}, false)
+		time.Sleep(time.Second)
+		expect("records that change nothing", "1", 1, hintPause)
+		reader.set(Position{Next: 4, Changed: 4}, false)
+		time.Sleep(2 * hintPause)
+		expect("a record", "2", 2, 2*hintPause)
+		reader.set(Position{}, true)
+		time.Sleep(hintPause)
+		expect("reader silent", "2", 4, hintPause)
+		time.Sleep(3 * time.Second)
+		expect("reader silent for long", "2", 8, 2*time.Second)
+		cancel()
+		<-done
+	})
+}
--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -20,7 +20,7 @@
 	if demand == nil || !loader.meant(demand) {
 		return
 	}
-	loader.meet(demand.GetEntry(), demand.GetStart())
+	loader.meet(demand.GetEntry(), demand.GetStart(), demand.GetFullSerial())
 	loader.planner.Demand(decodeDemand(demand))
 	loader.gate.Replace(demand.GetEntry(), admit.Shape{
 		Slots:       int(demand.GetSlots()),
@@ -38,12 +38,16 @@
 	}
 }
 
-// meet has all told soon when an entry instance has started, so that it learns
-// what the engine holds, and the others that it is there.
-func (loader *Loader) meet(entry string, start int64) {
+// meet notes the last full state that an entry instance has. It has all told
+// soon when an entry instance has started, so that it learns what the engine
+// holds, and the others that it is there.
+func (loader *Loader) meet(entry string, start int64, full uint64) {
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	if loader.starts[entry] == start {
+		last := loader.tellings[entry]
+		last.has = full
+		loader.tellings[entry] = last
 		return
 	}
 	loader.starts[entry] = start
@@ -119,13 +123,13 @@
 // adapters or the engine's life, else from time to time.
 func (loader *Loader) tellChanges() {
 	loader.mutex.Lock()
-	since := time.Since(loader.told)
+	since, idle := time.Since(loader.told), time.Since(loader.toldAny)
 	held := !sameHeld(loader.sent, loader.report) || loader.misses == lostReports || loader.greet
 	loaded := loader.report.Running != loader.sent.Running || loader.report.Queued != loader.sent.Queued
 	loader.mutex.Unlock()
-	if held || loaded && since >= tellPeriod || since >= idlePeriod {
+	if held || loaded && idle >= tellPeriod || idle >= idlePeriod {
 		granted, _ := loader.gate.Grant()
-		loader.tell(granted, held || since >= idlePeriod)
+		loader.tell(granted, held || since >= fullPeriod)
 	}
 }
 
@@ -184,8 +188,11 @@
 // telling is what an entry instance was told last.
 type telling struct {
 	at time.Time
-	// full is the serial of the full state.
-	full uint64
+	// full is the serial of the full state, which was sent at fullAt, and has
+	// the one that it said it had.
+	full   uint64
+	fullAt time.Time
+	has    uint64
 }
 
 // due reports whether an entry instance is to be told now, and what it was told
@@ -200,15 +207,20 @@
 	if !waits && now.Sub(last.at) < pause {
 		return toldNothing, false
 	}
-	loader.tellings[entry] = telling{at: now, full: full}
-	switch last.full {
-	case 0:
-		return toldNothing, true
-	case full:
-		return toldLast, true
-	default:
-		return toldBefore, true
+	isLast := last.full == full && (last.has == full || now.Sub(last.fullAt) < acknowledgeTime)
+	told = toldBefore
+	switch {
+	case last.full == 0:
+		told = toldNothing
+	case isLast:
+		told = toldLast
 	}
+	if told != toldLast {
+		last.full, last.fullAt = full, now
+	}
+	last.at = now
+	loader.tellings[entry] = last
+	return told, true
 }
 
 // state returns what the entry instances are told, or nil if there is nothing
@@ -235,6 +247,7 @@
 		Brief: true, Pace: encodePace(pace), Intake: uint32(intake * millisecondsPerSecond),
 		RecallReach: uint32(reach),
 	}
+	loader.toldAny = time.Now()
 	if full {
 		loader.told, loader.sent, loader.full = time.Now(), report, loader.serial
 		loader.greet = false
@@ -250,11 +263,25 @@
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	whole := proto.CloneOf(brief)
-	whole.Brief, whole.Entries = false, entries
+	whole.Brief, whole.Entries = false, loader.some(entries)
 	whole.Resident, whole.Pending = encodeAdapters(loader.sent.Resident), encodeAdapters(loader.sent.Pending)
 	return whole
 }
 
+// some returns up to mostNamed of the entry instances, others with each call,
+// since all loaders together name each one often.
+func (loader *Loader) some(entries []string) []string {
+	if len(entries) <= mostNamed {
+		return entries
+	}
+	named := make([]string, 0, mostNamed)
+	for range mostNamed {
+		named = append(named, entries[loader.name%len(entries)])
+		loader.name++
+	}
+	return named
+}
+
 func encodeAdapters(adapters []stock.Adapter) []*wirepb.AdapterVersion {
 	encoded := make([]*wirepb.AdapterVersion, 0, len(adapters))
 	for _, adapter := range adapters {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -37,6 +37,13 @@
 	// pausePerEntry later, up to longestPause.
 	promptEntries = 8
 	pausePerEntry = 20 * time.Millisecond
+	// fullPeriod is how often all is told although nothing changed.
+	fullPeriod = 2 * time.Second
+	// acknowledgeTime is how long after a full state an entry instance has said
+	// that it has it.
+	acknowledgeTime = 1200 * time.Millisecond
+	// mostNamed is the number of entry instances that one state names.
+	mostNamed = 16
 	// longestPause and idlePeriod together are shorter than entry instances
 	// believe a state.
 	longestPause = 700 * time.Millisecond
@@ -114,6 +121,10 @@
 	// full is the serial of the last state that named the adapters.
 	full uint64
 	told time.Time
+	// toldAny is when a state was made last, and name counts the entry instances
+	// that were named.
+	toldAny time.Time
+	name    int
 	// sent is the report that the entry instances were told last.
 	sent Report
 	// starts holds the entry instances' starts; greet means that a new one has
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,35 +91,42 @@
 	}
 }
 
-func (relay *Relay) followChanges(ctx context.Context) {
-	follow.New(follow.Config[Change]{
-		Name: "config", Source: relay.config.Changes, Logger: relay.config.Logger, Wait: configWait,
-		Apply: func(changes []Change, _ bool) {
+// newChanges returns the follower of what the operators write.
+func (relay *Relay) newChanges() *follow.Follower[Change] {
+	return follow.New(follow.Config[Change]{
+		Name: topicConfig, Source: relay.config.Changes, Logger: relay.config.Logger, Wait: configWait,
+		Apply: func(changes []Change, _ bool) bool {
 			relay.belief.apply(changes)
 			if len(changes) > 0 {
 				relay.changed.fire()
 			}
+			return len(changes) > 0
 		},
+		Hint:    relay.configHint,
 		Reached: relay.belief.confirm,
-		Called:  func(err error) { relay.metrics.storeCalled("config", err) },
-	}).Run(ctx)
+		Changed: relay.spread,
+		Called:  func(err error) { relay.metrics.storeCalled(topicConfig, err) },
+	})
 }
 
 // newListings returns the follower of the instance list.
 func (relay *Relay) newListings() *follow.Follower[Listing] {
 	list := relay.belief.list
 	return follow.New(follow.Config[Listing]{
-		Name: "instances", Source: relay.config.Listings, Logger: relay.config.Logger, Pause: listPause,
-		Apply: func(listings []Listing, complete bool) {
+		Name: topicInstances, Source: relay.config.Listings, Logger: relay.config.Logger, Pause: listPause,
+		Apply: func(listings []Listing, complete bool) bool {
 			stamp := list.Stamp()
-			relay.applyListings(listings, complete)
+			lapsed := relay.applyListings(listings, complete)
 			if list.Stamp() != stamp {
 				relay.relist()
 			}
+			return lapsed || list.Stamp() != stamp
 		},
+		Hint:    relay.listHint,
 		Reached: func(time.Time) { list.Up() },
+		Changed: relay.spread,
 		Lost:    list.Down,
-		Called:  func(err error) { relay.metrics.storeCalled("instances", err) },
+		Called:  func(err error) { relay.metrics.storeCalled(topicInstances, err) },
 	})
 }
 
@@ -134,7 +140,9 @@
 	}
 }
 
-func (relay *Relay) applyListings(listings []Listing, complete bool) {
+// applyListings takes over entries and reports whether one of a known upstream
+// lapsed or came back, also if that does not count yet.
+func (relay *Relay) applyListings(listings []Listing, complete bool) (lapsed bool) {
 	list := relay.belief.list
 	if complete {
 		present := make([]fleet.Upstream, 0, len(listings))
@@ -144,9 +152,10 @@
 			}
 		}
 		list.Replace(present)
-		return
+		return true
 	}
 	for _, listing := range listings {
+		lapsed = lapsed || list.Lapsed(listing.ID) || listing.Upstream == nil && list.Has(listing.ID)
 		switch {
 		case listing.Upstream == nil:
 			if list.Remove(listing.ID) {
@@ -157,6 +166,7 @@
 				zap.String("address", listing.Upstream.Address), zap.Bool("draining", listing.Upstream.Draining))
 		}
 	}
+	return lapsed
 }
 
 // relist makes the list's upstreams those that requests go to.
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -24,6 +23,11 @@
 	exchangePeriod = 50 * time.Millisecond
 	// idlePeriod is how often they are told although nothing did.
 	idlePeriod = 500 * time.Millisecond
+	// restPerUpstream and longestRest stretch idlePeriod for loaders of which
+	// nothing is needed. Loaders forget an entry instance after
+	// stock.DefaultLinger.
+	restPerUpstream = 10 * time.Millisecond
+	longestRest     = time.Second
 	// usagePeriod is the same for the other entry instances, which take an
 	// instance for silent after share.DefaultSilence.
 	usagePeriod = 150 * time.Millisecond
@@ -50,7 +54,7 @@
 	ticker := time.NewTicker(exchangePeriod)
 	defer ticker.Stop()
 	told := make(map[string]told)
-	var spent time.Time
+	var spent, asked time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,10 +64,14 @@
 		}
 		relay.tellLoaders(told)
 		relay.settle()
-		if time.Since(spent) >= usagePeriod || relay.ledgerChanged() && time.Since(spent) >= exchangePeriod {
+		if time.Since(spent) >= usagePeriod || relay.spending.changed(relay.ledger.Statement().Spent) && time.Since(spent) >= exchangePeriod {
 			spent = time.Now()
 			relay.tellPeers()
 		}
+		if time.Since(asked) >= askPeriod {
+			asked = time.Now()
+			relay.askReader()
+		}
 	}
 }
 
@@ -88,7 +96,8 @@
 		return
 	}
 	typical := make(map[string]*wirepb.Pace)
-	for _, upstream := range relay.belief.list.Upstreams() {
+	upstreams := relay.belief.list.Upstreams()
+	for _, upstream := range upstreams {
 		service, ok := config.Service(upstream.Service)
 		if !ok || service.Engine == nil || len(service.Engine.Models) == 0 {
 			continue
@@ -101,6 +110,8 @@
 			period = 0
 		case len(asks) > 0 || !slices.Equal(uses, known.uses):
 			period = exchangePeriod
+		case len(uses) == 0:
+			period = restPeriod(len(upstreams))
 		}
 		if time.Since(known.at) < period {
 			continue
@@ -121,6 +132,7 @@
 			GapMs:            uint32(config.TargetGap(service.Name).Milliseconds()),
 			Asks:             encodeAsks(asks),
 			Born:             upstream.Born,
+			FullSerial:       relay.board.FullSerial(upstream.ID),
 			PendingElsewhere: uint32(relay.board.Coming(upstream.Service, upstream.ID)),
 			Readings:         encodeReadings(relay.board.TakeReadings(upstream.ID)),
 			Typical:          typical[upstream.Service],
@@ -128,6 +140,11 @@
 	}
 }
 
+// restPeriod returns how often loaders of which nothing is needed are told so.
+func restPeriod(upstreams int) time.Duration {
+	return min(max(idlePeriod, time.Duration(upstreams)*restPerUpstream), longestRest)
+}
+
 func encodeUses(uses []stock.Use) []*wirepb.AdapterUse {
 	encoded := make([]*wirepb.AdapterUse, 0, len(uses))
 	for _, use := range uses {
@@ -190,16 +207,12 @@
 	}
 }
 
-// ledgerChanged reports whether something was spent since the last call.
-func (relay *Relay) ledgerChanged() bool {
-	spent := relay.ledger.Statement().Spent
-	changed := !maps.Equal(spent, relay.peers.lastSpent)
-	relay.peers.lastSpent = spent
-	return changed
-}
-
+// tellPeers tells the other entry instances what was spent: all that changed
+// lately, and from time to time all.
 func (relay *Relay) tellPeers() {
-	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: relay.usage()}}
+	statement := relay.ledger.Statement()
+	whole := relay.usage(statement, nil)
+	partial := relay.usage(statement, relay.spending.recent())
 	heard, engines := relay.board.Heard()
 	addresses, gone := relay.peers.addresses(2*heard > engines)
 	for _, address := range gone {
@@ -207,17 +220,24 @@
 		relay.config.Logger.Info("relay: entry instance is gone", zap.String("address", address))
 	}
 	for _, address := range addresses {
-		relay.tell(address, datagram)
+		usage := partial
+		if relay.peers.takeWhole(address) {
+			usage = whole
+		}
+		relay.tell(address, &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: usage}})
 	}
 }
 
-func (relay *Relay) usage() *wirepb.Usage {
-	statement := relay.ledger.Statement()
+// usage encodes a statement, or the part of it that concerns some organisations.
+func (relay *Relay) usage(statement share.Statement, only map[string]bool) *wirepb.Usage {
 	usage := &wirepb.Usage{
-		Entry: relay.config.Address, Start: relay.start.UnixNano(),
-		UptimeMs: statement.Uptime.Milliseconds(), Settled: statement.Settled,
+		Entry: relay.config.Address, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
+		UptimeMs: statement.Uptime.Milliseconds(), Settled: statement.Settled, Partial: only != nil,
 	}
 	for organisation, spent := range statement.Spent {
+		if only != nil && !only[organisation] {
+			continue
+		}
 		usage.Organisations = append(usage.Organisations, &wirepb.OrganisationUse{
 			Organisation: organisation, Spent: spent, Level: statement.Levels[organisation],
 		})
@@ -232,6 +252,10 @@
 		relay.heardLoader(body.EngineState)
 	case *wirepb.Datagram_Usage:
 		relay.heardPeer(body.Usage)
+	case *wirepb.Datagram_StoreAsk:
+		relay.answerAsk(body.StoreAsk)
+	case *wirepb.Datagram_StoreWord:
+		relay.heardWord(body.StoreWord)
 	}
 }
 
@@ -280,7 +304,8 @@
 
 func (relay *Relay) heardPeer(usage *wirepb.Usage) {
 	statement := share.Statement{
-		Start: usage.GetStart(), Uptime: time.Duration(usage.GetUptimeMs()) * time.Millisecond, Settled: usage.GetSettled(),
+		Partial: usage.GetPartial(),
+		Start:   usage.GetStart(), Uptime: time.Duration(usage.GetUptimeMs()) * time.Millisecond, Settled: usage.GetSettled(),
 		Spent: make(map[string]float64), Levels: make(map[string]float64),
 	}
 	for _, organisation := range usage.GetOrganisations() {
@@ -289,6 +314,6 @@
 			statement.Levels[organisation.GetOrganisation()] = organisation.GetLevel()
 		}
 	}
-	relay.peers.seen(usage.GetEntry())
+	relay.peers.spoke(usage.GetEntry(), usage.GetFailureDomain(), usage.GetStart())
 	relay.ledger.Heard(usage.GetEntry(), statement)
 }
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -89,23 +89,28 @@
 
 // Relay is an entry instance. Its methods may be called concurrently.
 type Relay struct {
-	config  Config
-	belief  *belief
-	board   *steer.Board
-	health  *healths
-	ledger  *share.Ledger
-	budget  *budget
-	peers   *peers
-	start   time.Time
-	wake    chan struct{}
-	changed *signal
-	sends   *sends
+	config Config
+	belief *belief
+	board  *steer.Board
+	health *healths
+	ledger *share.Ledger
+	budget *budget
+	peers  *peers
+	// spending is used by the loop that tells the others only.
+	spending *spending
+	start    time.Time
+	wake     chan struct{}
+	changed  *signal
+	sends    *sends
 	// listings follows the instance list; wokenAt is when it was last read out
 	// of turn, in Unix milliseconds.
 	listings *follow.Follower[Listing]
-	wokenAt  atomic.Int64
-	metrics  metrics
-	bounds   atomic.Pointer[Bounds]
+	// changes follows what the operators write.
+	changes *follow.Follower[Change]
+	words   words
+	wokenAt atomic.Int64
+	metrics metrics
+	bounds  atomic.Pointer[Bounds]
 	// asks numbers the requests that wait for their turn. It begins at random,
 	// so that a loader does not take them for those of an earlier start.
 	asks atomic.Uint64
@@ -121,14 +126,15 @@
 // New returns a Relay that does not serve yet.
 func New(config Config) *Relay {
 	relay := &Relay{
-		config:  config,
-		health:  &healths{services: make(map[string]*health.Service)},
-		ledger:  share.New(share.Config{}),
-		peers:   newPeers(config.Address),
-		start:   time.Now(),
-		wake:    make(chan struct{}, 1),
-		changed: newSignal(),
-		sends:   newSends(),
+		config:   config,
+		health:   &healths{services: make(map[string]*health.Service)},
+		ledger:   share.New(share.Config{}),
+		peers:    newPeers(config.Address, config.FailureDomain),
+		start:    time.Now(),
+		wake:     make(chan struct{}, 1),
+		changed:  newSignal(),
+		spending: newSpending(),
+		sends:    newSends(),
 	}
 	relay.asks.Store(rand.Uint64())
 	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health})
@@ -136,6 +142,7 @@
 	relay.bounds.Store(&config.Bounds)
 	relay.budget = newBudget(func() Bounds { return *relay.bounds.Load() }, relay.peers.count)
 	relay.listings = relay.newListings()
+	relay.changes = relay.newChanges()
 	relay.server = &http.Server{
 		Handler:           http.HandlerFunc(relay.serve),
 		ReadHeaderTimeout: headerTime,
@@ -159,7 +166,7 @@
 	group.Go(func() error { return ended(relay.probes.Serve(relay.config.Probes)) })
 	group.Go(func() error { return ended(relay.reads.Serve(relay.config.Metrics)) })
 	group.Go(func() error { return relay.config.Datagrams.Serve(running, relay.heard) })
-	group.Go(func() error { relay.followChanges(running); return nil })
+	group.Go(func() error { relay.changes.Run(running); return nil })
 	group.Go(func() error { relay.listings.Run(running); return nil })
 	group.Go(func() error { relay.exchange(running); return nil })
 	group.Go(func() error { relay.expire(running); return nil })
--- a/internal/flow/share/peers.go
+++ b/internal/flow/share/peers.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	Uptime time.Duration
 	// Settled means that Levels holds all buckets.
 	Settled bool
+	// Partial means that Spent and Levels leave out organisations that have not
+	// changed lately.
+	Partial bool
 	// Spent is what it has spent since its start, and Levels what its buckets
 	// hold, by organisation.
 	Spent  map[string]float64
@@ -53,12 +57,17 @@
 	return statement
 }
 
-// Heard records what another instance says of its spending.
+// Heard records what another instance says of its spending. A partial statement
+// of a start that is not known is passed over, since it does not tell what was
+// spent before.
 func (ledger *Ledger) Heard(name string, statement Statement) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	known, ok := ledger.peers[name]
 	if !ok || known.Start != statement.Start {
+		if statement.Partial {
+			return
+		}
 		known = ledger.meet(name, statement)
 	}
 	for organisation, total := range statement.Spent {
@@ -72,7 +81,25 @@
 		ledger.adopt(statement)
 	}
 	ledger.follow(statement)
-	known.heard, known.silent, known.Statement = time.Now(), false, statement
+	known.heard, known.silent = time.Now(), false
+	known.take(statement)
+}
+
+// take takes over what an instance says. What it leaves out stands.
+func (peer *peer) take(statement Statement) {
+	if statement.Partial {
+		statement.Spent = merged(peer.Spent, statement.Spent)
+		statement.Levels = merged(peer.Levels, statement.Levels)
+	}
+	peer.Statement = statement
+}
+
+// merged returns the older values with the newer ones in their places.
+func merged(older, newer map[string]float64) map[string]float64 {
+	all := make(map[string]float64, len(older)+len(newer))
+	maps.Copy(all, older)
+	maps.Copy(all, newer)
+	return all
 }
 
 // Gone records that another instance has ended, so that its part of the rate is
--- a/internal/flow/share/share_test.go
+++ b/internal/flow/share/share_test.go
@@ -326,3 +326,37 @@
 		}
 	})
 }
+
+// TestPartial guards against statements that tell only what changed: one that
+// comes before the first whole one must not take all that was ever spent off the
+// buckets, and organisations that are left out must stay as they were.
+func TestPartial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := New(Config{})
+		ledger.SetInstances(1)
+		time.Sleep(10 * time.Second)
+		ledger.Take(organisation, limit, 1000)
+		ledger.Take("idle", limit, 1000)
+		level := func(name string) float64 { return ledger.Standing(name, limit).Level }
+		steps := []struct {
+			name  string
+			spent map[string]float64
+			whole bool
+			// want is what the bucket holds after the statement.
+			want map[string]float64
+		}{
+			{"partial first", map[string]float64{organisation: 50_000}, false, map[string]float64{organisation: 59_000, "idle": 59_000}},
+			{"whole", map[string]float64{organisation: 50_000, "idle": 40_000}, true, map[string]float64{organisation: 59_000, "idle": 59_000}},
+			{"a change", map[string]float64{organisation: 53_000}, false, map[string]float64{organisation: 56_000, "idle": 59_000}},
+			{"whole again", map[string]float64{organisation: 54_000, "idle": 42_000}, true, map[string]float64{organisation: 55_000, "idle": 57_000}},
+		}
+		for _, step := range steps {
+			ledger.Heard("other", Statement{Start: 7, Uptime: time.Hour, Settled: true, Partial: !step.whole, Spent: step.spent})
+			for name, want := range step.want {
+				if got := level(name); got != want {
+					t.Errorf("%s: the bucket of %s holds %.0f, want %.0f", step.name, name, got, want)
+				}
+			}
+		}
+	})
+}
--- a/internal/flow/steer/report.go
+++ b/internal/flow/steer/report.go
@@ -83,6 +83,17 @@
 	}
 }
 
+// FullSerial returns the serial of the last report of an upstream that named its
+// adapters.
+func (board *Board) FullSerial(id string) uint64 {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	if entry, ok := board.upstreams[id]; ok {
+		return entry.report.FullSerial
+	}
+	return 0
+}
+
 // Heard returns how many of the engines that reported once have done so lately,
 // and their number.
 func (board *Board) Heard() (heard, engines int) {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -83,6 +83,22 @@
 	return true
 }
 
+// Has reports whether an upstream is in the list.
+func (list *List) Has(id string) bool {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	_, ok := list.upstreams[id]
+	return ok
+}
+
+// Lapsed reports whether an upstream's entry was removed around an outage, and
+// the upstream is kept for the present.
+func (list *List) Lapsed(id string) bool {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	return list.lapsed[id]
+}
+
 func (list *List) remove(id string) {
 	delete(list.upstreams, id)
 	delete(list.lapsed, id)
--- a/internal/state/fleet/fleet_test.go
+++ b/internal/state/fleet/fleet_test.go
@@ -58,3 +58,22 @@
 		}
 	})
 }
+
+// TestLapsed guards against an entry that lapses during an outage and of which
+// the other instances of a failure domain never hear.
+func TestLapsed(t *testing.T) {
+	list := New(Config{})
+	list.Set(Upstream{ID: "i-1"})
+	list.Down()
+	list.Remove("i-1")
+	if !list.Has("i-1") || !list.Lapsed("i-1") {
+		t.Error("an entry that lapsed in an outage is not kept as such")
+	}
+	list.Set(Upstream{ID: "i-1"})
+	if !list.Has("i-1") || list.Lapsed("i-1") {
+		t.Error("an entry that came back counts as lapsed")
+	}
+	if list.Has("i-2") || list.Lapsed("i-2") {
+		t.Error("an entry that never was is known")
+	}
+}
