Bound heads, bodies and streams that do not end

Change: a head may take 64 kB with its provisional ones, a whole answer 8 MB, what is no event 64 kB between two events, an answer of the store 8 MB; a caller's body must come within its time, else 408.

--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -8,19 +8,21 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/hop"
 	"jacinthfront.dev/jacinthfront/internal/state/table"
 )
 
 const (
-	// bodyBytes is the size of the largest body that is read.
+	// bodyBytes is the size of the largest body of a request or whole answer.
 	bodyBytes = 8 << 20
 	// defaultPatience bounds requests of callers that do not say how long they
 	// wait.
@@ -185,14 +187,24 @@
 	if flight.request.Body == nil || flight.request.ContentLength == 0 {
 		return nil
 	}
+	// A body may come too slowly to end in the caller's time.
+	control := http.NewResponseController(flight.writer)
+	if err := control.SetReadDeadline(flight.until); err != nil {
+		flight.relay.config.Logger.Debug("relay: no deadline for a body", telem.Error(err))
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(flight.writer, flight.request.Body, bodyBytes))
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{http.StatusRequestTimeout, "the body did not come in time", comeBackUnready}
 	case errors.As(err, &large):
 		return &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
 	case err != nil:
 		return &refusal{http.StatusBadRequest, "the body cannot be read", 0}
 	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		flight.relay.config.Logger.Debug("relay: deadline for a body kept", telem.Error(err))
+	}
 	flight.body = body
 	return nil
 }
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -17,6 +17,8 @@
 	"jacinthfront.dev/jacinthfront/internal/state/table"
 )
 
+var errLargeAnswer = errors.New("the answer is too large")
+
 // send passes the request to an upstream and its answer to the caller.
 func (flight *flight) send(ctx context.Context, upstream fleet.Upstream) outcome {
 	relay := flight.relay
@@ -145,7 +147,7 @@
 // whole passes on an answer that is not a stream. It is read to its end first,
 // so that one that breaks off never reaches the caller as complete.
 func (flight *flight) whole(upstream fleet.Upstream, response *hop.Response) outcome {
-	text, err := io.ReadAll(response.Body)
+	text, err := readWhole(response)
 	if err != nil {
 		return flight.broken(upstream, err)
 	}
@@ -154,6 +156,18 @@
 	return answered
 }
 
+// readWhole reads an answer to its end.
+func readWhole(response *hop.Response) ([]byte, error) {
+	if response.Length > bodyBytes {
+		return nil, errLargeAnswer
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, bodyBytes+1))
+	if err == nil && len(text) > bodyBytes {
+		return nil, errLargeAnswer
+	}
+	return text, err
+}
+
 // deliver writes a whole answer to the caller.
 func (flight *flight) deliver(response *hop.Response, text []byte) {
 	flight.head(response)
@@ -169,7 +183,7 @@
 // upstream does better.
 func (flight *flight) keep(upstream fleet.Upstream, response *hop.Response) outcome {
 	flight.log("relay: upstream failed", zap.Int("status", response.Status))
-	text, err := io.ReadAll(response.Body)
+	text, err := readWhole(response)
 	if err != nil {
 		return flight.broken(upstream, err)
 	}
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -20,6 +20,8 @@
 	streamBuffer = 4096
 	// eventBytes is the size of the largest event.
 	eventBytes = 1 << 20
+	// idleBytes is how much may come between two events that is none.
+	idleBytes = 64 << 10
 	// measuredPauses and leastPauses bound the pauses of a stream from which the
 	// usual one is taken.
 	measuredPauses = 24
@@ -29,12 +31,14 @@
 var (
 	errPartialEvent = errors.New("the stream ended within an event")
 	errLargeEvent   = errors.New("an event is too large")
+	errNoEvents     = errors.New("bytes come that are no events")
 )
 
 // stream passes on the events of an answer as they come, each one whole.
 func (flight *flight) stream(upstream fleet.Upstream, response *hop.Response) outcome {
 	reader := bufio.NewReaderSize(response.Body, streamBuffer)
 	var eventAt time.Time
+	idle := 0
 	for {
 		text, err := readEvent(reader)
 		if errors.Is(err, io.EOF) {
@@ -50,6 +54,11 @@
 			}
 			return flight.broken(upstream, err)
 		}
+		if _, ok := eventID(text); ok {
+			idle = 0
+		} else if idle += len(text); idle > idleBytes {
+			return flight.broken(upstream, errNoEvents)
+		}
 		flight.measure(upstream, &eventAt)
 		if flight.repeats(text) {
 			continue
--- a/internal/link/hop/hop.go
+++ b/internal/link/hop/hop.go
@@ -29,8 +29,14 @@
 	// idle connection is given up, so that no request crosses its close.
 	keepAliveMargin = time.Second
 	readBuffer      = 4096
+	// headBytes is the size of the largest head of an answer, with all
+	// provisional ones before it.
+	headBytes = 64 << 10
 )
 
+// errLongHead means that an upstream's head does not end.
+var errLongHead = errors.New("the head of the answer is too large")
+
 // Error classes of Do.
 var (
 	// NotSent means that no byte of the request was sent.
@@ -91,10 +97,26 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head is the number of bytes that may still be read of a head, or -1 when
+	// none is read.
+	head int
 	// until is when the connection must not be used any more.
 	until time.Time
 }
 
+// Read implements io.Reader. Within a head it fails once that is too large.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	if conn.head < 0 {
+		return conn.Conn.Read(buffer)
+	}
+	if conn.head == 0 {
+		return 0, errLongHead
+	}
+	n, err := conn.Conn.Read(buffer[:min(len(buffer), conn.head)])
+	conn.head -= n
+	return n, err
+}
+
 // abort closes a connection with a reset, so that what was written and not yet
 // delivered is dropped. A request that was given up must not arrive later.
 func (conn *conn) abort() {
@@ -135,7 +157,9 @@
 	written := make(chan error, 1)
 	go func() { written <- writeRequest(used, request) }()
 	// The body is closed by the caller of Do.
+	used.head = headBytes
 	response, err := readResponse(used.reader, request.Method) //nolint:bodyclose
+	used.head = -1
 	if err != nil {
 		stop()
 		used.abort()
--- a/internal/link/hop/hop_test.go
+++ b/internal/link/hop/hop_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -252,3 +254,90 @@
 		t.Errorf("error is %v, want one that says that nothing was sent", err)
 	}
 }
+
+// TestEndlessHead guards against an upstream whose head does not end: it must
+// cost bounded memory and time, and its connection must be closed.
+func TestEndlessHead(t *testing.T) {
+	tests := []struct {
+		name  string
+		start string
+		again string
+		// pause makes the upstream slow.
+		pause time.Duration
+	}{
+		{"one line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaa", 0},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "X-More: aaaaaaaaaaaaaaaa\r\n", 0},
+		{"one header", "HTTP/1.1 200 OK\r\nX-More: ", "aaaaaaaaaaaaaaaa", 0},
+		{"provisional answers", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 0},
+		{"no answer at all", "", "\x00\xff\x00\xff\x00\xff", 0},
+		{"empty lines", "", "\r\n", 0},
+		{"drops", "HTTP/1.1 200 OK\r\n", "X", 20 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var written atomic.Int64
+			ended := make(chan struct{})
+			address := serveRaw(t, func(conn net.Conn) {
+				defer close(ended)
+				_, _ = conn.Write([]byte(test.start))
+				more := []byte(test.again)
+				if test.pause == 0 {
+					more = bytes.Repeat(more, 200)
+				}
+				for {
+					n, err := conn.Write(more)
+					if err != nil {
+						return
+					}
+					written.Add(int64(n))
+					time.Sleep(test.pause)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+			defer cancel()
+			began := time.Now()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, err := New(Config{}).Do(ctx, address, Request{Method: http.MethodGet, Target: "/", Host: "a.example", Header: http.Header{}})
+			runtime.ReadMemStats(&after)
+			if !Broken.Has(err) {
+				t.Errorf("error %v, want the class of a broken connection", err)
+			}
+			if took := time.Since(began); took > 800*time.Millisecond {
+				t.Errorf("given up after %v", took)
+			}
+			if grown := after.TotalAlloc - before.TotalAlloc; grown > 8<<20 {
+				t.Errorf("%d bytes were allocated for a head", grown)
+			}
+			select {
+			case <-ended:
+			case <-time.After(2 * time.Second):
+				t.Errorf("the connection is open after %d bytes", written.Load())
+			}
+		})
+	}
+}
+
+// serveRaw serves each connection, after its first bytes, with a function.
+func serveRaw(t *testing.T, serve func(conn net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = conn.Read(make([]byte, 1024))
+				serve(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/internal/link/hop/pool.go
+++ b/internal/link/hop/pool.go
@@ -43,7 +43,9 @@
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
+	dialled := &conn{Conn: opened, head: -1}
+	dialled.reader = bufio.NewReaderSize(dialled, readBuffer)
+	return dialled, nil
 }
 
 // put keeps a connection for later, unless too many are kept already.
