Pass changes of the instance list on within a failure domain

Ruled out: a hint age that is too short (it would show as two calls a second and relay). A word that nobody asked for passes on the last change but confirms nothing. Also: a relay looks only at upstreams whose needs have changed when it tells loaders, the list is ordered once for each change, and usages are up to 150 ms apart where there are many relays. Tests: TestHint (news with the word, news with a gap), TestSince, TestNews, TestPeriods; each was written with the change.

--- a/internal/daemon/follow/follow.go
+++ b/internal/daemon/follow/follow.go
@@ -52,12 +52,12 @@
 	// First is the pause after a failed call. It doubles up to Longest.
 	First   time.Duration
 	Longest time.Duration
-	// Apply takes over records and reports whether they change anything.
-	// complete means that keys not among them were removed.
-	Apply func(records []Record, complete bool) bool
+	// Apply takes over records and returns those that changed anything. complete
+	// means that keys not among them were removed.
+	Apply func(records []Record, complete bool) []Record
 	// Hint may be nil. It says what another process read lately, if that is
-	// known; a call that would return nothing new is left out then.
-	Hint func() (Position, bool)
+	// known; a call that would return nothing more is left out then.
+	Hint func() (Hint[Record], bool)
 	// Reached is called after Apply with the time at which the call was made.
 	Reached func(called time.Time)
 	// Changed may be nil. It is called after a call that changed something.
@@ -68,16 +68,6 @@
 	Called func(err error)
 }
 
-// Position is how far a process has read a topic.
-type Position struct {
-	// Next is the offset to read on from, and Changed the one after the last
-	// record that changed anything.
-	Next    uint64
-	Changed uint64
-	// At is when the process knew that there was nothing after Next.
-	At time.Time
-}
-
 // Follower follows one topic.
 type Follower[Record any] struct {
 	config Config[Record]
@@ -92,6 +82,7 @@
 
 	mutex    sync.Mutex
 	position Position
+	kept     news[Record]
 }
 
 // Position returns how far the topic was read. Its time is zero if it was not.
@@ -101,14 +92,24 @@
 	return follower.position
 }
 
-// advance records that everything before next was read by a call.
-func (follower *Follower[Record]) advance(next uint64, changed bool) {
+// advance records that everything before next is known, and what of it changed
+// anything.
+func (follower *Follower[Record]) advance(next uint64, changes []Record) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	follower.position.Next = next
-	if changed {
+	if len(changes) > 0 {
+		follower.kept.add(follower.position.Next, next, changes)
 		follower.position.Changed = next
 	}
+	follower.position.Next = next
+}
+
+// place records that all was read anew.
+func (follower *Follower[Record]) place(next uint64) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.kept.reset(next)
+	follower.position.Next, follower.position.Changed = next, next
 }
 
 // confirm records when it was known that there was nothing more to read.
@@ -193,19 +194,23 @@
 	}
 }
 
-// takeHint reports whether another process says that there is nothing new, and
-// takes over its position.
+// takeHint takes over what another process read. It reports whether there is
+// nothing more to read.
 func (follower *Follower[Record]) takeHint() bool {
 	if follower.config.Hint == nil {
 		return false
 	}
 	hint, ok := follower.config.Hint()
 	own := follower.Position()
-	if !ok || hint.Changed > own.Next {
+	if !ok || hint.Changed > own.Next && (!hint.Complete || hint.From > own.Next) {
 		return false
 	}
 	if hint.Next > own.Next {
-		follower.advance(hint.Next, false)
+		var changes []Record
+		if hint.Changed > own.Next {
+			changes = follower.config.Apply(hint.News, false)
+		}
+		follower.advance(hint.Next, changes)
 	}
 	if hint.At.After(own.At) {
 		follower.reached(hint.At)
@@ -223,7 +228,7 @@
 			return err
 		}
 		follower.config.Apply(records, true)
-		follower.advance(next, true)
+		follower.place(next)
 		follower.placed, follower.news = true, true
 		return nil
 	}
@@ -240,8 +245,9 @@
 	if err != nil {
 		return err
 	}
-	follower.news = follower.config.Apply(records, false)
-	follower.advance(next, follower.news)
+	changes := follower.config.Apply(records, false)
+	follower.advance(next, changes)
+	follower.news = len(changes) > 0
 	return nil
 }
 
--- a/internal/daemon/follow/follow_test.go
+++ b/internal/daemon/follow/follow_test.go
@@ -70,11 +70,11 @@
 		lost, failed := 0, 0
 		follower := New(Config[string]{
 			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
-			Apply: func(records []string, _ bool) bool {
+			Apply: func(records []string, _ bool) []string {
 				if len(records) > 0 {
 					store.change(func() { last = records[len(records)-1] })
 				}
-				return len(records) > 0
+				return records
 			},
 			Reached: func(called time.Time) { store.change(func() { reached = called }) },
 			Lost:    func() { store.change(func() { lost++ }) },
@@ -135,23 +135,27 @@
 
 // hints is what another process says it has read.
 type hints struct {
-	mutex    sync.Mutex
-	position Position
-	silent   bool
+	mutex  sync.Mutex
+	given  Hint[string]
+	silent bool
 }
 
-func (hints *hints) hint() (Position, bool) {
+func (hints *hints) hint() (Hint[string], bool) {
 	hints.mutex.Lock()
 	defer hints.mutex.Unlock()
-	position := hints.position
-	position.At = time.Now()
-	return position, !hints.silent
+	given := hints.given
+	given.At = time.Now()
+	return given, !hints.silent
 }
 
-func (hints *hints) set(position Position, silent bool) {
+func (hints *hints) set(given Hint[string], silent bool) {
 	hints.mutex.Lock()
 	defer hints.mutex.Unlock()
-	hints.position, hints.silent = position, silent
+	hints.given, hints.silent = given, silent
+}
+
+func at(next, changed uint64) Hint[string] {
+	return Hint[string]{Position: Position{Next: next, Changed: changed}}
 }
 
 // TestHint plays a process whose failure domain has a reader: it must not call
@@ -160,16 +164,16 @@
 func TestHint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &topic{records: []string{"1"}}
-		reader := &hints{position: Position{Next: 1, Changed: 1}}
+		reader := &hints{given: at(1, 1)}
 		var last string
 		var reached time.Time
 		follower := New(Config[string]{
 			Name: "config", Source: store, Logger: zap.NewNop(), Wait: time.Second,
-			Apply: func(records []string, _ bool) bool {
+			Apply: func(records []string, _ bool) []string {
 				if len(records) > 0 {
 					store.change(func() { last = records[len(records)-1] })
 				}
-				return len(records) > 0
+				return records
 			},
 			Hint:    reader.hint,
 			Reached: func(called time.Time) { store.change(func() { reached = called }) },
@@ -193,18 +197,63 @@
 		time.Sleep(10 * time.Second)
 		expect("nothing new", "1", 1, hintPause)
 		store.change(func() { store.records = append(store.records, "-", "-", "2") })
-		reader.set(Position{Next: 3, Changed: 1}, false)
+		reader.set(at(3, 1), false)
 		time.Sleep(time.Second)
 		expect("records that change nothing", "1", 1, hintPause)
-		reader.set(Position{Next: 4, Changed: 4}, false)
+		reader.set(at(4, 4), false)
 		time.Sleep(2 * hintPause)
 		expect("a record", "2", 2, 2*hintPause)
-		reader.set(Position{}, true)
+		store.change(func() { store.records = append(store.records, "3") })
+		reader.set(Hint[string]{Position: Position{Next: 5, Changed: 5}, News: []string{"3"}, From: 4, Complete: true}, false)
+		time.Sleep(2 * hintPause)
+		expect("news with the word", "3", 2, 2*hintPause)
+		store.change(func() { store.records = append(store.records, "4", "5") })
+		reader.set(Hint[string]{Position: Position{Next: 7, Changed: 7}, News: []string{"5"}, From: 6, Complete: true}, false)
+		time.Sleep(2 * hintPause)
+		expect("news with a gap", "5", 3, 2*hintPause)
+		reader.set(Hint[string]{}, true)
 		time.Sleep(hintPause)
-		expect("reader silent", "2", 4, hintPause)
+		expect("reader silent", "5", 5, hintPause)
 		time.Sleep(3 * time.Second)
-		expect("reader silent for long", "2", 8, 2*time.Second)
+		expect("reader silent for long", "5", 9, 2*time.Second)
 		cancel()
 		<-done
 	})
 }
+
+// TestSince guards against news with a gap that pass for complete, and against
+// a reader that keeps news without a bound.
+func TestSince(t *testing.T) {
+	follower := New(Config[string]{})
+	follower.place(10)
+	follower.advance(14, []string{"a", "b"})
+	follower.advance(18, nil)
+	follower.advance(20, []string{"c"})
+	tests := []struct {
+		name     string
+		next     uint64
+		news     []string
+		complete bool
+	}{
+		{"before all", 9, []string{"a", "b", "c"}, false},
+		{"at the start", 10, []string{"a", "b", "c"}, true},
+		{"within a batch", 12, []string{"a", "b", "c"}, true},
+		{"between", 16, []string{"c"}, true},
+		{"all read", 20, nil, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := follower.Since(test.next)
+			want := Hint[string]{Position: Position{Next: 20, Changed: 20}, News: test.news, From: test.next, Complete: test.complete}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("hint (-want +got):\n%s", diff)
+			}
+		})
+	}
+	for next := uint64(21); next < 200; next++ {
+		follower.advance(next, []string{"d"})
+	}
+	if kept := follower.Since(0); len(kept.News) > mostNews || kept.Complete {
+		t.Errorf("%d records kept, complete %v", len(kept.News), kept.Complete)
+	}
+}
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -95,12 +95,12 @@
 func (relay *Relay) newChanges() *follow.Follower[Change] {
 	return follow.New(follow.Config[Change]{
 		Name: topicConfig, Source: relay.config.Changes, Logger: relay.config.Logger, Wait: configWait,
-		Apply: func(changes []Change, _ bool) bool {
+		Apply: func(changes []Change, _ bool) []Change {
 			relay.belief.apply(changes)
 			if len(changes) > 0 {
 				relay.changed.fire()
 			}
-			return len(changes) > 0
+			return changes
 		},
 		Hint:    relay.configHint,
 		Reached: relay.belief.confirm,
@@ -114,13 +114,13 @@
 	list := relay.belief.list
 	return follow.New(follow.Config[Listing]{
 		Name: topicInstances, Source: relay.config.Listings, Logger: relay.config.Logger, Pause: listPause,
-		Apply: func(listings []Listing, complete bool) bool {
+		Apply: func(listings []Listing, complete bool) []Listing {
 			stamp := list.Stamp()
-			lapsed := relay.applyListings(listings, complete)
+			changes := relay.applyListings(listings, complete)
 			if list.Stamp() != stamp {
 				relay.relist()
 			}
-			return lapsed || list.Stamp() != stamp
+			return changes
 		},
 		Hint:    relay.listHint,
 		Reached: func(time.Time) { list.Up() },
@@ -140,9 +140,10 @@
 	}
 }
 
-// applyListings takes over entries and reports whether one of a known upstream
-// lapsed or came back, also if that does not count yet.
-func (relay *Relay) applyListings(listings []Listing, complete bool) (lapsed bool) {
+// applyListings takes over entries and returns those that changed anything. An
+// entry that lapses around an outage, or comes back, is one of them, although it
+// does not count yet.
+func (relay *Relay) applyListings(listings []Listing, complete bool) (changes []Listing) {
 	list := relay.belief.list
 	if complete {
 		present := make([]fleet.Upstream, 0, len(listings))
@@ -152,10 +153,11 @@
 			}
 		}
 		list.Replace(present)
-		return true
+		return listings
 	}
 	for _, listing := range listings {
-		lapsed = lapsed || list.Lapsed(listing.ID) || listing.Upstream == nil && list.Has(listing.ID)
+		stamp := list.Stamp()
+		changed := list.Lapsed(listing.ID) || listing.Upstream == nil && list.Has(listing.ID)
 		switch {
 		case listing.Upstream == nil:
 			if list.Remove(listing.ID) {
@@ -165,8 +167,11 @@
 			relay.config.Logger.Info("fleet: upstream changed", zap.String("upstream", listing.ID),
 				zap.String("address", listing.Upstream.Address), zap.Bool("draining", listing.Upstream.Draining))
 		}
+		if changed || list.Stamp() != stamp {
+			changes = append(changes, listing)
+		}
 	}
-	return lapsed
+	return changes
 }
 
 // relist makes the list's upstreams those that requests go to.
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -31,6 +31,9 @@
 	// usagePeriod is the same for the other entry instances, which take an
 	// instance for silent after share.DefaultSilence.
 	usagePeriod = 150 * time.Millisecond
+	// usagePerInstance stretches exchangePeriod, up to usagePeriod, where there
+	// are many entry instances to tell.
+	usagePerInstance = 3 * time.Millisecond
 	// settleTime is how long after a start the loaders have heard of all entry
 	// instances that started at the same time.
 	settleTime = 120 * time.Millisecond
@@ -64,7 +67,7 @@
 		}
 		relay.tellLoaders(told)
 		relay.settle()
-		if time.Since(spent) >= usagePeriod || relay.spending.changed(relay.ledger.Statement().Spent) && time.Since(spent) >= exchangePeriod {
+		if time.Since(spent) >= usagePeriod || relay.spending.changed(relay.ledger.Statement().Spent) && time.Since(spent) >= usageSpacing(relay.peers.count()) {
 			spent = time.Now()
 			relay.tellPeers()
 		}
@@ -75,6 +78,12 @@
 	}
 }
 
+// usageSpacing returns how far apart the other entry instances are told what was
+// spent. Where there are many, each spends little in that time.
+func usageSpacing(instances int) time.Duration {
+	return min(max(exchangePeriod, time.Duration(instances)*usagePerInstance), usagePeriod)
+}
+
 // settle decides what new buckets hold, once loaders have told of the entry
 // instances that started at the same time.
 func (relay *Relay) settle() {
@@ -85,9 +94,23 @@
 
 // told is what a loader was told last.
 type told struct {
-	uses []stock.Use
-	asks []admit.Ask
-	at   time.Time
+	uses  []stock.Use
+	asks  []admit.Ask
+	stamp uint64
+	at    time.Time
+}
+
+// rests reports whether nothing has changed since a loader was told, and it
+// need not hear that yet.
+func (told told) rests(stamp uint64, upstreams int) bool {
+	if stamp != told.stamp || len(told.asks) > 0 {
+		return false
+	}
+	period := idlePeriod
+	if len(told.uses) == 0 {
+		period = restPeriod(upstreams)
+	}
+	return time.Since(told.at) < period
 }
 
 func (relay *Relay) tellLoaders(last map[string]told) {
@@ -96,14 +119,17 @@
 		return
 	}
 	typical := make(map[string]*wirepb.Pace)
-	upstreams := relay.belief.list.Upstreams()
+	upstreams, stamps := relay.belief.list.Upstreams(), relay.board.Stamps()
 	for _, upstream := range upstreams {
+		known, stamp := last[upstream.ID], stamps[upstream.ID]
+		if known.rests(stamp, len(upstreams)) {
+			continue
+		}
 		service, ok := config.Service(upstream.Service)
 		if !ok || service.Engine == nil || len(service.Engine.Models) == 0 {
 			continue
 		}
 		uses, asks := relay.board.Uses(upstream.ID), relay.board.Asks(upstream.ID)
-		known := last[upstream.ID]
 		period := idlePeriod
 		switch {
 		case !slices.Equal(asks, known.asks):
@@ -119,7 +145,7 @@
 		if typical[upstream.Service] == nil {
 			typical[upstream.Service] = encodePace(relay.board.Typical(upstream.Service))
 		}
-		last[upstream.ID] = told{uses: uses, asks: asks, at: time.Now()}
+		last[upstream.ID] = told{uses: uses, asks: asks, stamp: stamp, at: time.Now()}
 		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.Address,
 			Start:            relay.start.UnixNano(),
--- a/internal/daemon/relay/word.go
+++ b/internal/daemon/relay/word.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -34,9 +35,10 @@
 	mutex  sync.Mutex
 	number uint64
 	// asked is when the ask with that number was sent, and reader to whom.
-	asked     time.Time
-	reader    string
-	positions map[string]follow.Position
+	asked   time.Time
+	reader  string
+	changes follow.Hint[Change]
+	list    follow.Hint[Listing]
 }
 
 // ask numbers a new ask.
@@ -44,7 +46,7 @@
 	words.mutex.Lock()
 	defer words.mutex.Unlock()
 	if words.reader != reader {
-		words.reader, words.positions = reader, nil
+		words.forget(reader)
 	}
 	words.number++
 	words.asked = time.Now()
@@ -55,33 +57,44 @@
 func (words *words) drop() {
 	words.mutex.Lock()
 	defer words.mutex.Unlock()
-	words.reader, words.positions = "", nil
+	words.forget("")
 }
 
-// heard takes over the answer to the last ask.
+func (words *words) forget(reader string) {
+	words.reader, words.changes, words.list = reader, follow.Hint[Change]{}, follow.Hint[Listing]{}
+}
+
+// heard takes over a word of the reader: the answer to the last ask, or one
+// without a number. That says what is new, but not that nothing else is.
 func (words *words) heard(word *wirepb.StoreWord) {
 	words.mutex.Lock()
 	defer words.mutex.Unlock()
-	if word.GetNumber() != words.number || word.GetEntry() != words.reader {
+	answer := word.GetNumber() == words.number
+	if word.GetEntry() != words.reader || !answer && word.GetNumber() != 0 {
 		return
 	}
-	words.positions = make(map[string]follow.Position, len(word.GetTopics()))
 	for _, topic := range word.GetTopics() {
-		words.positions[topic.GetTopic()] = follow.Position{
+		position := follow.Position{
 			Next: topic.GetNext(), Changed: topic.GetChanged(),
 			At: words.asked.Add(-time.Duration(topic.GetAgeMs()) * time.Millisecond),
 		}
+		switch topic.GetTopic() {
+		case topicConfig:
+			if !answer {
+				position.At = words.changes.At
+			}
+			words.changes = follow.Hint[Change]{Position: position}
+		case topicInstances:
+			if !answer {
+				position.At = words.list.At
+			}
+			words.list = follow.Hint[Listing]{
+				Position: position, News: decodeListings(topic.GetListings()), From: topic.GetFrom(), Complete: topic.GetComplete(),
+			}
+		}
 	}
 }
 
-// hint returns how far the reader has read a topic, if it said so lately.
-func (words *words) hint(topic string, within time.Duration) (follow.Position, bool) {
-	words.mutex.Lock()
-	defer words.mutex.Unlock()
-	position, ok := words.positions[topic]
-	return position, ok && elapsed(position.At) < within
-}
-
 // elapsed returns the time since a moment, by the clock that shows more of it:
 // one stands still while the process does, the other may step.
 func elapsed(at time.Time) time.Duration {
@@ -89,6 +102,19 @@
 	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
 }
 
+// configHint and listHint are the followers' hints.
+func (relay *Relay) configHint() (follow.Hint[Change], bool) {
+	relay.words.mutex.Lock()
+	defer relay.words.mutex.Unlock()
+	return relay.words.changes, elapsed(relay.words.changes.At) < configHintAge
+}
+
+func (relay *Relay) listHint() (follow.Hint[Listing], bool) {
+	relay.words.mutex.Lock()
+	defer relay.words.mutex.Unlock()
+	return relay.words.list, elapsed(relay.words.list.At) < listHintAge
+}
+
 // askReader asks the entry instance that reads the store, if that is not this
 // one.
 func (relay *Relay) askReader() {
@@ -98,13 +124,14 @@
 		return
 	}
 	relay.tell(reader, &wirepb.Datagram{Body: &wirepb.Datagram_StoreAsk{StoreAsk: &wirepb.StoreAsk{
-		Entry: relay.config.Address, Number: relay.words.ask(reader),
+		Entry: relay.config.Address, Number: relay.words.ask(reader), InstancesNext: relay.listings.Position().Next,
 	}}})
 }
 
-// answerAsk tells another entry instance how far this one has read.
+// answerAsk tells another entry instance how far this one has read, and what it
+// lacks of the instance list.
 func (relay *Relay) answerAsk(ask *wirepb.StoreAsk) {
-	relay.tell(ask.GetEntry(), relay.word(ask.GetNumber()))
+	relay.tell(ask.GetEntry(), relay.word(ask.GetNumber(), relay.listings.Since(ask.GetInstancesNext())))
 }
 
 // spread tells the others of the failure domain that something changed, if this
@@ -114,61 +141,65 @@
 	if reader != relay.config.Address {
 		return
 	}
+	word := relay.word(0, relay.listings.Latest())
 	for _, address := range others {
-		relay.tell(address, relay.word(0))
+		relay.tell(address, word)
 	}
 }
 
-func (relay *Relay) word(number uint64) *wirepb.Datagram {
+func (relay *Relay) word(number uint64, list follow.Hint[Listing]) *wirepb.Datagram {
 	word := &wirepb.StoreWord{Entry: relay.config.Address, Number: number}
-	for topic, position := range map[string]follow.Position{
-		topicConfig: relay.changes.Position(), topicInstances: relay.listings.Position(),
-	} {
-		if position.At.IsZero() {
-			continue
+	if changes := relay.changes.Position(); !changes.At.IsZero() {
+		word.Topics = append(word.Topics, encodePosition(topicConfig, changes))
+	}
+	if !list.At.IsZero() {
+		topic := encodePosition(topicInstances, list.Position)
+		topic.From, topic.Complete = list.From, list.Complete
+		for _, listing := range list.News {
+			topic.Listings = append(topic.Listings, encodeListing(listing))
 		}
-		word.Topics = append(word.Topics, &wirepb.TopicPosition{
-			Topic: topic, Next: position.Next, Changed: position.Changed,
-			AgeMs: uint32(elapsed(position.At).Milliseconds() + 1),
-		})
+		word.Topics = append(word.Topics, topic)
 	}
 	return &wirepb.Datagram{Body: &wirepb.Datagram_StoreWord{StoreWord: word}}
 }
 
-// heardWord takes over a word of the reader. One that was not asked for says
-// only that something is new.
-func (relay *Relay) heardWord(word *wirepb.StoreWord) {
-	if word.GetNumber() != 0 {
-		relay.words.heard(word)
-		return
-	}
-	for _, topic := range word.GetTopics() {
-		switch topic.GetTopic() {
-		case topicConfig:
-			relay.words.stale(topicConfig, topic.GetChanged())
-			relay.changes.Wake()
-		case topicInstances:
-			relay.words.stale(topicInstances, topic.GetChanged())
-			relay.listings.Wake()
-		}
+func encodePosition(topic string, position follow.Position) *wirepb.TopicPosition {
+	return &wirepb.TopicPosition{
+		Topic: topic, Next: position.Next, Changed: position.Changed, AgeMs: uint32(elapsed(position.At).Milliseconds() + 1),
 	}
 }
 
-// stale records that a topic has changed up to an offset.
-func (words *words) stale(topic string, changed uint64) {
-	words.mutex.Lock()
-	defer words.mutex.Unlock()
-	if position, ok := words.positions[topic]; ok && changed > position.Changed {
-		position.Changed = changed
-		words.positions[topic] = position
+func encodeListing(listing Listing) *wirepb.Listing {
+	encoded := &wirepb.Listing{Id: listing.ID}
+	if upstream := listing.Upstream; upstream != nil {
+		encoded.Service, encoded.Address, encoded.FailureDomain = upstream.Service, upstream.Address, upstream.FailureDomain
+		encoded.Slots, encoded.Draining, encoded.Born = uint32(max(upstream.Slots, 0)), upstream.Draining, upstream.Born
+		encoded.RemainingMs = uint32(max(upstream.Remaining, 0).Milliseconds())
 	}
+	return encoded
 }
 
-// configHint and listHint are the followers' hints.
-func (relay *Relay) configHint() (follow.Position, bool) {
-	return relay.words.hint(topicConfig, configHintAge)
+func decodeListings(encoded []*wirepb.Listing) []Listing {
+	listings := make([]Listing, 0, len(encoded))
+	for _, entry := range encoded {
+		listing := Listing{ID: entry.GetId()}
+		if entry.GetAddress() != "" {
+			listing.Upstream = &fleet.Upstream{
+				ID: entry.GetId(), Service: entry.GetService(), Address: entry.GetAddress(), FailureDomain: entry.GetFailureDomain(),
+				Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), Born: entry.GetBorn(),
+				Remaining: time.Duration(entry.GetRemainingMs()) * time.Millisecond,
+			}
+		}
+		listings = append(listings, listing)
+	}
+	return listings
 }
 
-func (relay *Relay) listHint() (follow.Position, bool) {
-	return relay.words.hint(topicInstances, listHintAge)
+// heardWord takes over a word of the reader.
+func (relay *Relay) heardWord(word *wirepb.StoreWord) {
+	relay.words.heard(word)
+	if word.GetNumber() == 0 {
+		relay.changes.Wake()
+		relay.listings.Wake()
+	}
 }
--- a/internal/daemon/relay/word_test.go
+++ b/internal/daemon/relay/word_test.go
@@ -10,6 +10,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
 	"jacinthfront.dev/jacinthfront/internal/flow/elect"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -67,7 +68,8 @@
 				number := words.ask(readerAddr)
 				time.Sleep(test.delay)
 				words.heard(test.word(number))
-				position, ok := words.hint(topicConfig, configHintAge)
+				position := words.changes.Position
+				ok := elapsed(position.At) < configHintAge
 				if ok != test.ok {
 					t.Fatalf("%s: hint given %v, want %v", test.guards, ok, test.ok)
 				}
@@ -80,20 +82,40 @@
 	}
 }
 
-// TestNews guards against a change that waits for the next ask, and against
-// the word of an earlier reader.
+// TestNews guards against a change that waits for the next ask, against a word
+// without an ask that confirms anything, and against that of an earlier reader.
 func TestNews(t *testing.T) {
-	words := new(words)
-	words.heard(wordOf(readerAddr, words.ask(readerAddr), 0))
-	words.stale(topicConfig, 12)
-	position, _ := words.hint(topicConfig, configHintAge)
-	if diff := cmp.Diff(uint64(12), position.Changed); diff != "" {
-		t.Errorf("changed up to (-want +got):\n%s", diff)
-	}
-	words.ask("10.0.0.3:7600")
-	if _, ok := words.hint(topicConfig, configHintAge); ok {
-		t.Error("the word of an earlier reader counts")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		words := new(words)
+		words.heard(wordOf(readerAddr, words.ask(readerAddr), 0))
+		asked := time.Now()
+		time.Sleep(time.Second)
+		upstream := &fleet.Upstream{
+			ID: "i-1", Service: "advisor", Address: "10.0.0.9:80", FailureDomain: "hall-a", Slots: 16,
+			Draining: true, Remaining: 2 * time.Second, Born: 1700,
+		}
+		news := wordOf(readerAddr, 0, 0)
+		news.Topics[0].Changed = 12
+		news.Topics = append(news.Topics, &wirepb.TopicPosition{
+			Topic: topicInstances, Next: 20, Changed: 20, From: 18, Complete: true,
+			Listings: []*wirepb.Listing{encodeListing(Listing{ID: "i-1", Upstream: upstream}), encodeListing(Listing{ID: "i-2"})},
+		})
+		words.heard(news)
+		if diff := cmp.Diff(follow.Position{Next: 9, Changed: 12, At: asked}, words.changes.Position); diff != "" {
+			t.Errorf("position (-want +got):\n%s", diff)
+		}
+		want := follow.Hint[Listing]{
+			Position: follow.Position{Next: 20, Changed: 20}, From: 18, Complete: true,
+			News: []Listing{{ID: "i-1", Upstream: upstream}, {ID: "i-2"}},
+		}
+		if diff := cmp.Diff(want, words.list); diff != "" {
+			t.Errorf("list (-want +got):\n%s", diff)
+		}
+		words.ask("10.0.0.3:7600")
+		if !words.changes.At.IsZero() || !words.list.At.IsZero() {
+			t.Error("the word of an earlier reader counts")
+		}
+	})
 }
 
 // TestReader guards against a failure domain without a reader: one that was
@@ -180,3 +202,25 @@
 		}
 	})
 }
+
+// TestPeriods guards against datagrams that grow with the square of the fleet
+// unchecked, and against small fleets that hear less often than before.
+func TestPeriods(t *testing.T) {
+	tests := []struct {
+		instances, upstreams int
+		usage, rest          time.Duration
+	}{
+		{5, 16, exchangePeriod, idlePeriod},
+		{26, 51, 78 * time.Millisecond, 510 * time.Millisecond},
+		{68, 123, usagePeriod, longestRest},
+		{420, 7200, usagePeriod, longestRest},
+	}
+	for _, test := range tests {
+		if diff := cmp.Diff(test.usage, usageSpacing(test.instances)); diff != "" {
+			t.Errorf("%d instances: between two usages (-want +got):\n%s", test.instances, diff)
+		}
+		if diff := cmp.Diff(test.rest, restPeriod(test.upstreams)); diff != "" {
+			t.Errorf("%d upstreams: between two idle demands (-want +got):\n%s", test.upstreams, diff)
+		}
+	}
+}
--- a/internal/flow/steer/asks.go
+++ b/internal/flow/steer/asks.go
@@ -39,6 +39,7 @@
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
 		entry.wanted[adapter]++
+		entry.stamp++
 	}
 }
 
@@ -48,6 +49,7 @@
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
 		decrement(entry.wanted, adapter)
+		entry.stamp++
 	}
 }
 
@@ -57,6 +59,7 @@
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
 		entry.asks[request.ID] = &ask{Ask: request, placed: time.Now()}
+		entry.stamp++
 	}
 }
 
@@ -66,6 +69,7 @@
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
 		delete(entry.asks, number)
+		entry.stamp++
 	}
 }
 
@@ -130,6 +134,18 @@
 	counts[adapter]--
 }
 
+// Stamps returns, for each upstream, a number that grows with each change of
+// what Uses and Asks return.
+func (board *Board) Stamps() map[string]uint64 {
+	board.mutex.Lock()
+	defer board.mutex.Unlock()
+	stamps := make(map[string]uint64, len(board.upstreams))
+	for id, entry := range board.upstreams {
+		stamps[id] = entry.stamp
+	}
+	return stamps
+}
+
 // Uses returns this instance's demand at an upstream, in the order of the
 // adapters' names.
 func (board *Board) Uses(id string) []stock.Use {
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -98,6 +98,8 @@
 	// answered is the load that the last answer named.
 	answered   int
 	answeredAt time.Time
+	// stamp grows with each change of what this instance needs there.
+	stamp uint64
 	// readings holds what streams showed and the loader was not told yet.
 	readings []admit.Reading
 	// memory holds the adapters that the engine dropped.
@@ -173,6 +175,7 @@
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
 		entry.running++
+		entry.stamp++
 		entry.sent = append(entry.sent, time.Now())
 		if adapter.Name != "" {
 			entry.byAdapter[adapter]++
@@ -186,6 +189,7 @@
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
 		entry.running = max(entry.running-1, 0)
+		entry.stamp++
 		decrement(entry.byAdapter, adapter)
 	}
 }
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -44,6 +44,9 @@
 	down   bool
 	upAt   time.Time
 	stamp  uint64
+	// ordered holds the upstreams as they were at the stamp orderedAt.
+	ordered   []Upstream
+	orderedAt uint64
 }
 
 // New returns an empty List.
@@ -152,15 +155,20 @@
 	return gone
 }
 
-// Upstreams returns all upstreams, ordered by id.
+// Upstreams returns all upstreams, ordered by id. The result is shared and must
+// not be changed.
 func (list *List) Upstreams() []Upstream {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
+	if list.ordered != nil && list.orderedAt == list.stamp {
+		return list.ordered
+	}
 	ids := slices.Sorted(maps.Keys(list.upstreams))
 	upstreams := make([]Upstream, 0, len(ids))
 	for _, id := range ids {
 		upstreams = append(upstreams, list.upstreams[id])
 	}
+	list.ordered, list.orderedAt = upstreams, list.stamp
 	return upstreams
 }
 
