--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -43,6 +43,15 @@
 
 func (*metrics) firstEvent(took time.Duration) { firstEvent.Observe(took) }
 
+// readsStore returns 1 if this instance reads the store for its failure domain,
+// else 0.
+func (relay *Relay) readsStore() int64 {
+	if reader, _ := relay.peers.reader(); reader == relay.config.Address {
+		return 1
+	}
+	return 0
+}
+
 // setGauges brings the values that change without an event to the present.
 func (relay *Relay) setGauges() {
 	heard, silent := relay.ledger.Peers()
@@ -50,6 +59,7 @@
 	telem.Gauge("relay", "running", relay.metrics.running.Load())
 	telem.Gauge("relay", "entries-heard", int64(heard))
 	telem.Gauge("relay", "entries-silent", int64(silent))
+	telem.Gauge("relay", "reads-store", relay.readsStore())
 	telem.Gauge("relay", "connections-opened", int64(opened))
 	telem.Gauge("relay", "connections-reused", int64(reused))
 	telem.Gauge("relay", "config-age-ms", relay.belief.age().Milliseconds())
--- a/internal/daemon/relay/word.go
+++ b/internal/daemon/relay/word.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -41,27 +43,25 @@
 	list    follow.Hint[Listing]
 }
 
-// ask numbers a new ask.
-func (words *words) ask(reader string) uint64 {
+// follow makes an entry instance the one whose words count, and reports whether
+// it was another one before. What that said is forgotten.
+func (words *words) follow(reader string) (changed bool) {
 	words.mutex.Lock()
 	defer words.mutex.Unlock()
-	if words.reader != reader {
-		words.forget(reader)
+	if words.reader == reader {
+		return false
 	}
-	words.number++
-	words.asked = time.Now()
-	return words.number
+	words.reader, words.changes, words.list = reader, follow.Hint[Change]{}, follow.Hint[Listing]{}
+	return true
 }
 
-// drop forgets what was said, when this instance reads the store itself.
-func (words *words) drop() {
+// ask numbers a new ask.
+func (words *words) ask() uint64 {
 	words.mutex.Lock()
 	defer words.mutex.Unlock()
-	words.forget("")
-}
-
-func (words *words) forget(reader string) {
-	words.reader, words.changes, words.list = reader, follow.Hint[Change]{}, follow.Hint[Listing]{}
+	words.number++
+	words.asked = time.Now()
+	return words.number
 }
 
 // heard takes over a word of the reader: the answer to the last ask, or one
@@ -118,13 +118,16 @@
 // askReader asks the entry instance that reads the store, if that is not this
 // one.
 func (relay *Relay) askReader() {
-	reader, _ := relay.peers.reader()
+	reader, others := relay.peers.reader()
+	if relay.words.follow(reader) {
+		relay.config.Logger.Info("relay: reader of the store chosen", zap.String("reader", reader),
+			zap.Int("others", len(others)), zap.Duration("config-age", relay.belief.age()))
+	}
 	if reader == relay.config.Address {
-		relay.words.drop()
 		return
 	}
 	relay.tell(reader, &wirepb.Datagram{Body: &wirepb.Datagram_StoreAsk{StoreAsk: &wirepb.StoreAsk{
-		Entry: relay.config.Address, Number: relay.words.ask(reader), InstancesNext: relay.listings.Position().Next,
+		Entry: relay.config.Address, Number: relay.words.ask(), InstancesNext: relay.listings.Position().Next,
 	}}})
 }
 
--- a/internal/daemon/relay/word_test.go
+++ b/internal/daemon/relay/word_test.go
@@ -64,8 +64,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				words := new(words)
-				words.ask(readerAddr)
-				number := words.ask(readerAddr)
+				words.follow(readerAddr)
+				words.ask()
+				number := words.ask()
 				time.Sleep(test.delay)
 				words.heard(test.word(number))
 				position := words.changes.Position
@@ -87,7 +88,8 @@
 func TestNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		words := new(words)
-		words.heard(wordOf(readerAddr, words.ask(readerAddr), 0))
+		words.follow(readerAddr)
+		words.heard(wordOf(readerAddr, words.ask(), 0))
 		asked := time.Now()
 		time.Sleep(time.Second)
 		upstream := &fleet.Upstream{
@@ -111,7 +113,7 @@
 		if diff := cmp.Diff(want, words.list); diff != "" {
 			t.Errorf("list (-want +got):\n%s", diff)
 		}
-		words.ask("10.0.0.3:7600")
+		words.follow("10.0.0.3:7600")
 		if !words.changes.At.IsZero() || !words.list.At.IsZero() {
 			t.Error("the word of an earlier reader counts")
 		}
