Keep both directions of each fleet message in one place

The encoding of demands and states stood half in the relay and half in the loader, that of the pace twice. It is in wire/codec now, with a test that plays each both ways. What tells the other entry instances moved to relay/spending.go, who is told what to loader/tell.go, the learned pace to admit/pace.go; no behaviour changes.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -11,6 +11,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -26,9 +27,9 @@
 		Slots:       int(demand.GetSlots()),
 		EventTokens: int(demand.GetEventTokens()),
 		Gap:         time.Duration(demand.GetGapMs()) * time.Millisecond,
-		Typical:     decodePace(demand.GetTypical()),
-	}, decodeAsks(demand.GetAsks()))
-	loader.gate.Measured(demand.GetEntry(), decodeReadings(demand.GetReadings()))
+		Typical:     codec.DecodePace(demand.GetTypical()),
+	}, codec.DecodeAsks(demand.GetAsks()))
+	loader.gate.Measured(demand.GetEntry(), codec.DecodeReadings(demand.GetReadings()))
 	wake(loader.turns)
 	for _, use := range demand.GetUses() {
 		if use.GetWaiting() > 0 {
@@ -69,54 +70,10 @@
 }
 
 func decodeDemand(demand *wirepb.Demand) stock.Demand {
-	decoded := stock.Demand{
-		Entry: demand.GetEntry(), Model: demand.GetModel(),
+	return stock.Demand{
+		Entry: demand.GetEntry(), Model: demand.GetModel(), Uses: codec.DecodeUses(demand.GetUses()),
 		Slots: int(demand.GetAdapterSlots()), Elsewhere: int(demand.GetPendingElsewhere()),
 	}
-	for _, use := range demand.GetUses() {
-		decoded.Uses = append(decoded.Uses, stock.Use{
-			Adapter: stock.Adapter{Name: use.GetAdapter(), Version: use.GetVersion()},
-			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()),
-		})
-	}
-	return decoded
-}
-
-func decodeAsks(encoded []*wirepb.Ask) []admit.Ask {
-	asks := make([]admit.Ask, 0, len(encoded))
-	for _, ask := range encoded {
-		asks = append(asks, admit.Ask{
-			ID: ask.GetId(), Adapter: stock.Adapter{Name: ask.GetAdapter(), Version: ask.GetVersion()},
-			Prompt: ask.GetPromptTokens(), Output: ask.GetOutputTokens(), Priority: int(ask.GetPriority()),
-		})
-	}
-	return asks
-}
-
-func decodePace(encoded *wirepb.Pace) admit.Pace {
-	return admit.Pace{
-		ReadRate: float64(encoded.GetReadRate()) / millisecondsPerSecond,
-		Event:    time.Duration(encoded.GetEventUs()) * time.Microsecond,
-	}
-}
-
-func encodePace(pace admit.Pace) *wirepb.Pace {
-	return &wirepb.Pace{
-		ReadRate: uint32(pace.ReadRate * millisecondsPerSecond),
-		EventUs:  uint32(pace.Event.Microseconds()),
-	}
-}
-
-func decodeReadings(encoded []*wirepb.Reading) []admit.Reading {
-	readings := make([]admit.Reading, 0, len(encoded))
-	for _, reading := range encoded {
-		readings = append(readings, admit.Reading{
-			Ask:   reading.GetAsk(),
-			First: time.Duration(reading.GetFirstUs()) * time.Microsecond,
-			Pause: time.Duration(reading.GetPauseUs()) * time.Microsecond,
-		})
-	}
-	return readings
 }
 
 // tellChanges tells all entry instances what changed, at once if it concerns
@@ -165,7 +122,7 @@
 		case toldNothing:
 			state = proto.CloneOf(whole)
 			dropped, _ := loader.planner.Dropped()
-			state.Dropped = encodeAdapters(dropped)
+			state.Dropped = codec.EncodeAdapters(dropped)
 		}
 		state.Granted = granted[address]
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
@@ -175,54 +132,6 @@
 	}
 }
 
-// informed is how much an entry instance was told.
-type informed uint8
-
-const (
-	toldNothing informed = iota
-	// toldBefore means a full state that is not the last one.
-	toldBefore
-	toldLast
-)
-
-// telling is what an entry instance was told last.
-type telling struct {
-	at time.Time
-	// full is the serial of the full state, which was sent at fullAt, and has
-	// the one that it said it had.
-	full   uint64
-	fullAt time.Time
-	has    uint64
-}
-
-// due reports whether an entry instance is to be told now, and what it was told
-// before. If it is due it counts as told.
-func (loader *Loader) due(entry string, entries int, granted bool, full uint64) (told informed, due bool) {
-	pause := min(time.Duration(max(entries-promptEntries, 0))*pausePerEntry, longestPause)
-	waits := granted || loader.gate.Waits(entry)
-	loader.mutex.Lock()
-	defer loader.mutex.Unlock()
-	last := loader.tellings[entry]
-	now := time.Now()
-	if !waits && now.Sub(last.at) < pause {
-		return toldNothing, false
-	}
-	isLast := last.full == full && (last.has == full || now.Sub(last.fullAt) < acknowledgeTime)
-	told = toldBefore
-	switch {
-	case last.full == 0:
-		told = toldNothing
-	case isLast:
-		told = toldLast
-	}
-	if told != toldLast {
-		last.full, last.fullAt = full, now
-	}
-	last.at = now
-	loader.tellings[entry] = last
-	return told, true
-}
-
 // state returns what the entry instances are told, or nil if there is nothing
 // to tell yet.
 func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
@@ -244,7 +153,7 @@
 		Unreachable:   loader.misses >= lostReports,
 		Silent:        loader.misses >= lostReports && loader.silent,
 		BacklogTokens: backlog, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
-		Brief: true, Pace: encodePace(pace), Intake: uint32(intake * millisecondsPerSecond),
+		Brief: true, Pace: codec.EncodePace(pace), Intake: codec.EncodeRate(intake),
 		RecallReach: uint32(reach),
 	}
 	loader.toldAny = time.Now()
@@ -264,28 +173,6 @@
 	defer loader.mutex.Unlock()
 	whole := proto.CloneOf(brief)
 	whole.Brief, whole.Entries = false, loader.some(entries)
-	whole.Resident, whole.Pending = encodeAdapters(loader.sent.Resident), encodeAdapters(loader.sent.Pending)
+	whole.Resident, whole.Pending = codec.EncodeAdapters(loader.sent.Resident), codec.EncodeAdapters(loader.sent.Pending)
 	return whole
 }
-
-// some returns up to mostNamed of the entry instances, others with each call,
-// since all loaders together name each one often.
-func (loader *Loader) some(entries []string) []string {
-	if len(entries) <= mostNamed {
-		return entries
-	}
-	named := make([]string, 0, mostNamed)
-	for range mostNamed {
-		named = append(named, entries[loader.name%len(entries)])
-		loader.name++
-	}
-	return named
-}
-
-func encodeAdapters(adapters []stock.Adapter) []*wirepb.AdapterVersion {
-	encoded := make([]*wirepb.AdapterVersion, 0, len(adapters))
-	for _, adapter := range adapters {
-		encoded = append(encoded, &wirepb.AdapterVersion{Adapter: adapter.Name, Version: adapter.Version})
-	}
-	return encoded
-}
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -20,6 +20,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/gossip"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 )
 
 const (
@@ -49,8 +50,6 @@
 	longestPause = 700 * time.Millisecond
 	// fenceStep raises the fencing token above one that the engine has seen.
 	fenceStep = 10_000
-	// millisecondsPerSecond converts rates between the wire and the gate.
-	millisecondsPerSecond = 1000
 )
 
 // Report is what the engine says of itself.
@@ -190,7 +189,7 @@
 	telem.Gauge("loader", "backlog-tokens", loader.gate.Backlog())
 	telem.Gauge("loader", "free-places", int64(loader.planner.Free()))
 	telem.Gauge("loader", "reports-missed", int64(loader.misses))
-	telem.Gauge("loader", "intake-tokens", int64(loader.gate.Intake()*millisecondsPerSecond))
+	telem.Gauge("loader", "intake-tokens", int64(codec.EncodeRate(loader.gate.Intake())))
 }
 
 // keep asks for reports and gives orders.
--- a/internal/daemon/relay/spending.go
+++ b/internal/daemon/relay/spending.go
@@ -1,6 +1,13 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/share"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
 
 // repeatTime is how long a change of what was spent is told again, in case a
 // datagram is lost.
@@ -41,3 +48,63 @@
 	}
 	return recent
 }
+
+// tellPeers tells the other entry instances what was spent: all that changed
+// lately, and from time to time all.
+func (relay *Relay) tellPeers() {
+	statement := relay.ledger.Statement()
+	whole := relay.usage(statement, nil)
+	partial := relay.usage(statement, relay.spending.recent())
+	heard, engines := relay.board.Heard()
+	addresses, gone := relay.peers.addresses(2*heard > engines)
+	for _, address := range gone {
+		relay.ledger.Gone(address)
+		relay.config.Logger.Info("relay: entry instance is gone", zap.String("address", address))
+	}
+	for _, address := range addresses {
+		usage := partial
+		if relay.peers.takeWhole(address) {
+			usage = whole
+		}
+		relay.tell(address, &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: usage}})
+	}
+}
+
+// usage encodes a statement, or the part of it that concerns some organisations.
+func (relay *Relay) usage(statement share.Statement, only map[string]bool) *wirepb.Usage {
+	usage := &wirepb.Usage{
+		Entry: relay.config.Address, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
+		UptimeMs: statement.Uptime.Milliseconds(), Settled: statement.Settled, Partial: only != nil,
+	}
+	for organisation, spent := range statement.Spent {
+		if only != nil && !only[organisation] {
+			continue
+		}
+		usage.Organisations = append(usage.Organisations, &wirepb.OrganisationUse{
+			Organisation: organisation, Spent: spent, Level: statement.Levels[organisation],
+		})
+	}
+	return usage
+}
+
+func (relay *Relay) heardPeer(usage *wirepb.Usage) {
+	statement := share.Statement{
+		Partial: usage.GetPartial(),
+		Start:   usage.GetStart(), Uptime: time.Duration(usage.GetUptimeMs()) * time.Millisecond, Settled: usage.GetSettled(),
+		Spent: make(map[string]float64), Levels: make(map[string]float64),
+	}
+	for _, organisation := range usage.GetOrganisations() {
+		statement.Spent[organisation.GetOrganisation()] = organisation.GetSpent()
+		if statement.Settled {
+			statement.Levels[organisation.GetOrganisation()] = organisation.GetLevel()
+		}
+	}
+	relay.peers.spoke(usage.GetEntry(), usage.GetFailureDomain(), usage.GetStart())
+	relay.ledger.Heard(usage.GetEntry(), statement)
+}
+
+// usageSpacing returns how far apart the other entry instances are told what was
+// spent. Where there are many, each spends little in that time.
+func usageSpacing(instances int) time.Duration {
+	return min(max(exchangePeriod, time.Duration(instances)*usagePerInstance), usagePeriod)
+}
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -60,24 +60,6 @@
 	Typical Pace
 }
 
-// Pace is how fast an engine works. Zero values are not known.
-type Pace struct {
-	// ReadRate is how many prompt tokens it reads in a millisecond.
-	ReadRate float64
-	// Event is the time between two events when it reads no prompts.
-	Event time.Duration
-}
-
-// Reading is what one stream showed of the engine's pace.
-type Reading struct {
-	// Ask is the request, as in Ask.ID.
-	Ask uint64
-	// First is the time from sending the request to its first event, and Pause
-	// the usual one between two events; 0 if not known yet.
-	First time.Duration
-	Pause time.Duration
-}
-
 // State is what the engine says of itself.
 type State struct {
 	Running int
@@ -123,15 +105,6 @@
 	alone []lone
 }
 
-type lone struct {
-	entry  string
-	ask    uint64
-	prompt int64
-}
-
-// mostAlone is the number of such grants that are remembered.
-const mostAlone = 64
-
 type entry struct {
 	asks  map[uint64]*waiter
 	heard time.Time
--- a/internal/flow/admit/reading.go
+++ b/internal/flow/admit/reading.go
@@ -32,49 +32,6 @@
 	return cmp.Or(gate.pace.Rate(), gate.shape.Typical.ReadRate, gate.config.ReadRate)
 }
 
-// Measured records what streams of an entry instance showed.
-func (gate *Gate) Measured(entry string, readings []Reading) {
-	gate.mutex.Lock()
-	defer gate.mutex.Unlock()
-	for _, reading := range readings {
-		gate.pace.Paused(reading.Pause)
-		if reading.First <= 0 {
-			continue
-		}
-		for _, grant := range gate.alone {
-			if grant.entry == entry && grant.ask == reading.Ask {
-				gate.pace.Read(grant.prompt, reading.First)
-			}
-		}
-	}
-}
-
-// Restarted forgets the engine's pace, since another may have taken its place.
-func (gate *Gate) Restarted() {
-	gate.mutex.Lock()
-	defer gate.mutex.Unlock()
-	gate.pace.Reset()
-	gate.alone = nil
-}
-
-// Pace returns what was learned of the engine's pace.
-func (gate *Gate) Pace() Pace {
-	gate.mutex.Lock()
-	defer gate.mutex.Unlock()
-	return Pace{ReadRate: gate.pace.Rate(), Event: gate.pace.Pause()}
-}
-
-// Intake returns how many prompt tokens the gate lets in within a millisecond
-// when requests wait.
-func (gate *Gate) Intake() float64 {
-	gate.mutex.Lock()
-	defer gate.mutex.Unlock()
-	if limit := gate.limit(); limit > 0 && gate.paced() {
-		return float64(limit) / float64(gate.shape.Gap.Milliseconds())
-	}
-	return gate.readRate() * gate.config.Use
-}
-
 // limit returns how many prompt tokens may be ahead of the next turn, or 0 if
 // nothing is known of the engine.
 func (gate *Gate) limit() int64 {
