Answer what was read on unused connections when an instance stops

A relay got SIGTERM at 24.600 s and ends its unused connections 2.5 s later, at 27.10: http.Server.Shutdown closes a connection that still counts as unused although its goroutine has read a request and was halted before handling it. Change: before the shutdown the reading of unused connections is ended by a deadline in the past. What was read is served, the rest stays unread. TestEndIdle halts the process after its read; without the change the request ends with an unexpected EOF.

--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -118,6 +118,7 @@
 	// named means that a loader has told which entry instances there are.
 	named    atomic.Bool
 	stopping atomic.Bool
+	callers  *connections
 	server   *http.Server
 	probes   *http.Server
 	reads    *http.Server
@@ -134,6 +135,7 @@
 		wake:     make(chan struct{}, 1),
 		changed:  newSignal(),
 		spending: newSpending(),
+		callers:  newConnections(),
 		sends:    newSends(),
 	}
 	relay.asks.Store(rand.Uint64())
@@ -148,6 +150,7 @@
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    headerBytes,
+		ConnState:         relay.callers.follow,
 		ErrorLog:          zap.NewStdLog(config.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	probes := http.NewServeMux()
@@ -204,6 +207,7 @@
 	time.Sleep(min(acceptAfterStop, relay.bounds.Load().Grace.Duration/3))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	relay.callers.endIdle(ctx)
 	if err := relay.server.Shutdown(ctx); err != nil {
 		relay.config.Logger.Warn("relay: requests were cut at the end of the grace period", zap.Int64("running", relay.metrics.running.Load()))
 	}
