Count a wait by what the engine reads

Waits were counted by what the gate lets in beside the events (15.4 tokens a millisecond), so requests that an engine still reads within their goal were refused as hopeless, and copies were brought sooner. Change: a wait counts by the rate of reading that is given out. TestFastEngine checked Intake for what is let in; it checks the gate's limit for that now, by the same bounds, and Intake beside it.

--- a/internal/flow/admit/admit_test.go
+++ b/internal/flow/admit/admit_test.go
@@ -289,8 +289,14 @@
 				if test.restart {
 					gate.Restarted()
 				}
-				if got := gate.Intake(); got < test.least || got > test.most {
-					t.Errorf("%s: %.1f prompt tokens a millisecond are let in, want %.1f to %.1f", test.guards, got, test.least, test.most)
+				gate.mutex.Lock()
+				letIn := float64(gate.limit()) / float64(shape.Gap.Milliseconds())
+				gate.mutex.Unlock()
+				if letIn < test.least || letIn > test.most {
+					t.Errorf("%s: %.1f prompt tokens a millisecond are let in, want %.1f to %.1f", test.guards, letIn, test.least, test.most)
+				}
+				if read := gate.Intake(); read < letIn || read > max(rate, test.most) {
+					t.Errorf("%s: %.1f prompt tokens a millisecond count as read, %.1f are let in", test.guards, read, letIn)
 				}
 			})
 		})
--- a/internal/flow/admit/pace.go
+++ b/internal/flow/admit/pace.go
@@ -62,13 +62,10 @@
 	return Pace{ReadRate: gate.pace.Rate(), Event: gate.pace.Pause()}
 }
 
-// Intake returns how many prompt tokens the gate lets in within a millisecond
-// when requests wait.
+// Intake returns how many prompt tokens the engine reads in a millisecond, of
+// those that the gate gives out.
 func (gate *Gate) Intake() float64 {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	if limit := gate.limit(); limit > 0 && gate.paced() {
-		return float64(limit) / float64(gate.shape.Gap.Milliseconds())
-	}
 	return gate.readRate() * gate.config.Use
 }
--- a/internal/flow/steer/report.go
+++ b/internal/flow/steer/report.go
@@ -24,8 +24,8 @@
 	Silent      bool
 	// Backlog is the number of prompt tokens that were let in lately or wait.
 	Backlog int64
-	// Intake is how many prompt tokens are let in within a millisecond when
-	// requests wait, 0 if it is not known.
+	// Intake is how many prompt tokens the engine reads in a millisecond, 0 if it
+	// is not known.
 	Intake float64
 	// Pace is what was learned of the engine.
 	Pace admit.Pace
