Use one median, one rank, and ask for a turn once

A relay asked twice whether a turn had come, built a table of all stamps each time it told the loaders, and a loader copied the list of dropped adapters for each state only to learn its reach. Behaviour is as before. The tests call the two new accessors; their assertions are the same.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -121,8 +121,7 @@
 			state = whole
 		case toldNothing:
 			state = proto.CloneOf(whole)
-			dropped, _ := loader.planner.Dropped()
-			state.Dropped = codec.EncodeAdapters(dropped)
+			state.Dropped = codec.EncodeAdapters(loader.planner.Dropped())
 		}
 		state.Granted = granted[address]
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
@@ -137,7 +136,7 @@
 func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
 	backlog, free := loader.gate.Backlog(), loader.planner.Free()
 	pace, intake := loader.gate.Pace(), loader.gate.Intake()
-	_, reach := loader.planner.Dropped()
+	reach := loader.planner.Reach()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	report := loader.report
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -111,9 +111,9 @@
 		return
 	}
 	typical := make(map[string]*wirepb.Pace)
-	upstreams, stamps := relay.belief.list.Upstreams(), relay.board.Stamps()
+	upstreams := relay.belief.list.Upstreams()
 	for _, upstream := range upstreams {
-		known, stamp := last[upstream.ID], stamps[upstream.ID]
+		known, stamp := last[upstream.ID], relay.board.Stamp(upstream.ID)
 		if known.rests(stamp, len(upstreams)) {
 			continue
 		}
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -146,9 +146,9 @@
 		changed := flight.relay.changed.next()
 		choice := place.choose()
 		flight.noteWait(choice)
-		if place.start(choice) {
+		if turn, ok := place.start(choice); ok {
 			flight.found(choice)
-			flight.ask = place.granted(choice)
+			flight.ask = turn
 			return choice, nil
 		}
 		if refused := flight.impatient(ctx, choice, time.Since(began)); refused != nil {
@@ -230,32 +230,25 @@
 	}
 }
 
-// start reports whether the request may be sent to the chosen upstream.
-func (place *place) start(choice steer.Choice) bool {
+// start reports whether the request may be sent to the chosen upstream, and the
+// number of the turn that has come, 0 if none is needed.
+func (place *place) start(choice steer.Choice) (turn uint64, ok bool) {
 	if choice.Upstream.ID == "" {
-		return false
+		return 0, false
 	}
 	if !place.need.Engine {
-		return choice.Result == steer.Found
+		return 0, choice.Result == steer.Found
 	}
 	switch place.flight.relay.board.Turn(choice.Upstream.ID, place.number) {
 	case steer.Come:
-		return true
+		return place.number, true
 	case steer.Unruled:
-		return choice.Result == steer.Found
+		return 0, choice.Result == steer.Found
 	default:
-		return false
+		return 0, false
 	}
 }
 
-// granted returns the number of the ask if its turn has come, else 0.
-func (place *place) granted(choice steer.Choice) uint64 {
-	if place.need.Engine && place.flight.relay.board.Turn(choice.Upstream.ID, place.number) == steer.Come {
-		return place.number
-	}
-	return 0
-}
-
 // impatient returns the refusal of a request that has waited long enough.
 func (flight *flight) impatient(ctx context.Context, choice steer.Choice, waited time.Duration) *refusal {
 	if ctx.Err() != nil {
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -6,12 +6,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/pace"
 	"jacinthfront.dev/jacinthfront/internal/link/hop"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -103,8 +103,7 @@
 	if flight.ask == 0 || len(flight.pauses) < leastPauses {
 		return
 	}
-	slices.Sort(flight.pauses)
-	flight.relay.board.Measured(upstream.ID, admit.Reading{Ask: flight.ask, Pause: flight.pauses[len(flight.pauses)/2]})
+	flight.relay.board.Measured(upstream.ID, admit.Reading{Ask: flight.ask, Pause: pace.Median(flight.pauses)})
 }
 
 // passed notes when an event was passed on.
--- a/internal/flow/elect/elect.go
+++ b/internal/flow/elect/elect.go
@@ -18,8 +18,9 @@
 		return ""
 	}
 	return slices.MaxFunc(members, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank(task, a), rank(task, b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(Rank(task, a), Rank(task, b)), cmp.Compare(a, b))
 	})
 }
 
-func rank(task, member string) uint64 { return xxh3.HashString(member + "\x00" + task) }
+// Rank returns a member's rank for a task. The highest comes first.
+func Rank(task, member string) uint64 { return xxh3.HashString(member + "\x00" + task) }
--- a/internal/flow/pace/pace.go
+++ b/internal/flow/pace/pace.go
@@ -62,7 +62,7 @@
 	if len(estimator.pauses) < leastPauses {
 		return 0
 	}
-	return median(estimator.pauses)
+	return Median(estimator.pauses)
 }
 
 // Reset forgets everything, as after a restart of the engine.
@@ -90,14 +90,18 @@
 	if len(times) < leastReadings {
 		return 0
 	}
-	perToken := median(times)
+	perToken := Median(times)
 	if perToken <= 1.0/fastestRate || perToken >= 1/slowestRate {
 		return 0
 	}
 	return 1 / perToken
 }
 
-func median[Value float64 | time.Duration](values []Value) Value {
+// Median returns the middle one of the values, the larger of two, or 0 of none.
+func Median[Value float64 | time.Duration](values []Value) Value {
+	if len(values) == 0 {
+		return 0
+	}
 	sorted := slices.Sorted(slices.Values(values))
 	return sorted[len(sorted)/2]
 }
--- a/internal/flow/steer/asks.go
+++ b/internal/flow/steer/asks.go
@@ -134,16 +134,15 @@
 	counts[adapter]--
 }
 
-// Stamps returns, for each upstream, a number that grows with each change of
-// what Uses and Asks return.
-func (board *Board) Stamps() map[string]uint64 {
+// Stamp returns a number that grows with each change of what Uses and Asks
+// return for an upstream.
+func (board *Board) Stamp(id string) uint64 {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
-	stamps := make(map[string]uint64, len(board.upstreams))
-	for id, entry := range board.upstreams {
-		stamps[id] = entry.stamp
+	if entry, ok := board.upstreams[id]; ok {
+		return entry.stamp
 	}
-	return stamps
+	return 0
 }
 
 // Uses returns this instance's demand at an upstream, in the order of the
--- a/internal/flow/steer/pace.go
+++ b/internal/flow/steer/pace.go
@@ -1,10 +1,10 @@
 package steer
 
 import (
-	"slices"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/pace"
 )
 
 // Measured records what a stream showed of an engine's pace, for its loader.
@@ -50,14 +50,5 @@
 			events = append(events, event)
 		}
 	}
-	return admit.Pace{ReadRate: median(rates), Event: median(events)}
-}
-
-// median returns the middle value, 0 of none.
-func median[Value float64 | time.Duration](values []Value) Value {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[len(values)/2]
+	return admit.Pace{ReadRate: pace.Median(rates), Event: pace.Median(events)}
 }
--- a/internal/flow/steer/target.go
+++ b/internal/flow/steer/target.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
+	"jacinthfront.dev/jacinthfront/internal/flow/elect"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 )
 
@@ -26,7 +25,7 @@
 		return slices.MinFunc(coming, byLoad), true
 	}
 	slices.SortFunc(open, func(a, b candidate) int {
-		return cmp.Compare(rank(b.spec.ID, adapter.Name), rank(a.spec.ID, adapter.Name))
+		return cmp.Compare(elect.Rank(adapter.Name, b.spec.ID), elect.Rank(adapter.Name, a.spec.ID))
 	})
 	first := open[0]
 	for _, entry := range open[1:] {
@@ -68,5 +67,3 @@
 func (candidate candidate) bringWait() time.Duration {
 	return candidate.wait + time.Duration(candidate.report.Loads)*loadTime
 }
-
-func rank(upstream, adapter string) uint64 { return xxh3.HashString(upstream + "\x00" + adapter) }
--- a/internal/flow/stock/recall.go
+++ b/internal/flow/stock/recall.go
@@ -1,8 +1,9 @@
 package stock
 
 import (
-	"slices"
 	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/pace"
 )
 
 const (
@@ -34,7 +35,8 @@
 	Memory
 	resident []Adapter
 	ordered  map[Adapter]order
-	fetches  []time.Duration
+	// fetches holds how long the latest adapters from the store took.
+	fetches []time.Duration
 	// reach is the number of latest dropped adapters that come back quickly.
 	reach int
 }
@@ -77,7 +79,7 @@
 // memory reaches.
 func (recall *recall) arrived(adapter Adapter, order order) Arrival {
 	arrival := Arrival{Adapter: adapter, Took: time.Since(order.at), Depth: order.depth}
-	usual := recall.fetch()
+	usual := pace.Median(recall.fetches)
 	arrival.Quick = order.depth != Never && usual > 0 && arrival.Took.Seconds() < usual.Seconds()*quickPart
 	switch {
 	case order.depth == Never:
@@ -90,11 +92,3 @@
 	}
 	return arrival
 }
-
-// fetch returns the usual time of an adapter from the store, 0 if not known.
-func (recall *recall) fetch() time.Duration {
-	if len(recall.fetches) == 0 {
-		return 0
-	}
-	return slices.Sorted(slices.Values(recall.fetches))[len(recall.fetches)/2]
-}
--- a/internal/flow/stock/recall_test.go
+++ b/internal/flow/stock/recall_test.go
@@ -58,7 +58,7 @@
 						t.Errorf("%s: arrival (-want +got):\n%s", test.guards, diff)
 					}
 				}
-				if _, reach := planner.Dropped(); reach != test.reach {
+				if reach := planner.Reach(); reach != test.reach {
 					t.Errorf("%s: reach %d, want %d", test.guards, reach, test.reach)
 				}
 			})
@@ -74,7 +74,7 @@
 		planner.Observe(Engine{Born: 1, Resident: adapters(1)})
 		planner.Observe(Engine{Born: 1, Resident: adapters(2)})
 		planner.Observe(Engine{Born: 2})
-		if dropped, _ := planner.Dropped(); len(dropped) > 0 {
+		if dropped := planner.Dropped(); len(dropped) > 0 {
 			t.Errorf("%v counts as dropped after a restart", dropped)
 		}
 	})
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -157,12 +157,19 @@
 	return planner.recall.observe(engine.Resident, engine.Pending)
 }
 
-// Dropped returns the adapters that the engine dropped, the latest one last, and
-// how many of the latest it is thought to bring back by itself.
-func (planner *Planner) Dropped() (dropped []Adapter, reach int) {
+// Dropped returns the adapters that the engine dropped, the latest one last.
+func (planner *Planner) Dropped() []Adapter {
 	planner.mutex.Lock()
 	defer planner.mutex.Unlock()
-	return planner.recall.Dropped(), planner.recall.reach
+	return planner.recall.Dropped()
+}
+
+// Reach returns how many of the adapters dropped last the engine is thought to
+// bring back by itself.
+func (planner *Planner) Reach() int {
+	planner.mutex.Lock()
+	defer planner.mutex.Unlock()
+	return planner.recall.reach
 }
 
 // Ordered records that an order was given.
