Encode a usage once for all, keep one time of confirmation

The followed topic and the belief held the same time of confirmation, and its check by both clocks stood twice. One datagram is encoded for all its addresses now, the statement is made once, and the time is read from the follower. One thing differs: what was spent in the round in which all are told is part of that usage, where it had to wait for the next. Nothing else changes.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -125,12 +125,14 @@
 		}
 		state.Granted = granted[address]
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
-		if err := loader.config.Datagrams.Send(address, datagram); err != nil {
-			loader.config.Logger.Debug("loader: datagram not sent", zap.String("address", address), telem.Error(err))
-		}
+		loader.config.Datagrams.Send(datagram, []string{address}, loader.unsent)
 	}
 }
 
+func (loader *Loader) unsent(address string, err error) {
+	loader.config.Logger.Debug("loader: datagram not sent", zap.String("address", address), telem.Error(err))
+}
+
 // state returns what the entry instances are told, or nil if there is nothing
 // to tell yet.
 func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
--- a/internal/daemon/relay/belief.go
+++ b/internal/daemon/relay/belief.go
@@ -20,7 +20,6 @@
 	logger *zap.Logger
 
 	mutex    sync.Mutex
-	at       time.Time
 	versions map[adapterName]uint32
 }
 
@@ -33,30 +32,6 @@
 // current returns the configuration in force, or nil if none is known.
 func (belief *belief) current() *table.Table { return belief.table.Load() }
 
-// confirmed reports whether the configuration was known to be the newest within
-// the given time. The wall clock counts too, since the other one may stand
-// still while the process does.
-func (belief *belief) confirmed(within time.Duration) bool {
-	belief.mutex.Lock()
-	at := belief.at
-	belief.mutex.Unlock()
-	now := time.Now()
-	return !at.IsZero() && now.Sub(at) < within && now.Round(0).Sub(at.Round(0)) < within
-}
-
-// age returns the time since the configuration was known to be the newest.
-func (belief *belief) age() time.Duration {
-	belief.mutex.Lock()
-	defer belief.mutex.Unlock()
-	return time.Since(belief.at)
-}
-
-func (belief *belief) confirm(at time.Time) {
-	belief.mutex.Lock()
-	defer belief.mutex.Unlock()
-	belief.at = at
-}
-
 // version returns the newest announced version of an adapter, 0 if none was.
 func (belief *belief) version(model, adapter string) uint32 {
 	belief.mutex.Lock()
@@ -91,6 +66,16 @@
 	}
 }
 
+// confirmed reports whether the configuration was known to be the newest lately
+// enough to be trusted.
+func (relay *Relay) confirmed() bool {
+	at := relay.changes.Position().At
+	return !at.IsZero() && elapsed(at) < relay.trust()
+}
+
+// configAge returns the time since the configuration was known to be the newest.
+func (relay *Relay) configAge() time.Duration { return time.Since(relay.changes.Position().At) }
+
 // newChanges returns the follower of what the operators write.
 func (relay *Relay) newChanges() *follow.Follower[Change] {
 	return follow.New(follow.Config[Change]{
@@ -103,7 +88,6 @@
 			return changes
 		},
 		Hint:    relay.configHint,
-		Reached: relay.belief.confirm,
 		Changed: relay.spread,
 		Called:  func(err error) { relay.metrics.storeCalled(topicConfig, err) },
 	})
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -65,9 +65,11 @@
 		}
 		relay.tellLoaders(told)
 		relay.settle()
-		if time.Since(spent) >= usagePeriod || relay.spending.changed(relay.ledger.Statement().Spent) && time.Since(spent) >= usageSpacing(relay.peers.count()) {
+		statement := relay.ledger.Statement()
+		changed := relay.spending.changed(statement.Spent)
+		if time.Since(spent) >= usagePeriod || changed && time.Since(spent) >= usageSpacing(relay.peers.count()) {
 			spent = time.Now()
-			relay.tellPeers()
+			relay.tellPeers(statement)
 		}
 		if time.Since(asked) >= askPeriod {
 			asked = time.Now()
@@ -138,7 +140,7 @@
 			typical[upstream.Service] = codec.EncodePace(relay.board.Typical(upstream.Service))
 		}
 		last[upstream.ID] = told{uses: uses, asks: asks, stamp: stamp, at: time.Now()}
-		relay.tell(relay.loaderAddress(upstream), &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+		relay.tell(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.Address,
 			Start:            relay.start.UnixNano(),
 			Model:            service.Engine.Models[0].Name,
@@ -154,7 +156,7 @@
 			PendingElsewhere: uint32(relay.board.Coming(upstream.Service, upstream.ID)),
 			Readings:         codec.EncodeReadings(relay.board.TakeReadings(upstream.ID)),
 			Typical:          typical[upstream.Service],
-		}}})
+		}}}, relay.loaderAddress(upstream))
 	}
 }
 
@@ -172,11 +174,12 @@
 	return net.JoinHostPort(host, strconv.Itoa(int(relay.config.Port)))
 }
 
-func (relay *Relay) tell(address string, datagram *wirepb.Datagram) {
-	if err := relay.config.Datagrams.Send(address, datagram); err != nil {
+// tell sends a datagram to other processes.
+func (relay *Relay) tell(datagram *wirepb.Datagram, addresses ...string) {
+	relay.config.Datagrams.Send(datagram, addresses, func(address string, err error) {
 		relay.metrics.count("datagrams-unsent")
 		relay.config.Logger.Debug("relay: datagram not sent", zap.String("address", address), telem.Error(err))
-	}
+	})
 }
 
 // heard takes over a datagram of a loader or another entry instance.
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -131,7 +131,7 @@
 	if config == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration is known yet", comeBackUnready}
 	}
-	sure := relay.belief.confirmed(relay.trust())
+	sure := relay.confirmed()
 	path, _, _ := strings.Cut(flight.request.RequestURI, "?")
 	route, ok := config.Match(hostOnly(flight.request.Host), path)
 	if !ok {
@@ -246,7 +246,7 @@
 	flight.relay.metrics.count("refused-" + strconv.Itoa(refused.status))
 	fields := []zap.Field{zap.Int("status", refused.status), zap.String("reason", refused.reason), zap.Duration("retry-after", refused.after)}
 	if config := flight.relay.belief.current(); config != nil {
-		fields = append(fields, zap.Uint64("config-version", config.Version()), zap.Duration("config-age", flight.relay.belief.age()))
+		fields = append(fields, zap.Uint64("config-version", config.Version()), zap.Duration("config-age", flight.relay.configAge()))
 	}
 	flight.log("relay: request refused", fields...)
 	if flight.begun {
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -62,7 +62,7 @@
 	telem.Gauge("relay", "reads-store", relay.readsStore())
 	telem.Gauge("relay", "connections-opened", int64(opened))
 	telem.Gauge("relay", "connections-reused", int64(reused))
-	telem.Gauge("relay", "config-age-ms", relay.belief.age().Milliseconds())
+	telem.Gauge("relay", "config-age-ms", relay.configAge().Milliseconds())
 	telem.Gauge("relay", "upstreams", int64(len(relay.belief.list.Upstreams())))
 	if config := relay.belief.current(); config != nil {
 		telem.Gauge("relay", "config-version", int64(config.Version()))
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -228,7 +228,7 @@
 
 // Ready reports whether the instance should get new connections.
 func (relay *Relay) Ready() bool {
-	return !relay.stopping.Load() && relay.belief.current() != nil && relay.belief.confirmed(relay.trust())
+	return !relay.stopping.Load() && relay.belief.current() != nil && relay.confirmed()
 }
 
 // trust returns how long a configuration counts after it was confirmed.
--- a/internal/daemon/relay/spending.go
+++ b/internal/daemon/relay/spending.go
@@ -51,22 +51,30 @@
 
 // tellPeers tells the other entry instances what was spent: all that changed
 // lately, and from time to time all.
-func (relay *Relay) tellPeers() {
-	statement := relay.ledger.Statement()
-	whole := relay.usage(statement, nil)
-	partial := relay.usage(statement, relay.spending.recent())
+func (relay *Relay) tellPeers(statement share.Statement) {
 	heard, engines := relay.board.Heard()
 	addresses, gone := relay.peers.addresses(2*heard > engines)
 	for _, address := range gone {
 		relay.ledger.Gone(address)
 		relay.config.Logger.Info("relay: entry instance is gone", zap.String("address", address))
 	}
+	var whole, partial []string
 	for _, address := range addresses {
-		usage := partial
 		if relay.peers.takeWhole(address) {
-			usage = whole
+			whole = append(whole, address)
+		} else {
+			partial = append(partial, address)
 		}
-		relay.tell(address, &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: usage}})
+	}
+	relay.tellUsage(statement, nil, whole)
+	relay.tellUsage(statement, relay.spending.recent(), partial)
+}
+
+// tellUsage tells entry instances a statement, or the part of it that concerns
+// some organisations.
+func (relay *Relay) tellUsage(statement share.Statement, only map[string]bool, addresses []string) {
+	if len(addresses) > 0 {
+		relay.tell(&wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: relay.usage(statement, only)}}, addresses...)
 	}
 }
 
--- a/internal/daemon/relay/word.go
+++ b/internal/daemon/relay/word.go
@@ -121,32 +121,28 @@
 	reader, others := relay.peers.reader()
 	if relay.words.follow(reader) {
 		relay.config.Logger.Info("relay: reader of the store chosen", zap.String("reader", reader),
-			zap.Int("others", len(others)), zap.Duration("config-age", relay.belief.age()))
+			zap.Int("others", len(others)), zap.Duration("config-age", relay.configAge()))
 	}
 	if reader == relay.config.Address {
 		return
 	}
-	relay.tell(reader, &wirepb.Datagram{Body: &wirepb.Datagram_StoreAsk{StoreAsk: &wirepb.StoreAsk{
+	relay.tell(&wirepb.Datagram{Body: &wirepb.Datagram_StoreAsk{StoreAsk: &wirepb.StoreAsk{
 		Entry: relay.config.Address, Number: relay.words.ask(), InstancesNext: relay.listings.Position().Next,
-	}}})
+	}}}, reader)
 }
 
 // answerAsk tells another entry instance how far this one has read, and what it
 // lacks of the instance list.
 func (relay *Relay) answerAsk(ask *wirepb.StoreAsk) {
-	relay.tell(ask.GetEntry(), relay.word(ask.GetNumber(), relay.listings.Since(ask.GetInstancesNext())))
+	relay.tell(relay.word(ask.GetNumber(), relay.listings.Since(ask.GetInstancesNext())), ask.GetEntry())
 }
 
 // spread tells the others of the failure domain that something changed, if this
 // instance reads for them.
 func (relay *Relay) spread() {
 	reader, others := relay.peers.reader()
-	if reader != relay.config.Address {
-		return
-	}
-	word := relay.word(0, relay.listings.Latest())
-	for _, address := range others {
-		relay.tell(address, word)
+	if reader == relay.config.Address {
+		relay.tell(relay.word(0, relay.listings.Latest()), others...)
 	}
 }
 
--- a/internal/link/gossip/gossip.go
+++ b/internal/link/gossip/gossip.go
@@ -36,13 +36,23 @@
 // Address returns the address that was opened.
 func (conn *Conn) Address() string { return conn.packets.LocalAddr().String() }
 
-// Send sends a datagram to an IP:port. An error means that it was not sent.
-func (conn *Conn) Send(address string, datagram *wirepb.Datagram) error {
-	target, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return err
-	}
+// Send sends a datagram to addresses, each an IP:port. It calls unsent for each
+// one to which it could not be sent.
+func (conn *Conn) Send(datagram *wirepb.Datagram, addresses []string, unsent func(address string, err error)) {
 	text, err := proto.Marshal(datagram)
+	for _, address := range addresses {
+		if err != nil {
+			unsent(address, err)
+			continue
+		}
+		if err := conn.write(text, address); err != nil {
+			unsent(address, err)
+		}
+	}
+}
+
+func (conn *Conn) write(text []byte, address string) error {
+	target, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return err
 	}
