--- a/internal/daemon/follow/follow_test.go
+++ b/internal/daemon/follow/follow_test.go
@@ -58,6 +58,21 @@
 	change()
 }
 
+// run runs a follower until stop is called.
+func run(t *testing.T, follower *Follower[string]) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		follower.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // TestFollow plays a store that drops records before they are read and is down
 // for a while. The follower must end with the newest record, must not confirm
 // what it could not read, and must not storm the store.
@@ -84,12 +99,7 @@
 				}
 			},
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			follower.Run(ctx)
-		}()
+		stop := run(t, follower)
 		time.Sleep(100 * time.Millisecond)
 		check := func(moment, want string) {
 			t.Helper()
@@ -122,8 +132,7 @@
 		})
 		time.Sleep(2 * time.Second)
 		check("records dropped", "5")
-		cancel()
-		<-done
+		stop()
 		if diff := cmp.Diff(1, lost); diff != "" {
 			t.Errorf("losses reported (-want +got):\n%s", diff)
 		}
@@ -178,12 +187,7 @@
 			Hint:    reader.hint,
 			Reached: func(called time.Time) { store.change(func() { reached = called }) },
 		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			follower.Run(ctx)
-		}()
+		stop := run(t, follower)
 		expect := func(moment, newest string, calls int, age time.Duration) {
 			t.Helper()
 			synctest.Wait()
@@ -216,8 +220,7 @@
 		expect("reader silent", "5", 5, hintPause)
 		time.Sleep(3 * time.Second)
 		expect("reader silent for long", "5", 9, 2*time.Second)
-		cancel()
-		<-done
+		stop()
 	})
 }
 
--- a/internal/link/hop/hop_test.go
+++ b/internal/link/hop/hop_test.go
@@ -22,27 +22,15 @@
 // connection after the last one.
 func upstream(t *testing.T, answers ...string) (address string, accepted *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	accepted = new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			accepted.Add(1)
-			go answer(conn, answers)
-		}
-	}()
-	return listener.Addr().String(), accepted
+	address = serveRaw(t, func(conn net.Conn) {
+		accepted.Add(1)
+		answer(conn, answers)
+	})
+	return address, accepted
 }
 
 func answer(conn net.Conn, answers []string) {
-	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for _, text := range answers {
 		request, err := http.ReadRequest(reader)
@@ -141,34 +129,20 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						defer func() { _ = conn.Close() }()
-						reader := bufio.NewReader(conn)
-						if request, err := http.ReadRequest(reader); err != nil || request.Body.Close() != nil {
-							return
-						}
-						_, _ = io.WriteString(conn, okay)
-						time.Sleep(50 * time.Millisecond)
-						test.then(conn)
-						_, _ = io.Copy(io.Discard, reader)
-					}()
+			address := serveRaw(t, func(conn net.Conn) {
+				reader := bufio.NewReader(conn)
+				if request, err := http.ReadRequest(reader); err != nil || request.Body.Close() != nil {
+					return
 				}
-			}()
+				_, _ = io.WriteString(conn, okay)
+				time.Sleep(50 * time.Millisecond)
+				test.then(conn)
+				_, _ = io.Copy(io.Discard, reader)
+			})
 			pool := New(Config{})
 			defer pool.Close()
 			for range 2 {
-				if got, err := get(pool, listener.Addr().String()); err != nil || got != "200 ok" {
+				if got, err := get(pool, address); err != nil || got != "200 ok" {
 					t.Errorf("answer %q, error %v; want 200 ok", got, err)
 				}
 				time.Sleep(150 * time.Millisecond)
@@ -279,6 +253,7 @@
 			ended := make(chan struct{})
 			address := serveRaw(t, func(conn net.Conn) {
 				defer close(ended)
+				_, _ = conn.Read(make([]byte, 1024))
 				_, _ = conn.Write([]byte(test.start))
 				more := []byte(test.again)
 				if test.pause == 0 {
@@ -318,7 +293,7 @@
 	}
 }
 
-// serveRaw serves each connection, after its first bytes, with a function.
+// serveRaw serves each connection with a function and closes it then.
 func serveRaw(t *testing.T, serve func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -334,7 +309,6 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				_, _ = conn.Read(make([]byte, 1024))
 				serve(conn)
 			}()
 		}
