Heed upstreams that say they leave or want nothing for a time

Ruled out: marking the upstream's entry in steer.Board. It is dropped when the instance list forgets the upstream and comes back with the next listing, and a listing that still says ready would have undone the mark. The notes are kept in a Set of their own (flow/avoid), by id and start; what a start said holds whatever the list says, also when the list names that start only later.

Requests, repeats, resumed streams and those that wait already pass the upstream over; relays tell each other which upstreams are leaving; a loader calls a resting engine neither for reports nor for orders and does not take it for dark. Where all rest, requests are refused at once with the time that is left.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/avoid"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/gossip"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
@@ -71,11 +73,22 @@
 	ErrFenced = errors.New("the engine has seen a higher fencing token")
 )
 
-// Engine is the engine beside this process.
+// RestError means that the engine did nothing and wants no call for a time.
+type RestError struct {
+	Length time.Duration
+}
+
+// Error implements error.
+func (err RestError) Error() string {
+	return fmt.Sprintf("the engine wants no calls for %v", err.Length)
+}
+
+// Engine is the engine beside this process. Errors that are a RestError mean
+// that nothing was done.
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
 	// Order gives an order to the engine with the given id. Errors other than
-	// ErrConflict and ErrFenced leave open whether it is carried out.
+	// ErrConflict, ErrFenced and a RestError leave open whether it is carried out.
 	Order(ctx context.Context, upstream string, order stock.Order, fence int64) error
 }
 
@@ -133,8 +146,10 @@
 	// tellings holds what the entry instances were told last.
 	tellings map[string]telling
 
-	// fence is used by the loop that gives orders only.
-	fence int64
+	// fence and restUntil are used by the loop that gives orders only. Until
+	// restUntil the engine wants no calls.
+	fence     int64
+	restUntil time.Time
 }
 
 // New returns a Loader that does not run yet.
@@ -203,16 +218,37 @@
 		case <-ticker.C:
 		case <-loader.orders:
 		}
-		for loader.refresh(ctx) && loader.order(ctx) {
-		}
+		loader.attend(ctx)
 		loader.tellChanges()
 	}
 }
 
-// refresh takes over the engine's report.
+// attend asks for a report and gives the orders that are due.
+func (loader *Loader) attend(ctx context.Context) {
+	for loader.rested() && loader.refresh(ctx) && loader.order(ctx) {
+	}
+}
+
+// rested reports whether the engine may be called.
+func (loader *Loader) rested() bool { return !time.Now().Before(loader.restUntil) }
+
+// rests records that the engine wants no calls, if err says so.
+func (loader *Loader) rests(err error) bool {
+	var rest RestError
+	if !errors.As(err, &rest) {
+		return false
+	}
+	loader.restUntil = time.Now().Add(min(rest.Length, avoid.LongestRest))
+	counters.Add("engine-rests", 1)
+	loader.config.Logger.Warn("loader: engine wants no calls", zap.Duration("rest", rest.Length))
+	return true
+}
+
+// refresh takes over the engine's report. While the engine wants no calls, its
+// last report stands.
 func (loader *Loader) refresh(ctx context.Context) bool {
 	report, err := loader.config.Engine.Report(ctx)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || loader.rests(err) {
 		return false
 	}
 	loader.mutex.Lock()
@@ -273,7 +309,7 @@
 	if err != nil {
 		counters.Add("orders-failed", 1)
 	}
-	if !errors.Is(err, ErrConflict) && !errors.Is(err, ErrFenced) {
+	if !errors.Is(err, ErrConflict) && !errors.Is(err, ErrFenced) && !loader.rests(err) {
 		loader.planner.Ordered(order)
 	}
 	loader.config.Logger.Info(LineOrder,
--- a/internal/daemon/loader/loader_test.go
+++ b/internal/daemon/loader/loader_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,15 +27,19 @@
 	orders []stock.Order
 	fences []int64
 	answer error
+	// calls counts all calls.
+	calls atomic.Int64
 }
 
 func (engine *engine) Report(context.Context) (Report, error) {
+	engine.calls.Add(1)
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	return engine.report, engine.err
 }
 
 func (engine *engine) Order(_ context.Context, _ string, order stock.Order, fence int64) error {
+	engine.calls.Add(1)
 	engine.mutex.Lock()
 	defer engine.mutex.Unlock()
 	engine.orders, engine.fences = append(engine.orders, order), append(engine.fences, fence)
@@ -228,3 +233,43 @@
 		t.Errorf("orders are %v, want the same one three times", engine.orders)
 	}
 }
+
+// TestRests guards against calls to an engine that wants none for a time, and
+// against one that counts as dark meanwhile.
+func TestRests(t *testing.T) {
+	tests := []struct {
+		name   string
+		report error
+		order  error
+	}{
+		{name: "report", report: RestError{Length: 3 * time.Second}},
+		{name: "order", order: RestError{Length: 3 * time.Second}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := &engine{report: sound()}
+				loader := newLoader(engine)
+				loader.refresh(t.Context())
+				engine.err, engine.answer = test.report, test.order
+				loader.attend(t.Context())
+				engine.calls.Store(0)
+				for range 10 {
+					time.Sleep(290 * time.Millisecond)
+					loader.attend(t.Context())
+				}
+				if calls := engine.calls.Load(); calls != 0 {
+					t.Errorf("%d calls to an engine that wants none", calls)
+				}
+				if loader.state(true, nil).GetUnreachable() {
+					t.Error("the engine counts as unreachable")
+				}
+				time.Sleep(100 * time.Millisecond)
+				loader.attend(t.Context())
+				if engine.calls.Load() == 0 {
+					t.Error("no call after the time was over")
+				}
+			})
+		})
+	}
+}
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -64,6 +64,10 @@
 	Sealed bool
 	// Load is the number of running and waiting requests, or -1.
 	Load int
+	// Leaving means that the upstream is about to end.
+	Leaving bool
+	// Rest is for how long the upstream wants nothing from this instance.
+	Rest time.Duration
 }
 
 // Protocol translates between headers and typed values.
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -20,6 +20,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/daemon/follow"
+	"jacinthfront.dev/jacinthfront/internal/flow/avoid"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/flow/share"
 	"jacinthfront.dev/jacinthfront/internal/flow/steer"
@@ -98,10 +99,12 @@
 	peers  *peers
 	// spending is used by the loop that tells the others only.
 	spending *spending
-	start    time.Time
-	wake     chan struct{}
-	changed  *signal
-	sends    *sends
+	// avoided holds what upstreams said of themselves in their answers.
+	avoided *avoid.Set
+	start   time.Time
+	wake    chan struct{}
+	changed *signal
+	sends   *sends
 	// listings follows the instance list; wokenAt is when it was last read out
 	// of turn, in Unix milliseconds.
 	listings *follow.Follower[Listing]
@@ -135,11 +138,12 @@
 		wake:     make(chan struct{}, 1),
 		changed:  newSignal(),
 		spending: newSpending(),
+		avoided:  avoid.New(avoid.Config{}),
 		callers:  newConnections(),
 		sends:    newSends(),
 	}
 	relay.asks.Store(rand.Uint64())
-	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health})
+	relay.board = steer.New(steer.Config{FailureDomain: config.FailureDomain, Health: relay.health, Avoided: relay.avoided})
 	relay.belief = newBelief(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
 	relay.budget = newBudget(func() Bounds { return *relay.bounds.Load() }, relay.peers.count)
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -255,6 +255,9 @@
 		return &refusal{http.StatusServiceUnavailable, "the time ran out before an upstream took the request", comeBackFull}
 	}
 	switch {
+	case choice.Result == steer.None && choice.Rest > flight.restLimit():
+		// Another instance may be served sooner.
+		return &refusal{http.StatusServiceUnavailable, "the upstreams take nothing for a time", min(choice.Rest, longestComeBack)}
 	case flight.begun:
 		// The caller has a part of the answer and cannot come back for the rest
 		// sooner than it can go on.
@@ -271,6 +274,14 @@
 	return nil
 }
 
+// restLimit returns how long the request may wait for an upstream that rests.
+func (flight *flight) restLimit() time.Duration {
+	if flight.begun {
+		return time.Until(flight.until)
+	}
+	return flight.route.Target / placePart
+}
+
 func (flight *flight) found(choice steer.Choice) {
 	flight.upstream, flight.load, flight.backlog = choice.Upstream.ID, choice.Load, choice.Backlog
 	if choice.Copy.ID != "" {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -40,6 +40,7 @@
 	defer func() { _ = response.Body.Close() }()
 	flight.sends++
 	answer := relay.config.Protocol.Answer(response.Status, response.Header)
+	flight.heed(upstream, answer)
 	if answer.Load >= 0 {
 		relay.board.Answered(upstream.ID, answer.Load)
 	}
--- a/internal/daemon/relay/spending.go
+++ b/internal/daemon/relay/spending.go
@@ -83,6 +83,7 @@
 	usage := &wirepb.Usage{
 		Entry: relay.config.Address, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
 		UptimeMs: statement.Uptime.Milliseconds(), Settled: statement.Settled, Partial: only != nil,
+		Leaving: encodeLeaving(relay.avoided.News()),
 	}
 	for organisation, spent := range statement.Spent {
 		if only != nil && !only[organisation] {
@@ -109,6 +110,7 @@
 	}
 	relay.peers.spoke(usage.GetEntry(), usage.GetFailureDomain(), usage.GetStart())
 	relay.ledger.Heard(usage.GetEntry(), statement)
+	relay.heardLeaving(usage)
 }
 
 // usageSpacing returns how far apart the other entry instances are told what was
--- a/internal/flow/steer/asks.go
+++ b/internal/flow/steer/asks.go
@@ -93,7 +93,7 @@
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	entry, ok := board.upstreams[id]
-	if !ok || entry.leaving() || entry.report.Unreachable {
+	if !ok || !board.usable(entry) || entry.report.Unreachable {
 		return Lost
 	}
 	waiting, ok := entry.asks[number]
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/avoid"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -57,10 +58,18 @@
 	Usable(service, id string) bool
 }
 
+// Avoided says which upstreams want no requests.
+type Avoided interface {
+	// Avoided reports whether nothing may be sent to an upstream, and until when;
+	// a zero time means for good.
+	Avoided(start avoid.Start) (until time.Time, avoided bool)
+}
+
 // Config configures a Board. Zero values mean the defaults.
 type Config struct {
 	FailureDomain string
 	Health        Health
+	Avoided       Avoided
 	Fresh         time.Duration
 	Lag           time.Duration
 	Overfill      int
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/avoid"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -56,6 +57,9 @@
 	// Copy is another upstream that should get the adapter too, if its id is
 	// not empty.
 	Copy fleet.Upstream
+	// Rest is the time until an upstream may be used again, if there is none
+	// before, or 0.
+	Rest time.Duration
 }
 
 // candidate is an upstream with what decides about it.
@@ -75,7 +79,7 @@
 	defer board.mutex.Unlock()
 	candidates := board.candidates(need)
 	if len(candidates) == 0 {
-		return Choice{Result: board.nothing(need)}
+		return Choice{Result: board.nothing(need), Rest: board.rest(need)}
 	}
 	var choice Choice
 	if need.Adapter.Name == "" {
@@ -89,10 +93,40 @@
 	return choice
 }
 
+// avoided reports whether an upstream wants no requests, and until when.
+func (board *Board) avoided(entry *upstream) (until time.Time, avoided bool) {
+	if board.config.Avoided == nil {
+		return time.Time{}, false
+	}
+	return board.config.Avoided.Avoided(avoid.Start{ID: entry.spec.ID, Born: entry.spec.Born})
+}
+
+// usable reports whether requests may be sent to an upstream.
+func (board *Board) usable(entry *upstream) bool {
+	_, avoided := board.avoided(entry)
+	return !avoided && !entry.leaving()
+}
+
+// rest returns the time until the first upstream of a service that rests may be
+// used again, or 0 if none does.
+func (board *Board) rest(need Need) time.Duration {
+	var rest time.Duration
+	for _, entry := range board.services[need.Service] {
+		until, _ := board.avoided(entry)
+		if until.IsZero() || entry.leaving() {
+			continue
+		}
+		if left := time.Until(until); rest == 0 || left < rest {
+			rest = left
+		}
+	}
+	return rest
+}
+
 // nothing tells apart why a service has no usable upstream.
 func (board *Board) nothing(need Need) Result {
 	for _, entry := range board.services[need.Service] {
-		if need.Engine && !entry.leaving() && !entry.report.Unreachable && !entry.reported.IsZero() && !entry.report.ModelLoaded {
+		if need.Engine && board.usable(entry) && !entry.report.Unreachable && !entry.reported.IsZero() && !entry.report.ModelLoaded {
 			return Starting
 		}
 	}
@@ -103,7 +137,7 @@
 	now := time.Now()
 	var candidates, unheard []candidate
 	for _, entry := range board.services[need.Service] {
-		if entry.leaving() || slices.Contains(need.Exclude, entry.spec.ID) {
+		if !board.usable(entry) || slices.Contains(need.Exclude, entry.spec.ID) {
 			continue
 		}
 		if need.Engine && !entry.reported.IsZero() && (!entry.report.ModelLoaded || entry.report.Unreachable) {
