Keep late requests apart from those on time, let them wait as long as callers do

Engines that read nothing were taken for full, since asks whose adapter was still at the store counted as prompts ahead; requests were refused after twice their goal although callers give up a stream after four times the goal; requests that moved to another engine began again at the end of its line (up to 8 moves, 1.9 s with the adapter loaded); after a loss engines of a faster make were held to the default pace until 12 readings were there.

TestOverdue asserts the same order as before; what is late comes now from the request's own goal instead of the constant that was removed.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -136,7 +136,8 @@
 // state returns what the entry instances are told, or nil if there is nothing
 // to tell yet.
 func (loader *Loader) state(full bool, entries []string) *wirepb.EngineState {
-	backlog, free := loader.gate.Backlog(), loader.planner.Free()
+	backlog, late := loader.gate.Backlog()
+	free := loader.planner.Free()
 	pace, intake := loader.gate.Pace(), loader.gate.Intake()
 	reach := loader.planner.Reach()
 	loader.mutex.Lock()
@@ -153,7 +154,7 @@
 		ModelLoaded: len(report.Models) > 0, Draining: report.Draining,
 		Unreachable:   loader.misses >= lostReports,
 		Silent:        loader.misses >= lostReports && loader.silent,
-		BacklogTokens: backlog, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
+		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(free), LoadsQueued: uint32(loader.planner.Queue()),
 		Brief: true, Pace: codec.EncodePace(pace), Intake: codec.EncodeRate(intake),
 		RecallReach: uint32(reach),
 	}
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -201,7 +201,9 @@
 	telem.Gauge("loader", "queued", int64(loader.report.Queued))
 	telem.Gauge("loader", "adapters", int64(len(loader.report.Resident)))
 	telem.Gauge("loader", "adapters-pending", int64(len(loader.report.Pending)))
-	telem.Gauge("loader", "backlog-tokens", loader.gate.Backlog())
+	backlog, late := loader.gate.Backlog()
+	telem.Gauge("loader", "backlog-tokens", backlog)
+	telem.Gauge("loader", "late-tokens", late)
 	telem.Gauge("loader", "free-places", int64(loader.planner.Free()))
 	telem.Gauge("loader", "reports-missed", int64(loader.misses))
 	telem.Gauge("loader", "intake-tokens", int64(codec.EncodeRate(loader.gate.Intake())))
@@ -342,7 +344,7 @@
 		case <-timer.C:
 		}
 		granted, changed := loader.gate.Grant()
-		if backlog := loader.gate.Backlog(); len(changed) > 0 || backlog != told {
+		if backlog, _ := loader.gate.Backlog(); len(changed) > 0 || backlog != told {
 			told = backlog
 			loader.tell(granted, false)
 		}
--- a/internal/daemon/relay/exchange.go
+++ b/internal/daemon/relay/exchange.go
@@ -204,6 +204,7 @@
 		Unreachable: state.GetUnreachable(),
 		Silent:      state.GetSilent(),
 		Backlog:     state.GetBacklogTokens(),
+		Late:        state.GetLateTokens(),
 		Intake:      codec.DecodeRate(state.GetIntake()),
 		Pace:        codec.DecodePace(state.GetPace()),
 		Reach:       int(state.GetRecallReach()),
--- a/internal/daemon/relay/flight.go
+++ b/internal/daemon/relay/flight.go
@@ -78,6 +78,10 @@
 	// waitedAdapter is the part of waited in which the adapter was not loaded.
 	waitedAdapter time.Duration
 	lookedAt      time.Time
+	// usualFirst and usualWhole are how long requests of the route usually take at
+	// an upstream, up to the first event and to the end.
+	usualFirst time.Duration
+	usualWhole time.Duration
 	// moves counts the upstreams at which it waited.
 	moves   int
 	load    int
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -101,6 +101,7 @@
 	spending *spending
 	// avoided holds what upstreams said of themselves in their answers.
 	avoided *avoid.Set
+	spans   *spans
 	start   time.Time
 	wake    chan struct{}
 	changed *signal
@@ -139,6 +140,7 @@
 		changed:  newSignal(),
 		spending: newSpending(),
 		avoided:  avoid.New(avoid.Config{}),
+		spans:    newSpans(),
 		callers:  newConnections(),
 		sends:    newSends(),
 	}
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -16,9 +16,8 @@
 	// placePart is the part of the response-time goal that a request waits for
 	// a place at an upstream before it is refused.
 	placePart = 8
-	// adapterGoals is how many response-time goals a request waits for its
-	// adapter.
-	adapterGoals = 2
+	// refusalTime is how long before a caller gives up a refusal is sent.
+	refusalTime = 100 * time.Millisecond
 	// lookAgain is how often a waiting request looks without a change.
 	lookAgain = 40 * time.Millisecond
 	// stayTime is how long a request waits at an upstream before it looks for a
@@ -47,6 +46,7 @@
 // run sends the request to upstreams until one answers or nothing may be tried
 // any more.
 func (flight *flight) run(ctx context.Context) {
+	flight.usualFirst, flight.usualWhole = flight.relay.spans.usual(flight.route.Name)
 	for {
 		choice, refused := flight.choose(ctx)
 		if refused != nil {
@@ -121,8 +121,9 @@
 		Tokens:  flight.call.Prompt + flight.call.Output,
 		Exclude: flight.tried,
 		Urgent:  flight.begun || flight.priority() == 0,
+		Late:    flight.late(),
 	}
-	if !flight.begun {
+	if !flight.begun && !need.Late {
 		need.Limit = flight.route.Target
 	}
 	if need.Engine && flight.call.Adapter != "" {
@@ -133,6 +134,31 @@
 	return need
 }
 
+// goal returns when the request misses its response-time goal if it was not sent
+// before, or zero if it has none. A stream that broke goes on first.
+func (flight *flight) goal() time.Time {
+	if flight.begun || flight.route.Target <= 0 {
+		return time.Time{}
+	}
+	return flight.started.Add(flight.route.Target - min(flight.usualFirst, flight.route.Target/2))
+}
+
+// late reports whether the request misses its response-time goal.
+func (flight *flight) late() bool {
+	goal := flight.goal()
+	return !goal.IsZero() && !time.Now().Before(goal)
+}
+
+// left returns how long the request may still wait and be answered in its
+// caller's time.
+func (flight *flight) left() time.Duration {
+	left := time.Until(flight.until) - flight.usualWhole
+	if flight.route.Stream && flight.route.Silence > 0 {
+		left = min(left, time.Until(flight.started.Add(flight.route.Silence))-flight.usualFirst-refusalTime)
+	}
+	return left
+}
+
 // choose returns an upstream that can take the request now. At an engine it
 // waits for its turn, and for the adapter to be brought.
 func (flight *flight) choose(ctx context.Context) (steer.Choice, *refusal) {
@@ -217,7 +243,8 @@
 		place.flight.relay.board.Place(choice.Upstream.ID, admit.Ask{
 			ID: place.number, Adapter: need.Adapter, Priority: place.flight.rank(),
 			Prompt: place.flight.call.Prompt, Output: place.flight.call.Output,
-		})
+			Waited: time.Since(place.flight.started),
+		}, place.flight.goal())
 		place.flight.relay.kick()
 	}
 	place.choice, place.need, place.taken = choice, need, time.Now()
@@ -262,18 +289,30 @@
 		// The caller has a part of the answer and cannot come back for the rest
 		// sooner than it can go on.
 		return nil
-	case choice.Result == steer.Absent && waited > adapterGoals*flight.route.Target:
-		return &refusal{http.StatusServiceUnavailable, "the adapter could not be loaded in time", comeBackFull}
-	case choice.Result == steer.Full && waited > flight.route.Target/placePart:
-		return &refusal{http.StatusServiceUnavailable, "all upstreams are full", comeBackFull}
-	case choice.Result == steer.Starting && waited > adapterGoals*flight.route.Target:
-		return &refusal{http.StatusServiceUnavailable, "the engines are still loading their model", comeBackStarting}
 	case choice.Result == steer.None && waited > flight.route.Target/placePart:
 		return &refusal{http.StatusServiceUnavailable, "no upstream is ready", comeBackFull}
+	case flight.service.Engine == nil && choice.Result == steer.Full && waited > flight.route.Target/placePart:
+		return &refusal{http.StatusServiceUnavailable, "all upstreams are full", comeBackFull}
+	case flight.service.Engine != nil && flight.left() <= 0:
+		return inVain(choice)
 	}
 	return nil
 }
 
+// inVain returns the refusal of a request that waits in vain.
+func inVain(choice steer.Choice) *refusal {
+	switch choice.Result {
+	case steer.Starting:
+		return &refusal{http.StatusServiceUnavailable, "the engines are still loading their model", comeBackStarting}
+	case steer.Absent:
+		return &refusal{http.StatusServiceUnavailable, "the adapter could not be loaded in time", comeBackFull}
+	case steer.Found:
+		return &refusal{http.StatusServiceUnavailable, "the turn could not come in time", comeBackFull}
+	default:
+		return &refusal{http.StatusServiceUnavailable, "all upstreams are full", comeBackFull}
+	}
+}
+
 // restLimit returns how long the request may wait for an upstream that rests.
 func (flight *flight) restLimit() time.Duration {
 	if flight.begun {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -202,5 +202,8 @@
 
 func (flight *flight) done(status int) {
 	flight.relay.metrics.answered(flight.route.Name, status, time.Since(flight.started))
+	if flight.sends == 1 {
+		flight.relay.spans.ended(flight.route.Name, time.Since(flight.sentAt))
+	}
 	flight.log(LineAnswered, zap.Int("status", status))
 }
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -24,7 +24,7 @@
 	idleBytes = 64 << 10
 	// measuredPauses and leastPauses bound the pauses of a stream from which the
 	// usual one is taken.
-	measuredPauses = 24
+	measuredPauses = 10
 	leastPauses    = 5
 )
 
@@ -88,21 +88,32 @@
 // measure notes when an event came, for the engine's pace.
 func (flight *flight) measure(upstream fleet.Upstream, last *time.Time) {
 	now := time.Now()
+	if last.IsZero() {
+		flight.relay.spans.began(flight.route.Name, now.Sub(flight.sentAt))
+	}
 	switch {
 	case flight.ask == 0:
 	case last.IsZero():
 		flight.relay.board.Measured(upstream.ID, admit.Reading{Ask: flight.ask, First: now.Sub(flight.sentAt)})
 	case len(flight.pauses) < measuredPauses:
 		flight.pauses = append(flight.pauses, now.Sub(*last))
+		if len(flight.pauses) == measuredPauses {
+			flight.measurePause(upstream)
+		}
 	}
 	*last = now
 }
 
-// measureEnd notes the usual pause between the events of a stream that ended.
+// measureEnd notes the usual pause between the events of a short stream that
+// ended.
 func (flight *flight) measureEnd(upstream fleet.Upstream) {
-	if flight.ask == 0 || len(flight.pauses) < leastPauses {
-		return
+	if len(flight.pauses) >= leastPauses && len(flight.pauses) < measuredPauses {
+		flight.measurePause(upstream)
 	}
+}
+
+// measurePause notes the usual pause between a stream's events.
+func (flight *flight) measurePause(upstream fleet.Upstream) {
 	flight.relay.board.Measured(upstream.ID, admit.Reading{Ask: flight.ask, Pause: pace.Median(flight.pauses)})
 }
 
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -33,6 +33,8 @@
 	// DefaultAgeing is by how much earlier a request's turn comes for each rank
 	// that it is more urgent.
 	DefaultAgeing = 300 * time.Millisecond
+	// DefaultLateDelay is by how much later the turn of a late request comes.
+	DefaultLateDelay = 1500 * time.Millisecond
 	// DefaultForget is how long the asks of an entry instance count after it was
 	// last heard.
 	DefaultForget = 500 * time.Millisecond
@@ -40,12 +42,13 @@
 
 // Config configures a Gate. Zero values mean the defaults.
 type Config struct {
-	ReadRate float64
-	Step     time.Duration
-	Chunk    int64
-	Use      float64
-	Ageing   time.Duration
-	Forget   time.Duration
+	ReadRate  float64
+	Step      time.Duration
+	Chunk     int64
+	Use       float64
+	Ageing    time.Duration
+	LateDelay time.Duration
+	Forget    time.Duration
 }
 
 // Shape is what the configuration says of the engine and its streams.
@@ -80,6 +83,12 @@
 	Prompt   int64
 	Output   int64
 	Priority int
+	// Waited is how long it had waited when it began to wait here, so that a
+	// request that looked elsewhere before keeps its turn.
+	Waited time.Duration
+	// Late requests miss their response-time goal. They get what those on time
+	// leave.
+	Late bool
 }
 
 // Gate admits the requests for one engine. Its methods may be called
@@ -130,6 +139,7 @@
 	config.Chunk = cmp.Or(config.Chunk, DefaultChunk)
 	config.Use = cmp.Or(config.Use, DefaultUse)
 	config.Ageing = cmp.Or(config.Ageing, DefaultAgeing)
+	config.LateDelay = cmp.Or(config.LateDelay, DefaultLateDelay)
 	config.Forget = cmp.Or(config.Forget, DefaultForget)
 	return &Gate{config: config, entries: make(map[string]*entry)}
 }
@@ -171,10 +181,11 @@
 	kept := make(map[uint64]*waiter, len(asks))
 	for _, ask := range asks {
 		if waiting, ok := known.asks[ask.ID]; ok {
+			waiting.Late = ask.Late
 			kept[ask.ID] = waiting
 			continue
 		}
-		kept[ask.ID] = &waiter{Ask: ask, entry: name, came: now}
+		kept[ask.ID] = &waiter{Ask: ask, entry: name, came: now.Add(-ask.Waited)}
 	}
 	known.asks, known.heard = kept, now
 }
@@ -233,25 +244,38 @@
 	})
 }
 
-// line returns the requests that wait and whose adapter is loaded, in the order
-// of their turns.
-func (gate *Gate) line() []*waiter {
-	var line []*waiter
+// able returns the requests that wait and whose adapter is loaded.
+func (gate *Gate) able() []*waiter {
+	var able []*waiter
 	for _, entry := range gate.entries {
 		for _, waiting := range entry.asks {
 			if !waiting.granted && gate.state.Holds != nil && gate.state.Holds(waiting.Adapter) {
-				line = append(line, waiting)
+				able = append(able, waiting)
 			}
 		}
 	}
+	return able
+}
+
+// line returns the requests that wait and whose adapter is loaded, in the order
+// of their turns.
+func (gate *Gate) line() []*waiter {
+	line := gate.able()
 	slices.SortFunc(line, func(a, b *waiter) int {
 		return cmp.Or(gate.turn(a).Compare(gate.turn(b)), cmp.Compare(a.entry, b.entry), cmp.Compare(a.ID, b.ID))
 	})
 	return line
 }
 
+// turn returns when a request's turn comes, compared with others. Late ones
+// come later, so that they do not make those late that are on time, but not
+// last, so that they are served before their callers leave.
 func (gate *Gate) turn(waiting *waiter) time.Time {
-	return waiting.came.Add(time.Duration(waiting.Priority) * gate.config.Ageing)
+	turn := waiting.came.Add(time.Duration(waiting.Priority) * gate.config.Ageing)
+	if waiting.Late {
+		turn = turn.Add(gate.config.LateDelay)
+	}
+	return turn
 }
 
 // fits reports whether a request may start now. One that is larger than the
--- a/internal/flow/admit/admit_test.go
+++ b/internal/flow/admit/admit_test.go
@@ -111,7 +111,7 @@
 			if most := 2 * 300 * rate; unread > most {
 				t.Fatalf("%v: the engine has %.0f tokens to read, at most %.0f are read within two pauses", at, unread, most)
 			}
-			if left, told := unread+float64(prompt*len(waiting)), gate.Backlog(); float64(told) < left*0.9 {
+			if left, told := unread+float64(prompt*len(waiting)), backlog(gate); float64(told) < left*0.9 {
 				t.Fatalf("%v: a backlog of %d is told, %.0f tokens are to be read", at, told, left)
 			}
 			time.Sleep(step)
@@ -197,7 +197,7 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
-		if got := gate.Backlog(); got != 1460 {
+		if got := backlog(gate); got != 1460 {
 			t.Errorf("backlog is %d, want 1460", got)
 		}
 	})
@@ -322,3 +322,78 @@
 		}
 	})
 }
+
+// backlog returns the prompt tokens before a request on time.
+func backlog(gate *Gate) int64 {
+	onTime, _ := gate.Backlog()
+	return onTime
+}
+
+// granted returns the order in which requests are let in when one fits at a
+// time, and asks again what still waits.
+func granted(gate *Gate, shape Shape, waiting []Ask) []uint64 {
+	var order []uint64
+	for range 100 * len(waiting) {
+		gate.Replace("entry", shape, waiting)
+		let, _ := gate.Grant()
+		for _, id := range let["entry"] {
+			order = append(order, id)
+			waiting = slices.DeleteFunc(waiting, func(ask Ask) bool { return ask.ID == id })
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return order
+}
+
+// TestAllLost plays the seconds after all engines have started anew on
+// ctpl-front: requests that miss their goal anyway must not make those late that
+// can meet it, and must be served before their callers leave.
+func TestAllLost(t *testing.T) {
+	tests := []struct {
+		name string
+		asks []Ask
+		want []uint64
+	}{
+		{
+			name: "one on time goes before late ones that came first",
+			asks: []Ask{{ID: 1, Prompt: 3000, Late: true, Waited: 800 * time.Millisecond}, {ID: 2, Prompt: 3000}},
+			want: []uint64{2, 1},
+		},
+		{
+			name: "a late one does not wait for ever",
+			asks: []Ask{{ID: 1, Prompt: 3000}, {ID: 2, Prompt: 3000, Late: true, Waited: 2 * time.Second}},
+			want: []uint64{2, 1},
+		},
+		{
+			name: "one that looked elsewhere keeps its turn",
+			asks: []Ask{{ID: 1, Prompt: 3000}, {ID: 2, Prompt: 3000, Waited: 300 * time.Millisecond}},
+			want: []uint64{2, 1},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if diff := cmp.Diff(test.want, granted(newGate(), threeTokens, test.asks)); diff != "" {
+					t.Errorf("order (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// TestAbsent guards against an engine that seems busy because requests wait
+// there for adapters that are still at the store.
+func TestAbsent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, away := stock.Adapter{Name: "here"}, stock.Adapter{Name: "away"}
+		gate := New(Config{})
+		gate.Observe(State{TotalTokens: 122_000, Holds: func(adapter stock.Adapter) bool { return adapter == here }})
+		gate.Replace("entry", threeTokens, []Ask{
+			{ID: 1, Adapter: away, Prompt: 5000}, {ID: 2, Adapter: here, Prompt: 1000}, {ID: 3, Adapter: here, Prompt: 200, Late: true},
+		})
+		onTime, late := gate.Backlog()
+		if diff := cmp.Diff([]int64{1000, 200}, []int64{onTime, late}); diff != "" {
+			t.Errorf("prompt tokens on time and late (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/flow/admit/pace.go
+++ b/internal/flow/admit/pace.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Pace is how fast an engine works. Zero values are not known.
 type Pace struct {
@@ -59,7 +62,16 @@
 func (gate *Gate) Pace() Pace {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return Pace{ReadRate: gate.pace.Rate(), Event: gate.pace.Pause()}
+	return Pace{ReadRate: cmp.Or(gate.pace.Rate(), gate.fasterRate()), Event: gate.pace.Pause()}
+}
+
+// fasterRate returns a rate above the default that the engine has shown to
+// reach, or 0.
+func (gate *Gate) fasterRate() float64 {
+	if bound := gate.pace.AtLeast(); bound > gate.config.ReadRate {
+		return bound
+	}
+	return 0
 }
 
 // Intake returns how many prompt tokens the engine reads in a millisecond, of
--- a/internal/flow/admit/reading.go
+++ b/internal/flow/admit/reading.go
@@ -29,7 +29,7 @@
 
 // readRate returns how many prompt tokens the engine reads in a millisecond.
 func (gate *Gate) readRate() float64 {
-	return cmp.Or(gate.pace.Rate(), gate.shape.Typical.ReadRate, gate.config.ReadRate)
+	return cmp.Or(gate.pace.Rate(), max(gate.fasterRate(), gate.shape.Typical.ReadRate), gate.config.ReadRate)
 }
 
 // limit returns how many prompt tokens may be ahead of the next turn, or 0 if
@@ -90,21 +90,22 @@
 	return max(next, time.Millisecond)
 }
 
-// Backlog returns the prompt tokens that are ahead of the next turn or wait for
-// theirs.
-func (gate *Gate) Backlog() int64 {
+// Backlog returns the prompt tokens that are ahead of the next turn, with those
+// of the requests on time that wait for theirs, and those of late ones.
+// Requests whose adapter is not loaded keep nobody waiting.
+func (gate *Gate) Backlog() (onTime, late int64) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	now := time.Now()
 	gate.forget(now)
 	gate.read(now)
-	sum := gate.ahead()
-	for _, entry := range gate.entries {
-		for _, waiting := range entry.asks {
-			if !waiting.granted {
-				sum += waiting.Prompt
-			}
+	onTime = gate.ahead()
+	for _, waiting := range gate.able() {
+		if waiting.Late {
+			late += waiting.Prompt
+		} else {
+			onTime += waiting.Prompt
 		}
 	}
-	return sum
+	return onTime, late
 }
--- a/internal/flow/pace/pace.go
+++ b/internal/flow/pace/pace.go
@@ -14,7 +14,9 @@
 	mostPauses   = 24
 	// leastReadings and leastPauses are needed for an estimate.
 	leastReadings = 12
-	leastPauses   = 6
+	leastPauses   = 3
+	// leastBounds is the number of readings needed for a lower bound.
+	leastBounds = 2
 	// leastDifference is by how many prompt tokens two readings must differ to
 	// say something of the rate.
 	leastDifference = 100
@@ -42,14 +44,14 @@
 	if prompt <= 0 || took <= 0 {
 		return
 	}
-	estimator.readings = keepNewest(append(estimator.readings, reading{prompt, took}), mostReadings)
+	estimator.readings = KeepNewest(append(estimator.readings, reading{prompt, took}), mostReadings)
 	estimator.rate = estimator.estimate()
 }
 
 // Paused records the usual pause between two events of one stream.
 func (estimator *Estimator) Paused(pause time.Duration) {
 	if pause > 0 {
-		estimator.pauses = keepNewest(append(estimator.pauses, pause), mostPauses)
+		estimator.pauses = KeepNewest(append(estimator.pauses, pause), mostPauses)
 	}
 }
 
@@ -57,6 +59,19 @@
 // that is not known.
 func (estimator *Estimator) Rate() float64 { return estimator.rate }
 
+// AtLeast returns a rate that the engine reaches at the least, 0 if none is
+// known. It needs few readings, but counts the way there and back as reading.
+func (estimator *Estimator) AtLeast() float64 {
+	if len(estimator.readings) < leastBounds {
+		return 0
+	}
+	rates := make([]float64, 0, len(estimator.readings))
+	for _, reading := range estimator.readings {
+		rates = append(rates, float64(reading.prompt)/(reading.took.Seconds()*1000))
+	}
+	return min(Median(rates), fastestRate)
+}
+
 // Pause returns the usual time between two events, 0 if it is not known.
 func (estimator *Estimator) Pause() time.Duration {
 	if len(estimator.pauses) < leastPauses {
@@ -98,14 +113,19 @@
 }
 
 // Median returns the middle one of the values, the larger of two, or 0 of none.
-func Median[Value float64 | time.Duration](values []Value) Value {
+func Median[Value float64 | time.Duration](values []Value) Value { return Quantile(values, 0.5) }
+
+// Quantile returns the smallest of the values that is larger than a part of
+// them, or 0 of none. part is from 0 to 1.
+func Quantile[Value float64 | time.Duration](values []Value, part float64) Value {
 	if len(values) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(values))
-	return sorted[len(sorted)/2]
+	return sorted[min(int(part*float64(len(sorted))), len(sorted)-1)]
 }
 
-func keepNewest[Value any](values []Value, most int) []Value {
+// KeepNewest returns the last values, at most the given number.
+func KeepNewest[Value any](values []Value, most int) []Value {
 	return values[max(len(values)-most, 0):]
 }
--- a/internal/flow/pace/pace_test.go
+++ b/internal/flow/pace/pace_test.go
@@ -106,3 +106,23 @@
 		t.Errorf("pause %v after the engine turned slow, want 90 ms", got)
 	}
 }
+
+// TestAtLeast guards against an engine of a faster make that is held back until
+// a dozen readings are there, as after all was lost, and against a bound above
+// what the engine does.
+func TestAtLeast(t *testing.T) {
+	const rate = 38.4
+	var estimator Estimator
+	if got := estimator.AtLeast(); got != 0 {
+		t.Errorf("bound %v of nothing, want 0", got)
+	}
+	for _, prompt := range []int64{628, 1800, 900} {
+		estimator.Read(prompt, 12*time.Millisecond+time.Duration(float64(prompt)/rate*float64(time.Millisecond)))
+	}
+	if got := estimator.AtLeast(); got < 19 || got > rate {
+		t.Errorf("bound %.1f after three readings, want 19 to %v", got, rate)
+	}
+	if got := estimator.Rate(); got != 0 {
+		t.Errorf("rate %v after three readings, want 0", got)
+	}
+}
--- a/internal/flow/steer/asks.go
+++ b/internal/flow/steer/asks.go
@@ -13,10 +13,15 @@
 // ask is a request that waits for its turn at an upstream.
 type ask struct {
 	admit.Ask
-	placed  time.Time
+	placed time.Time
+	// goal is when the request misses its response-time goal, or zero.
+	goal    time.Time
 	granted bool
 }
 
+// late reports whether the request misses its goal.
+func (ask *ask) late(now time.Time) bool { return !ask.goal.IsZero() && !now.Before(ask.goal) }
+
 // Granted records which of this instance's requests may start at an upstream.
 func (board *Board) Granted(id string, asks []uint64) {
 	board.mutex.Lock()
@@ -53,12 +58,13 @@
 	}
 }
 
-// Place records that a request waits for its turn at an upstream.
-func (board *Board) Place(id string, request admit.Ask) {
+// Place records that a request waits for its turn at an upstream. It is late
+// from the time goal on, unless that is zero.
+func (board *Board) Place(id string, request admit.Ask, goal time.Time) {
 	board.mutex.Lock()
 	defer board.mutex.Unlock()
 	if entry, ok := board.upstreams[id]; ok {
-		entry.asks[request.ID] = &ask{Ask: request, placed: time.Now()}
+		entry.asks[request.ID] = &ask{Ask: request, placed: time.Now(), goal: goal}
 		entry.stamp++
 	}
 }
@@ -118,9 +124,12 @@
 	if !ok || len(entry.asks) == 0 {
 		return nil
 	}
+	now := time.Now()
 	asks := make([]admit.Ask, 0, len(entry.asks))
 	for _, waiting := range entry.asks {
-		asks = append(asks, waiting.Ask)
+		request := waiting.Ask
+		request.Late = waiting.late(now)
+		asks = append(asks, request)
 	}
 	slices.SortFunc(asks, func(a, b admit.Ask) int { return cmp.Compare(a.ID, b.ID) })
 	return asks
@@ -154,17 +163,22 @@
 	if !ok {
 		return nil
 	}
-	waiting := maps.Clone(entry.wanted)
+	now := time.Now()
+	waiting, late := maps.Clone(entry.wanted), make(map[stock.Adapter]int)
 	for _, request := range entry.asks {
-		if request.Adapter.Name != "" {
-			waiting[request.Adapter]++
+		if request.Adapter.Name == "" {
+			continue
+		}
+		waiting[request.Adapter]++
+		if request.late(now) {
+			late[request.Adapter]++
 		}
 	}
 	adapters := maps.Clone(entry.byAdapter)
 	maps.Copy(adapters, waiting)
 	uses := make([]stock.Use, 0, len(adapters))
 	for adapter := range adapters {
-		uses = append(uses, stock.Use{Adapter: adapter, Running: entry.byAdapter[adapter], Waiting: waiting[adapter]})
+		uses = append(uses, stock.Use{Adapter: adapter, Running: entry.byAdapter[adapter], Waiting: waiting[adapter], Late: late[adapter]})
 	}
 	slices.SortFunc(uses, func(a, b stock.Use) int { return compareAdapters(a.Adapter, b.Adapter) })
 	return uses
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -26,6 +26,8 @@
 	Urgent bool
 	// Limit is the wait beyond which waiting is in vain, or 0 for none.
 	Limit time.Duration
+	// Late requests come after those on time.
+	Late bool
 }
 
 // Result says what Choose found.
@@ -53,7 +55,8 @@
 	// Backlog the number of prompt tokens before this request.
 	Load    int
 	Backlog int64
-	wait    time.Duration
+	// Wait is how long the request is thought to wait for its turn there.
+	Wait time.Duration
 	// Copy is another upstream that should get the adapter too, if its id is
 	// not empty.
 	Copy fleet.Upstream
@@ -147,7 +150,7 @@
 			continue
 		}
 		load := board.load(entry, now)
-		work := board.work(entry, load, now)
+		work := board.work(entry, load, need, now)
 		wait := board.wait(entry, work)
 		found := candidate{
 			upstream: entry,
@@ -171,15 +174,19 @@
 	return candidates
 }
 
-// work returns how many prompt tokens a request would have before it.
-func (board *Board) work(entry *upstream, load int, now time.Time) int64 {
+// work returns how many prompt tokens a request would have before it. Requests
+// that wait for an adapter are not before one whose adapter is there.
+func (board *Board) work(entry *upstream, load int, need Need, now time.Time) int64 {
 	work := int64(load * runningWeight)
 	if board.fresh(entry, now) {
 		work += entry.report.Backlog
+		if need.Late {
+			work += entry.report.Late
+		}
 	}
 	unseen := entry.reported.Add(-board.config.Lag)
 	for _, waiting := range entry.asks {
-		if waiting.placed.After(unseen) {
+		if waiting.placed.After(unseen) && entry.holds(waiting.Adapter) && (need.Late || !waiting.late(now)) {
 			work += waiting.Prompt
 		}
 	}
@@ -233,13 +240,13 @@
 func (board *Board) weigh(holders, others []candidate, need Need) Choice {
 	best := leastLoaded(holders)
 	if recaller, ok := leastRecaller(others, need.Adapter); ok {
-		if best.Result != Found || recaller.wait+recallTime < best.wait {
+		if best.Result != Found || recaller.wait+recallTime < best.Wait {
 			return board.cheaper(recaller, others, need)
 		}
 	}
 	target, ok := board.target(others, need.Adapter)
 	if best.Result == Found {
-		if ok && best.wait > target.wait+board.config.Copy && !target.coming(need.Adapter) {
+		if ok && best.Wait > target.wait+board.config.Copy && !target.coming(need.Adapter) {
 			best.Copy = target.spec
 		}
 		return best
@@ -261,7 +268,7 @@
 }
 
 func absent(target candidate) Choice {
-	return Choice{Result: Absent, Upstream: target.spec, Load: target.load, Backlog: target.work}
+	return Choice{Result: Absent, Upstream: target.spec, Load: target.load, Backlog: target.work, Wait: target.bringWait() + fetchTime}
 }
 
 func leastLoaded(candidates []candidate) Choice {
@@ -270,7 +277,7 @@
 		return Choice{Result: Full}
 	}
 	best := slices.MinFunc(open, byLoad)
-	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.work, wait: best.wait}
+	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.work, Wait: best.wait}
 }
 
 func byLoad(a, b candidate) int {
--- a/internal/flow/steer/report.go
+++ b/internal/flow/steer/report.go
@@ -22,8 +22,11 @@
 	// it does not even refuse connections and was not leaving.
 	Unreachable bool
 	Silent      bool
-	// Backlog is the number of prompt tokens that were let in lately or wait.
+	// Backlog is the number of prompt tokens that were let in lately, or wait for
+	// their turn with their adapter loaded and on time. Late counts those of late
+	// requests.
 	Backlog int64
+	Late    int64
 	// Intake is how many prompt tokens the engine reads in a millisecond, 0 if it
 	// is not known.
 	Intake float64
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -259,7 +259,7 @@
 		counts := make(map[string]int)
 		for number := range uint64(30) {
 			choice := board.Choose(need())
-			board.Place(choice.Upstream.ID, admit.Ask{ID: number, Adapter: wanted, Prompt: 1460})
+			board.Place(choice.Upstream.ID, admit.Ask{ID: number, Adapter: wanted, Prompt: 1460}, time.Time{})
 			counts[choice.Upstream.ID]++
 		}
 		if diff := cmp.Diff(map[string]int{"i-0": 10, "i-1": 10, "i-2": 10}, counts); diff != "" {
@@ -272,7 +272,7 @@
 func TestTurn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		board := newBoard(report(1, 0, wanted))
-		board.Place("i-0", admit.Ask{ID: 7, Adapter: wanted})
+		board.Place("i-0", admit.Ask{ID: 7, Adapter: wanted}, time.Time{})
 		if got := board.Turn("i-0", 7); got != Waiting {
 			t.Errorf("turn %d before the grant, want %d", got, Waiting)
 		}
@@ -286,3 +286,52 @@
 		}
 	})
 }
+
+// TestAllLost plays the seconds after all engines have started anew on
+// ctpl-front: hundreds of requests wait for adapters, and engines that hold the
+// wanted one read nothing. They must not seem full, and late requests must not
+// make them seem so to those on time.
+func TestAllLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newBoard(report(1, 0, wanted), report(1, 0))
+		request := need()
+		request.Limit = 600 * time.Millisecond
+		for number := range uint64(60) {
+			missing := stock.Adapter{Name: fmt.Sprint("b", number)}
+			board.Place("i-0", admit.Ask{ID: number, Adapter: missing, Prompt: 830}, time.Time{})
+			board.Place("i-0", admit.Ask{ID: 100 + number, Adapter: wanted, Prompt: 830}, time.Now())
+		}
+		if got := board.Choose(request); got.Result != Found || got.Upstream.ID != "i-0" {
+			t.Errorf("on time: result %d at %q, want %d at i-0", got.Result, got.Upstream.ID, Found)
+		}
+		request.Late, request.Limit = true, 0
+		if got := board.Choose(request); got.Wait < time.Second {
+			t.Errorf("late: wait %v behind 60 others, want a second or more", got.Wait)
+		}
+	})
+}
+
+// TestLate guards against loaders that take a request for one on time although
+// its goal has passed.
+func TestLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		board := newBoard(report(1, 0, wanted))
+		missing := stock.Adapter{Name: "b1"}
+		board.Place("i-0", admit.Ask{ID: 1, Adapter: missing}, time.Now().Add(500*time.Millisecond))
+		board.Place("i-0", admit.Ask{ID: 2, Adapter: missing}, time.Time{})
+		for _, want := range []int{0, 1} {
+			var got []int
+			for _, use := range board.Uses("i-0") {
+				got = append(got, use.Waiting, use.Late)
+			}
+			if diff := cmp.Diff([]int{2, want}, got); diff != "" {
+				t.Errorf("waiting and late (-want +got):\n%s", diff)
+			}
+			asks := board.Asks("i-0")
+			if diff := cmp.Diff([]bool{want == 1, false}, []bool{asks[0].Late, asks[1].Late}); diff != "" {
+				t.Errorf("asks are late (-want +got):\n%s", diff)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+}
--- a/internal/flow/stock/plan.go
+++ b/internal/flow/stock/plan.go
@@ -95,25 +95,24 @@
 	return latest
 }
 
-// wanted returns the adapter to load next: one whose requests can still meet
-// their goal, the one with the most requests waiting, then the one asked for
-// first.
+// shortage is how many requests wait for an adapter.
+type shortage struct {
+	onTime int
+	late   int
+}
+
+// wanted returns the adapter to load next: the one with the most requests that
+// can still meet their goal, then the one with the most that are late, then the
+// one asked for first.
 func (planner *Planner) wanted() (Adapter, bool) {
-	waiting := planner.missing()
-	if len(waiting) == 0 {
+	missing := planner.missing()
+	if len(missing) == 0 {
 		return Adapter{}, false
 	}
-	now := time.Now()
-	overdue := func(adapter Adapter) int {
-		if now.Sub(planner.asked[adapter]) > planner.config.Overdue {
-			return 1
-		}
-		return 0
-	}
-	return slices.MinFunc(slices.Collect(maps.Keys(waiting)), func(a, b Adapter) int {
+	return slices.MinFunc(slices.Collect(maps.Keys(missing)), func(a, b Adapter) int {
 		return cmp.Or(
-			cmp.Compare(overdue(a), overdue(b)),
-			cmp.Compare(waiting[b], waiting[a]),
+			cmp.Compare(missing[b].onTime, missing[a].onTime),
+			cmp.Compare(missing[b].late, missing[a].late),
 			planner.asked[a].Compare(planner.asked[b]),
 			cmp.Compare(a.Name, b.Name),
 			cmp.Compare(b.Version, a.Version),
@@ -123,16 +122,17 @@
 
 // missing returns how many requests wait for each adapter that is neither there
 // nor on its way.
-func (planner *Planner) missing() map[Adapter]int {
-	waiting := make(map[Adapter]int)
+func (planner *Planner) missing() map[Adapter]shortage {
+	missing := make(map[Adapter]shortage)
 	for _, demand := range planner.demands {
 		for _, use := range demand.Uses {
 			if use.Waiting > 0 && !planner.holds(use.Adapter) {
-				waiting[use.Adapter] += use.Waiting
+				sum := missing[use.Adapter]
+				missing[use.Adapter] = shortage{onTime: sum.onTime + use.Waiting - use.Late, late: sum.late + use.Late}
 			}
 		}
 	}
-	return waiting
+	return missing
 }
 
 // holds reports whether the adapter is there or on its way, in this version or
--- a/internal/flow/stock/stock.go
+++ b/internal/flow/stock/stock.go
@@ -23,9 +23,6 @@
 	// which the weight store brings each at full speed. Beyond it an engine asks
 	// for one at a time, so that the adapters most asked for come first.
 	DefaultStore = 8
-	// DefaultOverdue is how long a request may wait for its adapter before it
-	// misses its goal anyway. Adapters asked for longer come after the others.
-	DefaultOverdue = 550 * time.Millisecond
 	// DefaultKeep is how long an adapter is kept after its last use, so that
 	// requests on their way still find it.
 	DefaultKeep = 300 * time.Millisecond
@@ -36,7 +33,6 @@
 	Linger  time.Duration
 	Transit int
 	Store   int
-	Overdue time.Duration
 	Keep    time.Duration
 }
 
@@ -76,6 +72,8 @@
 	Adapter Adapter
 	Running int
 	Waiting int
+	// Late is the part of Waiting that misses its response-time goal.
+	Late int
 }
 
 // Demand is what one entry instance asks for.
@@ -133,7 +131,6 @@
 	config.Linger = cmp.Or(config.Linger, DefaultLinger)
 	config.Transit = cmp.Or(config.Transit, DefaultTransit)
 	config.Store = cmp.Or(config.Store, DefaultStore)
-	config.Overdue = cmp.Or(config.Overdue, DefaultOverdue)
 	config.Keep = cmp.Or(config.Keep, DefaultKeep)
 	return &Planner{
 		config:  config,
--- a/internal/flow/stock/stock_test.go
+++ b/internal/flow/stock/stock_test.go
@@ -111,10 +111,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		planner := New(Config{})
 		planner.Observe(Engine{Models: []string{"m"}})
-		old := []Use{waiting(1, 2)}
-		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: old})
-		time.Sleep(DefaultOverdue + 10*time.Millisecond)
-		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: append(old, waiting(2, 1))})
+		old := waiting(1, 2)
+		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: []Use{old}})
+		time.Sleep(time.Second)
+		old.Late = old.Waiting
+		planner.Demand(Demand{Entry: "entry", Model: "m", Slots: places, Uses: []Use{old, waiting(2, 1)}})
 		order, _ := planner.Next()
 		if diff := cmp.Diff(adapter(2), order.Adapter); diff != "" {
 			t.Errorf("adapter (-want +got):\n%s", diff)
--- a/internal/state/table/table.go
+++ b/internal/state/table/table.go
@@ -43,6 +43,9 @@
 	Target time.Duration
 	// TargetGap is the longest pause between events that meets the goal.
 	TargetGap time.Duration
+	// Silence is the pause after which callers give up a stream, also before its
+	// first event; 0 if it is not known.
+	Silence time.Duration
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
 	Services []Share
--- a/internal/wire/codec/fleet.go
+++ b/internal/wire/codec/fleet.go
@@ -35,7 +35,7 @@
 	for _, use := range uses {
 		encoded = append(encoded, &wirepb.AdapterUse{
 			Adapter: use.Adapter.Name, Version: use.Adapter.Version,
-			Running: uint32(use.Running), Waiting: uint32(use.Waiting),
+			Running: uint32(use.Running), Waiting: uint32(use.Waiting), Late: uint32(use.Late),
 		})
 	}
 	return encoded
@@ -47,7 +47,7 @@
 	for _, use := range encoded {
 		uses = append(uses, stock.Use{
 			Adapter: stock.Adapter{Name: use.GetAdapter(), Version: use.GetVersion()},
-			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()),
+			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()), Late: int(use.GetLate()),
 		})
 	}
 	return uses
@@ -59,7 +59,8 @@
 	for _, ask := range asks {
 		encoded = append(encoded, &wirepb.Ask{
 			Id: ask.ID, Adapter: ask.Adapter.Name, Version: ask.Adapter.Version,
-			PromptTokens: ask.Prompt, OutputTokens: ask.Output, Priority: uint32(max(ask.Priority, 0)),
+			PromptTokens: ask.Prompt, OutputTokens: ask.Output, Priority: uint32(max(ask.Priority, 0)), Late: ask.Late,
+			WaitedMs: uint32(ask.Waited.Milliseconds()),
 		})
 	}
 	return encoded
@@ -71,7 +72,8 @@
 	for _, ask := range encoded {
 		asks = append(asks, admit.Ask{
 			ID: ask.GetId(), Adapter: stock.Adapter{Name: ask.GetAdapter(), Version: ask.GetVersion()},
-			Prompt: ask.GetPromptTokens(), Output: ask.GetOutputTokens(), Priority: int(ask.GetPriority()),
+			Prompt: ask.GetPromptTokens(), Output: ask.GetOutputTokens(), Priority: int(ask.GetPriority()), Late: ask.GetLate(),
+			Waited: time.Duration(ask.GetWaitedMs()) * time.Millisecond,
 		})
 	}
 	return asks
