Try each request that comes, however long its route's requests took

The usual time to the end was taken off a request's time even where it is longer than that: after a slow spell all requests of a route would have been refused on arrival, and no answer would have corrected the time. Found by reading. It counts for half of the caller's time at most; TestPatience has the case, which was refused at once before.

--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -46,7 +46,7 @@
 // run sends the request to upstreams until one answers or nothing may be tried
 // any more.
 func (flight *flight) run(ctx context.Context) {
-	flight.usualFirst, flight.usualWhole = flight.relay.spans.usual(flight.route.Name)
+	flight.learn()
 	for {
 		choice, refused := flight.choose(ctx)
 		if refused != nil {
@@ -69,6 +69,19 @@
 	}
 }
 
+// learn takes over how long requests of the route usually take, as far as that
+// leaves half of the caller's time: one that comes is tried at least, so that
+// times which were long once do not stand for ever.
+func (flight *flight) learn() {
+	first, whole := flight.relay.spans.usual(flight.route.Name)
+	patience := flight.until.Sub(flight.started)
+	flight.usualFirst = min(first, patience/2)
+	if flight.route.Silence > 0 {
+		flight.usualFirst = min(flight.usualFirst, flight.route.Silence/2)
+	}
+	flight.usualWhole = min(whole, patience/2)
+}
+
 // again decides whether the request may be sent to another upstream.
 func (flight *flight) again(result outcome) (bool, *refusal) {
 	refused := &refusal{http.StatusServiceUnavailable, "no upstream took the request", comeBackFull}
