Let waiting requests move only for a wait that is much shorter

And engines told no bound of their pace until two prompts had come with none before them, which takes seconds while a queue waits.

Change: where a request waits already, another wait must be 200 ms shorter (TestStay, fails first); one reading gives the bound of the pace.

--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -230,6 +230,7 @@
 	if kept && flight.relay.board.Turn(place.choice.Upstream.ID, place.number) != steer.Lost {
 		return place.choice
 	}
+	need.At = place.choice.Upstream.ID
 	choice := flight.relay.board.Choose(need)
 	if !need.Engine || choice.Upstream.ID == "" {
 		return choice
--- a/internal/flow/pace/pace.go
+++ b/internal/flow/pace/pace.go
@@ -15,8 +15,6 @@
 	// leastReadings and leastPauses are needed for an estimate.
 	leastReadings = 12
 	leastPauses   = 3
-	// leastBounds is the number of readings needed for a lower bound.
-	leastBounds = 2
 	// leastDifference is by how many prompt tokens two readings must differ to
 	// say something of the rate.
 	leastDifference = 100
@@ -60,11 +58,8 @@
 func (estimator *Estimator) Rate() float64 { return estimator.rate }
 
 // AtLeast returns a rate that the engine reaches at the least, 0 if none is
-// known. It needs few readings, but counts the way there and back as reading.
+// known. It needs one reading, but counts the way there and back as reading.
 func (estimator *Estimator) AtLeast() float64 {
-	if len(estimator.readings) < leastBounds {
-		return 0
-	}
 	rates := make([]float64, 0, len(estimator.readings))
 	for _, reading := range estimator.readings {
 		rates = append(rates, float64(reading.prompt)/(reading.took.Seconds()*1000))
--- a/internal/flow/steer/board.go
+++ b/internal/flow/steer/board.go
@@ -31,6 +31,10 @@
 	// DefaultCopy is the same for an upstream that holds the adapter, before
 	// another copy is brought.
 	DefaultCopy = 330 * time.Millisecond
+	// DefaultStay is by how much shorter the wait elsewhere must be before a
+	// request that waits already moves, so that those that wait do not all move to
+	// the same upstream and back.
+	DefaultStay = 200 * time.Millisecond
 	// DefaultIntake is how many prompt tokens an engine takes in a millisecond,
 	// until its loader tells.
 	DefaultIntake = 18.0
@@ -75,6 +79,7 @@
 	Overfill      int
 	Spread        time.Duration
 	Copy          time.Duration
+	Stay          time.Duration
 	Intake        float64
 }
 
@@ -122,6 +127,7 @@
 	config.Overfill = cmp.Or(config.Overfill, DefaultOverfill)
 	config.Spread = cmp.Or(config.Spread, DefaultSpread)
 	config.Copy = cmp.Or(config.Copy, DefaultCopy)
+	config.Stay = cmp.Or(config.Stay, DefaultStay)
 	config.Intake = cmp.Or(config.Intake, DefaultIntake)
 	return &Board{config: config, upstreams: make(map[string]*upstream), services: make(map[string][]*upstream), instances: 1}
 }
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -28,6 +28,8 @@
 	Limit time.Duration
 	// Late requests come after those on time.
 	Late bool
+	// At is the upstream where the request waits already, or empty.
+	At string
 }
 
 // Result says what Choose found.
@@ -152,6 +154,9 @@
 		load := board.load(entry, now)
 		work := board.work(entry, load, need, now)
 		wait := board.wait(entry, work)
+		if need.At == entry.spec.ID {
+			wait = max(wait-board.config.Stay, 0)
+		}
 		found := candidate{
 			upstream: entry,
 			load:     load,
--- a/internal/flow/steer/steer_test.go
+++ b/internal/flow/steer/steer_test.go
@@ -335,3 +335,29 @@
 		}
 	})
 }
+
+// TestStay plays two holders with waits that differ little, as in the seconds
+// after all engines have started anew: requests that wait must not move to and
+// fro between them, but must leave a holder that fell behind.
+func TestStay(t *testing.T) {
+	tests := []struct {
+		name    string
+		backlog int64
+		want    string
+	}{
+		{name: "a little shorter elsewhere", backlog: 3000, want: "i-0"},
+		{name: "much shorter elsewhere", backlog: 9000, want: "i-1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				board := newBoard(report(1, test.backlog, wanted), report(1, 0, wanted))
+				request := need()
+				request.At = "i-0"
+				if got := board.Choose(request).Upstream.ID; got != test.want {
+					t.Errorf("chose %s, want %s", got, test.want)
+				}
+			})
+		})
+	}
+}
