--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -155,7 +155,7 @@
 		work := board.work(entry, load, need, now)
 		wait := board.wait(entry, work)
 		if need.At == entry.spec.ID {
-			wait = max(wait-board.config.Stay, 0)
+			wait -= board.config.Stay
 		}
 		found := candidate{
 			upstream: entry,
