--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -7,11 +7,9 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,18 +17,12 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/telem"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
-	"jacinthfront.dev/jacinthfront/internal/flow/avoid"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/link/gossip"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 )
 
 const (
-	// reportPeriod is how often the engine is asked for its report.
-	reportPeriod = 40 * time.Millisecond
-	// lostReports is the number of reports that fail in a row before the engine
-	// counts as unreachable.
-	lostReports = 3
 	// tellPeriod is how often the entry instances are told of a changed load.
 	tellPeriod = 100 * time.Millisecond
 	// idlePeriod is how often they are told although nothing changed.
@@ -50,48 +42,8 @@
 	// longestPause and idlePeriod together are shorter than entry instances
 	// believe a state.
 	longestPause = 700 * time.Millisecond
-	// fenceStep raises the fencing token above one that the engine has seen.
-	fenceStep = 10_000
 )
 
-// Report is what the engine says of itself.
-type Report struct {
-	stock.Engine
-	Running     int
-	Queued      int
-	UsedTokens  int64
-	TotalTokens int64
-	Draining    bool
-}
-
-// Errors of Engine.Order.
-var (
-	// ErrConflict means that the engine is busy, or took an order that this
-	// process does not know of.
-	ErrConflict = errors.New("the engine's orders have changed")
-	// ErrFenced means that the engine has seen a higher fencing token.
-	ErrFenced = errors.New("the engine has seen a higher fencing token")
-)
-
-// RestError means that the engine did nothing and wants no call for a time.
-type RestError struct {
-	Length time.Duration
-}
-
-// Error implements error.
-func (err RestError) Error() string {
-	return fmt.Sprintf("the engine wants no calls for %v", err.Length)
-}
-
-// Engine is the engine beside this process. Errors that are a RestError mean
-// that nothing was done.
-type Engine interface {
-	Report(ctx context.Context) (Report, error)
-	// Order gives an order to the engine with the given id. Errors other than
-	// ErrConflict, ErrFenced and a RestError leave open whether it is carried out.
-	Order(ctx context.Context, upstream string, order stock.Order, fence int64) error
-}
-
 // Config configures a Loader.
 type Config struct {
 	Engine Engine
@@ -209,128 +161,6 @@
 	telem.Gauge("loader", "intake-tokens", int64(codec.EncodeRate(loader.gate.Intake())))
 }
 
-// keep asks for reports and gives orders.
-func (loader *Loader) keep(ctx context.Context) {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-loader.orders:
-		}
-		loader.attend(ctx)
-		loader.tellChanges()
-	}
-}
-
-// attend asks for a report and gives the orders that are due.
-func (loader *Loader) attend(ctx context.Context) {
-	for loader.rested() && loader.refresh(ctx) && loader.order(ctx) {
-	}
-}
-
-// rested reports whether the engine may be called.
-func (loader *Loader) rested() bool { return !time.Now().Before(loader.restUntil) }
-
-// rests records that the engine wants no calls, if err says so.
-func (loader *Loader) rests(err error) bool {
-	var rest RestError
-	if !errors.As(err, &rest) {
-		return false
-	}
-	loader.restUntil = time.Now().Add(min(rest.Length, avoid.LongestRest))
-	counters.Add("engine-rests", 1)
-	loader.config.Logger.Warn("loader: engine wants no calls", zap.Duration("rest", rest.Length))
-	return true
-}
-
-// refresh takes over the engine's report. While the engine wants no calls, its
-// last report stands.
-func (loader *Loader) refresh(ctx context.Context) bool {
-	report, err := loader.config.Engine.Report(ctx)
-	if ctx.Err() != nil || loader.rests(err) {
-		return false
-	}
-	loader.mutex.Lock()
-	defer loader.mutex.Unlock()
-	if err != nil {
-		loader.misses++
-		loader.silent = !errors.Is(err, syscall.ECONNREFUSED) && !loader.report.Draining
-		if loader.misses == lostReports {
-			loader.config.Logger.Warn("loader: engine does not report", telem.Error(err))
-			loader.gate.Observe(admit.State{})
-		}
-		return false
-	}
-	if loader.misses >= lostReports || report.Born != loader.report.Born {
-		loader.config.Logger.Info("loader: engine reports", zap.Int64("born", report.Born),
-			zap.Strings("models", report.Models), zap.Int("adapters", len(report.Resident)))
-	}
-	if report.Born != loader.report.Born {
-		loader.gate.Restarted()
-	}
-	loader.misses = 0
-	loader.report = report
-	for _, arrival := range loader.planner.Observe(report.Engine) {
-		loader.logArrival(arrival)
-	}
-	loader.gate.Observe(admit.State{
-		Running: report.Running + report.Queued, Queued: report.Queued, UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
-		Holds: report.holds,
-	})
-	wake(loader.turns)
-	return true
-}
-
-// holds reports whether the adapter is loaded in the version or a newer one.
-func (report Report) holds(wanted stock.Adapter) bool {
-	if wanted.Name == "" {
-		return len(report.Models) > 0
-	}
-	return stock.AnyServes(report.Resident, wanted)
-}
-
-// order gives the next order and reports whether there was one that the engine
-// took.
-func (loader *Loader) order(ctx context.Context) bool {
-	order, ok := loader.planner.Next()
-	if !ok {
-		return false
-	}
-	loader.mutex.Lock()
-	upstream := loader.listed
-	loader.mutex.Unlock()
-	began := time.Now()
-	err := loader.config.Engine.Order(ctx, upstream, order, loader.fence)
-	if errors.Is(err, ErrFenced) {
-		loader.fence = max(loader.fence, time.Now().UnixMilli()) + fenceStep
-	}
-	counters.Add("orders-"+order.Operation.String(), 1)
-	if err != nil {
-		counters.Add("orders-failed", 1)
-	}
-	if !errors.Is(err, ErrConflict) && !errors.Is(err, ErrFenced) && !loader.rests(err) {
-		loader.planner.Ordered(order)
-	}
-	loader.config.Logger.Info(LineOrder,
-		zap.String("operation", order.Operation.String()), zap.String("model", order.Model),
-		zap.String("adapter", order.Adapter.Name), zap.Uint32("version", order.Adapter.Version),
-		zap.Int64("sequence", order.Sequence), zap.Duration("took", time.Since(began)), telem.Error(err))
-	return err == nil
-}
-
-// logArrival writes how an adapter came.
-func (loader *Loader) logArrival(arrival stock.Arrival) {
-	counters.Add("adapters-arrived", 1)
-	if arrival.Quick {
-		counters.Add("adapters-recalled", 1)
-	}
-	loader.config.Logger.Info(LineArrival, zap.String("adapter", arrival.Adapter.Name), zap.Uint32("version", arrival.Adapter.Version),
-		zap.Duration("took", arrival.Took), zap.Int("depth", arrival.Depth), zap.Bool("quick", arrival.Quick))
-}
-
 // grant lets requests in when their turn comes.
 func (loader *Loader) grant(ctx context.Context) {
 	timer := time.NewTimer(idlePeriod)
--- a/internal/flow/steer/choose.go
+++ b/internal/flow/steer/choose.go
@@ -2,11 +2,9 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
-	"jacinthfront.dev/jacinthfront/internal/flow/avoid"
 	"jacinthfront.dev/jacinthfront/internal/flow/stock"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
@@ -67,17 +65,6 @@
 	Rest time.Duration
 }
 
-// candidate is an upstream with what decides about it.
-type candidate struct {
-	*upstream
-	load  int
-	work  int64
-	wait  time.Duration
-	full  bool
-	holds bool
-	near  bool
-}
-
 // Choose returns the upstream for a request.
 func (board *Board) Choose(need Need) Choice {
 	board.mutex.Lock()
@@ -98,141 +85,6 @@
 	return choice
 }
 
-// avoided reports whether an upstream wants no requests, and until when.
-func (board *Board) avoided(entry *upstream) (until time.Time, avoided bool) {
-	if board.config.Avoided == nil {
-		return time.Time{}, false
-	}
-	return board.config.Avoided.Avoided(avoid.Start{ID: entry.spec.ID, Born: entry.spec.Born})
-}
-
-// usable reports whether requests may be sent to an upstream.
-func (board *Board) usable(entry *upstream) bool {
-	_, avoided := board.avoided(entry)
-	return !avoided && !entry.leaving()
-}
-
-// rest returns the time until the first upstream of a service that rests may be
-// used again, or 0 if none does.
-func (board *Board) rest(need Need) time.Duration {
-	var rest time.Duration
-	for _, entry := range board.services[need.Service] {
-		until, _ := board.avoided(entry)
-		if until.IsZero() || entry.leaving() {
-			continue
-		}
-		if left := time.Until(until); rest == 0 || left < rest {
-			rest = left
-		}
-	}
-	return rest
-}
-
-// nothing tells apart why a service has no usable upstream.
-func (board *Board) nothing(need Need) Result {
-	for _, entry := range board.services[need.Service] {
-		if need.Engine && board.usable(entry) && !entry.report.Unreachable && !entry.reported.IsZero() && !entry.report.ModelLoaded {
-			return Starting
-		}
-	}
-	return None
-}
-
-func (board *Board) candidates(need Need) []candidate {
-	now := time.Now()
-	var candidates, unheard []candidate
-	for _, entry := range board.services[need.Service] {
-		if !board.usable(entry) || slices.Contains(need.Exclude, entry.spec.ID) {
-			continue
-		}
-		if need.Engine && !entry.reported.IsZero() && (!entry.report.ModelLoaded || entry.report.Unreachable) {
-			continue
-		}
-		if board.config.Health != nil && !board.config.Health.Usable(need.Service, entry.spec.ID) {
-			continue
-		}
-		load := board.load(entry, now)
-		work := board.work(entry, load, need, now)
-		wait := board.wait(entry, work)
-		if need.At == entry.spec.ID {
-			wait -= board.config.Stay
-		}
-		found := candidate{
-			upstream: entry,
-			load:     load,
-			work:     work,
-			wait:     wait,
-			full:     board.full(entry, load, need) || need.Limit > 0 && wait > need.Limit,
-			holds:    entry.holds(need.Adapter),
-			near:     entry.spec.FailureDomain == board.config.FailureDomain,
-		}
-		if need.Engine && entry.reported.IsZero() && now.Sub(entry.listed) < silentStart {
-			unheard = append(unheard, found)
-			continue
-		}
-		candidates = append(candidates, found)
-	}
-	if len(candidates) == 0 {
-		candidates = unheard
-	}
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates
-}
-
-// work returns how many prompt tokens a request would have before it. Requests
-// that wait for an adapter are not before one whose adapter is there.
-func (board *Board) work(entry *upstream, load int, need Need, now time.Time) int64 {
-	work := int64(load * runningWeight)
-	if board.fresh(entry, now) {
-		work += entry.report.Backlog
-		if need.Late {
-			work += entry.report.Late
-		}
-	}
-	unseen := entry.reported.Add(-board.config.Lag)
-	for _, waiting := range entry.asks {
-		if waiting.placed.After(unseen) && entry.holds(waiting.Adapter) && (need.Late || !waiting.late(now)) {
-			work += waiting.Prompt
-		}
-	}
-	return work
-}
-
-// wait returns how long an upstream takes to let work in.
-func (board *Board) wait(entry *upstream, work int64) time.Duration {
-	intake := cmp.Or(entry.report.Intake, board.config.Intake)
-	return time.Duration(float64(work) / intake * float64(time.Millisecond))
-}
-
-func (board *Board) fresh(entry *upstream, now time.Time) bool {
-	return !entry.reported.IsZero() && now.Sub(entry.reported) < board.config.Fresh
-}
-
-// load returns how many requests an upstream is thought to hold: what it
-// reported and what this instance sent since, or what this instance has there
-// times the number of instances.
-func (board *Board) load(entry *upstream, now time.Time) int {
-	if board.fresh(entry, now) {
-		return max(entry.report.Running+entry.report.Queued+len(entry.sent), entry.running)
-	}
-	if now.Sub(entry.answeredAt) < board.config.Lag {
-		return max(entry.answered, entry.running)
-	}
-	return entry.running * board.instances
-}
-
-func (board *Board) full(entry *upstream, load int, need Need) bool {
-	limit := entry.spec.Slots
-	if need.Urgent || !need.Engine {
-		limit += board.config.Overfill
-	}
-	if load >= limit {
-		return true
-	}
-	free := entry.report.TotalTokens - entry.report.UsedTokens
-	return need.Engine && entry.report.TotalTokens > 0 && free < need.Tokens*int64(1+len(entry.sent))
-}
-
 // chooseHolder prefers upstreams that hold the adapter, then those that bring it
 // back by themselves, unless they are so much fuller than others that a fetch
 // from the store pays.
@@ -285,10 +137,6 @@
 	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.work, Wait: best.wait}
 }
 
-func byLoad(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.wait, b.wait), compareBool(b.near, a.near))
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -304,16 +152,6 @@
 	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Version, b.Version))
 }
 
-func (entry *upstream) leaving() bool {
-	return entry.spec.Draining || entry.report.Draining || entry.restarted()
-}
-
-// restarted reports whether the engine at the address has started anew since
-// the upstream was listed.
-func (entry *upstream) restarted() bool {
-	return entry.spec.Born > 0 && entry.report.Born > entry.spec.Born
-}
-
 func (entry *upstream) holds(adapter stock.Adapter) bool {
 	return stock.AnyServes(entry.report.Resident, adapter)
 }
