Call an engine again after a new start, whatever the earlier one wanted

A loader whose engine had answered 503 with a long Retry-After asked for no report until that was over, so it could not see that the engine had started anew in the meantime. The relays' demands name the listed start; a later one than that which wanted rest ends it (TestRestsAnew, fails first).

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	loader.listed = demand.GetUpstream()
+	loader.listedBorn = max(loader.listedBorn, demand.GetBorn())
 	return true
 }
 
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -98,10 +98,14 @@
 	// tellings holds what the entry instances were told last.
 	tellings map[string]telling
 
-	// fence and restUntil are used by the loop that gives orders only. Until
-	// restUntil the engine wants no calls.
-	fence     int64
+	// listedBorn is the latest start of the engine that the entry instances know.
+	listedBorn int64
+	// restUntil is until when the start restBorn of the engine wants no calls.
 	restUntil time.Time
+	restBorn  int64
+
+	// fence is used by the loop that gives orders only.
+	fence int64
 }
 
 // New returns a Loader that does not run yet.
--- a/internal/daemon/loader/loader_test.go
+++ b/internal/daemon/loader/loader_test.go
@@ -234,6 +234,26 @@
 	}
 }
 
+// TestRestsAnew guards against an engine that gets no adapters after a new start,
+// because an earlier start wanted no calls for long.
+func TestRestsAnew(t *testing.T) {
+	engine := &engine{report: sound()}
+	loader := newLoader(engine)
+	engine.err = RestError{Length: time.Hour}
+	loader.attend(t.Context())
+	engine.err, engine.report.Born = nil, 2000
+	engine.calls.Store(0)
+	loader.attend(t.Context())
+	if engine.calls.Load() != 0 {
+		t.Error("the engine was called although it wants no calls")
+	}
+	loader.heard("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Model: "m", Upstream: "i-1", Born: 2000}}})
+	loader.attend(t.Context())
+	if engine.calls.Load() == 0 {
+		t.Error("the engine was not called after its new start")
+	}
+}
+
 // TestRests guards against calls to an engine that wants none for a time, and
 // against one that counts as dark meanwhile.
 func TestRests(t *testing.T) {
--- a/internal/daemon/loader/orders.go
+++ b/internal/daemon/loader/orders.go
@@ -46,8 +46,13 @@
 	}
 }
 
-// rested reports whether the engine may be called.
-func (loader *Loader) rested() bool { return !time.Now().Before(loader.restUntil) }
+// rested reports whether the engine may be called. A new start of it is not
+// bound by what an earlier one said.
+func (loader *Loader) rested() bool {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	return !time.Now().Before(loader.restUntil) || loader.listedBorn > loader.restBorn
+}
 
 // rests records that the engine wants no calls, if err says so.
 func (loader *Loader) rests(err error) bool {
@@ -55,7 +60,10 @@
 	if !errors.As(err, &rest) {
 		return false
 	}
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
 	loader.restUntil = time.Now().Add(min(rest.Length, avoid.LongestRest))
+	loader.restBorn = max(loader.report.Born, loader.listedBorn)
 	counters.Add("engine-rests", 1)
 	loader.config.Logger.Warn("loader: engine wants no calls", zap.Duration("rest", rest.Length))
 	return true
