--- a/internal/flow/pace/pace.go
+++ b/internal/flow/pace/pace.go
@@ -29,6 +29,7 @@
 	readings []reading
 	pauses   []time.Duration
 	rate     float64
+	bound    float64
 }
 
 type reading struct {
@@ -43,7 +44,7 @@
 		return
 	}
 	estimator.readings = KeepNewest(append(estimator.readings, reading{prompt, took}), mostReadings)
-	estimator.rate = estimator.estimate()
+	estimator.rate, estimator.bound = estimator.estimate(), estimator.leastRate()
 }
 
 // Paused records the usual pause between two events of one stream.
@@ -59,7 +60,10 @@
 
 // AtLeast returns a rate that the engine reaches at the least, 0 if none is
 // known. It needs one reading, but counts the way there and back as reading.
-func (estimator *Estimator) AtLeast() float64 {
+func (estimator *Estimator) AtLeast() float64 { return estimator.bound }
+
+// leastRate returns the median of the rates that the readings show.
+func (estimator *Estimator) leastRate() float64 {
 	rates := make([]float64, 0, len(estimator.readings))
 	for _, reading := range estimator.readings {
 		rates = append(rates, float64(reading.prompt)/(reading.took.Seconds()*1000))
