--- a/internal/daemon/relay/notices.go
+++ b/internal/daemon/relay/notices.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -12,7 +15,7 @@
 // draining or wants a backoff, before the response is forwarded. The announcement
 // counts even if the response belongs to another request.
 func (proxyRequest *proxyRequest) applyNotices(upstream fleet.Upstream, info ResponseInfo) {
-	incarnation := cordon.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}
+	incarnation := incarnationOf(upstream)
 	if info.RetryAfter > 0 {
 		proxyRequest.relay.cordon.SetBackoff(incarnation, info.RetryAfter)
 		proxyRequest.relay.metrics.increment("upstreams-resting")
@@ -22,6 +25,39 @@
 	if info.Draining {
 		proxyRequest.relay.recordDraining(incarnation, "")
 	}
+	proxyRequest.recordRateLimit(incarnation, info)
+}
+
+// recordRateLimit records the rate limit that an upstream names in a response. Only
+// a response to this request can end or raise a limit.
+func (proxyRequest *proxyRequest) recordRateLimit(incarnation cordon.Incarnation, info ResponseInfo) {
+	relay := proxyRequest.relay
+	if info.MalformedRateLimit != "" {
+		relay.metrics.increment("limits-malformed")
+		proxyRequest.log("fleet: upstream named a malformed rate limit", zap.String("limited", incarnation.ID), zap.String("value", info.MalformedRateLimit))
+		if info.RateLimit == permit.Unlimited {
+			return
+		}
+	}
+	var sentAt time.Time
+	if info.ID == proxyRequest.info.ID {
+		sentAt = proxyRequest.sentAt
+	}
+	before, after := relay.limits.Record(incarnation, info.RateLimit, sentAt)
+	relay.logRateLimit(incarnation, before, after, "")
+}
+
+// logRateLimit logs a change of the rate limit in force for an upstream. It was
+// learned from the entry instance with the address peer, or from a response if peer
+// is empty.
+func (relay *Relay) logRateLimit(incarnation cordon.Incarnation, before, after permit.Rate, peer string) {
+	if before == after {
+		return
+	}
+	relay.metrics.increment("limits-changed")
+	relay.config.Logger.Info("fleet: upstream changed its rate limit", zap.String("upstream", incarnation.ID), zap.Int64("born", incarnation.StartedAt),
+		zap.Float64("before", float64(before)), zap.Float64("limit", float64(after)), zap.String("told", peer))
+	relay.stateChanged.notify()
 }
 
 // recordDraining records that an upstream announced that it is draining, to this
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
@@ -70,6 +71,11 @@
 	Draining bool
 	// RetryAfter is how long the upstream asks this instance to send no requests.
 	RetryAfter time.Duration
+	// RateLimit is the rate that the upstream takes from all instances together,
+	// permit.Unlimited if it names none.
+	RateLimit permit.Rate
+	// MalformedRateLimit is the text of a rate limit that cannot be read, or empty.
+	MalformedRateLimit string
 }
 
 // Protocol converts between HTTP headers and typed values.
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -24,6 +24,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
@@ -104,8 +105,10 @@
 	peers       *peers
 	// usageChanges is used only by sendReports.
 	usageChanges *usageChanges
-	// cordon holds the upstreams that are draining or asked for a backoff.
+	// cordon holds the upstreams that are draining or asked for a backoff, and limits
+	// the rate limits that upstreams name.
 	cordon       *cordon.Set
+	limits       *permit.Limits
 	latencies    *latencies
 	start        time.Time
 	wake         chan struct{}
@@ -146,6 +149,7 @@
 		stateChanged:    newBroadcast(),
 		usageChanges:    newUsageChanges(),
 		cordon:          cordon.New(cordon.Config{}),
+		limits:          permit.NewLimits(permit.LimitsConfig{}),
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
@@ -30,6 +32,7 @@
 		defer done()
 		ctx = watched
 	}
+	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals = time.Now(), nil
 	defer relay.picker.RecordEnded(upstream.ID, proxyRequest.adapter)
@@ -67,6 +70,25 @@
 	return proxyRequest.forwardWhole(upstream, response)
 }
 
+// countLimitedSend counts a send to an upstream with a rate limit in force.
+func (proxyRequest *proxyRequest) countLimitedSend(upstream fleet.Upstream) {
+	metrics := &proxyRequest.relay.metrics
+	switch {
+	case proxyRequest.relay.limits.Rate(incarnationOf(upstream)) == permit.Unlimited:
+	case proxyRequest.headersSent:
+		metrics.increment("limited-sends-resumed")
+	case proxyRequest.sends > 0:
+		metrics.increment("limited-sends-repeated")
+	default:
+		metrics.increment("limited-sends-first")
+	}
+}
+
+// incarnationOf returns the incarnation of a listed upstream.
+func incarnationOf(upstream fleet.Upstream) cordon.Incarnation {
+	return cordon.Incarnation{ID: upstream.ID, StartedAt: upstream.StartedAt}
+}
+
 // upstreamRequest returns the request to send to an upstream.
 func (proxyRequest *proxyRequest) upstreamRequest(upstream fleet.Upstream) http1.Request {
 	info := ForwardInfo{
