--- a/internal/bench/xfail/xfail.go
+++ b/internal/bench/xfail/xfail.go
@@ -4,23 +4,23 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
 
-// listFile is the path of the list from a package's directory. Every package with
-// listed tests lies three levels below the module root.
-const listFile = "../../../KNOWN-RED.txt"
+const (
+	// listFile is the name of the list in the module root.
+	listFile = "KNOWN-RED.txt"
+	// maxDepth is how many levels below the module root a package may lie.
+	maxDepth = 8
+)
 
 // SkipIfListed skips a test and prints its entry if KNOWN-RED.txt lists it. An
 // entry is a line that begins with the test's full name and a colon.
 func SkipIfListed(t *testing.T) {
 	t.Helper()
-	data, err := os.ReadFile(listFile)
-	if err != nil {
-		return
-	}
-	for line := range strings.Lines(string(data)) {
+	for line := range strings.Lines(readList()) {
 		if strings.HasPrefix(line, t.Name()+":") {
 			entry := strings.TrimSpace(line)
 			fmt.Println("known red:", entry)
@@ -28,3 +28,19 @@
 		}
 	}
 }
+
+// readList returns the text of the list, or "" if there is none.
+func readList() string {
+	directory := "."
+	for range maxDepth {
+		if _, err := os.Stat(filepath.Join(directory, "go.mod")); err == nil {
+			data, err := os.ReadFile(filepath.Join(directory, listFile))
+			if err != nil {
+				return ""
+			}
+			return string(data)
+		}
+		directory = filepath.Join(directory, "..")
+	}
+	return ""
+}
