--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -65,7 +65,7 @@
 	metric.SetGauge("relay", "connections-reused", int64(reused))
 	metric.SetGauge("relay", "config-age-ms", relay.configAge().Milliseconds())
 	metric.SetGauge("relay", "upstreams", int64(len(relay.store.instances.Upstreams())))
-	metric.SetGauge("relay", "upstreams-limited", int64(relay.limits.Count()))
+	metric.SetGauge("relay", "upstreams-limited", int64(relay.permits.limits.Count()))
 	if config := relay.store.config(); config != nil {
 		metric.SetGauge("relay", "config-version", int64(config.Version()))
 	}
--- a/internal/daemon/relay/notices.go
+++ b/internal/daemon/relay/notices.go
@@ -43,7 +43,7 @@
 	if info.ID == proxyRequest.info.ID {
 		sentAt = proxyRequest.sentAt
 	}
-	before, after := relay.limits.Record(incarnation, info.RateLimit, sentAt)
+	before, after := relay.permits.limits.Record(incarnation, info.RateLimit, sentAt)
 	relay.logRateLimit(incarnation, before, after, "")
 }
 
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -18,7 +18,7 @@
 	// lost datagrams.
 	fullReportInterval = time.Second
 	// readerTimeout is how long after its last usage report an entry instance may be
-	// the store reader.
+	// the store reader, or allocate permits.
 	readerTimeout = time.Second
 )
 
@@ -127,13 +127,32 @@
 	return 1 + len(peers.byAddress)
 }
 
+// live returns this instance and the other entry instances that were heard within
+// readerTimeout.
+func (peers *peers) live() []string {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	live := []string{peers.own}
+	for address, peer := range peers.byAddress {
+		if peer.live() {
+			live = append(live, address)
+		}
+	}
+	return live
+}
+
+// live reports whether the entry instance was heard within readerTimeout.
+func (peer *peer) live() bool {
+	return !peer.lastHeard.IsZero() && time.Since(peer.lastHeard) < readerTimeout
+}
+
 // storeReader returns the entry instance that reads the store for this instance's
 // failure domain, and the other live entry instances there.
 func (peers *peers) storeReader() (reader string, others []string) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	for address, peer := range peers.byAddress {
-		if peer.domain == peers.domain && !peer.lastHeard.IsZero() && time.Since(peer.lastHeard) < readerTimeout {
+		if peer.domain == peers.domain && peer.live() {
 			others = append(others, address)
 		}
 	}
--- /dev/null
+++ b/internal/daemon/relay/permits.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
+	"jacinthfront.dev/jacinthfront/internal/flow/rank"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+const (
+	// maxLimitsPerReport bounds the rate limits in a usage report.
+	maxLimitsPerReport = 256
+	// maxPermitsPerDatagram bounds the asks or grants in a datagram.
+	maxPermitsPerDatagram = 256
+)
+
+// permits keeps this instance's sends to upstreams with a rate limit within the
+// permits that it was issued. It implements picker.Limits.
+type permits struct {
+	limits *permit.Limits
+	client *permit.Client
+	// allocator issues the permits of the upstreams for which this instance ranks
+	// first.
+	allocator *permit.Allocator
+	queue     *permitQueue
+	metrics   *metrics
+	// reported counts the limits that full usage reports have named.
+	reported int
+}
+
+func newPermits(metrics *metrics) *permits {
+	return &permits{
+		limits: permit.NewLimits(permit.LimitsConfig{}), client: permit.NewClient(), allocator: permit.NewAllocator(),
+		queue: newPermitQueue(), metrics: metrics,
+	}
+}
+
+// Admits implements picker.Limits.
+func (permits *permits) Admits(upstream fleet.Upstream, request uint64) (count int, wait time.Duration) {
+	incarnation := incarnationOf(upstream)
+	rate := permits.limits.Rate(incarnation)
+	if rate == permit.Unlimited {
+		return math.MaxInt, 0
+	}
+	held := permits.client.Want(incarnation, request)
+	if count = held - permits.queue.countBefore(upstream.Service, request); count > 0 {
+		return count, 0
+	}
+	return 0, permits.client.Wait(incarnation, rate)
+}
+
+// take uses a permit for an upstream, if its rate is limited, and reports whether
+// a request may be sent there.
+func (permits *permits) take(upstream fleet.Upstream) bool {
+	incarnation := incarnationOf(upstream)
+	if permits.limits.Rate(incarnation) == permit.Unlimited {
+		return true
+	}
+	if !permits.client.Take(incarnation) {
+		return false
+	}
+	permits.metrics.increment("permits-taken")
+	return true
+}
+
+// encodeLimits encodes the known rate limits for a usage report: all, or those
+// that changed recently. If there are more than a report holds, each call returns
+// the next ones.
+func (permits *permits) encodeLimits(all bool) []*wirepb.RateLimit {
+	known := permits.limits.Known()
+	var encoded []*wirepb.RateLimit
+	for number := range known {
+		limit := known[(permits.reported+number)%len(known)]
+		if !all && !limit.Recent {
+			continue
+		}
+		if len(encoded) >= maxLimitsPerReport {
+			permits.reported = (permits.reported + number) % len(known)
+			break
+		}
+		if limit.Lowest != limit.Latest {
+			encoded = append(encoded, codec.EncodeRateLimit(limit.Incarnation, limit.Lowest))
+		}
+		encoded = append(encoded, codec.EncodeRateLimit(limit.Incarnation, limit.Latest))
+	}
+	return encoded
+}
+
+// recordPeerLimits records the rate limits that another entry instance passes on.
+func (relay *Relay) recordPeerLimits(report *wirepb.Usage) {
+	for _, encoded := range report.GetLimits() {
+		incarnation, notice := codec.DecodeRateLimit(encoded)
+		before, after := relay.permits.limits.Merge(incarnation, notice)
+		relay.logRateLimit(incarnation, before, after, report.GetEntry())
+	}
+}
+
+// exchangePermits asks for permits that are wanted, and issues those that are due.
+func (relay *Relay) exchangePermits() {
+	live := sync.OnceValue(relay.peers.live)
+	asks := relay.permits.client.Asks(relay.permits.limits.Rate, func(id string) string { return rank.First(id, live()) })
+	byAllocator := make(map[string][]*wirepb.PermitAsk)
+	for _, addressed := range asks {
+		if addressed.Allocator == relay.config.DatagramAddress {
+			relay.permits.allocator.SetAsk(addressed.Allocator, addressed.Ask)
+			continue
+		}
+		byAllocator[addressed.Allocator] = append(byAllocator[addressed.Allocator], codec.EncodePermitAsk(addressed.Ask))
+	}
+	for address, encoded := range byAllocator {
+		for len(encoded) > 0 {
+			count := min(len(encoded), maxPermitsPerDatagram)
+			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitAsks{PermitAsks: &wirepb.PermitAsks{
+				Entry: relay.config.DatagramAddress, Asks: encoded[:count],
+			}}}, address)
+			encoded = encoded[count:]
+		}
+	}
+	relay.issuePermits()
+}
+
+// issuePermits issues the permits that are due. The part of the rates that belongs
+// to silent entry instances, which may issue permits themselves, is not used.
+func (relay *Relay) issuePermits() {
+	if relay.permits.allocator.Idle() {
+		return
+	}
+	fraction := float64(len(relay.peers.live())) / float64(relay.peers.count())
+	byClient := make(map[string][]*wirepb.PermitGrant)
+	for _, addressed := range relay.permits.allocator.Issue(fraction) {
+		if addressed.Client == relay.config.DatagramAddress {
+			relay.acceptPermits(addressed.Grant)
+			continue
+		}
+		byClient[addressed.Client] = append(byClient[addressed.Client], codec.EncodePermitGrant(addressed.Grant))
+	}
+	for address, encoded := range byClient {
+		for len(encoded) > 0 {
+			count := min(len(encoded), maxPermitsPerDatagram)
+			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitGrants{PermitGrants: &wirepb.PermitGrants{
+				Grants: encoded[:count],
+			}}}, address)
+			encoded = encoded[count:]
+		}
+	}
+}
+
+// handlePermitAsks processes the asks of another entry instance.
+func (relay *Relay) handlePermitAsks(asks *wirepb.PermitAsks) {
+	for _, encoded := range asks.GetAsks() {
+		relay.permits.allocator.SetAsk(asks.GetEntry(), codec.DecodePermitAsk(encoded))
+	}
+	relay.issuePermits()
+}
+
+// handlePermitGrants processes the grants of an allocator.
+func (relay *Relay) handlePermitGrants(grants *wirepb.PermitGrants) {
+	for _, encoded := range grants.GetGrants() {
+		relay.acceptPermits(codec.DecodePermitGrant(encoded))
+	}
+}
+
+// acceptPermits adds the permits of a grant and wakes the requests that wait.
+func (relay *Relay) acceptPermits(grant permit.Grant) {
+	if relay.permits.client.Accept(grant) {
+		relay.metrics.increment("permits-received")
+		relay.stateChanged.notify()
+	}
+}
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -82,6 +82,8 @@
 	// upstream, up to the first event and to the end.
 	typicalFirstEvent time.Duration
 	typicalTotal      time.Duration
+	// awaitsPermit means that the request waits for a rate limit to admit it.
+	awaitsPermit bool
 	// moves counts the upstreams at which the request waited.
 	moves   int
 	load    int
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -24,7 +24,6 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
-	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
@@ -105,10 +104,10 @@
 	peers       *peers
 	// usageChanges is used only by sendReports.
 	usageChanges *usageChanges
-	// cordon holds the upstreams that are draining or asked for a backoff, and limits
-	// the rate limits that upstreams name.
+	// cordon holds the upstreams that are draining or asked for a backoff, and permits
+	// keeps the sends to others within the rate limits that they name.
 	cordon       *cordon.Set
-	limits       *permit.Limits
+	permits      *permits
 	latencies    *latencies
 	start        time.Time
 	wake         chan struct{}
@@ -149,13 +148,13 @@
 		stateChanged:    newBroadcast(),
 		usageChanges:    newUsageChanges(),
 		cordon:          cordon.New(cordon.Config{}),
-		limits:          permit.NewLimits(permit.LimitsConfig{}),
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
 	}
 	relay.requestNumbers.Store(rand.Uint64())
-	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon})
+	relay.permits = newPermits(&relay.metrics)
+	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
 	relay.retryBudget = newRetryBudget(func() Bounds { return *relay.bounds.Load() }, relay.peers.count)
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -52,7 +52,7 @@
 }
 
 // sendReports reports demand to the loaders and usage to the other entry instances,
-// and queries the store reader, until ctx ends.
+// exchanges permits and queries the store reader, until ctx ends.
 func (relay *Relay) sendReports(ctx context.Context) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
@@ -66,6 +66,7 @@
 		case <-relay.wake:
 		}
 		relay.reportDemand(lastSent)
+		relay.exchangePermits()
 		relay.initialiseBuckets()
 		usage := relay.limiter.LocalUsage()
 		changed := relay.usageChanges.update(usage.Spent)
@@ -199,6 +200,10 @@
 		relay.handleStoreAsk(body.StoreAsk)
 	case *wirepb.Datagram_StoreWord:
 		relay.handleStoreWord(body.StoreWord)
+	case *wirepb.Datagram_PermitAsks:
+		relay.handlePermitAsks(body.PermitAsks)
+	case *wirepb.Datagram_PermitGrants:
+		relay.handlePermitGrants(body.PermitGrants)
 	}
 }
 
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -135,6 +135,7 @@
 	waitingRequest := &waitingRequest{proxyRequest: proxyRequest, number: proxyRequest.relay.requestNumbers.Add(1)}
 	defer func() {
 		waitingRequest.withdraw()
+		proxyRequest.leavePermitQueue(waitingRequest.number)
 		proxyRequest.waited += time.Since(began)
 	}()
 	for {
@@ -142,6 +143,10 @@
 		choice := waitingRequest.choose()
 		proxyRequest.recordWait(choice)
 		if grant, ok := waitingRequest.admitted(choice); ok {
+			if !proxyRequest.relay.permits.take(choice.Upstream) {
+				// Another request has used the permit since the choice.
+				continue
+			}
 			proxyRequest.recordChoice(choice)
 			proxyRequest.grant = grant
 			return choice, nil
@@ -149,6 +154,9 @@
 		if refused := proxyRequest.waitRefusal(ctx, choice, time.Since(began)); refused != nil {
 			return choice, refused
 		}
+		if choice.Result == picker.RateLimited {
+			proxyRequest.joinPermitQueue(waitingRequest.number)
+		}
 		timer := time.NewTimer(recheckInterval)
 		select {
 		case <-ctx.Done():
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -74,7 +74,7 @@
 func (proxyRequest *proxyRequest) countLimitedSend(upstream fleet.Upstream) {
 	metrics := &proxyRequest.relay.metrics
 	switch {
-	case proxyRequest.relay.limits.Rate(incarnationOf(upstream)) == permit.Unlimited:
+	case proxyRequest.relay.permits.limits.Rate(incarnationOf(upstream)) == permit.Unlimited:
 	case proxyRequest.headersSent:
 		metrics.increment("limited-sends-resumed")
 	case proxyRequest.sends > 0:
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -84,7 +84,7 @@
 	encoded := &wirepb.Usage{
 		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
 		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: only != nil,
-		Leaving: encodeDraining(relay.cordon.RecentlyDraining()),
+		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(only == nil),
 	}
 	for organisation, spent := range usage.Spent {
 		if only != nil && !only[organisation] {
@@ -113,6 +113,7 @@
 	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart())
 	relay.limiter.MergeUsage(report.GetEntry(), usage)
 	relay.recordPeerDraining(report)
+	relay.recordPeerLimits(report)
 }
 
 // usageInterval returns the time between two usage reports to the other entry
--- a/internal/daemon/relay/waitingrequest.go
+++ b/internal/daemon/relay/waitingrequest.go
@@ -29,7 +29,7 @@
 	if kept && proxyRequest.relay.picker.GrantState(waitingRequest.choice.Upstream.ID, waitingRequest.number) != picker.Unusable {
 		return waitingRequest.choice
 	}
-	requirements.WaitingAt = waitingRequest.choice.Upstream.ID
+	requirements.WaitingAt, requirements.Number = waitingRequest.choice.Upstream.ID, waitingRequest.number
 	choice := proxyRequest.relay.picker.Choose(requirements)
 	if !requirements.Engine || choice.Upstream.ID == "" {
 		return choice
--- a/internal/daemon/relay/waitlimits.go
+++ b/internal/daemon/relay/waitlimits.go
@@ -13,6 +13,12 @@
 	// long a request waits for a usable upstream, or for its organisation's token
 	// bucket, before it is refused.
 	admissionWaitDivisor = 8
+	// permitWaitDivisor divides the remaining time of a request. The quotient is the
+	// longest expected wait for a permit with which the request waits for one.
+	permitWaitDivisor = 2
+	// maxPermitRetryAfter limits the time after which a caller is told to retry when
+	// rate limits are used up.
+	maxPermitRetryAfter = time.Minute
 	// refusalMargin is how long before a caller gives up a refusal is sent.
 	refusalMargin = 100 * time.Millisecond
 )
@@ -76,6 +82,8 @@
 	case choice.Result == picker.NoUpstream && choice.RetryAfter > proxyRequest.backoffLimit():
 		// Another instance may serve the request sooner.
 		return &refusal{http.StatusServiceUnavailable, "the upstreams take nothing for a time", min(choice.RetryAfter, maxRetryAfter)}
+	case choice.Result == picker.RateLimited && !proxyRequest.mayAwaitPermit(choice.RetryAfter):
+		return &refusal{http.StatusServiceUnavailable, "the upstreams' rate limits are used up", min(choice.RetryAfter, maxPermitRetryAfter)}
 	case proxyRequest.headersSent:
 		// The caller has a part of the response. A retry would not bring it the rest
 		// sooner.
@@ -105,6 +113,35 @@
 	}
 }
 
+// mayAwaitPermit reports whether the request may wait for a permit that is expected
+// after a time. Once it waits, those that come later do not delay it, and it waits
+// as long as it can be answered.
+func (proxyRequest *proxyRequest) mayAwaitPermit(expected time.Duration) bool {
+	remaining := proxyRequest.remainingWait()
+	switch {
+	case proxyRequest.headersSent:
+		return expected <= time.Until(proxyRequest.deadline)
+	case proxyRequest.awaitsPermit:
+		return remaining > 0
+	default:
+		return expected <= remaining/permitWaitDivisor
+	}
+}
+
+// joinPermitQueue makes the request wait for a permit in the order of arrival.
+func (proxyRequest *proxyRequest) joinPermitQueue(number uint64) {
+	proxyRequest.awaitsPermit = true
+	proxyRequest.relay.permits.queue.add(proxyRequest.service.Name, number)
+}
+
+// leavePermitQueue ends what joinPermitQueue began.
+func (proxyRequest *proxyRequest) leavePermitQueue(number uint64) {
+	if proxyRequest.awaitsPermit {
+		proxyRequest.awaitsPermit = false
+		proxyRequest.relay.permits.queue.remove(proxyRequest.service.Name, number)
+	}
+}
+
 // backoffLimit returns how long the request may wait for an upstream's backoff to
 // end.
 func (proxyRequest *proxyRequest) backoffLimit() time.Duration {
--- a/internal/daemon/relay/waitlimits_test.go
+++ b/internal/daemon/relay/waitlimits_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
@@ -48,3 +50,34 @@
 		})
 	}
 }
+
+// TestRateLimitRefusal guards against requests that wait although a rate limit is
+// known not to admit them in time, and against refusals of those that it admits.
+func TestRateLimitRefusal(t *testing.T) {
+	tests := []struct {
+		name        string
+		wait        time.Duration
+		headersSent bool
+		want        *refusal
+	}{
+		{name: "in time", wait: 900 * time.Millisecond},
+		{name: "too late", wait: 1100 * time.Millisecond, want: &refusal{503, "the upstreams' rate limits are used up", 1100 * time.Millisecond}},
+		{name: "much too late", wait: time.Hour, want: &refusal{503, "the upstreams' rate limits are used up", time.Minute}},
+		{name: "interrupted stream", wait: 1900 * time.Millisecond, headersSent: true},
+		{name: "interrupted stream too late", wait: 3 * time.Second, headersSent: true, want: &refusal{503, "the upstreams' rate limits are used up", 3 * time.Second}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				proxyRequest := &proxyRequest{
+					relay: &Relay{latencies: newLatencies()}, route: &routes.Route{Name: "r"}, service: &routes.Service{},
+					started: time.Now(), deadline: time.Now().Add(2 * time.Second), headersSent: test.headersSent,
+				}
+				got := proxyRequest.waitRefusal(t.Context(), picker.Choice{Result: picker.RateLimited, RetryAfter: test.wait}, 0)
+				if diff := cmp.Diff(test.want, got, cmp.AllowUnexported(refusal{})); diff != "" {
+					t.Errorf("refusal (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/flow/permit/allocator.go
@@ -0,0 +1,243 @@
+package permit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+)
+
+const (
+	// MinRate is the rate at which permits are issued under a lower limit, even
+	// under one of 0. A request now and then shows whether the limit still holds.
+	MinRate Rate = 0.1
+	// minAskInterval is the least time between two asks of a client. It grows by
+	// askIntervalPerClient for each client of the upstream, up to maxAskInterval, so
+	// that an allocator with many clients is not overloaded.
+	minAskInterval       = 100 * time.Millisecond
+	askIntervalPerClient = 4 * time.Millisecond
+	maxAskInterval       = 2 * time.Second
+	// askLifetime is for how many ask intervals an ask is answered with permits.
+	askLifetime = 4
+	// maxWanted bounds the permits that an ask is taken to want.
+	maxWanted = 10_000
+	// memberRetention is how long a client, and an upstream without clients, is
+	// remembered.
+	memberRetention = 10 * time.Second
+	// burstTime is the time for whose length permits accrue while none is wanted.
+	// At least one accrues.
+	burstTime = 250 * time.Millisecond
+)
+
+// Ask is what a client asks of the allocator of an upstream. A later ask replaces
+// an earlier one.
+type Ask struct {
+	Incarnation cordon.Incarnation
+	// Rate is the limit that the client knows.
+	Rate Rate
+	// Session tells the client's series of asks to this allocator from others.
+	Session uint64
+	// Wanted is the number of permits that the client wants beyond those that it
+	// holds.
+	Wanted int
+	// Received and Returned count the permits of the session that the client has
+	// received, and those of them that have expired unused.
+	Received uint64
+	Returned uint64
+}
+
+// Grant is the allocator's answer to a client.
+type Grant struct {
+	Incarnation cordon.Incarnation
+	Session     uint64
+	// Issued counts the permits that the session was issued.
+	Issued uint64
+	// Queued is the number of permits that clients want and were not issued, and
+	// Clients the number of clients that ask for permits of the upstream.
+	Queued  int
+	Clients int
+}
+
+// askInterval returns the time between two asks of a client.
+func askInterval(clients int) time.Duration {
+	return min(max(minAskInterval, time.Duration(clients)*askIntervalPerClient), maxAskInterval)
+}
+
+// AddressedGrant is a grant with the client that it is for.
+type AddressedGrant struct {
+	Client string
+	Grant  Grant
+}
+
+// Allocator issues the permits of the upstreams for which its instance is
+// responsible. All permits together are issued at the upstream's rate, to the
+// clients in turn. Its methods may be called concurrently.
+type Allocator struct {
+	mutex sync.Mutex
+	pools map[string]*pool
+}
+
+// pool holds the permits of one incarnation of an upstream.
+type pool struct {
+	startedAt int64
+	// rate is the lowest rate that clients know.
+	rate Rate
+	// permits is the number of permits that may be issued, as of filledAt.
+	permits  float64
+	filledAt time.Time
+	members  map[string]*member
+}
+
+// member is a client that asks for permits of an upstream.
+type member struct {
+	ask     Ask
+	askedAt time.Time
+	// issued counts the permits issued in the session, the last one at issuedAt.
+	issued   uint64
+	issuedAt time.Time
+	// unanswered means that the last ask has not been answered.
+	unanswered bool
+}
+
+// NewAllocator returns an Allocator that has issued nothing.
+func NewAllocator() *Allocator { return &Allocator{pools: make(map[string]*pool)} }
+
+// Idle reports whether no client has asked lately.
+func (allocator *Allocator) Idle() bool {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	return len(allocator.pools) == 0
+}
+
+// SetAsk records an ask. Permits that were returned may be issued again.
+func (allocator *Allocator) SetAsk(client string, ask Ask) {
+	if !ask.Rate.Valid() {
+		return
+	}
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	found, ok := allocator.pools[ask.Incarnation.ID]
+	switch {
+	case ok && ask.Incarnation.StartedAt < found.startedAt:
+		return
+	case !ok || ask.Incarnation.StartedAt > found.startedAt:
+		found = &pool{startedAt: ask.Incarnation.StartedAt, rate: MinRate, filledAt: time.Now(), members: make(map[string]*member)}
+		allocator.pools[ask.Incarnation.ID] = found
+	}
+	asking, ok := found.members[client]
+	if !ok || asking.ask.Session != ask.Session {
+		asking = &member{ask: ask, issued: ask.Received}
+		found.members[client] = asking
+	}
+	if ask.Returned > asking.ask.Returned {
+		found.permits += float64(ask.Returned - asking.ask.Returned)
+	}
+	ask.Returned = max(ask.Returned, asking.ask.Returned)
+	ask.Wanted = min(ask.Wanted, maxWanted)
+	asking.ask, asking.askedAt, asking.unanswered = ask, time.Now(), true
+}
+
+// Issue issues the permits that are due and returns the answers to the clients
+// that asked or get permits. Fraction is the part of the rates that this allocator
+// may issue.
+func (allocator *Allocator) Issue(fraction float64) []AddressedGrant {
+	allocator.mutex.Lock()
+	defer allocator.mutex.Unlock()
+	now := time.Now()
+	var grants []AddressedGrant
+	for _, id := range slices.Sorted(maps.Keys(allocator.pools)) {
+		pool := allocator.pools[id]
+		maps.DeleteFunc(pool.members, func(_ string, member *member) bool { return now.Sub(member.askedAt) > memberRetention })
+		if len(pool.members) == 0 {
+			delete(allocator.pools, id)
+			continue
+		}
+		pool.fill(now, fraction)
+		grants = append(grants, pool.issue(now)...)
+	}
+	return grants
+}
+
+// asks reports whether the member has asked within the lifetime of an ask.
+func (pool *pool) asks(member *member, now time.Time) bool {
+	return now.Sub(member.askedAt) <= askLifetime*askInterval(len(pool.members))
+}
+
+// updateRate sets the rate to the lowest that the clients lately named.
+func (pool *pool) updateRate(now time.Time) {
+	lowest := Unlimited
+	for _, member := range pool.members {
+		if pool.asks(member, now) {
+			lowest = min(lowest, member.ask.Rate)
+		}
+	}
+	if lowest != Unlimited {
+		pool.rate = max(lowest, MinRate)
+	}
+}
+
+// fill adds the permits that have accrued.
+func (pool *pool) fill(now time.Time, fraction float64) {
+	pool.updateRate(now)
+	rate := float64(pool.rate) * fraction
+	burst := max(1, rate*burstTime.Seconds())
+	pool.permits = min(pool.permits+rate*now.Sub(pool.filledAt).Seconds(), burst)
+	pool.filledAt = now
+}
+
+// issue issues permits, one at a time to the client that was last issued one the
+// longest time ago.
+func (pool *pool) issue(now time.Time) []AddressedGrant {
+	waiting := make([]string, 0, len(pool.members))
+	for client, member := range pool.members {
+		if pool.missing(member, now) > 0 {
+			waiting = append(waiting, client)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b string) int {
+		return cmp.Or(pool.members[a].issuedAt.Compare(pool.members[b].issuedAt), cmp.Compare(a, b))
+	})
+	for len(waiting) > 0 && pool.permits >= 1 {
+		client := waiting[0]
+		served := pool.members[client]
+		served.issued, served.issuedAt, served.unanswered = served.issued+1, now, true
+		pool.permits--
+		waiting = waiting[1:]
+		if pool.missing(served, now) > 0 {
+			waiting = append(waiting, client)
+		}
+	}
+	return pool.answers(now)
+}
+
+// answers returns the answers to the clients that asked or got permits.
+func (pool *pool) answers(now time.Time) []AddressedGrant {
+	queued := 0
+	for _, member := range pool.members {
+		queued += pool.missing(member, now)
+	}
+	var grants []AddressedGrant
+	for _, client := range slices.Sorted(maps.Keys(pool.members)) {
+		member := pool.members[client]
+		if !member.unanswered {
+			continue
+		}
+		member.unanswered = false
+		grants = append(grants, AddressedGrant{Client: client, Grant: Grant{
+			Incarnation: member.ask.Incarnation, Session: member.ask.Session, Issued: member.issued, Queued: queued, Clients: len(pool.members),
+		}})
+	}
+	return grants
+}
+
+// missing returns the number of permits that the member wants and was not issued.
+func (pool *pool) missing(member *member, now time.Time) int {
+	if !pool.asks(member, now) {
+		return 0
+	}
+	underway := member.issued - min(member.ask.Received, member.issued)
+	return max(member.ask.Wanted-int(min(underway, maxWanted)), 0)
+}
--- a/internal/flow/permit/limits.go
+++ b/internal/flow/permit/limits.go
@@ -28,7 +28,7 @@
 	// DefaultRaiseDelay is how long a limit stays in force after it was last named,
 	// although later responses name a higher one or none. Where responses differ,
 	// the lowest limit holds.
-	DefaultRaiseDelay = 2 * time.Second
+	DefaultRaiseDelay = 4 * time.Second
 	// DefaultAnnouncePeriod is how long a change is passed on with each report to
 	// other instances.
 	DefaultAnnouncePeriod = 2 * time.Second
@@ -172,7 +172,8 @@
 	return count
 }
 
-// Known is what an instance knows of an upstream's limit.
+// Known is what an instance knows of an upstream's limit: the lowest rate named
+// within the raise delay, and the last one named.
 type Known struct {
 	Incarnation    cordon.Incarnation
 	Lowest, Latest Notice
@@ -191,9 +192,13 @@
 	})
 	var all []Known
 	for id, known := range limits.byID {
+		lowest := known.lowest
+		if now.Sub(lowest.At) >= limits.config.RaiseDelay {
+			lowest = known.latest
+		}
 		all = append(all, Known{
 			Incarnation: cordon.Incarnation{ID: id, StartedAt: known.startedAt},
-			Lowest:      known.lowest, Latest: known.latest, Recent: now.Sub(known.changedAt) < limits.config.AnnouncePeriod,
+			Lowest:      lowest, Latest: known.latest, Recent: now.Sub(known.changedAt) < limits.config.AnnouncePeriod,
 		})
 	}
 	slices.SortFunc(all, func(a, b Known) int { return cmp.Compare(a.Incarnation.ID, b.Incarnation.ID) })
--- a/internal/flow/permit/limits_test.go
+++ b/internal/flow/permit/limits_test.go
@@ -70,7 +70,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				limits, start := NewLimits(LimitsConfig{}), time.Now()
+				limits, start := NewLimits(LimitsConfig{RaiseDelay: 2 * time.Second}), time.Now()
 				var last cordon.Incarnation
 				for _, step := range test.steps {
 					time.Sleep(time.Until(start.Add(step.at)))
@@ -97,7 +97,8 @@
 // them heard of, and against one that remembers limits for ever.
 func TestLimitsMerge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		teller, hearer := NewLimits(LimitsConfig{}), NewLimits(LimitsConfig{})
+		config := LimitsConfig{RaiseDelay: 2 * time.Second}
+		teller, hearer := NewLimits(config), NewLimits(config)
 		upstream := cordon.Incarnation{ID: "i-1", StartedAt: 7}
 		tell := func() {
 			for _, known := range teller.Known() {
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// minPermitWait is the least expected time until a rate limit that is used up
+// admits a request.
+const minPermitWait = 10 * time.Millisecond
+
 // candidate is an upstream that may get a request, with the values by which it
 // is compared.
 type candidate struct {
@@ -21,10 +25,13 @@
 
 // candidates returns the upstreams that may get the request, in random order.
 // Engines whose loader has not reported since they were listed are left out for
-// firstReportTimeout, unless there are no others.
-func (picker *Picker) candidates(request Request) []candidate {
+// firstReportTimeout, unless there are no others. Upstreams whose rate limit is
+// used up are left out; permitWait is the expected time until one of them may get
+// a request, or 0 if there are none.
+func (picker *Picker) candidates(request Request) (found []candidate, permitWait time.Duration) {
 	now := time.Now()
 	var candidates, unreported []candidate
+	var permitRate float64
 	for _, upstream := range picker.services[request.Service] {
 		if !picker.usable(upstream) || slices.Contains(request.Exclude, upstream.spec.ID) {
 			continue
@@ -35,6 +42,10 @@
 		if picker.config.Health != nil && !picker.config.Health.Usable(request.Service, upstream.spec.ID) {
 			continue
 		}
+		if wait, admitted := picker.admits(upstream, request); !admitted {
+			permitRate += 1 / max(wait.Seconds(), minPermitWait.Seconds())
+			continue
+		}
 		load := picker.load(upstream, now)
 		backlog := picker.backlog(upstream, load, request, now)
 		wait := picker.wait(upstream, backlog)
@@ -60,7 +71,33 @@
 		candidates = unreported
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	return candidates
+	if permitRate > 0 {
+		permitWait = time.Duration(float64(time.Second) / permitRate)
+	}
+	return candidates, permitWait
+}
+
+// admits reports whether an upstream's rate limit admits a request besides those
+// of this instance that wait there, and if not, the expected time until it does.
+func (picker *Picker) admits(upstream *upstream, request Request) (wait time.Duration, admitted bool) {
+	if picker.config.Limits == nil {
+		return 0, true
+	}
+	count, wait := picker.config.Limits.Admits(upstream.spec, request.Number)
+	waiting := len(upstream.waiting)
+	if _, ok := upstream.waiting[request.Number]; ok {
+		waiting--
+	}
+	return wait, count > waiting
+}
+
+// admitsAny reports whether an upstream's rate limit admits any request now.
+func (picker *Picker) admitsAny(upstream *upstream, number uint64) bool {
+	if picker.config.Limits == nil {
+		return true
+	}
+	count, _ := picker.config.Limits.Admits(upstream.spec, number)
+	return count > 0
 }
 
 // backlog returns how many prompt tokens are ahead of a request at an upstream.
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -30,6 +30,8 @@
 	// Late requests have missed their response-time goal and come after those
 	// on time.
 	Late bool
+	// Number identifies the request among those of this instance.
+	Number uint64
 	// WaitingAt is the id of the upstream where the request already waits, or
 	// empty.
 	WaitingAt string
@@ -50,6 +52,9 @@
 	Starting
 	// NoUpstream means that the service has no usable upstream.
 	NoUpstream
+	// RateLimited means that all usable upstreams have a rate limit that is used
+	// up.
+	RateLimited
 )
 
 // Choice is the outcome of Choose.
@@ -66,7 +71,8 @@
 	// not empty.
 	CopyTo fleet.Upstream
 	// RetryAfter is the time until the first upstream that asked for a backoff
-	// may be used again, if none can be used before, or 0.
+	// may be used again, or the expected time until a rate limit admits a request,
+	// if none can be used before, or 0.
 	RetryAfter time.Duration
 }
 
@@ -74,9 +80,13 @@
 func (picker *Picker) Choose(request Request) Choice {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
-	candidates := picker.candidates(request)
+	candidates, permitWait := picker.candidates(request)
 	if len(candidates) == 0 {
-		return Choice{Result: picker.unavailableResult(request), RetryAfter: picker.retryAfter(request)}
+		choice := Choice{Result: picker.unavailableResult(request), RetryAfter: picker.retryAfter(request)}
+		if choice.Result == NoUpstream && permitWait > 0 {
+			return Choice{Result: RateLimited, RetryAfter: permitWait}
+		}
+		return choice
 	}
 	var choice Choice
 	if request.Adapter.Name == "" {
--- a/internal/flow/picker/picker.go
+++ b/internal/flow/picker/picker.go
@@ -70,11 +70,20 @@
 	Cordoned(incarnation cordon.Incarnation) (until time.Time, cordoned bool)
 }
 
+// Limits tells how many requests the rate limits of upstreams admit.
+type Limits interface {
+	// Admits returns how many requests may be sent to an upstream now. The request
+	// with the given number wants to be sent there. If none may be sent, wait is the
+	// expected time until one may.
+	Admits(upstream fleet.Upstream, request uint64) (count int, wait time.Duration)
+}
+
 // Config configures a Picker. Zero values mean the defaults.
 type Config struct {
 	FailureDomain  string
 	Health         Health
 	Cordon         Cordon
+	Limits         Limits
 	ReportTTL      time.Duration
 	ReportLag      time.Duration
 	Overcommit     int
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -94,8 +94,8 @@
 	// NoLoader means that the upstream's loader sends no reports. The request
 	// may then start as soon as the upstream has its adapter.
 	NoLoader
-	// Unusable means that the upstream can no longer be used, or that the
-	// request does not wait there.
+	// Unusable means that the upstream can no longer be used, that its rate limit
+	// is used up, or that the request does not wait there.
 	Unusable
 )
 
@@ -109,7 +109,7 @@
 	}
 	waiter, ok := upstream.waiting[number]
 	switch {
-	case !ok:
+	case !ok, !picker.admitsAny(upstream, number):
 		return Unusable
 	case waiter.granted:
 		return Granted
