--- a/internal/daemon/relay/permitqueue.go
+++ b/internal/daemon/relay/permitqueue.go
@@ -5,23 +5,36 @@
 	"sync"
 )
 
-// permitQueue holds the requests that wait for a permit, because the rate limits of
-// all upstreams of their service are used up. Permits go to those that came first.
+// permitQueue orders the requests that wait for a permit, because the rate limits
+// of all upstreams of their service are used up. Interrupted streams come first,
+// then the requests in the order of their arrival.
 type permitQueue struct {
-	mutex sync.Mutex
-	// byService holds the numbers of the requests, in ascending order.
-	byService map[string][]uint64
+	mutex     sync.Mutex
+	byService map[string]*serviceQueue
 }
 
-func newPermitQueue() *permitQueue { return &permitQueue{byService: make(map[string][]uint64)} }
+// serviceQueue holds the numbers of the requests for one service, in ascending
+// order.
+type serviceQueue struct {
+	streams  []uint64
+	requests []uint64
+}
+
+func newPermitQueue() *permitQueue { return &permitQueue{byService: make(map[string]*serviceQueue)} }
 
 // add adds a request to the queue, unless it is in it.
-func (permitQueue *permitQueue) add(service string, request uint64) {
+func (permitQueue *permitQueue) add(service string, request uint64, interrupted bool) {
 	permitQueue.mutex.Lock()
 	defer permitQueue.mutex.Unlock()
-	queued := permitQueue.byService[service]
-	if index, found := slices.BinarySearch(queued, request); !found {
-		permitQueue.byService[service] = slices.Insert(queued, index, request)
+	queue, ok := permitQueue.byService[service]
+	if !ok {
+		queue = &serviceQueue{}
+		permitQueue.byService[service] = queue
+	}
+	if interrupted {
+		queue.streams = insert(queue.streams, request)
+	} else {
+		queue.requests = insert(queue.requests, request)
 	}
 }
 
@@ -29,16 +42,46 @@
 func (permitQueue *permitQueue) remove(service string, request uint64) {
 	permitQueue.mutex.Lock()
 	defer permitQueue.mutex.Unlock()
-	queued := permitQueue.byService[service]
-	if index, found := slices.BinarySearch(queued, request); found {
-		permitQueue.byService[service] = slices.Delete(queued, index, index+1)
+	queue, ok := permitQueue.byService[service]
+	if !ok {
+		return
+	}
+	queue.streams, queue.requests = remove(queue.streams, request), remove(queue.requests, request)
+	if len(queue.streams) == 0 && len(queue.requests) == 0 {
+		delete(permitQueue.byService, service)
 	}
 }
 
-// countBefore returns the number of requests that came before a request.
+// countBefore returns the number of queued requests that come before a request,
+// which need not be queued itself.
 func (permitQueue *permitQueue) countBefore(service string, request uint64) int {
 	permitQueue.mutex.Lock()
 	defer permitQueue.mutex.Unlock()
-	index, _ := slices.BinarySearch(permitQueue.byService[service], request)
-	return index
+	queue, ok := permitQueue.byService[service]
+	if !ok {
+		return 0
+	}
+	if index, found := slices.BinarySearch(queue.streams, request); found {
+		return index
+	}
+	index, _ := slices.BinarySearch(queue.requests, request)
+	return len(queue.streams) + index
+}
+
+// insert inserts a number into sorted ones, unless it is among them.
+func insert(sorted []uint64, number uint64) []uint64 {
+	index, found := slices.BinarySearch(sorted, number)
+	if found {
+		return sorted
+	}
+	return slices.Insert(sorted, index, number)
+}
+
+// remove removes a number from sorted ones, if it is among them.
+func remove(sorted []uint64, number uint64) []uint64 {
+	index, found := slices.BinarySearch(sorted, number)
+	if !found {
+		return sorted
+	}
+	return slices.Delete(sorted, index, index+1)
 }
--- a/internal/daemon/relay/permits.go
+++ b/internal/daemon/relay/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,12 +114,9 @@
 		byAllocator[addressed.Allocator] = append(byAllocator[addressed.Allocator], codec.EncodePermitAsk(addressed.Ask))
 	}
 	for address, encoded := range byAllocator {
-		for len(encoded) > 0 {
-			count := min(len(encoded), maxPermitsPerDatagram)
-			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitAsks{PermitAsks: &wirepb.PermitAsks{
-				Entry: relay.config.DatagramAddress, Asks: encoded[:count],
-			}}}, address)
-			encoded = encoded[count:]
+		for chunk := range slices.Chunk(encoded, maxPermitsPerDatagram) {
+			body := &wirepb.PermitAsks{Entry: relay.config.DatagramAddress, Asks: chunk}
+			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitAsks{PermitAsks: body}}, address)
 		}
 	}
 	relay.issuePermits()
@@ -140,12 +138,9 @@
 		byClient[addressed.Client] = append(byClient[addressed.Client], codec.EncodePermitGrant(addressed.Grant))
 	}
 	for address, encoded := range byClient {
-		for len(encoded) > 0 {
-			count := min(len(encoded), maxPermitsPerDatagram)
-			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitGrants{PermitGrants: &wirepb.PermitGrants{
-				Grants: encoded[:count],
-			}}}, address)
-			encoded = encoded[count:]
+		for chunk := range slices.Chunk(encoded, maxPermitsPerDatagram) {
+			body := &wirepb.PermitGrants{Grants: chunk}
+			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitGrants{PermitGrants: body}}, address)
 		}
 	}
 }
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -138,6 +138,9 @@
 		proxyRequest.leavePermitQueue(waitingRequest.number)
 		proxyRequest.waited += time.Since(began)
 	}()
+	if proxyRequest.headersSent {
+		proxyRequest.joinPermitQueue(waitingRequest.number)
+	}
 	for {
 		changed := proxyRequest.relay.stateChanged.next()
 		choice := waitingRequest.choose()
--- a/internal/daemon/relay/waitlimits.go
+++ b/internal/daemon/relay/waitlimits.go
@@ -128,10 +128,10 @@
 	}
 }
 
-// joinPermitQueue makes the request wait for a permit in the order of arrival.
+// joinPermitQueue makes the request wait for a permit in its turn.
 func (proxyRequest *proxyRequest) joinPermitQueue(number uint64) {
 	proxyRequest.awaitsPermit = true
-	proxyRequest.relay.permits.queue.add(proxyRequest.service.Name, number)
+	proxyRequest.relay.permits.queue.add(proxyRequest.service.Name, number, proxyRequest.headersSent)
 }
 
 // leavePermitQueue ends what joinPermitQueue began.
