--- a/internal/daemon/start/logclients.go
+++ b/internal/daemon/start/logclients.go
@@ -20,11 +20,8 @@
 	if err != nil {
 		return syncer.LogPage{}, err
 	}
-	result := syncer.LogPage{FirstOffset: page.FirstOffset, NextOffset: page.NextOffset}
-	for _, record := range page.Records {
-		result.Records = append(result.Records, syncer.LogRecord(record))
-	}
-	return result, nil
+	records := convertRecords(page.Records, func(record logsvc.Record) syncer.LogRecord { return syncer.LogRecord(record) })
+	return syncer.LogPage{FirstOffset: page.FirstOffset, NextOffset: page.NextOffset, Records: records}, nil
 }
 
 // claimLog implements side.Log, on which a side process records claims, by the
@@ -39,9 +36,15 @@
 	if err != nil {
 		return side.LogPage{}, err
 	}
-	result := side.LogPage{FirstOffset: page.FirstOffset, NextOffset: page.NextOffset}
-	for _, record := range page.Records {
-		result.Records = append(result.Records, side.LogRecord(record))
+	records := convertRecords(page.Records, func(record logsvc.Record) side.LogRecord { return side.LogRecord(record) })
+	return side.LogPage{FirstOffset: page.FirstOffset, NextOffset: page.NextOffset, Records: records}, nil
+}
+
+// convertRecords converts the records of a page to the reader's own type.
+func convertRecords[Record any](records []logsvc.Record, convert func(logsvc.Record) Record) []Record {
+	var converted []Record
+	for _, record := range records {
+		converted = append(converted, convert(record))
 	}
-	return result, nil
+	return converted
 }
