--- a/internal/flow/permit/client.go
+++ b/internal/flow/permit/client.go
@@ -46,7 +46,8 @@
 type account struct {
 	startedAt int64
 	batches   []batch
-	// wantedAt holds when each request last wanted to be sent there.
+	// wantedAt holds when each request last wanted to be sent there, and usedAt when
+	// any did.
 	wantedAt map[uint64]time.Time
 	usedAt   time.Time
 	// allocator is the instance that is asked, and session the series of asks.
@@ -95,7 +96,7 @@
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	account := client.accountFor(incarnation)
-	queued := max(account.queued, account.wanted(time.Now()), 1)
+	queued := max(account.queued, account.asked.Wanted, 1)
 	return time.Duration(float64(queued) / float64(max(rate, MinRate)) * float64(time.Second))
 }
 
@@ -172,18 +173,15 @@
 // wanted.
 func (account *account) wanted(now time.Time) int {
 	interval := askInterval(account.clients)
+	maps.DeleteFunc(account.wantedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > leadIntervals*interval })
 	retention := demandIntervals * interval
 	if account.queued == 0 {
 		retention = max(retention, stockTime)
 	}
-	maps.DeleteFunc(account.wantedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > retention })
-	count := 0
-	for _, at := range account.wantedAt {
-		if now.Sub(at) <= leadIntervals*interval {
-			count++
-		}
+	if len(account.wantedAt) == 0 && now.Sub(account.usedAt) <= retention {
+		return 1
 	}
-	return max(count, min(len(account.wantedAt), 1))
+	return len(account.wantedAt)
 }
 
 // address begins a new session if another allocator is to be asked.
