--- a/internal/flow/permit/fleet_test.go
+++ b/internal/flow/permit/fleet_test.go
@@ -1,9 +1,9 @@
 package permit
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,20 +21,28 @@
 	// that between two reports of limits.
 	exchangePeriod = 50 * time.Millisecond
 	gossipPeriod   = 150 * time.Millisecond
-	// bindsAfter is how long after its first naming a limit binds, window the length
-	// of the spans in which requests are counted; tolerance and extra say how much
-	// more than the limit may arrive in one.
+	// bindsAfter is how long after its first naming a limit binds. In any window,
+	// tolerance times what it allows and extra requests may arrive.
 	bindsAfter = 3 * time.Second
 	window     = 4 * time.Second
 	tolerance  = 1.5
 	extra      = 5
+	// cutFrom and cutTo bound the time for which instances are cut from each other.
+	cutFrom = 8 * time.Second
+	cutTo   = 16 * time.Second
 )
 
+// named returns the rate that the upstream names to an instance, at a time after
+// the start of the fleet.
+type named func(since time.Duration, instance int) Rate
+
 // fleet simulates instances that send to one upstream with a rate limit and to
 // others without.
 type fleet struct {
 	random    *rand.Rand
 	loss      float64
+	cut       bool
+	named     named
 	start     time.Time
 	upstream  cordon.Incarnation
 	instances []*fleetInstance
@@ -43,18 +51,12 @@
 	arrivals  []time.Time
 	// namedAt is when the limit was first named.
 	namedAt time.Time
-	// named returns the value that the upstream names at a time to an instance.
-	named func(since time.Duration, instance int) Rate
-	// cut reports whether two instances cannot reach each other.
-	cut func(since time.Duration, a, b int) bool
 }
 
 type fleetInstance struct {
-	name      string
 	limits    *Limits
 	client    *Client
 	allocator *Allocator
-	demand    float64
 }
 
 // message is a function that runs when the message arrives.
@@ -63,63 +65,37 @@
 	arrive func()
 }
 
-func newFleet(count int, demand float64, seed uint64) *fleet {
-	fleet := &fleet{
-		random: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), upstream: cordon.Incarnation{ID: "i-1", StartedAt: 7},
-		cut: func(time.Duration, int, int) bool { return false },
-	}
-	for number := range count {
-		instance := &fleetInstance{name: fmt.Sprint("entry-", number), demand: demand / float64(count)}
-		instance.restart()
-		fleet.instances = append(fleet.instances, instance)
+// restart makes an instance forget everything.
+func (fleet *fleet) restart(instances ...int) {
+	for _, number := range instances {
+		fleet.instances[number] = &fleetInstance{limits: NewLimits(LimitsConfig{}), client: NewClient(), allocator: NewAllocator()}
 	}
-	return fleet
 }
 
-// restart makes the instance forget everything.
-func (instance *fleetInstance) restart() {
-	instance.limits, instance.client, instance.allocator = NewLimits(LimitsConfig{}), NewClient(), NewAllocator()
-}
-
-// since returns the time since the start of the fleet.
 func (fleet *fleet) since() time.Duration { return time.Since(fleet.start) }
 
+// reaches reports whether two instances reach each other. A cut parts those with
+// even from those with odd numbers.
+func (fleet *fleet) reaches(a, b int) bool {
+	return !fleet.cut || fleet.since() < cutFrom || fleet.since() > cutTo || a%2 == b%2
+}
+
 // send sends a message between two instances, unless it is lost.
 func (fleet *fleet) send(from, to int, arrive func()) {
 	if from == to {
 		arrive()
-		return
-	}
-	if fleet.random.Float64() >= fleet.loss && !fleet.cut(fleet.since(), from, to) {
+	} else if fleet.reaches(from, to) && fleet.random.Float64() >= fleet.loss {
 		fleet.messages = append(fleet.messages, message{at: time.Now().Add(messageDelay), arrive: arrive})
 	}
 }
 
-// reachable returns the names of the instances that an instance hears.
-func (fleet *fleet) reachable(number int) []string {
-	var names []string
-	for other, instance := range fleet.instances {
-		if other == number || !fleet.cut(fleet.since(), number, other) {
-			names = append(names, instance.name)
-		}
-	}
-	return names
-}
-
-func (fleet *fleet) index(name string) int {
-	return slices.IndexFunc(fleet.instances, func(instance *fleetInstance) bool { return instance.name == name })
-}
-
 // request makes an instance send a request to the limited upstream if it may.
 func (fleet *fleet) request(number int) {
-	instance := fleet.instances[number]
+	instance, sentAt := fleet.instances[number], time.Now()
 	fleet.requests++
-	if instance.limits.Rate(fleet.upstream) != Unlimited {
-		if instance.client.Want(fleet.upstream, fleet.requests) == 0 || !instance.client.Take(fleet.upstream) {
-			return
-		}
+	if instance.limits.Rate(fleet.upstream) != Unlimited && (instance.client.Want(fleet.upstream, fleet.requests) == 0 || !instance.client.Take(fleet.upstream)) {
+		return
 	}
-	sentAt := time.Now()
 	fleet.arrivals = append(fleet.arrivals, sentAt)
 	rate := fleet.named(fleet.since(), number)
 	fleet.messages = append(fleet.messages, message{at: sentAt.Add(5 * messageDelay), arrive: func() {
@@ -132,14 +108,19 @@
 
 // exchange lets an instance ask for permits and issue them.
 func (fleet *fleet) exchange(number int) {
-	instance, reachable := fleet.instances[number], fleet.reachable(number)
-	asks := instance.client.Asks(instance.limits.Rate, func(id string) string { return rank.First(id, reachable) })
-	for _, addressed := range asks {
-		to := fleet.index(addressed.Allocator)
-		fleet.send(number, to, func() { fleet.instances[to].allocator.SetAsk(instance.name, addressed.Ask) })
+	instance := fleet.instances[number]
+	var live []string
+	for other := range fleet.instances {
+		if fleet.reaches(number, other) {
+			live = append(live, strconv.Itoa(other))
+		}
+	}
+	for _, addressed := range instance.client.Asks(instance.limits.Rate, func(id string) string { return rank.First(id, live) }) {
+		to, _ := strconv.Atoi(addressed.Allocator)
+		fleet.send(number, to, func() { fleet.instances[to].allocator.SetAsk(strconv.Itoa(number), addressed.Ask) })
 	}
-	for _, addressed := range instance.allocator.Issue(float64(len(reachable)) / float64(len(fleet.instances))) {
-		to := fleet.index(addressed.Client)
+	for _, addressed := range instance.allocator.Issue(float64(len(live)) / float64(len(fleet.instances))) {
+		to, _ := strconv.Atoi(addressed.Client)
 		fleet.send(number, to, func() { fleet.instances[to].client.Accept(addressed.Grant) })
 	}
 }
@@ -161,43 +142,38 @@
 	}
 }
 
-// run simulates the fleet for a time, with events at times after the start.
-func (fleet *fleet) run(length time.Duration, events map[time.Duration]func(*fleet)) {
-	for fleet.since() < length {
-		time.Sleep(fleetStep)
-		now := time.Now()
-		if event, ok := events[fleet.since()]; ok {
-			event(fleet)
-		}
-		pending := fleet.messages
-		fleet.messages = nil
-		for _, message := range pending {
-			if message.at.After(now) {
-				fleet.messages = append(fleet.messages, message)
-				continue
-			}
+// step delivers the messages that are due, and lets each instance act. Demand is
+// the number of requests per second at each.
+func (fleet *fleet) step(demand float64) {
+	pending, now := fleet.messages, time.Now()
+	fleet.messages = nil
+	for _, message := range pending {
+		if message.at.After(now) {
+			fleet.messages = append(fleet.messages, message)
+		} else {
 			message.arrive()
 		}
-		for number, instance := range fleet.instances {
-			phase := fleet.since() + time.Duration(number)*fleetStep
-			if phase%exchangePeriod == 0 {
-				fleet.exchange(number)
-			}
-			if phase%gossipPeriod == 0 {
-				fleet.gossip(number)
-			}
-			for expected := instance.demand * fleetStep.Seconds(); expected > 0; expected-- {
-				if fleet.random.Float64() < expected {
-					fleet.request(number)
-				}
-			}
+	}
+	for number := range fleet.instances {
+		phase := fleet.since() + time.Duration(number)*fleetStep
+		if phase%exchangePeriod == 0 {
+			fleet.exchange(number)
+		}
+		if phase%gossipPeriod == 0 {
+			fleet.gossip(number)
+		}
+		for expected := demand * fleetStep.Seconds(); fleet.random.Float64() < expected; expected-- {
+			fleet.request(number)
 		}
 	}
 }
 
-// arrivalsSince returns the arrivals at or after a time.
-func (fleet *fleet) arrivalsSince(since time.Time) []time.Time {
-	return slices.DeleteFunc(slices.Clone(fleet.arrivals), func(at time.Time) bool { return at.Before(since) })
+// numbers returns the numbers of so many instances.
+func numbers(count int) (numbers []int) {
+	for number := range count {
+		numbers = append(numbers, number)
+	}
+	return numbers
 }
 
 // mostInWindow returns the most arrivals within any window.
@@ -216,17 +192,31 @@
 // over all instances, and against an upstream that is starved, when few instances
 // heard of the limit, messages are lost, and instances restart or are cut off.
 func TestFleet(t *testing.T) {
-	always := func(rate Rate) func(time.Duration, int) Rate {
-		return func(time.Duration, int) Rate { return rate }
+	always := func(rate Rate) named { return func(time.Duration, int) Rate { return rate } }
+	// changes names one rate for ten seconds and then another one.
+	changes := func(first, then Rate) named {
+		return func(since time.Duration, _ int) Rate {
+			if since < 10*time.Second {
+				return first
+			}
+			return then
+		}
+	}
+	differs := func(since time.Duration, instance int) Rate {
+		if (instance+int(since/fleetStep))%2 == 0 {
+			return 20
+		}
+		return 2
 	}
 	tests := []struct {
 		name   string
 		count  int
 		demand float64
 		loss   float64
-		named  func(since time.Duration, instance int) Rate
-		cut    func(since time.Duration, a, b int) bool
-		events map[time.Duration]func(*fleet)
+		cut    bool
+		named  named
+		// restarts maps times to the instances that restart.
+		restarts map[time.Duration][]int
 		// from is when the limit binds, if not bindsAfter after its first naming.
 		from time.Duration
 		// limit is the rate that binds, and least the part of it that arrives at
@@ -245,92 +235,47 @@
 		{name: "thirty, high", count: 30, demand: 300, named: always(60), limit: 60, least: 0.5},
 		{name: "three hundred", count: 300, demand: 600, named: always(2), limit: 2, least: 0.5},
 		{name: "three hundred, zero", count: 300, demand: 600, loss: 0.1, named: always(0), limit: 0},
-		{
-			name: "falls", count: 5, demand: 40, from: 10*time.Second + bindsAfter, limit: 1.5, least: 0.5,
-			named: func(since time.Duration, _ int) Rate {
-				if since < 10*time.Second {
-					return 20
-				}
-				return 1.5
-			},
-		},
-		{
-			name: "rises", count: 5, demand: 40, from: 20 * time.Second, limit: 20, least: 0.5,
-			named: func(since time.Duration, _ int) Rate {
-				if since < 10*time.Second {
-					return 1.5
-				}
-				return 20
-			},
-		},
-		{
-			name: "ends", count: 5, demand: 40, from: 20 * time.Second, limit: 40, least: 0.8,
-			named: func(since time.Duration, _ int) Rate {
-				if since < 10*time.Second {
-					return 1.5
-				}
-				return Unlimited
-			},
-		},
+		{name: "falls", count: 5, demand: 40, from: 10*time.Second + bindsAfter, named: changes(20, 1.5), limit: 1.5, least: 0.5},
+		{name: "rises", count: 5, demand: 40, from: 20 * time.Second, named: changes(1.5, 20), limit: 20, least: 0.5},
+		{name: "ends", count: 5, demand: 40, from: 20 * time.Second, named: changes(1.5, Unlimited), limit: 40, least: 0.8},
+		{name: "differs between answers", count: 5, demand: 40, named: differs, limit: 2, least: 0.5},
 		{
 			name: "all restart", count: 30, demand: 120, named: always(1.5), from: 10*time.Second + bindsAfter, limit: 1.5, least: 0.5,
-			events: map[time.Duration]func(*fleet){10 * time.Second: func(fleet *fleet) {
-				for _, instance := range fleet.instances {
-					instance.restart()
-				}
-			}},
-		},
-		{
-			name: "differs between answers", count: 5, demand: 40, limit: 2, least: 0.5,
-			named: func(since time.Duration, instance int) Rate {
-				if (instance+int(since/fleetStep))%2 == 0 {
-					return 20
-				}
-				return 2
-			},
+			restarts: map[time.Duration][]int{10 * time.Second: numbers(30)},
 		},
 		{
 			name: "allocators restart", count: 5, demand: 40, named: always(1.5), limit: 1.5, least: 0.3,
-			events: map[time.Duration]func(*fleet){
-				8 * time.Second:  func(fleet *fleet) { fleet.instances[0].restart(); fleet.instances[1].restart() },
-				12 * time.Second: func(fleet *fleet) { fleet.instances[2].restart(); fleet.instances[3].restart() },
-				16 * time.Second: func(fleet *fleet) { fleet.instances[4].restart() },
-			},
-		},
-		{
-			name: "instances cut from each other", count: 5, demand: 40, named: always(1.5), limit: 1.5, least: 0.3,
-			cut: func(since time.Duration, a, b int) bool {
-				return since > 8*time.Second && since < 16*time.Second && a%2 != b%2
-			},
+			restarts: map[time.Duration][]int{8 * time.Second: {0, 1}, 12 * time.Second: {2, 3}, 16 * time.Second: {4}},
 		},
+		{name: "cut from each other", count: 5, demand: 40, cut: true, named: always(1.5), limit: 1.5, least: 0.3},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				length := 30 * time.Second
 				if test.count > 100 {
-					length /= 2
+					length /= 3
+				}
+				fleet := &fleet{
+					random: rand.New(rand.NewPCG(1, 1)), start: time.Now(), upstream: cordon.Incarnation{ID: "i-1", StartedAt: 7},
+					instances: make([]*fleetInstance, test.count), loss: test.loss, cut: test.cut, named: test.named,
 				}
-				fleet := newFleet(test.count, test.demand, 1)
-				fleet.loss, fleet.named = test.loss, test.named
-				if test.cut != nil {
-					fleet.cut = test.cut
+				fleet.restart(numbers(test.count)...)
+				for fleet.since() < length {
+					time.Sleep(fleetStep)
+					fleet.restart(test.restarts[fleet.since()]...)
+					fleet.step(test.demand / float64(test.count))
 				}
-				fleet.run(length, test.events)
 				bindsAt := fleet.namedAt.Add(bindsAfter)
 				if test.from > 0 {
 					bindsAt = fleet.start.Add(test.from)
 				}
-				arrivals := fleet.arrivalsSince(bindsAt)
-				allowed := float64(test.limit)*tolerance*window.Seconds() + extra
-				if most := mostInWindow(arrivals); float64(most) > allowed {
-					t.Errorf("%d requests in %v at a limit of %v, allowed %v", most, window, test.limit, allowed)
-				}
+				arrivals := slices.DeleteFunc(fleet.arrivals, func(at time.Time) bool { return at.Before(bindsAt) })
+				most, allowed := mostInWindow(arrivals), float64(test.limit)*tolerance*window.Seconds()+extra
 				wanted := test.least * float64(test.limit) * time.Since(bindsAt).Seconds()
-				if float64(len(arrivals)) < wanted {
-					t.Errorf("%d requests at a limit of %v, want at least %v", len(arrivals), test.limit, wanted)
+				if float64(most) > allowed || float64(len(arrivals)) < wanted {
+					t.Errorf("limit %v: %d requests in %v, want at most %v; %d in all, want at least %v", test.limit, most, window, allowed, len(arrivals), wanted)
 				}
-				t.Logf("%d requests, most %d in a window, allowed %v", len(arrivals), mostInWindow(arrivals), allowed)
 			})
 		})
 	}
