--- a/internal/daemon/relay/permits.go
+++ b/internal/daemon/relay/permits.go
@@ -4,7 +4,6 @@
 	"math"
 	"slices"
 	"sync"
-	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/flow/rank"
@@ -41,18 +40,21 @@
 	}
 }
 
-// Admits implements picker.Limits.
-func (permits *permits) Admits(upstream fleet.Upstream, request uint64) (count int, wait time.Duration) {
+// Admission implements picker.Limits.
+func (permits *permits) Admission(upstream fleet.Upstream, request uint64) permit.Admission {
 	incarnation := incarnationOf(upstream)
 	rate := permits.limits.Rate(incarnation)
 	if rate == permit.Unlimited {
-		return math.MaxInt, 0
+		return permit.Admission{Held: math.MaxInt}
 	}
-	held := permits.client.Want(incarnation, request)
-	if count = held - permits.queue.countBefore(upstream.Service, request); count > 0 {
-		return count, 0
-	}
-	return 0, permits.client.Wait(incarnation, rate)
+	admission := permits.client.Admission(incarnation, rate, request)
+	admission.Held = max(admission.Held-permits.queue.countBefore(upstream.Service, request), 0)
+	return admission
+}
+
+// Want implements picker.Limits.
+func (permits *permits) Want(upstream fleet.Upstream, request uint64) {
+	permits.client.Want(incarnationOf(upstream), request)
 }
 
 // take uses a permit for an upstream, if its rate is limited, and reports whether
@@ -160,10 +162,10 @@
 	}
 }
 
-// acceptPermits adds the permits of a grant and wakes the requests that wait.
+// acceptPermits takes in an allocator's answer and wakes the requests that wait.
 func (relay *Relay) acceptPermits(grant permit.Grant) {
 	if relay.permits.client.Accept(grant) {
-		relay.metrics.increment("permits-received")
+		relay.metrics.increment("permits-answered")
 		relay.stateChanged.notify()
 	}
 }
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -14,6 +14,9 @@
 const (
 	// recheckInterval is how often a waiting request is checked again if nothing changes.
 	recheckInterval = 40 * time.Millisecond
+	// pendingRecheckInterval is how often a request is checked again that waits for the
+	// answer to an ask for a permit.
+	pendingRecheckInterval = 16 * time.Millisecond
 	// copyRequestTime is how long a second copy of an adapter is requested.
 	copyRequestTime = 600 * time.Millisecond
 )
@@ -136,6 +139,7 @@
 	defer func() {
 		waitingRequest.withdraw()
 		proxyRequest.leavePermitQueue(waitingRequest.number)
+		waitingRequest.forgetPermits()
 		proxyRequest.waited += time.Since(began)
 	}()
 	if proxyRequest.headersSent {
@@ -157,10 +161,16 @@
 		if refused := proxyRequest.waitRefusal(ctx, choice, time.Since(began)); refused != nil {
 			return choice, refused
 		}
-		if choice.Result == picker.RateLimited {
+		recheck := recheckInterval
+		switch choice.Result {
+		case picker.RateLimited:
 			proxyRequest.joinPermitQueue(waitingRequest.number)
+			waitingRequest.askPermits()
+		case picker.PermitPending:
+			recheck = pendingRecheckInterval
+			waitingRequest.askPermits()
 		}
-		timer := time.NewTimer(recheckInterval)
+		timer := time.NewTimer(recheck)
 		select {
 		case <-ctx.Done():
 		case <-changed:
--- a/internal/daemon/relay/waitingrequest.go
+++ b/internal/daemon/relay/waitingrequest.go
@@ -18,6 +18,8 @@
 	choice       picker.Choice
 	chosenAt     time.Time
 	requirements picker.Request
+	// wantsPermit means that the request may want permits of upstreams.
+	wantsPermit bool
 }
 
 // choose returns the upstream to wait for. It keeps the previous choice for
@@ -31,7 +33,7 @@
 	}
 	requirements.WaitingAt, requirements.Number = waitingRequest.choice.Upstream.ID, waitingRequest.number
 	choice := proxyRequest.relay.picker.Choose(requirements)
-	if !requirements.Engine || choice.Upstream.ID == "" {
+	if !requirements.Engine || choice.Upstream.ID == "" || choice.Result == picker.PermitPending {
 		return choice
 	}
 	waitingRequest.moveTo(choice, requirements)
@@ -64,6 +66,19 @@
 	waitingRequest.choice, waitingRequest.requirements, waitingRequest.chosenAt = choice, requirements, time.Now()
 }
 
+// askPermits makes the instance ask for the permits that the request wants.
+func (waitingRequest *waitingRequest) askPermits() {
+	waitingRequest.wantsPermit = true
+	waitingRequest.proxyRequest.relay.reportSoon()
+}
+
+// forgetPermits ends what the request wants.
+func (waitingRequest *waitingRequest) forgetPermits() {
+	if waitingRequest.wantsPermit {
+		waitingRequest.proxyRequest.relay.permits.client.Forget(waitingRequest.number)
+	}
+}
+
 // withdraw ends the wait at the present upstream.
 func (waitingRequest *waitingRequest) withdraw() {
 	if waitingRequest.choice.Upstream.ID != "" {
--- a/internal/flow/permit/allocator.go
+++ b/internal/flow/permit/allocator.go
@@ -30,6 +30,9 @@
 	// burstTime is the time for whose length permits accrue while none is wanted.
 	// At least one accrues.
 	burstTime = 250 * time.Millisecond
+	// outstandingTime is how long an issued permit may be unused: permitLifetime and
+	// the delay of datagrams.
+	outstandingTime = permitLifetime + 250*time.Millisecond
 )
 
 // Ask is what a client asks of the allocator of an upstream. A later ask replaces
@@ -88,7 +91,10 @@
 	// permits is the number of permits that may be issued, as of filledAt.
 	permits  float64
 	filledAt time.Time
-	members  map[string]*member
+	// issued holds when permits were issued within outstandingTime, without as many
+	// as were returned.
+	issued  []time.Time
+	members map[string]*member
 }
 
 // member is a client that asks for permits of an upstream.
@@ -133,7 +139,7 @@
 		found.members[client] = asking
 	}
 	if ask.Returned > asking.ask.Returned {
-		found.permits += float64(ask.Returned - asking.ask.Returned)
+		found.takeBack(ask.Returned - asking.ask.Returned)
 	}
 	ask.Returned = max(ask.Returned, asking.ask.Returned)
 	ask.Wanted = min(ask.Wanted, maxWanted)
@@ -179,12 +185,25 @@
 	}
 }
 
-// fill adds the permits that have accrued.
+// takeBack takes back permits that expired unused.
+func (pool *pool) takeBack(count uint64) {
+	count = min(count, uint64(len(pool.issued)))
+	pool.issued = pool.issued[count:]
+	pool.permits += float64(count)
+}
+
+// fill adds the permits that have accrued. Those that may be unused and those that
+// may be issued are together no more than accrue in outstandingTime and in a burst,
+// since clients may use all of them at once.
 func (pool *pool) fill(now time.Time, fraction float64) {
 	pool.updateRate(now)
+	for len(pool.issued) > 0 && now.Sub(pool.issued[0]) > outstandingTime {
+		pool.issued = pool.issued[1:]
+	}
 	rate := float64(pool.rate) * fraction
 	burst := max(1, rate*burstTime.Seconds())
-	pool.permits = min(pool.permits+rate*now.Sub(pool.filledAt).Seconds(), burst)
+	limit := max(min(burst, burst+rate*outstandingTime.Seconds()-float64(len(pool.issued))), 0)
+	pool.permits = min(pool.permits+rate*now.Sub(pool.filledAt).Seconds(), limit)
 	pool.filledAt = now
 }
 
@@ -205,6 +224,7 @@
 		served := pool.members[client]
 		served.issued, served.issuedAt, served.unanswered = served.issued+1, now, true
 		pool.permits--
+		pool.issued = append(pool.issued, now)
 		waiting = waiting[1:]
 		if pool.missing(served, now) > 0 {
 			waiting = append(waiting, client)
--- a/internal/flow/permit/client.go
+++ b/internal/flow/permit/client.go
@@ -13,15 +13,18 @@
 const (
 	// permitLifetime is how long a permit may be used after it was received.
 	permitLifetime = time.Second
-	// leadIntervals is the number of ask intervals for whose requests permits are
-	// asked in advance.
-	leadIntervals = 2
-	// demandIntervals is for how many ask intervals after the last request for an
-	// upstream a permit is asked for the next one.
-	demandIntervals = 5
-	// stockTime is how long after the last request a permit is asked for the next
-	// one while permits are not scarce.
-	stockTime = 5 * time.Second
+	// answerTimeout is how long a request waits for the allocator's answer before it
+	// is sent elsewhere.
+	answerTimeout = 15 * time.Millisecond
+	// wantLifetime is how long a request wants a permit after it last said so.
+	wantLifetime = 100 * time.Millisecond
+	// asksPerPermit is how often all clients together ask for each permit that
+	// accrues, after they were denied one.
+	asksPerPermit = 10
+	// minBackoff and maxBackoff bound the time for which a client that was denied a
+	// permit asks for none, unless its requests cannot be sent elsewhere.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 5 * time.Second
 	// accountRetention is how long an upstream without requests is remembered.
 	accountRetention = 10 * time.Second
 	// maxBatch bounds the permits taken from one grant.
@@ -34,9 +37,8 @@
 	Ask       Ask
 }
 
-// Client holds the permits of one instance. It asks for them in advance, by the
-// requests that lately wanted to be sent to an upstream. Its methods may be called
-// concurrently.
+// Client holds the permits of one instance. It asks for them when requests want
+// them. Its methods may be called concurrently.
 type Client struct {
 	mutex    sync.Mutex
 	accounts map[string]*account
@@ -46,10 +48,9 @@
 type account struct {
 	startedAt int64
 	batches   []batch
-	// wantedAt holds when each request last wanted to be sent there, and usedAt when
-	// any did.
-	wantedAt map[uint64]time.Time
-	usedAt   time.Time
+	// wants holds the requests that want a permit.
+	wants  map[uint64]want
+	usedAt time.Time
 	// allocator is the instance that is asked, and session the series of asks.
 	allocator          string
 	session            uint64
@@ -57,6 +58,15 @@
 	queued, clients    int
 	asked              Ask
 	askedAt            time.Time
+	// answeredAt is when the allocator last answered, and deniedAt when it last had
+	// no permit.
+	answeredAt, deniedAt time.Time
+}
+
+// want is the wish of a request for a permit: since when it waits for an answer,
+// and when it last said so.
+type want struct {
+	since, at time.Time
 }
 
 // batch is a number of permits that expire together.
@@ -65,17 +75,53 @@
 	expiresAt time.Time
 }
 
+// Admission says whether a request may be sent to an upstream with a rate limit.
+type Admission struct {
+	// Held is the number of permits at hand.
+	Held int
+	// Pending means that a permit may be received at once, if the request wants it.
+	Pending bool
+	// Wait is the expected time until a permit is received.
+	Wait time.Duration
+}
+
 // NewClient returns a Client without permits.
 func NewClient() *Client { return &Client{accounts: make(map[string]*account)} }
 
-// Want records that a request wants to be sent to an upstream, and returns the
-// number of permits held for it.
-func (client *Client) Want(incarnation cordon.Incarnation, request uint64) int {
+// Admission returns whether a request may be sent to an upstream with a rate limit.
+func (client *Client) Admission(incarnation cordon.Incarnation, rate Rate, request uint64) Admission {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	account, now := client.accountFor(incarnation), time.Now()
+	rate = max(rate, MinRate)
+	queued := max(account.queued, account.asked.Wanted, 1)
+	return Admission{
+		Held: account.held(now), Pending: account.pending(rate, request, now),
+		Wait: time.Duration(float64(queued) / float64(rate) * float64(time.Second)),
+	}
+}
+
+// Want records that a request wants a permit for an upstream. It is repeated while
+// the request waits.
+func (client *Client) Want(incarnation cordon.Incarnation, request uint64) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	account, now := client.accountFor(incarnation), time.Now()
-	account.wantedAt[request], account.usedAt = now, now
-	return account.held(now)
+	wanted, ok := account.wants[request]
+	if !ok || now.Sub(wanted.since) > answerTimeout && account.deniedAt.After(wanted.since) {
+		wanted.since = now
+	}
+	wanted.at, account.usedAt = now, now
+	account.wants[request] = wanted
+}
+
+// Forget ends what a request wants.
+func (client *Client) Forget(request uint64) {
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	for _, account := range client.accounts {
+		delete(account.wants, request)
+	}
 }
 
 // Take uses a permit for an upstream and reports whether there was one.
@@ -90,17 +136,8 @@
 	return true
 }
 
-// Wait returns the expected time until a permit for an upstream with a rate limit
-// is received.
-func (client *Client) Wait(incarnation cordon.Incarnation, rate Rate) time.Duration {
-	client.mutex.Lock()
-	defer client.mutex.Unlock()
-	account := client.accountFor(incarnation)
-	queued := max(account.queued, account.asked.Wanted, 1)
-	return time.Duration(float64(queued) / float64(max(rate, MinRate)) * float64(time.Second))
-}
-
-// Accept adds the permits of a grant and reports whether there were any new ones.
+// Accept takes in an answer of the allocator and reports whether it is one to the
+// present session.
 func (client *Client) Accept(grant Grant) bool {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
@@ -108,13 +145,14 @@
 	if !ok || account.startedAt != grant.Incarnation.StartedAt || account.session != grant.Session {
 		return false
 	}
-	account.queued, account.clients = grant.Queued, grant.Clients
+	account.queued, account.clients, account.answeredAt = grant.Queued, grant.Clients, time.Now()
 	if grant.Issued <= account.received {
-		return false
+		account.deniedAt = account.answeredAt
+		return true
 	}
 	count := min(grant.Issued-account.received, maxBatch)
 	account.received = grant.Issued
-	account.batches = append(account.batches, batch{count: count, expiresAt: time.Now().Add(permitLifetime)})
+	account.batches = append(account.batches, batch{count: count, expiresAt: account.answeredAt.Add(permitLifetime)})
 	return true
 }
 
@@ -146,7 +184,7 @@
 func (client *Client) accountFor(incarnation cordon.Incarnation) *account {
 	found, ok := client.accounts[incarnation.ID]
 	if !ok || found.startedAt != incarnation.StartedAt {
-		found = &account{startedAt: incarnation.StartedAt, wantedAt: make(map[uint64]time.Time), usedAt: time.Now()}
+		found = &account{startedAt: incarnation.StartedAt, wants: make(map[uint64]want), usedAt: time.Now()}
 		client.accounts[incarnation.ID] = found
 	}
 	return found
@@ -169,19 +207,25 @@
 	return int(sum)
 }
 
-// wanted returns the number of permits to have at hand: as many as requests lately
-// wanted.
-func (account *account) wanted(now time.Time) int {
-	interval := askInterval(account.clients)
-	maps.DeleteFunc(account.wantedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > leadIntervals*interval })
-	retention := demandIntervals * interval
-	if account.queued == 0 {
-		retention = max(retention, stockTime)
-	}
-	if len(account.wantedAt) == 0 && now.Sub(account.usedAt) <= retention {
-		return 1
+// pending reports whether a request may wait for an answer: one to a want that was
+// not answered yet, or to a want that is yet to be recorded.
+func (account *account) pending(rate Rate, request uint64, now time.Time) bool {
+	if wanted, ok := account.wants[request]; ok && !account.answeredAt.After(wanted.since) {
+		return now.Sub(wanted.since) < answerTimeout
 	}
-	return len(account.wantedAt)
+	return now.Sub(account.deniedAt) >= backoff(rate, account.clients)
+}
+
+// backoff returns for how long a client that was denied a permit asks for none.
+func backoff(rate Rate, clients int) time.Duration {
+	interval := float64(clients) / (asksPerPermit * float64(rate))
+	return min(max(time.Duration(interval*float64(time.Second)), minBackoff), maxBackoff)
+}
+
+// wanted returns the number of requests that want a permit.
+func (account *account) wanted(now time.Time) int {
+	maps.DeleteFunc(account.wants, func(_ uint64, want want) bool { return now.Sub(want.at) > wantLifetime })
+	return len(account.wants)
 }
 
 // address begins a new session if another allocator is to be asked.
@@ -203,11 +247,12 @@
 		Incarnation: incarnation, Rate: rate, Session: account.session, Wanted: max(account.wanted(now)-held, 0),
 		Received: account.received, Returned: account.returned,
 	}
-	first := account.asked.Session != account.session
 	switch {
-	case first && ask.Wanted == 0, !first && now.Sub(account.askedAt) < askInterval(account.clients):
+	case ask == account.asked && (ask.Wanted == 0 || now.Sub(account.askedAt) < askInterval(account.clients)):
+		return ask, false
+	case ask.Wanted == 0 && account.asked.Session != account.session:
 		return ask, false
-	case ask == account.asked && ask.Wanted == 0:
+	case ask.Wanted > 0 && account.deniedAt.After(account.askedAt) && now.Sub(account.askedAt) < askInterval(account.clients):
 		return ask, false
 	}
 	account.asked, account.askedAt = ask, now
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 )
 
 // minPermitWait is the least expected time until a rate limit that is used up
@@ -21,17 +23,19 @@
 	full       bool
 	hasAdapter bool
 	sameDomain bool
+	// permitPending means that a permit for the upstream may be received at once,
+	// and permitWait is the expected time until one is.
+	permitPending bool
+	permitWait    time.Duration
 }
 
 // candidates returns the upstreams that may get the request, in random order.
 // Engines whose loader has not reported since they were listed are left out for
-// firstReportTimeout, unless there are no others. Upstreams whose rate limit is
-// used up are left out; permitWait is the expected time until one of them may get
-// a request, or 0 if there are none.
-func (picker *Picker) candidates(request Request) (found []candidate, permitWait time.Duration) {
+// firstReportTimeout, unless there are no others. Upstreams for which the request
+// needs a permit are returned apart.
+func (picker *Picker) candidates(request Request) (candidates, withoutPermit []candidate) {
 	now := time.Now()
-	var candidates, unreported []candidate
-	var permitRate float64
+	var unreported []candidate
 	for _, upstream := range picker.services[request.Service] {
 		if !picker.usable(upstream) || slices.Contains(request.Exclude, upstream.spec.ID) {
 			continue
@@ -42,10 +46,6 @@
 		if picker.config.Health != nil && !picker.config.Health.Usable(request.Service, upstream.spec.ID) {
 			continue
 		}
-		if wait, admitted := picker.admits(upstream, request); !admitted {
-			permitRate += 1 / max(wait.Seconds(), minPermitWait.Seconds())
-			continue
-		}
 		load := picker.load(upstream, now)
 		backlog := picker.backlog(upstream, load, request, now)
 		wait := picker.wait(upstream, backlog)
@@ -61,6 +61,11 @@
 			hasAdapter: upstream.hasAdapter(request.Adapter),
 			sameDomain: upstream.spec.FailureDomain == picker.config.FailureDomain,
 		}
+		if admission, admitted := picker.admits(upstream, request); !admitted {
+			candidate.permitPending, candidate.permitWait = admission.Pending, admission.Wait
+			withoutPermit = append(withoutPermit, candidate)
+			continue
+		}
 		if request.Engine && upstream.reportedAt.IsZero() && now.Sub(upstream.listedAt) < firstReportTimeout {
 			unreported = append(unreported, candidate)
 			continue
@@ -71,33 +76,26 @@
 		candidates = unreported
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	if permitRate > 0 {
-		permitWait = time.Duration(float64(time.Second) / permitRate)
-	}
-	return candidates, permitWait
+	return candidates, withoutPermit
 }
 
 // admits reports whether an upstream's rate limit admits a request besides those
-// of this instance that wait there, and if not, the expected time until it does.
-func (picker *Picker) admits(upstream *upstream, request Request) (wait time.Duration, admitted bool) {
+// of this instance that wait there.
+func (picker *Picker) admits(upstream *upstream, request Request) (admission permit.Admission, admitted bool) {
 	if picker.config.Limits == nil {
-		return 0, true
+		return permit.Admission{}, true
 	}
-	count, wait := picker.config.Limits.Admits(upstream.spec, request.Number)
+	admission = picker.config.Limits.Admission(upstream.spec, request.Number)
 	waiting := len(upstream.waiting)
 	if _, ok := upstream.waiting[request.Number]; ok {
 		waiting--
 	}
-	return wait, count > waiting
+	return admission, admission.Held > waiting
 }
 
 // admitsAny reports whether an upstream's rate limit admits any request now.
 func (picker *Picker) admitsAny(upstream *upstream, number uint64) bool {
-	if picker.config.Limits == nil {
-		return true
-	}
-	count, _ := picker.config.Limits.Admits(upstream.spec, number)
-	return count > 0
+	return picker.config.Limits == nil || picker.config.Limits.Admission(upstream.spec, number).Held > 0
 }
 
 // backlog returns how many prompt tokens are ahead of a request at an upstream.
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -55,6 +55,9 @@
 	// RateLimited means that all usable upstreams have a rate limit that is used
 	// up.
 	RateLimited
+	// PermitPending means that a permit to send the request to the upstream was
+	// asked for and may be received at once.
+	PermitPending
 )
 
 // Choice is the outcome of Choose.
@@ -80,26 +83,51 @@
 func (picker *Picker) Choose(request Request) Choice {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
-	candidates, permitWait := picker.candidates(request)
+	candidates, withoutPermit := picker.candidates(request)
 	if len(candidates) == 0 {
-		choice := Choice{Result: picker.unavailableResult(request), RetryAfter: picker.retryAfter(request)}
-		if choice.Result == NoUpstream && permitWait > 0 {
-			return Choice{Result: RateLimited, RetryAfter: permitWait}
-		}
-		return choice
+		return picker.chooseNone(withoutPermit, request)
 	}
-	var choice Choice
-	if request.Adapter.Name == "" {
-		choice = shortestWait(candidates)
-	} else {
-		choice = picker.chooseForAdapter(candidates, request)
+	pending := slices.DeleteFunc(slices.Clone(withoutPermit), func(candidate candidate) bool { return !candidate.permitPending })
+	if len(pending) > 0 {
+		choice := picker.chooseAmong(append(pending, candidates...), request)
+		for _, candidate := range pending {
+			if candidate.spec.ID == choice.Upstream.ID {
+				picker.config.Limits.Want(candidate.spec, request.Number)
+				choice.Result = PermitPending
+				return choice
+			}
+		}
 	}
+	choice := picker.chooseAmong(candidates, request)
 	if choice.Result == Full && picker.unavailableResult(request) == Starting {
 		choice.Result = Starting
 	}
 	return choice
 }
 
+// chooseNone returns the choice if no upstream can get the request. All those whose
+// rate limit is used up are asked for a permit.
+func (picker *Picker) chooseNone(withoutPermit []candidate, request Request) Choice {
+	choice := Choice{Result: picker.unavailableResult(request), RetryAfter: picker.retryAfter(request)}
+	if choice.Result != NoUpstream || len(withoutPermit) == 0 {
+		return choice
+	}
+	var rate float64
+	for _, candidate := range withoutPermit {
+		picker.config.Limits.Want(candidate.spec, request.Number)
+		rate += 1 / max(candidate.permitWait, minPermitWait).Seconds()
+	}
+	return Choice{Result: RateLimited, RetryAfter: time.Duration(float64(time.Second) / rate)}
+}
+
+// chooseAmong chooses among upstreams.
+func (picker *Picker) chooseAmong(candidates []candidate, request Request) Choice {
+	if request.Adapter.Name == "" {
+		return shortestWait(candidates)
+	}
+	return picker.chooseForAdapter(candidates, request)
+}
+
 // chooseForAdapter chooses among upstreams for a request with an adapter.
 func (picker *Picker) chooseForAdapter(candidates []candidate, request Request) Choice {
 	holders := slices.DeleteFunc(slices.Clone(candidates), func(candidate candidate) bool { return !candidate.hasAdapter })
--- a/internal/flow/picker/picker.go
+++ b/internal/flow/picker/picker.go
@@ -14,6 +14,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
@@ -72,10 +73,11 @@
 
 // Limits tells how many requests the rate limits of upstreams admit.
 type Limits interface {
-	// Admits returns how many requests may be sent to an upstream now. The request
-	// with the given number wants to be sent there. If none may be sent, wait is the
-	// expected time until one may.
-	Admits(upstream fleet.Upstream, request uint64) (count int, wait time.Duration)
+	// Admission returns whether the request with the given number may be sent to an
+	// upstream.
+	Admission(upstream fleet.Upstream, request uint64) permit.Admission
+	// Want records that the request wants to be sent to an upstream and may not yet.
+	Want(upstream fleet.Upstream, request uint64)
 }
 
 // Config configures a Picker. Zero values mean the defaults.
