--- a/internal/flow/permit/client.go
+++ b/internal/flow/permit/client.go
@@ -58,8 +58,8 @@
 	queued, clients    int
 	asked              Ask
 	askedAt            time.Time
-	// answeredAt is when the allocator last answered, and deniedAt when it last had
-	// no permit.
+	// answeredAt is when the allocator last answered, and deniedAt when clients last
+	// wanted more permits than it had.
 	answeredAt, deniedAt time.Time
 }
 
@@ -146,8 +146,10 @@
 		return false
 	}
 	account.queued, account.clients, account.answeredAt = grant.Queued, grant.Clients, time.Now()
-	if grant.Issued <= account.received {
+	if grant.Queued > 0 {
 		account.deniedAt = account.answeredAt
+	}
+	if grant.Issued <= account.received {
 		return true
 	}
 	count := min(grant.Issued-account.received, maxBatch)
@@ -252,7 +254,7 @@
 		return ask, false
 	case ask.Wanted == 0 && account.asked.Session != account.session:
 		return ask, false
-	case ask.Wanted > 0 && account.deniedAt.After(account.askedAt) && now.Sub(account.askedAt) < askInterval(account.clients):
+	case ask.Wanted > 0 && !account.deniedAt.Before(account.askedAt) && now.Sub(account.askedAt) < askInterval(account.clients):
 		return ask, false
 	}
 	account.asked, account.askedAt = ask, now
