--- a/internal/daemon/relay/permits.go
+++ b/internal/daemon/relay/permits.go
@@ -29,8 +29,9 @@
 	allocator *permit.Allocator
 	queue     *permitQueue
 	metrics   *metrics
-	// reported counts the limits that full usage reports have named.
-	reported int
+	// nextLimit is the index of the limit that the next usage report begins with. It
+	// is used only by sendReports.
+	nextLimit int
 }
 
 func newPermits(metrics *metrics) *permits {
@@ -78,12 +79,12 @@
 	known := permits.limits.Known()
 	var encoded []*wirepb.RateLimit
 	for number := range known {
-		limit := known[(permits.reported+number)%len(known)]
+		limit := known[(permits.nextLimit+number)%len(known)]
 		if !all && !limit.Recent {
 			continue
 		}
 		if len(encoded) >= maxLimitsPerReport {
-			permits.reported = (permits.reported + number) % len(known)
+			permits.nextLimit = (permits.nextLimit + number) % len(known)
 			break
 		}
 		if limit.Lowest != limit.Latest {
@@ -162,7 +163,7 @@
 	}
 }
 
-// acceptPermits takes in an allocator's answer and wakes the requests that wait.
+// acceptPermits processes an allocator's answer and wakes the requests that wait.
 func (relay *Relay) acceptPermits(grant permit.Grant) {
 	if relay.permits.client.Accept(grant) {
 		relay.metrics.increment("permits-answered")
--- a/internal/flow/permit/allocator.go
+++ b/internal/flow/permit/allocator.go
@@ -111,7 +111,7 @@
 // NewAllocator returns an Allocator that has issued nothing.
 func NewAllocator() *Allocator { return &Allocator{pools: make(map[string]*pool)} }
 
-// Idle reports whether no client has asked lately.
+// Idle reports whether there are no clients.
 func (allocator *Allocator) Idle() bool {
 	allocator.mutex.Lock()
 	defer allocator.mutex.Unlock()
--- a/internal/flow/permit/client.go
+++ b/internal/flow/permit/client.go
@@ -16,7 +16,8 @@
 	// answerTimeout is how long a request waits for the allocator's answer before it
 	// is sent elsewhere.
 	answerTimeout = 15 * time.Millisecond
-	// wantLifetime is how long a request wants a permit after it last said so.
+	// wantLifetime is how long a request counts as wanting a permit after that was
+	// last recorded.
 	wantLifetime = 100 * time.Millisecond
 	// asksPerPermit is how often all clients together ask for each permit that
 	// accrues, after they were denied one.
@@ -63,8 +64,8 @@
 	answeredAt, deniedAt time.Time
 }
 
-// want is the wish of a request for a permit: since when it waits for an answer,
-// and when it last said so.
+// want is the demand of a request for a permit: since when it waits for an answer,
+// and when it was last recorded.
 type want struct {
 	since, at time.Time
 }
@@ -136,7 +137,7 @@
 	return true
 }
 
-// Accept takes in an answer of the allocator and reports whether it is one to the
+// Accept processes an answer of the allocator and reports whether it is one to the
 // present session.
 func (client *Client) Accept(grant Grant) bool {
 	client.mutex.Lock()
