Log the prompt's shared parts with responses that broke off

An engine that ends writes answers to many requests at once; the logs could not say what those requests had in common, nor which had begun. The lines 'relay: response incomplete or invalid' and 'relay: no response' now name the shared parts of the prompt, and the former how long ago the head of the response came. Nothing that is sent changes.

--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -39,6 +39,9 @@
 	// response.
 	PromptTokens    int64
 	MaxOutputTokens int64
+	// SharedParts holds the ids of the parts of the prompt that other requests may
+	// share, in their order.
+	SharedParts []string
 	// HasTokenCounts means that the request names both token counts.
 	HasTokenCounts bool
 	// LastEventID is the id of the last event that the caller received, or empty.
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -105,7 +105,9 @@
 	grant uint64
 	// sentAt is when the request was last sent, and eventIntervals holds the first
 	// intervals between its events.
-	sentAt         time.Time
+	sentAt time.Time
+	// respondedAt is when the head of the response to the last send was received.
+	respondedAt    time.Time
 	eventIntervals []time.Duration
 	// headersSent means that the response headers were forwarded.
 	headersSent bool
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -42,6 +42,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	proxyRequest.sends++
+	proxyRequest.respondedAt = time.Now()
 	info := relay.config.Protocol.ParseResponse(response.Status, response.Header)
 	proxyRequest.applyNotices(upstream, info)
 	if info.Load >= 0 {
@@ -123,7 +124,7 @@
 	}
 	proxyRequest.sends++
 	if ctx.Err() == nil || lost {
-		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost))
+		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost), zap.Strings("parts", proxyRequest.info.SharedParts))
 	}
 	return proxyRequest.recordUnknown(upstream)
 }
@@ -140,7 +141,8 @@
 
 // recordBroken records a response that is incomplete or invalid.
 func (proxyRequest *proxyRequest) recordBroken(upstream fleet.Upstream, err error) outcome {
-	proxyRequest.log("relay: response incomplete or invalid", logs.ErrorField(err))
+	proxyRequest.log("relay: response incomplete or invalid", logs.ErrorField(err),
+		zap.Strings("parts", proxyRequest.info.SharedParts), zap.Duration("since-head", time.Since(proxyRequest.respondedAt)))
 	proxyRequest.recordHealth(upstream, false)
 	return outcomeUnknown
 }
