Refuse requests with a part of a prompt that crashes upstreams

Callers saw their streams broken off and sound requests refused after a wait of seconds: one part of a prompt ends each engine that begins to answer it, and each relay sent the next request with it to another engine. Cause: nothing connected an end with what the requests had in common, and no instance knew of the ends that others saw.

When an engine ends, the relays record which requests it was answering (internal/flow/poison). Requests that had not begun, or at engines that announced that they drain, don't count. Two ends under different requests with a part that had just begun block it, four if it was known to be sound or its requests had run for longer. Relays tell each other at once. A completed response clears a part. Requests with a blocked part are refused with 503 at once, also while they wait; those sent and not begun are cancelled. One probe at a time shows whether a part is still deadly.

--- a/internal/daemon/relay/activesends.go
+++ b/internal/daemon/relay/activesends.go
@@ -4,61 +4,91 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 )
 
-// errUpstreamLost is the cause with which the sends to an upstream are cancelled
-// when it becomes unreachable or restarts.
-var errUpstreamLost = errors.New("the upstream was lost")
+var (
+	// errUpstreamLost is the cause with which the sends to an upstream are cancelled
+	// when it becomes unreachable or restarts.
+	errUpstreamLost = errors.New("the upstream was lost")
+	// errPartBlocked is the cause with which sends are cancelled that have not begun
+	// when a part of their prompt is blocked.
+	errPartBlocked = errors.New("a part of the prompt was blocked")
+)
 
-// activeSends holds the running sends that may be retried at another upstream.
-type activeSends struct {
-	mutex      sync.Mutex
-	byUpstream map[string]map[*proxyRequest]context.CancelCauseFunc
+// activeSend is a running send.
+type activeSend struct {
+	upstream string
+	request  *proxyRequest
+	cancel   context.CancelCauseFunc
+	// repeatable means that the request may be sent to another upstream.
+	repeatable bool
+	// probe means that it is a probe of blocked parts.
+	probe bool
+	// begun means that the head of the response was received.
+	begun atomic.Bool
 }
 
-func newActiveSends() *activeSends {
-	return &activeSends{byUpstream: make(map[string]map[*proxyRequest]context.CancelCauseFunc)}
+// activeSends holds the running sends.
+type activeSends struct {
+	mutex sync.Mutex
+	sends map[*activeSend]bool
 }
 
-// track returns a context for a send that is cancelled if the upstream is lost. The
-// caller calls done when the send has ended.
-func (activeSends *activeSends) track(ctx context.Context, upstream string, sent *proxyRequest) (tracked context.Context, done func()) {
+func newActiveSends() *activeSends { return &activeSends{sends: make(map[*activeSend]bool)} }
+
+// track returns a context for a send that is cancelled if the upstream is lost, where
+// the request may be repeated, or if a part of its prompt is blocked. The caller calls
+// done when the send has ended.
+func (activeSends *activeSends) track(ctx context.Context, upstream string, sent *proxyRequest, repeatable bool) (tracked context.Context, send *activeSend, done func()) {
 	tracked, cancel := context.WithCancelCause(ctx)
+	send = &activeSend{upstream: upstream, request: sent, cancel: cancel, repeatable: repeatable, probe: sent.probe}
 	activeSends.mutex.Lock()
 	defer activeSends.mutex.Unlock()
-	if activeSends.byUpstream[upstream] == nil {
-		activeSends.byUpstream[upstream] = make(map[*proxyRequest]context.CancelCauseFunc)
-	}
-	activeSends.byUpstream[upstream][sent] = cancel
-	return tracked, func() {
+	activeSends.sends[send] = true
+	return tracked, send, func() {
 		activeSends.mutex.Lock()
-		delete(activeSends.byUpstream[upstream], sent)
-		if len(activeSends.byUpstream[upstream]) == 0 {
-			delete(activeSends.byUpstream, upstream)
-		}
+		delete(activeSends.sends, send)
 		activeSends.mutex.Unlock()
 		cancel(nil)
 	}
 }
 
-// cancel cancels the sends to an upstream and returns their number.
-func (activeSends *activeSends) cancel(upstream string) int {
+// cancel cancels the sends that a function selects, and returns their number.
+func (activeSends *activeSends) cancel(cause error, selected func(*activeSend) bool) int {
 	activeSends.mutex.Lock()
 	defer activeSends.mutex.Unlock()
-	cancelled := len(activeSends.byUpstream[upstream])
-	for _, cancel := range activeSends.byUpstream[upstream] {
-		cancel(errUpstreamLost)
+	cancelled := 0
+	for send := range activeSends.sends {
+		if selected(send) {
+			send.cancel(cause)
+			delete(activeSends.sends, send)
+			cancelled++
+		}
 	}
-	delete(activeSends.byUpstream, upstream)
 	return cancelled
 }
 
-// cancelSends cancels the sends to a lost upstream, so that they are retried at
-// another one.
+// cancelSends cancels the sends to a lost upstream that may be repeated, so that they
+// are retried at another one.
 func (relay *Relay) cancelSends(upstream string) {
-	if cancelled := relay.activeSends.cancel(upstream); cancelled > 0 {
+	cancelled := relay.activeSends.cancel(errUpstreamLost, func(send *activeSend) bool { return send.repeatable && send.upstream == upstream })
+	if cancelled > 0 {
 		relay.config.Logger.Info("relay: cancelled sends to a lost upstream", zap.String("upstream", upstream), zap.Int("sends", cancelled))
 	}
 }
+
+// cancelBlocked cancels the sends with blocked parts that have not begun, before they
+// crash their upstreams.
+func (relay *Relay) cancelBlocked() {
+	cancelled := relay.activeSends.cancel(errPartBlocked, func(send *activeSend) bool {
+		request := send.request
+		return !send.begun.Load() && !send.probe && relay.poison.Blocked(request.organisationName(), request.info.SharedParts)
+	})
+	if cancelled > 0 {
+		relay.metrics.increment("poison-cancelled")
+		relay.config.Logger.Info("poison: cancelled sends with a blocked part", zap.Int("sends", cancelled))
+	}
+}
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -109,6 +109,8 @@
 	// respondedAt is when the head of the response to the last send was received.
 	respondedAt    time.Time
 	eventIntervals []time.Duration
+	// probe means that the request may be sent although parts of it are blocked.
+	probe bool
 	// headersSent means that the response headers were forwarded.
 	headersSent bool
 }
@@ -163,6 +165,9 @@
 	if refused := proxyRequest.readBody(); refused != nil {
 		return refused
 	}
+	if refused := proxyRequest.poisonRefusal(); refused != nil {
+		return refused
+	}
 	return proxyRequest.charge()
 }
 
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -24,6 +24,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
+	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -105,13 +106,18 @@
 	usageChanges *usageChanges
 	// cordon holds the upstreams that are draining or asked for a backoff, and permits
 	// keeps the sends to others within the rate limits that they name.
-	cordon       *cordon.Set
-	permits      *permits
-	latencies    *latencies
-	start        time.Time
-	wake         chan struct{}
-	stateChanged *broadcast
-	activeSends  *activeSends
+	cordon  *cordon.Set
+	permits *permits
+	// poison tracks the parts of prompts that crash upstreams, and poisonChanged
+	// means that the other entry instances must be told of it at once.
+	poison          *poison.Tracker
+	brokenResponses *brokenResponses
+	poisonChanged   atomic.Bool
+	latencies       *latencies
+	start           time.Time
+	wake            chan struct{}
+	stateChanged    *broadcast
+	activeSends     *activeSends
 	// instanceWatcher follows the instance list. earlyReadAt is when it was last
 	// woken before its next read was due, in Unix milliseconds.
 	instanceWatcher *watch.Watcher[Listing]
@@ -147,6 +153,8 @@
 		stateChanged:    newBroadcast(),
 		usageChanges:    newUsageChanges(),
 		cordon:          cordon.New(cordon.Config{}),
+		poison:          poison.New(poison.Config{}),
+		brokenResponses: newBrokenResponses(),
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -70,7 +70,7 @@
 		relay.initialiseBuckets()
 		usage := relay.limiter.LocalUsage()
 		changed := relay.usageChanges.update(usage.Spent)
-		if time.Since(usageSentAt) >= maxUsageInterval || changed && time.Since(usageSentAt) >= usageInterval(relay.peers.count()) {
+		if relay.poisonChanged.Swap(false) || time.Since(usageSentAt) >= maxUsageInterval || changed && time.Since(usageSentAt) >= usageInterval(relay.peers.count()) {
 			usageSentAt = time.Now()
 			relay.reportUsage(usage)
 		}
@@ -236,6 +236,7 @@
 		Resident:         codec.DecodeAdapters(state.GetResident()),
 		Pending:          codec.DecodeAdapters(state.GetPending()),
 	})
+	relay.confirmCrash(state.GetUpstream())
 	relay.picker.RecordGrants(state.GetUpstream(), state.GetGranted())
 	if relay.picker.Gone(state.GetUpstream()) {
 		relay.cancelSends(state.GetUpstream())
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -147,6 +147,9 @@
 	}
 	for {
 		changed := proxyRequest.relay.stateChanged.next()
+		if refused := proxyRequest.poisonRefusal(); refused != nil {
+			return picker.Choice{}, refused
+		}
 		choice := waitingRequest.choose()
 		proxyRequest.recordWait(choice)
 		if grant, ok := waitingRequest.admitted(choice); ok {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -27,11 +27,9 @@
 	if proxyRequest.sends == 0 {
 		relay.retryBudget.recordRequest(proxyRequest.service.Name)
 	}
-	if proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts {
-		watched, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest)
-		defer done()
-		ctx = watched
-	}
+	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
+	ctx, active, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest, repeatable)
+	defer done()
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals = time.Now(), nil
@@ -43,6 +41,7 @@
 	defer func() { _ = response.Body.Close() }()
 	proxyRequest.sends++
 	proxyRequest.respondedAt = time.Now()
+	active.begun.Store(true)
 	info := relay.config.Protocol.ParseResponse(response.Status, response.Header)
 	proxyRequest.applyNotices(upstream, info)
 	if info.Load >= 0 {
@@ -65,6 +64,18 @@
 	if response.Status >= http.StatusInternalServerError && proxyRequest.mayRunAgain() {
 		return proxyRequest.keepFailure(upstream, response)
 	}
+	result := proxyRequest.forward(upstream, response)
+	switch result {
+	case outcomeAnswered:
+		proxyRequest.recordCompleted()
+	case outcomeUnknown:
+		proxyRequest.recordBreak(ctx, upstream)
+	}
+	return result
+}
+
+// forward forwards the response to the caller.
+func (proxyRequest *proxyRequest) forward(upstream fleet.Upstream, response *http1.Response) outcome {
 	if proxyRequest.route.Streaming && response.Status == http.StatusOK {
 		return proxyRequest.forwardStream(upstream, response)
 	}
@@ -118,11 +129,16 @@
 		if ctx.Err() == nil {
 			proxyRequest.log("relay: failed to reach upstream", logs.ErrorField(err))
 			proxyRequest.relay.readInstancesSoon()
+			proxyRequest.relay.recordRefusedConnection(upstream, err)
 			proxyRequest.recordHealth(upstream, false)
 		}
 		return outcomeNotSent
 	}
 	proxyRequest.sends++
+	if errors.Is(context.Cause(ctx), errPartBlocked) {
+		proxyRequest.runs++
+		return outcomeUnknown
+	}
 	if ctx.Err() == nil || lost {
 		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost), zap.Strings("parts", proxyRequest.info.SharedParts))
 	}
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -85,6 +85,7 @@
 		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
 		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: only != nil,
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(only == nil),
+		Poison: relay.encodePoison(only == nil),
 	}
 	for organisation, spent := range usage.Spent {
 		if only != nil && !only[organisation] {
@@ -114,6 +115,7 @@
 	relay.limiter.MergeUsage(report.GetEntry(), usage)
 	relay.recordPeerDraining(report)
 	relay.recordPeerLimits(report)
+	relay.recordPeerPoison(report)
 }
 
 // usageInterval returns the time between two usage reports to the other entry
--- a/internal/flow/picker/usable.go
+++ b/internal/flow/picker/usable.go
@@ -21,6 +21,29 @@
 	return !cordoned && !upstream.draining()
 }
 
+// Usable reports whether an upstream is known and requests may be sent to it.
+func (picker *Picker) Usable(id string) bool {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	upstream, ok := picker.upstreams[id]
+	return ok && picker.usable(upstream)
+}
+
+// Crashed reports whether an upstream has ended without having announced that it is
+// draining. One that is unresponsive may go on.
+func (picker *Picker) Crashed(id string) bool {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	upstream, ok := picker.upstreams[id]
+	if !ok || upstream.spec.Draining || upstream.report.Draining {
+		return false
+	}
+	if _, cordoned := picker.cordoned(upstream); cordoned {
+		return false
+	}
+	return upstream.report.Unreachable && !upstream.report.Unresponsive || upstream.restarted()
+}
+
 // retryAfter returns the time until the first backoff asked for by an upstream
 // of the service ends, or 0 if there is none.
 func (picker *Picker) retryAfter(request Request) time.Duration {
--- /dev/null
+++ b/internal/flow/poison/history.go
@@ -0,0 +1,209 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+)
+
+// history is what is known of one part.
+type history struct {
+	// evidence is ordered by time.
+	evidence []knownEvidence
+	// completed holds the last completion for each organisation.
+	completed map[string]knownCompletion
+	// probedAt is when an instance last sent a probe, and probeAnnounceUntil the end
+	// of the time in which that is passed on.
+	probedAt           time.Time
+	probeAnnounceUntil time.Time
+}
+
+// knownEvidence is evidence with what is needed to pass it on.
+type knownEvidence struct {
+	Evidence
+	// announceUntil is the end of the time in which it is passed on with each report.
+	announceUntil time.Time
+}
+
+type knownCompletion struct {
+	at            time.Time
+	announceUntil time.Time
+}
+
+// add stores evidence and reports whether it is new.
+func (history *history) add(added knownEvidence) bool {
+	for i, known := range history.evidence {
+		if !known.sameAs(added.Evidence) {
+			continue
+		}
+		history.evidence[i].Fresh = known.Fresh || added.Fresh
+		history.evidence[i].Probe = known.Probe || added.Probe
+		return history.evidence[i].Fresh != known.Fresh
+	}
+	history.evidence = append(history.evidence, added)
+	slices.SortStableFunc(history.evidence, func(a, b knownEvidence) int { return a.At.Compare(b.At) })
+	if excess := len(history.evidence) - maxEvidence; excess > 0 {
+		history.evidence = slices.Delete(history.evidence, 0, excess)
+	}
+	return true
+}
+
+// complete stores a completion, drops the evidence that it refutes, and reports
+// whether there was any.
+func (history *history) complete(organisation string, completion knownCompletion) bool {
+	if !history.completed[organisation].at.Before(completion.at) {
+		return false
+	}
+	history.completed[organisation] = completion
+	before := len(history.evidence)
+	history.evidence = slices.DeleteFunc(history.evidence, func(known knownEvidence) bool {
+		return known.Organisation == organisation && !known.At.After(completion.at)
+	})
+	return len(history.evidence) < before
+}
+
+// lastCompletion returns when a response was last completed for any organisation.
+func (history *history) lastCompletion() time.Time {
+	var last time.Time
+	for _, completion := range history.completed {
+		if completion.at.After(last) {
+			last = completion.at
+		}
+	}
+	return last
+}
+
+// block is the state of a part for one organisation.
+type block struct {
+	blocked bool
+	// last is when the last crash was, and probeAt when a probe may be sent.
+	last    time.Time
+	probeAt time.Time
+}
+
+// blockFor returns whether the part is blocked for an organisation: because of the
+// crashes under its own requests, or of those under all requests if they concern
+// several organisations. So an organisation cannot get a part blocked for others.
+func (history *history) blockFor(organisation string, config Config) block {
+	own := history.tally(config, func(known knownEvidence) bool { return known.Organisation == organisation })
+	if own.blocks() {
+		return own.block(config)
+	}
+	refutedUntil := history.lastCompletion()
+	all := history.tally(config, func(known knownEvidence) bool { return known.At.After(refutedUntil) })
+	if all.blocks() && all.organisations > 1 {
+		return all.block(config)
+	}
+	return block{}
+}
+
+// tally sums up evidence.
+type tally struct {
+	weight        int
+	requests      int
+	organisations int
+	failedProbes  int
+	last          time.Time
+}
+
+func (tally tally) blocks() bool { return tally.weight >= blockWeight && tally.requests >= minRequests }
+
+func (tally tally) block(config Config) block {
+	hold := config.InitialHold
+	for range tally.failedProbes {
+		hold = min(hold*holdFactor, maxHold)
+	}
+	return block{blocked: true, last: tally.last, probeAt: tally.last.Add(hold)}
+}
+
+// tally sums up the evidence that a function selects.
+func (history *history) tally(config Config, selected func(knownEvidence) bool) tally {
+	var sum tally
+	requests, organisations := make(map[uint64]bool), make(map[string]bool)
+	weights := make(map[cordon.Incarnation]int)
+	soundAt := history.lastCompletion()
+	var countedAt time.Time
+	for _, known := range history.evidence {
+		if !selected(known) {
+			continue
+		}
+		weight := otherWeight
+		if known.Fresh && (soundAt.IsZero() || known.At.Sub(soundAt) > config.SoundTime) {
+			weight = freshWeight
+		}
+		requests[known.Request], organisations[known.Organisation] = true, true
+		sum.last = known.At
+		before, counted := weights[known.Upstream]
+		if !counted && known.At.Sub(countedAt) < coincidence {
+			continue
+		}
+		if !counted {
+			countedAt = known.At
+			if known.Probe {
+				sum.failedProbes++
+			}
+		}
+		weights[known.Upstream] = max(before, weight)
+		sum.weight += weights[known.Upstream] - before
+	}
+	sum.requests, sum.organisations = len(requests), len(organisations)
+	return sum
+}
+
+// blockedUntil returns the end of the longest hold for any organisation, or zero if
+// the part is not blocked.
+func (history *history) blockedUntil(config Config) time.Time {
+	var until time.Time
+	for _, known := range history.evidence {
+		if block := history.blockFor(known.Organisation, config); block.blocked && block.probeAt.After(until) {
+			until = block.probeAt
+		}
+	}
+	return until
+}
+
+// sharesRequestsWith reports whether all requests that speak against the part also
+// speak against another one.
+func (history *history) sharesRequestsWith(other *history) bool {
+	for _, known := range history.evidence {
+		shared := slices.ContainsFunc(other.evidence, func(candidate knownEvidence) bool { return candidate.Request == known.Request })
+		if !shared {
+			return false
+		}
+	}
+	return len(history.evidence) > 0
+}
+
+// probeDue reports whether the instance that ranks at a place, counted from 0, may
+// send a probe that may be sent from a time on.
+func (history *history) probeDue(now, probeAt time.Time, place int) bool {
+	awaited := !history.probedAt.IsZero() && now.Sub(history.probedAt) < probeInterval
+	return !awaited && !now.Before(probeAt.Add(time.Duration(place)*probeStagger))
+}
+
+// lastEvidence returns when the last crash was, or zero.
+func (history *history) lastEvidence() time.Time {
+	if len(history.evidence) == 0 {
+		return time.Time{}
+	}
+	return history.evidence[len(history.evidence)-1].At
+}
+
+// expired reports whether the part may be forgotten.
+func (history *history) expired(now time.Time, config Config) bool {
+	last := history.blockedUntil(config)
+	if last.IsZero() {
+		last = history.lastEvidence()
+	}
+	if last.IsZero() {
+		return now.Sub(history.lastCompletion()) > config.SoundTime
+	}
+	return now.Sub(last) > retention
+}
+
+// compareEvidence orders evidence for passing it on.
+func compareEvidence(a, b Evidence) int {
+	return cmp.Or(cmp.Compare(a.Part, b.Part), a.At.Compare(b.At), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Upstream.ID, b.Upstream.ID))
+}
--- /dev/null
+++ b/internal/flow/poison/poison.go
@@ -0,0 +1,142 @@
+// Package poison finds the parts of prompts that crash upstreams, so that requests
+// with them can be refused (poison messages, also known as queries of death).
+//
+// Evidence against a part is a crash of an upstream while it answered a request with
+// the part. A completed response to such a request is evidence that the part is
+// sound. Each instance keeps a Tracker, and all exchange what they record, so that
+// crashes that different instances observe add up. Evidence is a set, and merging it
+// is idempotent and commutative.
+package poison
+
+import (
+	"cmp"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+)
+
+// Defaults of Config.
+const (
+	// DefaultInitialHold is how long a part is blocked before one request with it may
+	// be sent as a probe. Each failed probe multiplies the time by holdFactor.
+	DefaultInitialHold = 30 * time.Second
+	// DefaultSoundTime is how long after a completed response a part counts as having
+	// been sound.
+	DefaultSoundTime = time.Minute
+	// DefaultAnnouncePeriod is how long a record is passed on with each report to
+	// other instances.
+	DefaultAnnouncePeriod = 400 * time.Millisecond
+)
+
+const (
+	// holdFactor is by how much a failed probe lengthens the hold, up to maxHold.
+	holdFactor = 20
+	maxHold    = 24 * time.Hour
+	// retention is how long after its hold, or after its last crash if it is not
+	// blocked, a part is remembered.
+	retention = 10 * time.Minute
+	// expireInterval is the time between two searches for parts to forget.
+	expireInterval = time.Second
+	// coincidence is the time within which crashes of several upstreams count as one,
+	// as they may have a cause in common, such as a loss of power.
+	coincidence = 20 * time.Millisecond
+	// ambiguousHold is the hold for a request that lacks one of the parts that share
+	// the blame for the same crashes: its outcome shows which of them is at fault.
+	ambiguousHold = 2 * time.Second
+	// probeInterval is how long the outcome of a probe is awaited before the next
+	// one.
+	probeInterval = 15 * time.Second
+	// probeStagger is how much later each instance may send a probe than the one
+	// that ranks before it, so that they do not send one each.
+	probeStagger = 250 * time.Millisecond
+	// probeRetryAfter is how long the callers of a part that waits for its probe are
+	// told to wait.
+	probeRetryAfter = time.Second
+)
+
+const (
+	// A crash counts freshWeight against a part if the upstream had just begun to
+	// answer a request with it and the part was not known to be sound, else
+	// otherWeight. A part is blocked when its crashes sum up to blockWeight and
+	// minRequests different requests were involved.
+	freshWeight = 2
+	otherWeight = 1
+	blockWeight = 4
+	minRequests = 2
+)
+
+const (
+	// maxParts bounds the parts with evidence, maxEvidence the evidence of one part,
+	// and maxSoundParts the parts remembered as sound.
+	maxParts      = 4096
+	maxEvidence   = 24
+	maxSoundParts = 16384
+	// maxRecent bounds the evidence passed on with each report.
+	maxRecent = 256
+)
+
+// Config configures a Tracker. Zero values mean the defaults.
+type Config struct {
+	InitialHold    time.Duration
+	SoundTime      time.Duration
+	AnnouncePeriod time.Duration
+}
+
+func (config Config) withDefaults() Config {
+	config.InitialHold = cmp.Or(config.InitialHold, DefaultInitialHold)
+	config.SoundTime = cmp.Or(config.SoundTime, DefaultSoundTime)
+	config.AnnouncePeriod = cmp.Or(config.AnnouncePeriod, DefaultAnnouncePeriod)
+	return config
+}
+
+// Evidence is one request with a part that an upstream was answering when it
+// crashed.
+type Evidence struct {
+	Part         string
+	Organisation string
+	// Request identifies the request.
+	Request uint64
+	// Upstream is the incarnation that crashed, and At when it did.
+	Upstream cordon.Incarnation
+	At       time.Time
+	// Fresh means that the upstream had just begun to answer the request.
+	Fresh bool
+	// Probe means that the request was sent although the part was blocked.
+	Probe bool
+}
+
+// sameAs reports whether two records are of the same request at the same crash.
+func (evidence Evidence) sameAs(other Evidence) bool {
+	return evidence.Request == other.Request && evidence.Upstream == other.Upstream
+}
+
+// Completion is a response to a request with a part that an upstream completed.
+type Completion struct {
+	Part         string
+	Organisation string
+	At           time.Time
+}
+
+// Probe is the sending of a probe of a blocked part.
+type Probe struct {
+	Part string
+	At   time.Time
+}
+
+// News is what one instance tells others.
+type News struct {
+	Evidence    []Evidence
+	Completions []Completion
+	Probes      []Probe
+}
+
+// Verdict says whether a request may be sent. The zero value means that it may.
+type Verdict struct {
+	// Blocked means that the request must be refused because of Part. It may be
+	// accepted again after RetryAfter.
+	Blocked    bool
+	Part       string
+	RetryAfter time.Duration
+	// Probe means that the request may be sent as a probe of blocked parts.
+	Probe bool
+}
--- /dev/null
+++ b/internal/flow/poison/tracker_test.go
@@ -0,0 +1,291 @@
+package poison
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+)
+
+// first is the place of the instance that ranks first for every part.
+func first(string) int { return 0 }
+
+// scene is a Tracker with short forms of its methods.
+type scene struct {
+	*Tracker
+	requests, crashes int
+}
+
+func newScene() *scene { return &scene{Tracker: New(Config{})} }
+
+// crash records that an upstream crashed when it had just begun to answer a new
+// request with parts of each organisation given.
+func (scene *scene) crash(fresh bool, parts []string, organisations ...string) {
+	scene.crashes++
+	for _, organisation := range organisations {
+		scene.requests++
+		scene.Add(true, scene.evidence(fresh, false, parts, organisation))
+	}
+	time.Sleep(time.Second)
+}
+
+func (scene *scene) evidence(fresh, probe bool, parts []string, organisation string) []Evidence {
+	var evidence []Evidence
+	for _, part := range parts {
+		evidence = append(evidence, Evidence{
+			Part: part, Organisation: organisation, Request: uint64(scene.requests), At: time.Now(), Fresh: fresh, Probe: probe,
+			Upstream: cordon.Incarnation{ID: fmt.Sprint("engine-", scene.crashes)},
+		})
+	}
+	return evidence
+}
+
+// blocked returns which of the parts are blocked for an organisation.
+func (scene *scene) blocked(organisation string, parts ...string) []string {
+	return slices.DeleteFunc(parts, func(part string) bool { return !scene.Blocked(organisation, []string{part}) })
+}
+
+// TestBlock guards against parts that crash upstreams and are not blocked in time, and
+// against sound parts that are.
+func TestBlock(t *testing.T) {
+	tests := []struct {
+		name   string
+		events func(scene *scene)
+		// want lists the blocked parts among a, b and x, for organisation o1 and o2.
+		want, wantOther []string
+	}{
+		{name: "one crash", events: func(scene *scene) { scene.crash(true, []string{"a", "x"}, "o1") }},
+		{
+			name: "two crashes under different requests", want: []string{"x"},
+			events: func(scene *scene) {
+				scene.crash(true, []string{"a", "x"}, "o1")
+				scene.crash(true, []string{"b", "x"}, "o1")
+			},
+		},
+		{
+			name: "one request repeated",
+			events: func(scene *scene) {
+				evidence := scene.evidence(true, false, []string{"a", "x"}, "o1")
+				for number := range 3 {
+					for i := range evidence {
+						evidence[i].Upstream.ID, evidence[i].At = fmt.Sprint("engine-", number), time.Now()
+					}
+					scene.Add(true, evidence)
+					time.Sleep(time.Second)
+				}
+			},
+		},
+		{
+			name: "upstreams that end together",
+			events: func(scene *scene) {
+				for range 5 {
+					scene.crashes, scene.requests = scene.crashes+1, scene.requests+1
+					scene.Add(true, scene.evidence(true, false, []string{"x"}, "o1"))
+					time.Sleep(time.Millisecond)
+				}
+			},
+		},
+		{
+			name: "a part that was sound before", want: []string{"x"},
+			events: func(scene *scene) {
+				scene.RecordCompleted("o1", []string{"a"})
+				time.Sleep(time.Second)
+				scene.crash(true, []string{"a", "x"}, "o1")
+				scene.crash(true, []string{"a", "x"}, "o1")
+			},
+		},
+		{
+			name: "a part that was sound before and no longer is", want: []string{"x"},
+			events: func(scene *scene) {
+				scene.RecordCompleted("o1", []string{"x"})
+				time.Sleep(time.Second)
+				for number := range 4 {
+					scene.crash(true, []string{fmt.Sprint("other-", number), "x"}, "o1")
+				}
+			},
+		},
+		{
+			name: "a part whose crash comes late in the response", want: []string{"x"},
+			events: func(scene *scene) {
+				for number := range 4 {
+					scene.crash(false, []string{fmt.Sprint("other-", number), "x"}, "o1")
+				}
+			},
+		},
+		{
+			name: "a completion between the crashes",
+			events: func(scene *scene) {
+				for range 5 {
+					scene.crash(true, []string{"a"}, "o1")
+					scene.RecordCompleted("o1", []string{"a"})
+				}
+			},
+		},
+		{
+			name: "a completion after the block",
+			events: func(scene *scene) {
+				scene.crash(true, []string{"x"}, "o1")
+				scene.crash(true, []string{"x"}, "o1")
+				scene.RecordCompleted("o1", []string{"x"})
+			},
+		},
+		{
+			name: "one organisation's requests do not block another's", want: []string{"x"},
+			events: func(scene *scene) {
+				scene.crash(true, []string{"x"}, "o1")
+				scene.crash(true, []string{"x"}, "o1")
+			},
+		},
+		{
+			name: "requests of two organisations block a part for all", want: []string{"x"}, wantOther: []string{"x"},
+			events: func(scene *scene) {
+				scene.crash(true, []string{"x"}, "o1")
+				scene.crash(true, []string{"x"}, "o3")
+			},
+		},
+		{
+			name: "another organisation's completion", want: []string{"x"},
+			events: func(scene *scene) {
+				for range 4 {
+					scene.crash(true, []string{"x"}, "o1")
+				}
+				scene.crash(true, []string{"x"}, "o3")
+				scene.RecordCompleted("o2", []string{"x"})
+			},
+		},
+		{
+			name: "parts beside a blocked one", want: []string{"x"},
+			events: func(scene *scene) {
+				scene.RecordCompleted("o1", []string{"a"})
+				time.Sleep(time.Second)
+				for range 6 {
+					scene.crash(true, []string{"a", "x"}, "o1")
+				}
+			},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scene := newScene()
+				test.events(scene)
+				got := [][]string{scene.blocked("o1", "a", "b", "x"), scene.blocked("o2", "a", "b", "x")}
+				if diff := cmp.Diff([][]string{append([]string{}, test.want...), append([]string{}, test.wantOther...)}, got); diff != "" {
+					t.Errorf("blocked for o1 and o2 (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// TestProbes guards against more than one probe at a time, against more than three in
+// a day of a part that stays deadly, and against a part that stays blocked although
+// its probe was completed.
+func TestProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scene := newScene()
+		scene.crash(true, []string{"x"}, "o1")
+		scene.crash(true, []string{"x"}, "o1")
+		probes := 0
+		for began := time.Now(); time.Since(began) < 24*time.Hour; time.Sleep(time.Second) {
+			if !scene.Check("o1", []string{"x"}, first).Probe {
+				continue
+			}
+			if scene.Check("o1", []string{"x"}, first).Probe {
+				t.Fatal("two probes at a time")
+			}
+			probes++
+			scene.crashes, scene.requests = scene.crashes+1, scene.requests+1
+			scene.Add(true, scene.evidence(true, true, []string{"x"}, "o1"))
+		}
+		if probes == 0 || probes > 3 {
+			t.Errorf("%d probes in a day, want 1 to 3", probes)
+		}
+		scene.RecordCompleted("o1", []string{"x"})
+		if diff := cmp.Diff(Verdict{}, scene.Check("o1", []string{"x"}, first)); diff != "" {
+			t.Errorf("after a completed probe (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestAmbiguous guards against the refusal of sound requests for long because they
+// share a part with deadly ones.
+func TestAmbiguous(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scene := newScene()
+		scene.crash(true, []string{"a", "x"}, "o1")
+		scene.crash(true, []string{"a", "x"}, "o1")
+		time.Sleep(ambiguousHold)
+		if verdict := scene.Check("o1", []string{"a", "x"}, first); !verdict.Blocked {
+			t.Error("a request with all of the blocked parts is not refused")
+		}
+		if verdict := scene.Check("o1", []string{"a"}, first); !verdict.Probe {
+			t.Errorf("a request with one of the blocked parts is not a probe: %+v", verdict)
+		}
+		scene.RecordCompleted("o1", []string{"a"})
+		if diff := cmp.Diff([]string{"x"}, scene.blocked("o1", "a", "x")); diff != "" {
+			t.Errorf("blocked after the probe (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestMerge guards against instances that differ after they have told each other what
+// they observed, in whichever order and however often, and against a completion that
+// one of them missed.
+func TestMerge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		observers := []*scene{newScene(), newScene()}
+		for number, observer := range observers {
+			observer.requests, observer.crashes = 10*number, 10*number
+			observer.crash(true, []string{"a", "x"}, "o1")
+		}
+		late := New(Config{})
+		for range 2 {
+			for _, observer := range observers {
+				late.Merge(News{Evidence: observer.All(maxEvidence)})
+			}
+		}
+		if !late.Blocked("o1", []string{"x"}) {
+			t.Fatal("an instance that was told of two crashes does not block the part")
+		}
+		observers[0].Merge(News{Evidence: late.All(maxEvidence)})
+		observers[0].RecordCompleted("o1", []string{"a"})
+		time.Sleep(2 * DefaultAnnouncePeriod)
+		observers[0].Merge(News{Evidence: late.All(maxEvidence)})
+		late.Merge(observers[0].Recent())
+		if late.Blocked("o1", []string{"a"}) || !late.Blocked("o1", []string{"x"}) {
+			t.Error("a completion that was missed at first does not clear its part alone")
+		}
+	})
+}
+
+// TestForget guards against parts that are remembered for ever, and against one that
+// is forgotten while it is blocked.
+func TestForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scene := newScene()
+		for number := range 2 * maxParts {
+			scene.crashes, scene.requests = number, number
+			scene.Add(true, scene.evidence(true, false, []string{fmt.Sprint("part-", number)}, "o1"))
+		}
+		if count := len(scene.parts); count > maxParts {
+			t.Errorf("%d parts are remembered, want at most %d", count, maxParts)
+		}
+		time.Sleep(2 * DefaultSoundTime)
+		scene.crash(true, []string{"x"}, "o1")
+		scene.crash(true, []string{"x"}, "o1")
+		if !scene.Blocked("o1", []string{"x"}) {
+			t.Error("a part is not blocked because others fill the memory")
+		}
+		time.Sleep(retention + DefaultInitialHold + time.Second)
+		scene.crash(true, []string{"y"}, "o1")
+		if diff := cmp.Diff(1, len(scene.parts)); diff != "" {
+			t.Errorf("parts remembered (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/internal/flow/rank/rank.go
+++ b/internal/flow/rank/rank.go
@@ -23,5 +23,16 @@
 	})
 }
 
+// Place returns how many other members rank before a member for a task.
+func Place(task, member string, members []string) int {
+	place, own := 0, Score(task, member)
+	for _, other := range members {
+		if other != member && cmp.Or(cmp.Compare(Score(task, other), own), cmp.Compare(other, member)) > 0 {
+			place++
+		}
+	}
+	return place
+}
+
 // Score returns a member's score for a task. The highest score ranks first.
 func Score(task, member string) uint64 { return xxh3.HashString(member + "\x00" + task) }
--- a/internal/wire/codec/permit.go
+++ b/internal/wire/codec/permit.go
@@ -1,9 +1,6 @@
 package codec
 
 import (
-	"math"
-	"time"
-
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -11,14 +8,12 @@
 
 // EncodeRateLimit encodes the naming of an upstream's rate limit.
 func EncodeRateLimit(incarnation cordon.Incarnation, notice permit.Notice) *wirepb.RateLimit {
-	age := min(max(time.Since(notice.At).Milliseconds(), 0), math.MaxUint32)
-	return &wirepb.RateLimit{Id: incarnation.ID, Born: incarnation.StartedAt, Rate: float64(notice.Rate), AgeMs: uint32(age)}
+	return &wirepb.RateLimit{Id: incarnation.ID, Born: incarnation.StartedAt, Rate: float64(notice.Rate), AgeMs: encodeAge(notice.At)}
 }
 
 // DecodeRateLimit decodes what EncodeRateLimit encoded.
 func DecodeRateLimit(encoded *wirepb.RateLimit) (cordon.Incarnation, permit.Notice) {
-	at := time.Now().Add(-time.Duration(encoded.GetAgeMs()) * time.Millisecond)
-	return cordon.Incarnation{ID: encoded.GetId(), StartedAt: encoded.GetBorn()}, permit.Notice{Rate: permit.Rate(encoded.GetRate()), At: at}
+	return cordon.Incarnation{ID: encoded.GetId(), StartedAt: encoded.GetBorn()}, permit.Notice{Rate: permit.Rate(encoded.GetRate()), At: decodeAge(encoded.GetAgeMs())}
 }
 
 // EncodePermitAsk encodes an ask.
