--- a/internal/flow/poison/history.go
+++ b/internal/flow/poison/history.go
@@ -87,6 +87,9 @@
 // crashes under its own requests, or of those under all requests if they concern
 // several organisations. So an organisation cannot get a part blocked for others.
 func (history *history) blockFor(organisation string, config Config) block {
+	if len(history.evidence) < minRequests {
+		return block{}
+	}
 	own := history.tally(config, func(known knownEvidence) bool { return known.Organisation == organisation })
 	if own.blocks() {
 		return own.block(config)
