--- a/internal/daemon/relay/permits.go
+++ b/internal/daemon/relay/permits.go
@@ -116,12 +116,10 @@
 		}
 		byAllocator[addressed.Allocator] = append(byAllocator[addressed.Allocator], codec.EncodePermitAsk(addressed.Ask))
 	}
-	for address, encoded := range byAllocator {
-		for chunk := range slices.Chunk(encoded, maxPermitsPerDatagram) {
-			body := &wirepb.PermitAsks{Entry: relay.config.DatagramAddress, Asks: chunk}
-			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitAsks{PermitAsks: body}}, address)
-		}
-	}
+	sendChunks(relay, byAllocator, func(chunk []*wirepb.PermitAsk) *wirepb.Datagram {
+		body := &wirepb.PermitAsks{Entry: relay.config.DatagramAddress, Asks: chunk}
+		return &wirepb.Datagram{Body: &wirepb.Datagram_PermitAsks{PermitAsks: body}}
+	})
 	relay.issuePermits()
 }
 
@@ -140,10 +138,17 @@
 		}
 		byClient[addressed.Client] = append(byClient[addressed.Client], codec.EncodePermitGrant(addressed.Grant))
 	}
-	for address, encoded := range byClient {
-		for chunk := range slices.Chunk(encoded, maxPermitsPerDatagram) {
-			body := &wirepb.PermitGrants{Grants: chunk}
-			relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_PermitGrants{PermitGrants: body}}, address)
+	sendChunks(relay, byClient, func(chunk []*wirepb.PermitGrant) *wirepb.Datagram {
+		return &wirepb.Datagram{Body: &wirepb.Datagram_PermitGrants{PermitGrants: &wirepb.PermitGrants{Grants: chunk}}}
+	})
+}
+
+// sendChunks sends asks or grants to the entry instances that they are for, at most
+// maxPermitsPerDatagram in a datagram.
+func sendChunks[Item any](relay *Relay, byAddress map[string][]Item, encode func(chunk []Item) *wirepb.Datagram) {
+	for address, items := range byAddress {
+		for chunk := range slices.Chunk(items, maxPermitsPerDatagram) {
+			relay.sendDatagram(encode(chunk), address)
 		}
 	}
 }
--- a/internal/daemon/start/logclients.go
+++ b/internal/daemon/start/logclients.go
@@ -16,12 +16,8 @@
 
 // Read returns a page of a stream.
 func (log ConfigLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (syncer.LogPage, error) {
-	page, err := log.Client.Read(ctx, stream, from, wait)
-	if err != nil {
-		return syncer.LogPage{}, err
-	}
-	records := convertRecords(page.Records, func(record logsvc.Record) syncer.LogRecord { return syncer.LogRecord(record) })
-	return syncer.LogPage{FirstOffset: page.FirstOffset, NextOffset: page.NextOffset, Records: records}, nil
+	first, next, records, err := readRecords(ctx, log.Client, stream, from, wait, func(record logsvc.Record) syncer.LogRecord { return syncer.LogRecord(record) })
+	return syncer.LogPage{FirstOffset: first, NextOffset: next, Records: records}, err
 }
 
 // claimLog implements side.Log, on which a side process records claims, by the
@@ -32,19 +28,19 @@
 
 // Read returns a page of a stream.
 func (log claimLog) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (side.LogPage, error) {
-	page, err := log.Client.Read(ctx, stream, from, wait)
-	if err != nil {
-		return side.LogPage{}, err
-	}
-	records := convertRecords(page.Records, func(record logsvc.Record) side.LogRecord { return side.LogRecord(record) })
-	return side.LogPage{FirstOffset: page.FirstOffset, NextOffset: page.NextOffset, Records: records}, nil
+	first, next, records, err := readRecords(ctx, log.Client, stream, from, wait, func(record logsvc.Record) side.LogRecord { return side.LogRecord(record) })
+	return side.LogPage{FirstOffset: first, NextOffset: next, Records: records}, err
 }
 
-// convertRecords converts the records of a page to the reader's own type.
-func convertRecords[Record any](records []logsvc.Record, convert func(logsvc.Record) Record) []Record {
-	var converted []Record
-	for _, record := range records {
-		converted = append(converted, convert(record))
+// readRecords reads a page of a stream, with the records converted to the reader's
+// own type.
+func readRecords[Record any](ctx context.Context, client *logsvc.Client, stream string, from uint64, wait time.Duration, convert func(logsvc.Record) Record) (first, next uint64, records []Record, err error) {
+	page, err := client.Read(ctx, stream, from, wait)
+	if err != nil {
+		return 0, 0, nil, err
+	}
+	for _, record := range page.Records {
+		records = append(records, convert(record))
 	}
-	return converted
+	return page.FirstOffset, page.NextOffset, records, nil
 }
