Tell positions before and after a restore of the store apart

After a restore offsets are given out again.

The lines 'follow: store was restored' and the metric store-TOPIC-restored say so.

--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/metric"
+	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 )
 
 // metrics updates the metrics of the instance, in the expvar map "relay".
@@ -36,7 +38,10 @@
 // recordStoreCall counts a call to the platform's store by topic and result.
 func (*metrics) recordStoreCall(topic string, err error) {
 	result := "read"
-	if err != nil {
+	switch {
+	case errors.Is(err, watch.ErrRestored):
+		result = "restored"
+	case err != nil:
 		result = "failed"
 	}
 	counters.Add("store-"+topic+"-"+result, 1)
--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -77,7 +77,7 @@
 	}
 	for _, topic := range report.GetTopics() {
 		position := watch.Position{
-			Next: topic.GetNext(), ChangedNext: topic.GetChanged(),
+			Cursor: watch.Cursor{Epoch: topic.GetEpoch(), Next: topic.GetNext()}, ChangedNext: topic.GetChanged(),
 			ConfirmedAt: readerReport.queriedAt.Add(-time.Duration(topic.GetAgeMs()) * time.Millisecond),
 		}
 		switch topic.GetTopic() {
@@ -129,15 +129,18 @@
 	if reader == relay.config.DatagramAddress {
 		return
 	}
+	position := relay.instanceWatcher.Position()
 	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_StoreAsk{StoreAsk: &wirepb.StoreAsk{
-		Entry: relay.config.DatagramAddress, Number: relay.readerReport.newQuery(), InstancesNext: relay.instanceWatcher.Position().Next,
+		Entry: relay.config.DatagramAddress, Number: relay.readerReport.newQuery(),
+		InstancesNext: position.Next, InstancesEpoch: position.Epoch,
 	}}}, reader)
 }
 
 // handleStoreAsk reports this instance's position to another entry instance, with
 // the entries of the instance list that the other one lacks.
 func (relay *Relay) handleStoreAsk(query *wirepb.StoreAsk) {
-	relay.sendDatagram(relay.positionReport(query.GetNumber(), relay.instanceWatcher.Since(query.GetInstancesNext())), query.GetEntry())
+	known := watch.Cursor{Epoch: query.GetInstancesEpoch(), Next: query.GetInstancesNext()}
+	relay.sendDatagram(relay.positionReport(query.GetNumber(), relay.instanceWatcher.Since(known)), query.GetEntry())
 }
 
 // announceChange sends the other entry instances of the failure domain an
@@ -169,7 +172,7 @@
 
 func encodePosition(topic string, position watch.Position) *wirepb.TopicPosition {
 	return &wirepb.TopicPosition{
-		Topic: topic, Next: position.Next, Changed: position.ChangedNext, AgeMs: uint32(elapsed(position.ConfirmedAt).Milliseconds() + 1),
+		Topic: topic, Epoch: position.Epoch, Next: position.Next, Changed: position.ChangedNext, AgeMs: uint32(elapsed(position.ConfirmedAt).Milliseconds() + 1),
 	}
 }
 
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -75,7 +75,7 @@
 				if ok != test.ok {
 					t.Fatalf("%s: update given %v, want %v", test.guards, ok, test.ok)
 				}
-				want := watch.Position{Next: 9, ChangedNext: 7, ConfirmedAt: time.Now().Add(-test.age)}
+				want := watch.Position{Cursor: watch.Cursor{Next: 9}, ChangedNext: 7, ConfirmedAt: time.Now().Add(-test.age)}
 				if diff := cmp.Diff(want, position); ok && diff != "" {
 					t.Errorf("%s: position (-want +got):\n%s", test.guards, diff)
 				}
@@ -105,11 +105,11 @@
 			Listings: []*wirepb.Listing{encodeListing(Listing{ID: "i-1", Upstream: upstream}), encodeListing(Listing{ID: "i-2"})},
 		})
 		readerReport.record(unsolicited)
-		if diff := cmp.Diff(watch.Position{Next: 9, ChangedNext: 12, ConfirmedAt: queriedAt}, readerReport.configUpdate.Position); diff != "" {
+		if diff := cmp.Diff(watch.Position{Cursor: watch.Cursor{Next: 9}, ChangedNext: 12, ConfirmedAt: queriedAt}, readerReport.configUpdate.Position); diff != "" {
 			t.Errorf("position (-want +got):\n%s", diff)
 		}
 		want := watch.Update[Listing]{
-			Position: watch.Position{Next: 20, ChangedNext: 20}, From: 18, Complete: true,
+			Position: watch.Position{Cursor: watch.Cursor{Next: 20}, ChangedNext: 20}, From: 18, Complete: true,
 			Changes: []Listing{{ID: "i-1", Upstream: upstream}, {ID: "i-2"}},
 		}
 		if diff := cmp.Diff(want, readerReport.listUpdate); diff != "" {
--- a/internal/daemon/watch/changes.go
+++ b/internal/daemon/watch/changes.go
@@ -5,11 +5,33 @@
 // maxRecent bounds the records that are kept for other processes.
 const maxRecent = 24
 
+// Cursor is a place in a topic. After the store was restored from an earlier copy,
+// an offset is given out again for another record, so only places of the same epoch
+// can be compared.
+type Cursor struct {
+	// Epoch counts the restores of the store, 0 if the store does not name it.
+	Epoch uint64
+	// Next is the offset to read on from.
+	Next uint64
+}
+
+// compareEpoch returns an error if a response is of another epoch than the cursor. A
+// response that names no epoch is taken to be of the same one.
+func (cursor Cursor) compareEpoch(epoch uint64) error {
+	switch {
+	case epoch == cursor.Epoch || epoch == 0:
+		return nil
+	case epoch > cursor.Epoch:
+		return ErrRestored
+	default:
+		return errStale
+	}
+}
+
 // Position is how far a process has read a topic.
 type Position struct {
-	// Next is the offset to read on from, and ChangedNext the offset after the
-	// last record that changed the local state.
-	Next        uint64
+	Cursor
+	// ChangedNext is the offset after the last record that changed the local state.
 	ChangedNext uint64
 	// ConfirmedAt is the last time at which there was known to be nothing after
 	// Next.
@@ -70,13 +92,16 @@
 	return records, next >= recent.completeFrom
 }
 
-// Since returns how far the topic was read, and the changes after an offset if
-// they are still kept.
-func (watcher *Watcher[Record]) Since(next uint64) Update[Record] {
+// Since returns how far the topic was read, and the changes after a cursor if they
+// are still kept.
+func (watcher *Watcher[Record]) Since(cursor Cursor) Update[Record] {
 	watcher.mutex.Lock()
 	defer watcher.mutex.Unlock()
-	records, complete := watcher.recent.since(next)
-	return Update[Record]{Position: watcher.position, Changes: records, From: next, Complete: complete}
+	if cursor.Epoch != watcher.position.Epoch {
+		return Update[Record]{Position: watcher.position}
+	}
+	records, complete := watcher.recent.since(cursor.Next)
+	return Update[Record]{Position: watcher.position, Changes: records, From: cursor.Next, Complete: complete}
 }
 
 // Latest returns how far the topic was read, and the last batch of changes.
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -16,9 +16,16 @@
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 )
 
-// ErrTrimmed means that the store removed records before they were read.
+// ErrTrimmed means that the store removed records before they were read, or that it
+// has none at the position.
 var ErrTrimmed = errors.New("records were trimmed before they were read")
 
+// Errors of a call whose response is of another epoch than the position.
+var (
+	ErrRestored = errors.New("the store was restored from an earlier copy")
+	errStale    = errors.New("the response is older than the last restore of the store")
+)
+
 // Defaults of Config.
 const (
 	DefaultCallTimeout = 800 * time.Millisecond
@@ -31,14 +38,14 @@
 
 // Source reads a topic as decoded records.
 type Source[Record any] interface {
-	// Snapshot returns the newest record of each key and the offset to read on
+	// Snapshot returns the newest record of each key and the cursor to read on
 	// from.
-	Snapshot(ctx context.Context) (records []Record, next uint64, err error)
-	// Read returns the records from an offset on, and the offset to read on
+	Snapshot(ctx context.Context) (records []Record, next Cursor, err error)
+	// Read returns the records from an offset on, and the cursor to read on
 	// from. It waits up to wait for the first record and returns none if there
 	// is none by then. It fails with ErrTrimmed if records after the offset
 	// were removed.
-	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, next uint64, err error)
+	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, next Cursor, err error)
 }
 
 // Config configures a Watcher. Zero durations mean the defaults, except that
@@ -70,7 +77,8 @@
 	OnConfirmed func(called time.Time)
 	// OnChange is called after a call that changed the local state.
 	OnChange func()
-	// OnFailure is called when calls begin to fail.
+	// OnFailure is called when calls begin to fail, and before Apply when the store
+	// was restored from an earlier copy.
 	OnFailure func()
 	// OnCall is called after each call, with its error.
 	OnCall func(err error)
@@ -88,6 +96,9 @@
 	// skippedCall means that a peer update has replaced calls since the last
 	// one.
 	skippedCall bool
+	// latestEpoch is the latest epoch that a read named, for a snapshot that names
+	// none.
+	latestEpoch uint64
 	// changed means that the last call changed the local state.
 	changed bool
 
@@ -117,11 +128,11 @@
 }
 
 // reset records that a snapshot was read.
-func (watcher *Watcher[Record]) reset(next uint64) {
+func (watcher *Watcher[Record]) reset(next Cursor) {
 	watcher.mutex.Lock()
 	defer watcher.mutex.Unlock()
-	watcher.recent.reset(next)
-	watcher.position.Next, watcher.position.ChangedNext = next, next
+	watcher.recent.reset(next.Next)
+	watcher.position.Cursor, watcher.position.ChangedNext = next, next.Next
 }
 
 // setConfirmedAt records a time at which there was nothing more to read.
@@ -163,6 +174,9 @@
 		case errors.Is(err, ErrTrimmed):
 			watcher.config.Logger.Info("follow: records trimmed, reading a snapshot", zap.String("topic", watcher.config.Name))
 			watcher.synced = false
+		case errors.Is(err, ErrRestored):
+			watcher.synced = false
+			sleep(ctx, watcher.config.MinBackoff)
 		default:
 			watcher.markFailing(err)
 			sleep(ctx, backoff/2+rand.N(backoff))
@@ -214,7 +228,7 @@
 	}
 	update, ok := watcher.config.PeerUpdate()
 	own := watcher.Position()
-	if !ok || update.ChangedNext > own.Next && (!update.Complete || update.From > own.Next) {
+	if !ok || update.Epoch != own.Epoch || update.ChangedNext > own.Next && (!update.Complete || update.From > own.Next) {
 		return false
 	}
 	if update.Next > own.Next {
@@ -239,6 +253,15 @@
 		if err != nil {
 			return err
 		}
+		if next.Epoch == 0 {
+			next.Epoch = watcher.latestEpoch
+		}
+		switch err := watcher.Position().compareEpoch(next.Epoch); {
+		case errors.Is(err, errStale):
+			return err
+		case err != nil && !watcher.Position().ConfirmedAt.IsZero():
+			watcher.recordRestore(next)
+		}
 		watcher.config.Apply(records, true)
 		watcher.reset(next)
 		watcher.synced, watcher.changed = true, true
@@ -253,16 +276,32 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watcher.config.CallTimeout+wait)
 	defer cancel()
-	records, next, err := watcher.config.Source.Read(ctx, watcher.Position().Next, wait)
+	own := watcher.Position()
+	records, next, err := watcher.config.Source.Read(ctx, own.Next, wait)
 	if err != nil {
 		return err
 	}
+	if err := own.compareEpoch(next.Epoch); err != nil {
+		watcher.latestEpoch = max(watcher.latestEpoch, next.Epoch)
+		return err
+	}
 	changes := watcher.config.Apply(records, false)
-	watcher.advance(next, changes)
+	watcher.advance(next.Next, changes)
 	watcher.changed = len(changes) > 0
 	return nil
 }
 
+// recordRestore records that the store was restored from an earlier copy. It lacks
+// what was written since, until that is written again, as after an outage.
+func (watcher *Watcher[Record]) recordRestore(next Cursor) {
+	before := watcher.Position()
+	watcher.config.Logger.Warn("follow: store was restored from an earlier copy", zap.String("topic", watcher.config.Name),
+		zap.Uint64("epoch-before", before.Epoch), zap.Uint64("epoch", next.Epoch), zap.Uint64("next-before", before.Next), zap.Uint64("next", next.Next))
+	if watcher.config.OnFailure != nil {
+		watcher.config.OnFailure()
+	}
+}
+
 // markConfirmed records a time at which the local state was current.
 func (watcher *Watcher[Record]) markConfirmed(called time.Time) {
 	if watcher.failing {
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -19,39 +19,47 @@
 	first   int
 	down    bool
 	calls   int
+	// epoch is what all answers name.
+	epoch uint64
 }
 
 var errDown = errors.New("the store is down")
 
-func (topic *topic) Snapshot(context.Context) ([]string, uint64, error) {
+func (topic *topic) Snapshot(context.Context) ([]string, Cursor, error) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	topic.calls++
 	if topic.down {
-		return nil, 0, errDown
+		return nil, Cursor{}, errDown
 	}
-	return topic.records[len(topic.records)-1:], uint64(len(topic.records)), nil
+	return topic.records[len(topic.records)-1:], topic.end(), nil
 }
 
-func (topic *topic) Read(ctx context.Context, from uint64, wait time.Duration) ([]string, uint64, error) {
+func (topic *topic) Read(ctx context.Context, from uint64, wait time.Duration) ([]string, Cursor, error) {
 	topic.mutex.Lock()
 	topic.calls++
 	end := len(topic.records)
-	down, trimmed := topic.down, int(from) < topic.first
+	down, trimmed := topic.down, int(from) < topic.first || int(from) > end
 	topic.mutex.Unlock()
 	switch {
 	case down:
-		return nil, 0, errDown
+		return nil, Cursor{}, errDown
 	case trimmed:
-		return nil, 0, ErrTrimmed
+		return nil, Cursor{}, ErrTrimmed
 	case int(from) == end:
 		sleep(ctx, wait)
 	}
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	return topic.records[from:], uint64(len(topic.records)), ctx.Err()
+	if int(from) > len(topic.records) {
+		return nil, Cursor{}, ErrTrimmed
+	}
+	return topic.records[from:], topic.end(), ctx.Err()
 }
 
+// end returns the cursor after the last record.
+func (topic *topic) end() Cursor { return Cursor{Epoch: topic.epoch, Next: uint64(len(topic.records))} }
+
 func (topic *topic) change(change func()) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
@@ -164,7 +172,7 @@
 }
 
 func update(next, changed uint64) Update[string] {
-	return Update[string]{Position: Position{Next: next, ChangedNext: changed}}
+	return Update[string]{Position: Position{Cursor: Cursor{Next: next}, ChangedNext: changed}}
 }
 
 // TestPeerUpdate simulates a process whose failure domain has a store reader. It
@@ -209,11 +217,11 @@
 		time.Sleep(2 * peerPollPeriod)
 		expect("a record", "2", 2, 2*peerPollPeriod)
 		store.change(func() { store.records = append(store.records, "3") })
-		reader.set(Update[string]{Position: Position{Next: 5, ChangedNext: 5}, Changes: []string{"3"}, From: 4, Complete: true}, false)
+		reader.set(Update[string]{Position: Position{Cursor: Cursor{Next: 5}, ChangedNext: 5}, Changes: []string{"3"}, From: 4, Complete: true}, false)
 		time.Sleep(2 * peerPollPeriod)
 		expect("update with changes", "3", 2, 2*peerPollPeriod)
 		store.change(func() { store.records = append(store.records, "4", "5") })
-		reader.set(Update[string]{Position: Position{Next: 7, ChangedNext: 7}, Changes: []string{"5"}, From: 6, Complete: true}, false)
+		reader.set(Update[string]{Position: Position{Cursor: Cursor{Next: 7}, ChangedNext: 7}, Changes: []string{"5"}, From: 6, Complete: true}, false)
 		time.Sleep(2 * peerPollPeriod)
 		expect("update with missing changes", "5", 3, 2*peerPollPeriod)
 		reader.set(Update[string]{}, true)
@@ -229,7 +237,7 @@
 // against keeping changes without a bound.
 func TestSince(t *testing.T) {
 	watcher := New(Config[string]{})
-	watcher.reset(10)
+	watcher.reset(Cursor{Next: 10})
 	watcher.advance(14, []string{"a", "b"})
 	watcher.advance(18, nil)
 	watcher.advance(20, []string{"c"})
@@ -247,8 +255,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			got := watcher.Since(test.next)
-			want := Update[string]{Position: Position{Next: 20, ChangedNext: 20}, Changes: test.changes, From: test.next, Complete: test.complete}
+			got := watcher.Since(Cursor{Next: test.next})
+			want := Update[string]{Position: Position{Cursor: Cursor{Next: 20}, ChangedNext: 20}, Changes: test.changes, From: test.next, Complete: test.complete}
 			if diff := cmp.Diff(want, got); diff != "" {
 				t.Errorf("update (-want +got):\n%s", diff)
 			}
@@ -257,7 +265,79 @@
 	for next := uint64(21); next < 200; next++ {
 		watcher.advance(next, []string{"d"})
 	}
-	if kept := watcher.Since(0); len(kept.Changes) > maxRecent || kept.Complete {
+	if kept := watcher.Since(Cursor{}); len(kept.Changes) > maxRecent || kept.Complete {
 		t.Errorf("%d records kept, complete %v", len(kept.Changes), kept.Complete)
 	}
 }
+
+// TestRestore guards against a watcher that misses records, or confirms old ones,
+// after the store was restored from an earlier copy: its offset is valid again, lies
+// beyond the end, or is compared with a position from the other side of the restore.
+func TestRestore(t *testing.T) {
+	restored := func(records ...string) func(*topic) {
+		return func(topic *topic) { topic.records, topic.epoch = records, topic.epoch+1 }
+	}
+	tests := []struct {
+		name   string
+		change func(*topic)
+		// reported is what the store reader reports after the restore, if it is not
+		// silent.
+		reported *Update[string]
+		want     string
+		restores int
+	}{
+		{name: "offset beyond the end", change: restored("1", "new"), want: "new", restores: 1},
+		{name: "offset valid again", change: restored("1", "new", "a", "b", "new"), want: "new", restores: 1},
+		{name: "at the offset", change: restored("1", "a", "new"), want: "new", restores: 1},
+		{name: "two restores", change: func(topic *topic) { restored("1", "2")(topic); restored("1", "2", "new")(topic) }, want: "new", restores: 1},
+		{
+			name: "reader after the restore", change: restored("1", "new"), want: "new", restores: 1,
+			reported: &Update[string]{Position: Position{Cursor: Cursor{Epoch: 4, Next: 2}, ChangedNext: 2}},
+		},
+		{
+			name: "reader before the restore", change: restored("1", "2", "3", "new"), want: "new", restores: 1,
+			reported: &Update[string]{Position: Position{Cursor: Cursor{Epoch: 3, Next: 3}, ChangedNext: 3}},
+		},
+		{
+			name: "changes of another epoch", change: restored("1", "2", "3", "new"), want: "new", restores: 1,
+			reported: &Update[string]{Position: Position{Cursor: Cursor{Epoch: 4, Next: 4}, ChangedNext: 4}, Changes: []string{"other"}, From: 3, Complete: true},
+		},
+		{name: "lower epoch", change: func(topic *topic) { topic.records, topic.epoch = []string{"1", "old"}, topic.epoch-1 }, want: "3"},
+		{name: "no epoch", change: func(topic *topic) { topic.records, topic.epoch = append(topic.records, "4"), 0 }, want: "4"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &topic{records: []string{"1", "2", "3"}, epoch: 3}
+				reader := &peer{silent: true}
+				last, restores := "", 0
+				watcher := New(Config[string]{
+					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: time.Second, PeerUpdate: reader.update,
+					Apply: func(records []string, _ bool) []string {
+						if len(records) > 0 {
+							store.change(func() { last = records[len(records)-1] })
+						}
+						return records
+					},
+					OnFailure: func() { store.change(func() { restores++ }) },
+				})
+				stop := run(t, watcher)
+				time.Sleep(100 * time.Millisecond)
+				if test.reported != nil {
+					reader.set(*test.reported, false)
+				}
+				store.change(func() { test.change(store) })
+				time.Sleep(3 * time.Second)
+				store.change(func() {
+					if diff := cmp.Diff(test.want, last); diff != "" {
+						t.Errorf("newest record (-want +got):\n%s", diff)
+					}
+					if test.restores > 0 && restores != test.restores {
+						t.Errorf("%d restores recorded, want %d", restores, test.restores)
+					}
+				})
+				stop()
+			})
+		})
+	}
+}
