Keep what is known of upstreams that a restored store shows as they were

After a restore the instance list shows an upstream that had drained as ready, and one that had left as present; relays used them again (TestRestored/an engine that had drained: 10 of 20 requests reached it). It also lacks those that registered since, which were dropped at once if no call had failed meanwhile.

An incarnation that was seen draining stays so. Logs name what was ignored and what was kept, also for the configuration and adapter versions.

--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -58,6 +58,24 @@
 	}
 }
 
+// logKept logs what stays in force although a snapshot holds an earlier version.
+func (storeView *storeView) logKept(snapshot []ConfigChange) {
+	current := storeView.config()
+	if current == nil {
+		return
+	}
+	for _, change := range snapshot {
+		switch {
+		case change.Table != nil && change.Table.Version() < current.Version():
+			storeView.logger.Info("config: later version than the store's stays in force",
+				zap.Uint64("version", current.Version()), zap.Uint64("stored", change.Table.Version()))
+		case change.Table == nil && change.Adapter.Version < storeView.adapterVersion(change.Model, change.Adapter.Name):
+			storeView.logger.Info("config: later adapter version than the store's stays in force",
+				zap.String("adapter", change.Adapter.Name), zap.Uint32("stored", change.Adapter.Version))
+		}
+	}
+}
+
 // recordVersion records an adapter version if it is newer than the known one.
 func (storeView *storeView) recordVersion(change ConfigChange) {
 	storeView.mutex.Lock()
@@ -88,7 +106,10 @@
 func (relay *Relay) newConfigWatcher() *watch.Watcher[ConfigChange] {
 	return watch.New(watch.Config[ConfigChange]{
 		Name: topicConfig, Source: relay.config.ConfigSource, Logger: relay.config.Logger, LongPoll: configPollTime,
-		Apply: func(changes []ConfigChange, _ bool) []ConfigChange {
+		Apply: func(changes []ConfigChange, complete bool) []ConfigChange {
+			if complete {
+				relay.store.logKept(changes)
+			}
 			relay.store.apply(changes)
 			if len(changes) > 0 {
 				relay.stateChanged.notify()
@@ -118,6 +139,7 @@
 		OnConfirmed: func(time.Time) { list.MarkAvailable() },
 		OnChange:    relay.announceChange,
 		OnFailure:   list.MarkUnavailable,
+		OnRestore:   list.MarkRestored,
 		OnCall:      func(err error) { relay.metrics.recordStoreCall(topicInstances, err) },
 	})
 }
@@ -144,7 +166,10 @@
 				present = append(present, *listing.Upstream)
 			}
 		}
-		list.ReplaceAll(present)
+		if ignored, lapsed := list.ReplaceAll(present); len(ignored)+len(lapsed) > 0 {
+			relay.config.Logger.Info("fleet: complete list differs from what was known",
+				zap.Strings("ignored", ignored), zap.Strings("kept", lapsed))
+		}
 		return listings
 	}
 	for _, listing := range listings {
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -77,9 +77,11 @@
 	OnConfirmed func(called time.Time)
 	// OnChange is called after a call that changed the local state.
 	OnChange func()
-	// OnFailure is called when calls begin to fail, and before Apply when the store
-	// was restored from an earlier copy.
+	// OnFailure is called when calls begin to fail.
 	OnFailure func()
+	// OnRestore is called before Apply is called with a snapshot of a store that was
+	// restored from an earlier copy.
+	OnRestore func()
 	// OnCall is called after each call, with its error.
 	OnCall func(err error)
 }
@@ -297,8 +299,8 @@
 	before := watcher.Position()
 	watcher.config.Logger.Warn("follow: store was restored from an earlier copy", zap.String("topic", watcher.config.Name),
 		zap.Uint64("epoch-before", before.Epoch), zap.Uint64("epoch", next.Epoch), zap.Uint64("next-before", before.Next), zap.Uint64("next", next.Next))
-	if watcher.config.OnFailure != nil {
-		watcher.config.OnFailure()
+	if watcher.config.OnRestore != nil {
+		watcher.config.OnRestore()
 	}
 }
 
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -319,7 +319,7 @@
 						}
 						return records
 					},
-					OnFailure: func() { store.change(func() { restores++ }) },
+					OnRestore: func() { store.change(func() { restores++ }) },
 				})
 				stop := run(t, watcher)
 				time.Sleep(100 * time.Millisecond)
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -15,6 +15,9 @@
 // instance list, so that their upstreams can register again.
 const DefaultGracePeriod = 2 * time.Second
 
+// removedRetention is how long it is remembered that an upstream was removed.
+const removedRetention = 10 * time.Minute
+
 // Upstream is one listed upstream.
 type Upstream struct {
 	ID            string
@@ -45,7 +48,11 @@
 	mutex     sync.Mutex
 	upstreams map[string]Upstream
 	// lapsed holds the ids of the lapsed entries.
-	lapsed         map[string]bool
+	lapsed map[string]bool
+	// removed holds the upstreams that were removed lately. restored means that the
+	// next complete list comes from an earlier copy, which may hold them again.
+	removed        map[string]removal
+	restored       bool
 	unavailable    bool
 	availableSince time.Time
 	generation     uint64
@@ -55,18 +62,35 @@
 	sortedGeneration uint64
 }
 
+// removal is the removal of an upstream's incarnation.
+type removal struct {
+	startedAt int64
+	at        time.Time
+}
+
 // New returns an empty List.
 func New(config Config) *List {
 	config.GracePeriod = cmp.Or(config.GracePeriod, DefaultGracePeriod)
-	return &List{config: config, upstreams: make(map[string]Upstream), lapsed: make(map[string]bool)}
+	return &List{config: config, upstreams: make(map[string]Upstream), lapsed: make(map[string]bool), removed: make(map[string]removal)}
+}
+
+// sameIncarnation reports whether an entry is of the incarnation that started at a
+// time. Without start times it may be of another one.
+func sameIncarnation(startedAt int64, upstream Upstream) bool {
+	return startedAt != 0 && startedAt == upstream.StartedAt
 }
 
 // Set adds or replaces an entry, which is not lapsed any more, and reports
-// whether the entry is new or has changed.
+// whether the entry is new or has changed. An incarnation that was draining stays so,
+// as an earlier copy of the instance list may show it as it was before.
 func (list *List) Set(upstream Upstream) bool {
 	list.mutex.Lock()
 	defer list.mutex.Unlock()
 	delete(list.lapsed, upstream.ID)
+	delete(list.removed, upstream.ID)
+	if known, ok := list.upstreams[upstream.ID]; ok && known.Draining && sameIncarnation(known.StartedAt, upstream) {
+		upstream.Draining = true
+	}
 	if list.upstreams[upstream.ID] == upstream {
 		return false
 	}
@@ -110,24 +134,46 @@
 }
 
 func (list *List) remove(id string) {
+	now := time.Now()
+	maps.DeleteFunc(list.removed, func(_ string, removed removal) bool { return now.Sub(removed.at) > removedRetention })
+	list.removed[id] = removal{startedAt: list.upstreams[id].StartedAt, at: now}
 	delete(list.upstreams, id)
 	delete(list.lapsed, id)
 	list.generation++
 }
 
 // ReplaceAll records the complete instance list, as with Set for the entries in
-// it and with Remove for all others.
-func (list *List) ReplaceAll(upstreams []Upstream) {
+// it and with Remove for all others. If it comes from an earlier copy, it ignores the
+// upstreams that were removed since, until they register again. It returns their ids,
+// and those of the lapsed entries, which the list lacks.
+func (list *List) ReplaceAll(upstreams []Upstream) (ignored, lapsed []string) {
 	present := make(map[string]bool, len(upstreams))
 	for _, upstream := range upstreams {
+		if list.outdated(upstream) {
+			ignored = append(ignored, upstream.ID)
+			continue
+		}
 		present[upstream.ID] = true
 		list.Set(upstream)
 	}
 	for _, upstream := range list.Upstreams() {
-		if !present[upstream.ID] {
-			list.Remove(upstream.ID)
+		if !present[upstream.ID] && !list.Remove(upstream.ID) {
+			lapsed = append(lapsed, upstream.ID)
 		}
 	}
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.restored = false
+	return ignored, lapsed
+}
+
+// outdated reports whether an entry of a complete list is from before its upstream
+// was removed.
+func (list *List) outdated(upstream Upstream) bool {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	removed, ok := list.removed[upstream.ID]
+	return list.restored && ok && sameIncarnation(removed.startedAt, upstream)
 }
 
 // MarkUnavailable records that the instance list cannot be read.
@@ -137,6 +183,15 @@
 	list.unavailable = true
 }
 
+// MarkRestored records that the instance list was restored from an earlier copy. It
+// lacks the upstreams that registered since, as after an outage, and shows others as
+// they were.
+func (list *List) MarkRestored() {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	list.unavailable, list.restored = true, true
+}
+
 // MarkAvailable records that the instance list was read. If that ends an outage,
 // the grace period starts.
 func (list *List) MarkAvailable() {
