Let a starting relay catch up with the others' configuration

Usage reports name the sender's version. Until then requests wait as for the token buckets, or are refused with 503.

--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -35,11 +35,12 @@
 type peer struct {
 	// lastSeen is when it last sent a usage report or was listed by a loader.
 	lastSeen time.Time
-	// lastHeard is when it last sent a usage report. start and domain are from that
+	// lastHeard is when it last sent a usage report. The next fields are from that
 	// report.
-	lastHeard time.Time
-	start     int64
-	domain    string
+	lastHeard     time.Time
+	start         int64
+	domain        string
+	configVersion uint64
 	// fullReportsDue counts down the full usage reports that are to be sent in a row,
 	// and fullReportAt is when the last one was sent.
 	fullReportsDue int
@@ -51,7 +52,7 @@
 }
 
 // recordReport records the sender of a usage report.
-func (peers *peers) recordReport(address, domain string, start int64) {
+func (peers *peers) recordReport(address, domain string, start int64, configVersion uint64) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	sender := peers.markSeen(address)
@@ -61,7 +62,7 @@
 	if sender.start != start {
 		sender.start, sender.fullReportsDue = start, initialFullReports
 	}
-	sender.lastHeard, sender.domain = time.Now(), domain
+	sender.lastHeard, sender.domain, sender.configVersion = time.Now(), domain, configVersion
 }
 
 // recordListed records the entry instances that a loader lists.
@@ -146,6 +147,19 @@
 	return !peer.lastHeard.IsZero() && time.Since(peer.lastHeard) < readerTimeout
 }
 
+// latestConfig returns the latest configuration that another entry instance reported,
+// and whether all known ones have reported.
+func (peers *peers) latestConfig() (version uint64, complete bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	complete = true
+	for _, peer := range peers.byAddress {
+		version = max(version, peer.configVersion)
+		complete = complete && !peer.lastHeard.IsZero()
+	}
+	return version, complete
+}
+
 // storeReader returns the entry instance that reads the store for this instance's
 // failure domain, and the other live entry instances there.
 func (peers *peers) storeReader() (reader string, others []string) {
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -137,7 +137,7 @@
 func (proxyRequest *proxyRequest) admit() *refusal {
 	relay := proxyRequest.relay
 	proxyRequest.deadline = proxyRequest.started.Add(startupWait)
-	proxyRequest.awaitStartup(func() bool { return relay.store.config() != nil })
+	proxyRequest.awaitStartup(func() bool { return relay.store.config() != nil && relay.configCaughtUp() })
 	config := relay.store.config()
 	if config == nil {
 		return &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryAfterUnready}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -133,7 +133,10 @@
 	requestNumbers atomic.Uint64
 
 	// peersKnown means that a loader has reported the entry instances it knows.
-	peersKnown      atomic.Bool
+	peersKnown atomic.Bool
+	// caughtUp means that the configuration is not older than the other entry
+	// instances' at the start.
+	caughtUp        atomic.Bool
 	stopping        atomic.Bool
 	idleConnections *idleConnections
 	callerServer    *http.Server
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -137,14 +137,14 @@
 		expect("alone", ownAddress)
 		peers.recordListed([]string{readerAddress})
 		expect("listed by a loader only", ownAddress)
-		peers.recordReport(readerAddress, "hall-b", 1)
+		peers.recordReport(readerAddress, "hall-b", 1, 0)
 		expect("in another failure domain", ownAddress)
 		members := []string{ownAddress, readerAddress}
 		for rank.First("store", members) == ownAddress {
 			members = append(members, fmt.Sprintf("10.0.0.%d:7600", 2+len(members)))
 		}
 		for _, address := range members[1:] {
-			peers.recordReport(address, "hall-a", 1)
+			peers.recordReport(address, "hall-a", 1, 0)
 		}
 		expect("another instance elected", rank.First("store", members))
 		time.Sleep(readerTimeout)
@@ -171,9 +171,9 @@
 			want int
 		}{
 			{"met", func() { peers.recordListed([]string{readerAddress}) }, initialFullReports},
-			{"heard", func() { peers.recordReport(readerAddress, "hall-a", 1) }, initialFullReports},
-			{"nothing new", func() { peers.recordReport(readerAddress, "hall-a", 1) }, 0},
-			{"restarted", func() { peers.recordReport(readerAddress, "hall-a", 2) }, initialFullReports},
+			{"heard", func() { peers.recordReport(readerAddress, "hall-a", 1, 0) }, initialFullReports},
+			{"nothing new", func() { peers.recordReport(readerAddress, "hall-a", 1, 0) }, 0},
+			{"restarted", func() { peers.recordReport(readerAddress, "hall-a", 2, 0) }, initialFullReports},
 			{"after a while", func() { time.Sleep(fullReportInterval) }, 1},
 		}
 		for _, step := range steps {
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -92,7 +92,27 @@
 // within configLifetime.
 func (relay *Relay) configConfirmed() bool {
 	at := relay.configWatcher.Position().ConfirmedAt
-	return !at.IsZero() && elapsed(at) < relay.configLifetime()
+	return !at.IsZero() && elapsed(at) < relay.configLifetime() && relay.configCaughtUp()
+}
+
+// configCaughtUp reports whether the first configuration that this instance read was
+// followed by the latest one that others know. A store that was restored from an
+// earlier copy may lack it, and with it the withdrawal of a key.
+func (relay *Relay) configCaughtUp() bool {
+	if relay.caughtUp.Load() {
+		return true
+	}
+	config := relay.store.config()
+	latest, complete := relay.peers.latestConfig()
+	uptime := time.Since(relay.start)
+	complete = complete && relay.peersKnown.Load() && uptime > peerDiscoveryTime
+	if config == nil || config.Version() < latest || !complete && uptime < startupWait {
+		return false
+	}
+	relay.caughtUp.Store(true)
+	relay.config.Logger.Info("config: caught up with the other entry instances", zap.Uint64("version", config.Version()),
+		zap.Uint64("latest", latest), zap.Duration("uptime", uptime))
+	return true
 }
 
 // configAge returns the time since the configuration was last confirmed as the
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -87,6 +87,9 @@
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(only == nil),
 		Poison: relay.encodePoison(only == nil),
 	}
+	if config := relay.store.config(); config != nil {
+		encoded.ConfigVersion = config.Version()
+	}
 	for organisation, spent := range usage.Spent {
 		if only != nil && !only[organisation] {
 			continue
@@ -111,7 +114,7 @@
 			usage.Levels[organisation.GetOrganisation()] = organisation.GetLevel()
 		}
 	}
-	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart())
+	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion())
 	relay.limiter.MergeUsage(report.GetEntry(), usage)
 	relay.recordPeerDraining(report)
 	relay.recordPeerLimits(report)
