--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -33,6 +33,10 @@
 	DefaultMaxBackoff  = 400 * time.Millisecond
 )
 
+// maxAnswerAge is how old an answer may be. If only answers of an earlier epoch come
+// for longer, the store itself is of that epoch.
+const maxAnswerAge = 10 * time.Second
+
 // peerPollPeriod is how often the update of another process is looked up.
 const peerPollPeriod = 100 * time.Millisecond
 
@@ -101,6 +105,8 @@
 	// latestEpoch is the latest epoch that a read named, for a snapshot that names
 	// none.
 	latestEpoch uint64
+	// staleSince is since when all answers are of an earlier epoch, or zero.
+	staleSince time.Time
 	// changed means that the last call changed the local state.
 	changed bool
 
@@ -258,7 +264,7 @@
 		if next.Epoch == 0 {
 			next.Epoch = watcher.latestEpoch
 		}
-		switch err := watcher.Position().compareEpoch(next.Epoch); {
+		switch err := watcher.checkEpoch(next.Epoch); {
 		case errors.Is(err, errStale):
 			return err
 		case err != nil && !watcher.Position().ConfirmedAt.IsZero():
@@ -266,6 +272,7 @@
 		}
 		watcher.config.Apply(records, true)
 		watcher.reset(next)
+		watcher.staleSince = time.Time{}
 		watcher.synced, watcher.changed = true, true
 		return nil
 	}
@@ -278,21 +285,38 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watcher.config.CallTimeout+wait)
 	defer cancel()
-	own := watcher.Position()
-	records, next, err := watcher.config.Source.Read(ctx, own.Next, wait)
+	records, next, err := watcher.config.Source.Read(ctx, watcher.Position().Next, wait)
 	if err != nil {
 		return err
 	}
-	if err := own.compareEpoch(next.Epoch); err != nil {
-		watcher.latestEpoch = max(watcher.latestEpoch, next.Epoch)
+	if err := watcher.checkEpoch(next.Epoch); err != nil {
 		return err
 	}
+	watcher.staleSince = time.Time{}
 	changes := watcher.config.Apply(records, false)
 	watcher.advance(next.Next, changes)
 	watcher.changed = len(changes) > 0
 	return nil
 }
 
+// checkEpoch returns an error if an answer is of another epoch than the position.
+func (watcher *Watcher[Record]) checkEpoch(epoch uint64) error {
+	err := watcher.Position().compareEpoch(epoch)
+	if errors.Is(err, errStale) {
+		if watcher.staleSince.IsZero() {
+			watcher.staleSince = time.Now()
+		}
+		if time.Since(watcher.staleSince) < maxAnswerAge {
+			return err
+		}
+		err = ErrRestored
+	}
+	if err != nil {
+		watcher.latestEpoch = epoch
+	}
+	return err
+}
+
 // recordRestore records that the store was restored from an earlier copy. It lacks
 // what was written since, until that is written again, as after an outage.
 func (watcher *Watcher[Record]) recordRestore(next Cursor) {
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -283,6 +283,8 @@
 		// reported is what the store reader reports after the restore, if it is not
 		// silent.
 		reported *Update[string]
+		// wait is added to the time after which the newest record is expected.
+		wait     time.Duration
 		want     string
 		restores int
 	}{
@@ -303,6 +305,7 @@
 			reported: &Update[string]{Position: Position{Cursor: Cursor{Epoch: 4, Next: 4}, ChangedNext: 4}, Changes: []string{"other"}, From: 3, Complete: true},
 		},
 		{name: "lower epoch", change: func(topic *topic) { topic.records, topic.epoch = []string{"1", "old"}, topic.epoch-1 }, want: "3"},
+		{name: "lower epoch for long", change: func(topic *topic) { topic.records, topic.epoch = []string{"1", "old"}, topic.epoch-1 }, wait: maxAnswerAge, want: "old", restores: 1},
 		{name: "no epoch", change: func(topic *topic) { topic.records, topic.epoch = append(topic.records, "4"), 0 }, want: "4"},
 	}
 	for _, test := range tests {
@@ -327,7 +330,7 @@
 					reader.set(*test.reported, false)
 				}
 				store.change(func() { test.change(store) })
-				time.Sleep(3 * time.Second)
+				time.Sleep(3*time.Second + test.wait)
 				store.change(func() {
 					if diff := cmp.Diff(test.want, last); diff != "" {
 						t.Errorf("newest record (-want +got):\n%s", diff)
