--- a/internal/flow/rank/rank_test.go
+++ b/internal/flow/rank/rank_test.go
@@ -44,3 +44,23 @@
 		t.Errorf("%q is chosen without members", got)
 	}
 }
+
+// TestPlace guards against two members with the same place, and against a first place
+// that First gives to another member.
+func TestPlace(t *testing.T) {
+	all := members(12)
+	for number := range 100 {
+		task := fmt.Sprint("task ", number)
+		places := make([]int, 0, len(all))
+		for _, member := range all {
+			places = append(places, Place(task, member, all))
+			if first := First(task, all) == member; first != (places[len(places)-1] == 0) {
+				t.Errorf("%s has place %d for %s, first: %v", member, places[len(places)-1], task, first)
+			}
+		}
+		slices.Sort(places)
+		if diff := cmp.Diff([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}, places); diff != "" {
+			t.Fatalf("places (-want +got):\n%s", diff)
+		}
+	}
+}
