--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -72,6 +72,8 @@
 	runs int
 	// sends counts the sends that may have reached an upstream.
 	sends int
+	// retryGrant pays for the next send if that is a retry.
+	retryGrant *retryGrant
 	// upstream is the last upstream chosen.
 	upstream string
 	waited   time.Duration
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -40,19 +40,28 @@
 	retryBudget.window(service).add(false)
 }
 
-// takeRetry takes one retry from the budget and reports whether there was one left.
-func (retryBudget *retryBudget) takeRetry(service string) bool {
+// retryGrant says what pays for a retry.
+type retryGrant struct {
+	service string
+	// extra means that RetryExtra pays for it, else the instance's own requests do.
+	extra     bool
+	allowedAt time.Time
+}
+
+// takeRetry takes one retry from the budget. It returns nil if there was none left.
+func (retryBudget *retryBudget) takeRetry(service string) *retryGrant {
 	retryBudget.mutex.Lock()
 	defer retryBudget.mutex.Unlock()
 	window := retryBudget.window(service)
 	requests, retries := window.count()
 	bounds := retryBudget.bounds()
-	limit := float64(bounds.RetryRatio)*float64(requests) + float64(bounds.RetryExtra)/float64(retryBudget.instances())
+	own := float64(bounds.RetryRatio) * float64(requests)
+	limit := own + float64(bounds.RetryExtra)/float64(retryBudget.instances())
 	if float64(retries+1) > limit*budgetFraction {
-		return false
+		return nil
 	}
 	window.add(true)
-	return true
+	return &retryGrant{service: service, extra: float64(retries+1) > own*budgetFraction, allowedAt: time.Now()}
 }
 
 // window returns a service's window without the attempts that left it.
--- a/internal/daemon/relay/retrybudget_test.go
+++ b/internal/daemon/relay/retrybudget_test.go
@@ -27,7 +27,7 @@
 				budget.recordRequest("advisor")
 				requests = append(requests, time.Now())
 			}
-			if budget.takeRetry("advisor") {
+			if budget.takeRetry("advisor") != nil {
 				retries = append(retries, time.Now())
 			}
 			time.Sleep(5 * time.Millisecond)
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -75,7 +75,8 @@
 			return false, refused
 		}
 	}
-	if !proxyRequest.relay.retryBudget.takeRetry(proxyRequest.service.Name) {
+	proxyRequest.retryGrant = proxyRequest.relay.retryBudget.takeRetry(proxyRequest.service.Name)
+	if proxyRequest.retryGrant == nil {
 		proxyRequest.relay.metrics.increment("retry-budget-empty")
 		return false, refused
 	}
