Stop all instances at the retry budget, ended ones included

Sums travel with the usage reports. A relay that starts is told the past by another one; until then, or until it has run for a whole window, it sends nothing again, as nobody knows what was sent before.

TestFleet: 268 and 270 of 206 retries where some or all instances restart after a quiet time, before; within the limits after.

--- a/internal/daemon/relay/notices_test.go
+++ b/internal/daemon/relay/notices_test.go
@@ -18,7 +18,7 @@
 	sender, receiver := New(Config{ReadyPath: "/ready", Logger: zap.NewNop()}), New(Config{ReadyPath: "/ready", Logger: zap.NewNop()})
 	receiver.picker.SetUpstreams([]fleet.Upstream{{ID: "i-1", Service: "counter", Slots: 4, StartedAt: startedAt}})
 	sender.recordDraining(cordon.Incarnation{ID: "i-1", StartedAt: startedAt}, "")
-	receiver.handleUsage(sender.encodeUsage(sender.limiter.LocalUsage(), nil))
+	receiver.handleUsage(sender.encodeUsage(sender.limiter.LocalUsage(), fullReport))
 	if _, cordoned := receiver.cordon.Cordoned(cordon.Incarnation{ID: "i-1", StartedAt: startedAt}); !cordoned {
 		t.Error("a draining upstream is not cordoned")
 	}
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -108,17 +108,34 @@
 	return slices.Sorted(maps.Keys(peers.byAddress)), removed
 }
 
-// takeFullReport reports whether the next usage report to an entry instance must
-// be full, and counts it as sent.
-func (peers *peers) takeFullReport(address string) bool {
+// reportKind is the extent of a usage report.
+type reportKind uint8
+
+const (
+	// partialReport has what changed recently.
+	partialReport reportKind = iota
+	// fullReport has all that the sender did.
+	fullReport
+	// firstReport is a full one to an entry instance that has just started, which also
+	// tells what all have done before.
+	firstReport
+)
+
+// takeReport returns the kind of the next usage report to an entry instance, and
+// counts it as sent.
+func (peers *peers) takeReport(address string) reportKind {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	peer, ok := peers.byAddress[address]
 	if !ok || peer.fullReportsDue <= 0 && time.Since(peer.fullReportAt) < fullReportInterval {
-		return false
+		return partialReport
+	}
+	kind := fullReport
+	if peer.fullReportsDue > 0 {
+		kind = firstReport
 	}
 	peer.fullReportsDue, peer.fullReportAt = max(peer.fullReportsDue-1, 0), time.Now()
-	return true
+	return kind
 }
 
 // count returns the number of entry instances, including this one.
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -167,7 +167,7 @@
 	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
-	relay.retryBudget = newRetryBudget(relay.retryLimits)
+	relay.retryBudget = newRetryBudget(relay.retryLimits, relay.start)
 	relay.instanceWatcher = relay.newInstanceWatcher()
 	relay.configWatcher = relay.newConfigWatcher()
 	relay.callerServer = &http.Server{
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,12 +13,14 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/permit"
 	"jacinthfront.dev/jacinthfront/internal/flow/rank"
 	"jacinthfront.dev/jacinthfront/internal/flow/retry"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
 const (
 	// allocateRetriesAfter is how long after its start an instance allocates permits
 	// for retries. By then it has heard of those that do so already.
-	allocateRetriesAfter = time.Second
+	allocateRetriesAfter = 300 * time.Millisecond
 	// poolsInterval is the time between two checks of which instance allocates the
 	// permits for which service.
 	poolsInterval = 250 * time.Millisecond
@@ -29,7 +32,11 @@
 // instance's own requests by their number, and the others by permits.
 type retryBudget struct {
 	limits func() retry.Limits
+	start  time.Time
 	client *permit.Client
+	// changes tracks the services to which this instance has retried lately. It is
+	// used only by sendReports.
+	changes *usageChanges
 	// allocator issues the permits of the services for which this instance ranks first.
 	// allocates holds their names, and poolsAt when they were last set; both are used
 	// only by sendReports.
@@ -37,29 +44,72 @@
 	allocates []string
 	poolsAt   time.Time
 
-	mutex  sync.Mutex
-	shares map[string]*retry.Share
+	mutex   sync.Mutex
+	ledgers map[string]*retry.Ledger
 }
 
-func newRetryBudget(limits func() retry.Limits) *retryBudget {
+func newRetryBudget(limits func() retry.Limits, start time.Time) *retryBudget {
 	return &retryBudget{
 		limits:    limits,
+		start:     start,
+		changes:   newUsageChanges(),
 		client:    permit.NewClient(permit.ClientConfig{PermitLifetime: retry.PermitLifetime}),
 		allocator: permit.NewAllocator(permit.AllocatorConfig{PermitLifetime: retry.PermitLifetime, StandingOnly: true}),
-		shares:    make(map[string]*retry.Share),
+		ledgers:   make(map[string]*retry.Ledger),
 	}
 }
 
-// share returns this instance's share of a service's budget.
-func (retryBudget *retryBudget) share(service string) *retry.Share {
+// ledger returns the ledger of a service.
+func (retryBudget *retryBudget) ledger(service string) *retry.Ledger {
 	retryBudget.mutex.Lock()
 	defer retryBudget.mutex.Unlock()
-	share, ok := retryBudget.shares[service]
+	ledger, ok := retryBudget.ledgers[service]
 	if !ok {
-		share = retry.NewShare(retryBudget.limits)
-		retryBudget.shares[service] = share
+		ledger = retry.NewLedger(retry.LedgerConfig{Limits: retryBudget.limits, Start: retryBudget.start})
+		retryBudget.ledgers[service] = ledger
+	}
+	return ledger
+}
+
+// services returns the services that have a ledger.
+func (retryBudget *retryBudget) services() []string {
+	retryBudget.mutex.Lock()
+	defer retryBudget.mutex.Unlock()
+	return slices.Sorted(maps.Keys(retryBudget.ledgers))
+}
+
+// updateChanges reports whether this instance has retried since the last call.
+func (retryBudget *retryBudget) updateChanges() bool {
+	retries := make(map[string]float64)
+	for _, service := range retryBudget.services() {
+		if use := retryBudget.ledger(service).Use(false); use.Retries > 0 {
+			retries[service] = float64(use.Retries)
+		}
+	}
+	return retryBudget.changes.update(retries)
+}
+
+// encodeUse encodes what this instance has sent to the services: to all, or to those
+// to which it has retried lately. An entry instance that has just started is also told
+// the past.
+func (retryBudget *retryBudget) encodeUse(kind reportKind) []*wirepb.RetryUse {
+	var encoded []*wirepb.RetryUse
+	recent := retryBudget.changes.recent()
+	for _, service := range retryBudget.services() {
+		if kind == partialReport && !recent[service] {
+			continue
+		}
+		encoded = append(encoded, codec.EncodeRetryUse(service, retryBudget.ledger(service).Use(kind == firstReport)))
+	}
+	return encoded
+}
+
+// recordPeerRetries records what another entry instance has sent to services.
+func (relay *Relay) recordPeerRetries(report *wirepb.Usage) {
+	for _, encoded := range report.GetRetries() {
+		service, use := codec.DecodeRetryUse(encoded)
+		relay.retryBudget.ledger(service).Merge(report.GetEntry(), report.GetStart(), use)
 	}
-	return share
 }
 
 // rate returns the rate of the permits for a service's retries.
@@ -84,7 +134,7 @@
 func (proxyRequest *proxyRequest) takeRetry(ctx context.Context) bool {
 	budget, service := proxyRequest.relay.retryBudget, proxyRequest.service.Name
 	proxyRequest.retryGrant = nil
-	if budget.share(service).Take() {
+	if budget.ledger(service).Take() {
 		proxyRequest.retryGrant = &retryGrant{service: service, allowedAt: time.Now()}
 		return true
 	}
@@ -101,15 +151,15 @@
 	relay := proxyRequest.relay
 	budget, number := relay.retryBudget, relay.requestNumbers.Add(1)
 	pool := cordon.Incarnation{ID: proxyRequest.service.Name}
-	rate := budget.rate(pool)
-	if rate == permit.Unlimited {
+	ledger, rate := budget.ledger(pool.ID), budget.rate(pool)
+	if rate == permit.Unlimited || !ledger.Allows() {
 		return false
 	}
 	defer budget.client.Forget(number)
 	for ctx.Err() == nil {
 		changed := relay.stateChanged.next()
 		if budget.client.Take(pool) {
-			return true
+			return ledger.TakeExtra()
 		}
 		if !budget.client.Admission(pool, rate, number).Pending {
 			return false
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -25,7 +25,7 @@
 func (proxyRequest *proxyRequest) send(ctx context.Context, upstream fleet.Upstream) outcome {
 	relay := proxyRequest.relay
 	if proxyRequest.sends == 0 {
-		relay.retryBudget.share(proxyRequest.service.Name).RecordRequest()
+		relay.retryBudget.ledger(proxyRequest.service.Name).RecordRequest()
 	}
 	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
 	ctx, active, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest, repeatable)
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -159,7 +159,7 @@
 		peers := newPeers(ownAddress, "hall-a")
 		fullReports := func(times int) (count int) {
 			for range times {
-				if peers.takeFullReport(readerAddress) {
+				if peers.takeReport(readerAddress) != partialReport {
 					count++
 				}
 			}
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -58,40 +58,30 @@
 		relay.limiter.RemovePeer(address)
 		relay.config.Logger.Info("relay: entry instance is gone", zap.String("address", address))
 	}
-	var full, partial []string
+	byKind := make(map[reportKind][]string)
 	for _, address := range present {
-		if relay.peers.takeFullReport(address) {
-			full = append(full, address)
-		} else {
-			partial = append(partial, address)
-		}
+		kind := relay.peers.takeReport(address)
+		byKind[kind] = append(byKind[kind], address)
 	}
-	relay.sendUsage(usage, nil, full)
-	relay.sendUsage(usage, relay.usageChanges.recent(), partial)
-}
-
-// sendUsage sends a usage report to entry instances. It is full if only is nil,
-// and otherwise covers the organisations in only.
-func (relay *Relay) sendUsage(usage bucket.Usage, only map[string]bool, addresses []string) {
-	if len(addresses) > 0 {
-		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: relay.encodeUsage(usage, only)}}, addresses...)
+	for kind, addresses := range byKind {
+		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: relay.encodeUsage(usage, kind)}}, addresses...)
 	}
 }
 
-// encodeUsage encodes a usage report. It is full if only is nil, and otherwise
-// covers the organisations in only.
-func (relay *Relay) encodeUsage(usage bucket.Usage, only map[string]bool) *wirepb.Usage {
+// encodeUsage encodes a usage report.
+func (relay *Relay) encodeUsage(usage bucket.Usage, kind reportKind) *wirepb.Usage {
+	full, recent := kind != partialReport, relay.usageChanges.recent()
 	encoded := &wirepb.Usage{
 		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
-		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: only != nil,
-		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(only == nil),
-		Poison: relay.encodePoison(only == nil),
+		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: !full,
+		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(full),
+		Poison: relay.encodePoison(full), Retries: relay.retryBudget.encodeUse(kind),
 	}
 	if config := relay.store.config(); config != nil {
 		encoded.ConfigVersion = config.Version()
 	}
 	for organisation, spent := range usage.Spent {
-		if only != nil && !only[organisation] {
+		if !full && !recent[organisation] {
 			continue
 		}
 		encoded.Organisations = append(encoded.Organisations, &wirepb.OrganisationUse{
@@ -119,6 +109,7 @@
 	relay.recordPeerDraining(report)
 	relay.recordPeerLimits(report)
 	relay.recordPeerPoison(report)
+	relay.recordPeerRetries(report)
 }
 
 // usageInterval returns the time between two usage reports to the other entry
--- a/internal/flow/retry/fleet_test.go
+++ b/internal/flow/retry/fleet_test.go
@@ -19,15 +19,19 @@
 	// fleetStep is the resolution of a simulated fleet, and the time that its messages
 	// take.
 	fleetStep = 2 * time.Millisecond
-	// exchangePeriod is the time between two exchanges of permits.
-	exchangePeriod = 50 * time.Millisecond
+	// exchangePeriod is the time between two exchanges of permits, and gossipPeriod
+	// that between two reports of what was sent; quietGossipPeriod is that before the
+	// first retry.
+	exchangePeriod    = 50 * time.Millisecond
+	gossipPeriod      = 150 * time.Millisecond
+	quietGossipPeriod = time.Second
 	// silentAfter is how long an ended instance still counts as live at the others,
 	// removedAfter how long it still counts at all, and heardAfter how long it takes
 	// until a started one counts. A started one allocates nothing for settleTime.
 	silentAfter  = time.Second
 	removedAfter = 6 * time.Second
 	heardAfter   = 150 * time.Millisecond
-	settleTime   = time.Second
+	settleTime   = 300 * time.Millisecond
 )
 
 // fleet simulates instances whose upstreams reject all requests to one service, so
@@ -48,7 +52,7 @@
 
 // instance is one process. It is replaced when it restarts.
 type instance struct {
-	share     *Share
+	ledger    *Ledger
 	client    *permit.Client
 	allocator *permit.Allocator
 	startedAt time.Time
@@ -73,14 +77,14 @@
 
 func (fleet *fleet) since() time.Duration { return time.Since(fleet.start) }
 
-// launch starts instances anew.
-func (fleet *fleet) launch(numbers ...int) {
+// launch starts instances anew. They know what was sent from a time on.
+func (fleet *fleet) launch(known time.Time, numbers ...int) {
 	for _, number := range numbers {
 		for number >= len(fleet.instances) {
 			fleet.instances = append(fleet.instances, nil)
 		}
 		fleet.instances[number] = &instance{
-			share:     NewShare(func() Limits { return fleet.limits }),
+			ledger:    NewLedger(LedgerConfig{Limits: func() Limits { return fleet.limits }, Start: known}),
 			client:    permit.NewClient(permit.ClientConfig{PermitLifetime: PermitLifetime}),
 			allocator: permit.NewAllocator(permit.AllocatorConfig{PermitLifetime: PermitLifetime, StandingOnly: true}),
 			startedAt: time.Now(),
@@ -136,9 +140,9 @@
 func (fleet *fleet) retry(wish wish) (waits bool) {
 	instance := fleet.instances[wish.instance]
 	rate, _, ok := fleet.limits.Pool()
-	if instance.share.Take() || ok && instance.client.Take(pool) {
+	if instance.ledger.Take() || ok && instance.ledger.Allows() && instance.client.Take(pool) && instance.ledger.TakeExtra() {
 		fleet.retries = append(fleet.retries, time.Now())
-	} else if ok && instance.client.Admission(pool, rate, wish.number).Pending {
+	} else if ok && instance.ledger.Allows() && instance.client.Admission(pool, rate, wish.number).Pending {
 		instance.client.Want(pool, wish.number)
 		return true
 	}
@@ -169,6 +173,25 @@
 	fleet.issue(number, float64(len(live))/float64(known))
 }
 
+// gossip lets an instance tell the others what it has sent. Those that have just
+// started are also told the past.
+func (fleet *fleet) gossip(number int) {
+	instance := fleet.instances[number]
+	brief, full := instance.ledger.Use(false), instance.ledger.Use(true)
+	fleet.messages = append(fleet.messages, message{at: time.Now().Add(fleetStep), arrive: func() {
+		for to, other := range fleet.instances {
+			if to == number || !fleet.runs(to) || !fleet.reaches(number, to) {
+				continue
+			}
+			use := brief
+			if time.Since(other.startedAt) < settleTime {
+				use = full
+			}
+			other.ledger.Merge(strconv.Itoa(number), instance.startedAt.UnixNano(), use)
+		}
+	}})
+}
+
 // issue lets an instance issue the permits that are due.
 func (fleet *fleet) issue(number int, fraction float64) {
 	for _, addressed := range fleet.instances[number].allocator.Issue(fraction) {
@@ -196,7 +219,7 @@
 			continue
 		}
 		for expected := demand * fleetStep.Seconds(); fleet.random.Float64() < expected; expected-- {
-			fleet.instances[number].share.RecordRequest()
+			fleet.instances[number].ledger.RecordRequest()
 			fleet.requests = append(fleet.requests, now)
 			for range wishes {
 				fleet.numbers++
@@ -216,6 +239,9 @@
 		if fleet.runs(number) && (phase%exchangePeriod == 0 || woken[number]) {
 			fleet.exchange(number)
 		}
+		if fleet.runs(number) && (phase%gossipPeriod == 0 && len(fleet.retries) > 0 || phase%quietGossipPeriod == 0) {
+			fleet.gossip(number)
+		}
 	}
 }
 
@@ -318,7 +344,7 @@
 					random: rand.New(rand.NewPCG(1, 1)), limits: test.limits, start: time.Now().Add(-fleetStep),
 					cutFrom: test.cutFrom, cutTo: test.cutTo,
 				}
-				fleet.launch(numbers(0, test.count-1)...)
+				fleet.launch(fleet.start.Add(-fleet.limits.Window), numbers(0, test.count-1)...)
 				restarts := make(map[time.Duration][]int)
 				changedAt, before := fleet.start, fleet.limits
 				for fleet.since() < length {
@@ -330,7 +356,7 @@
 					if !test.gone {
 						restarts[now+500*time.Millisecond] = test.ends[now]
 					}
-					fleet.launch(append(restarts[now], test.joins[now]...)...)
+					fleet.launch(time.Now(), append(restarts[now], test.joins[now]...)...)
 					for _, number := range test.freezes[now] {
 						fleet.instances[number].frozenUntil = time.Now().Add(3 * time.Second)
 					}
--- /dev/null
+++ b/internal/flow/retry/history.go
@@ -0,0 +1,94 @@
+package retry
+
+import "time"
+
+const (
+	// SlotTime is the length of a slot.
+	SlotTime = 100 * time.Millisecond
+	// maxSlots bounds the slots that are kept: those of the longest window.
+	maxSlots = 1200
+)
+
+// history counts requests and retries by slot.
+type history struct {
+	// start is the beginning of slot 0. Slots of the past before it have negative
+	// numbers.
+	start time.Time
+	// newest is the number of the last slot, which is the last element of kept.
+	newest int
+	kept   []Slot
+}
+
+// advance appends empty slots up to the present one.
+func (history *history) advance() {
+	present := int(time.Since(history.start) / SlotTime)
+	if len(history.kept) == 0 {
+		history.kept, history.newest = make([]Slot, 1), present
+	}
+	missing := present - history.newest
+	if missing >= maxSlots {
+		history.kept = make([]Slot, 1)
+		history.newest = present
+		return
+	}
+	for range missing {
+		history.kept = append(history.kept, Slot{})
+	}
+	history.newest = present
+	if excess := len(history.kept) - maxSlots; excess > 0 {
+		history.kept = history.kept[excess:]
+	}
+}
+
+// add counts requests and retries that were sent at a time, unless that is too long
+// ago.
+func (history *history) add(at time.Time, requests, retries uint32) {
+	history.advance()
+	age := int(time.Since(history.start)/SlotTime) - int(at.Sub(history.start)/SlotTime)
+	if age < 0 || age >= len(history.kept) {
+		return
+	}
+	slot := &history.kept[len(history.kept)-1-age]
+	slot.Requests += requests
+	slot.Retries += retries
+}
+
+// sum returns the retries that may lie within a window, and the requests that do so
+// for certain.
+func (history *history) sum(window time.Duration) (requests, retries uint64) {
+	history.advance()
+	whole := int(window / SlotTime)
+	for age := range min(len(history.kept), whole+1) {
+		slot := history.kept[len(history.kept)-1-age]
+		retries += uint64(slot.Retries)
+		if age < whole {
+			requests += uint64(slot.Requests)
+		}
+	}
+	return requests, retries
+}
+
+// slots returns what was counted within a window, the present slot first.
+func (history *history) slots(window time.Duration) []Slot {
+	history.advance()
+	count := min(len(history.kept), int(window/SlotTime)+1)
+	slots := make([]Slot, 0, count)
+	for age := range count {
+		slots = append(slots, history.kept[len(history.kept)-1-age])
+	}
+	return slots
+}
+
+// adopt adds what another instance has counted.
+func (history *history) adopt(past []Slot) {
+	history.advance()
+	past = past[:min(len(past), maxSlots)]
+	if missing := len(past) - len(history.kept); missing > 0 {
+		history.kept = append(make([]Slot, missing, missing+len(history.kept)), history.kept...)
+	}
+	for age, slot := range past {
+		own := &history.kept[len(history.kept)-1-age]
+		own.Requests += slot.Requests
+		own.Retries += slot.Retries
+	}
+}
--- a/internal/flow/retry/retry.go
+++ b/internal/flow/retry/retry.go
@@ -1,7 +1,7 @@
 // Package retry limits how often and how soon failed requests are retried. A Budget
-// limits one instance by itself. Limits bounds the retries of all instances together: a
-// Share holds what one instance may retry for its own requests, and the retries beyond
-// need permits of a pool that one instance at a time allocates.
+// limits one instance by itself. Limits bounds the retries of all instances together:
+// each has a Ledger of what all have sent, may retry for its own requests, and needs
+// permits of a pool that one instance at a time allocates for the retries beyond.
 package retry
 
 import (
