Count retries when they are sent instead of when they are allowed

A retry was counted when the budget allowed it.

A retry is now reserved when it is allowed, which counts as if it was sent at that moment, and counted when it is sent. If the requests that paid for it have left the window or its permit has expired by then, it needs a new place. One that reached no upstream, or is not sent, is given back.

--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -72,7 +72,7 @@
 	runs int
 	// sends counts the sends that may have reached an upstream.
 	sends int
-	// retryGrant pays for the next send if that is a retry.
+	// retryGrant is the leave to send the request once more, nil before its first send.
 	retryGrant *retryGrant
 	// upstream is the last upstream chosen.
 	upstream string
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -121,48 +121,53 @@
 	return rate
 }
 
-// retryGrant says what pays for a retry.
+// retryGrant is the leave to send a retry.
 type retryGrant struct {
-	service string
-	// extra means that a permit pays for it, else the instance's own requests do.
-	extra     bool
+	*retry.Reservation
 	allowedAt time.Time
 }
 
-// takeRetry takes one retry from the budget, and reports whether there was one left.
-// It waits for a permit if the allocator may have one.
+// takeRetry reserves one retry, and reports whether there was one left. It waits for a
+// permit if the allocator may have one.
 func (proxyRequest *proxyRequest) takeRetry(ctx context.Context) bool {
-	budget, service := proxyRequest.relay.retryBudget, proxyRequest.service.Name
-	proxyRequest.retryGrant = nil
-	if budget.ledger(service).Take() {
-		proxyRequest.retryGrant = &retryGrant{service: service, allowedAt: time.Now()}
-		return true
+	proxyRequest.releaseRetry()
+	reservation := proxyRequest.relay.retryBudget.ledger(proxyRequest.service.Name).Reserve()
+	if reservation == nil {
+		reservation = proxyRequest.awaitRetryPermit(ctx)
 	}
-	if proxyRequest.awaitRetryPermit(ctx) {
-		proxyRequest.retryGrant = &retryGrant{service: service, extra: true, allowedAt: time.Now()}
-		return true
+	if reservation == nil {
+		proxyRequest.relay.metrics.increment("retry-budget-empty")
+		return false
 	}
-	proxyRequest.relay.metrics.increment("retry-budget-empty")
-	return false
+	proxyRequest.retryGrant = &retryGrant{Reservation: reservation, allowedAt: time.Now()}
+	return true
 }
 
-// awaitRetryPermit takes a permit for a retry, and reports whether it did.
-func (proxyRequest *proxyRequest) awaitRetryPermit(ctx context.Context) bool {
+// releaseRetry gives back a retry that was not sent.
+func (proxyRequest *proxyRequest) releaseRetry() {
+	if proxyRequest.retryGrant != nil {
+		proxyRequest.retryGrant.Release()
+		proxyRequest.retryGrant = nil
+	}
+}
+
+// awaitRetryPermit reserves a retry with a permit, or returns nil if there is none.
+func (proxyRequest *proxyRequest) awaitRetryPermit(ctx context.Context) *retry.Reservation {
 	relay := proxyRequest.relay
 	budget, number := relay.retryBudget, relay.requestNumbers.Add(1)
 	pool := cordon.Incarnation{ID: proxyRequest.service.Name}
 	ledger, rate := budget.ledger(pool.ID), budget.rate(pool)
 	if rate == permit.Unlimited || !ledger.Allows() {
-		return false
+		return nil
 	}
 	defer budget.client.Forget(number)
 	for ctx.Err() == nil {
 		changed := relay.stateChanged.next()
 		if budget.client.Take(pool) {
-			return ledger.TakeExtra()
+			return ledger.ReserveExtra()
 		}
 		if !budget.client.Admission(pool, rate, number).Pending {
-			return false
+			return nil
 		}
 		budget.client.Want(pool, number)
 		relay.reportSoon()
@@ -174,7 +179,36 @@
 		}
 		timer.Stop()
 	}
-	return false
+	return nil
+}
+
+// countSend counts the next send as a request or as a retry, and reports whether it
+// may be sent. A retry that has waited too long needs a new place in the budget.
+func (proxyRequest *proxyRequest) countSend(ctx context.Context) bool {
+	if proxyRequest.sends == 0 {
+		proxyRequest.relay.retryBudget.ledger(proxyRequest.service.Name).RecordRequest()
+		return true
+	}
+	if !proxyRequest.retryGrant.Send() && (!proxyRequest.takeRetry(ctx) || !proxyRequest.retryGrant.Send()) {
+		return false
+	}
+	paid := "requests"
+	if proxyRequest.retryGrant.Extra() {
+		paid = "extra"
+	}
+	proxyRequest.relay.metrics.increment("retries-" + paid)
+	proxyRequest.log("relay: request retried", zap.String("service", proxyRequest.service.Name), zap.String("paid-by", paid),
+		zap.Duration("allowed-for", time.Since(proxyRequest.retryGrant.allowedAt)))
+	return true
+}
+
+// recordUnsent records that the last send has reached no upstream.
+func (proxyRequest *proxyRequest) recordUnsent() {
+	if proxyRequest.sends == 0 {
+		return
+	}
+	proxyRequest.retryGrant.Unsent()
+	proxyRequest.relay.metrics.increment("retries-unsent")
 }
 
 // retryLimits returns the bounds of the retry budget.
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -31,6 +31,8 @@
 	outcomeNotRun
 	// outcomeNotSent means that nothing was sent.
 	outcomeNotSent
+	// outcomeUnfunded means that nothing was sent, as the retry budget is empty.
+	outcomeUnfunded
 	// outcomeUnknown means that the request may have run, without a usable response.
 	outcomeUnknown
 	// outcomeFailed means that the upstream ran the request and failed.
@@ -41,6 +43,7 @@
 // allowed.
 func (proxyRequest *proxyRequest) run(ctx context.Context) {
 	proxyRequest.setTypicalLatencies()
+	defer proxyRequest.releaseRetry()
 	for {
 		choice, refused := proxyRequest.awaitUpstream(ctx)
 		if refused != nil {
@@ -67,8 +70,11 @@
 // returns the refusal.
 func (proxyRequest *proxyRequest) mayRetry(ctx context.Context, result outcome) (bool, *refusal) {
 	refused := &refusal{http.StatusServiceUnavailable, "no upstream took the request", retryAfterFull}
-	if result == outcomeNotSent {
+	switch result {
+	case outcomeNotSent:
 		return true, nil
+	case outcomeUnfunded:
+		return false, refused
 	}
 	if result != outcomeNotRun {
 		if proxyRequest.route.Semantics != routes.Idempotent || proxyRequest.runs >= proxyRequest.route.MaxAttempts {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -24,13 +24,12 @@
 // send sends the request to an upstream and forwards the response to the caller.
 func (proxyRequest *proxyRequest) send(ctx context.Context, upstream fleet.Upstream) outcome {
 	relay := proxyRequest.relay
-	if proxyRequest.sends == 0 {
-		relay.retryBudget.ledger(proxyRequest.service.Name).RecordRequest()
+	if !proxyRequest.countSend(ctx) {
+		return outcomeUnfunded
 	}
 	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
 	ctx, active, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest, repeatable)
 	defer done()
-	proxyRequest.recordRetrySent()
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals = time.Now(), nil
@@ -75,21 +74,6 @@
 	return result
 }
 
-// recordRetrySent logs and counts a retry that is about to be sent.
-func (proxyRequest *proxyRequest) recordRetrySent() {
-	grant := proxyRequest.retryGrant
-	if grant == nil {
-		return
-	}
-	paid := "requests"
-	if grant.extra {
-		paid = "extra"
-	}
-	proxyRequest.relay.metrics.increment("retries-" + paid)
-	proxyRequest.log("relay: request retried", zap.String("service", grant.service), zap.String("paid-by", paid),
-		zap.Duration("allowed-for", time.Since(grant.allowedAt)))
-}
-
 // forward forwards the response to the caller.
 func (proxyRequest *proxyRequest) forward(upstream fleet.Upstream, response *http1.Response) outcome {
 	if proxyRequest.route.Streaming && response.Status == http.StatusOK {
@@ -148,6 +132,7 @@
 			proxyRequest.relay.recordRefusedConnection(upstream, err)
 			proxyRequest.recordHealth(upstream, false)
 		}
+		proxyRequest.recordUnsent()
 		return outcomeNotSent
 	}
 	proxyRequest.sends++
--- a/internal/flow/retry/fleet_test.go
+++ b/internal/flow/retry/fleet_test.go
@@ -44,6 +44,9 @@
 	messages  []message
 	waiting   []wish
 	numbers   uint64
+	// admission returns how long a retry waits for an upstream that admits it, at a time
+	// after the start of the fleet.
+	admission func(since time.Duration) time.Duration
 	// cutFrom and cutTo bound the time for which instances with even numbers are cut
 	// from those with odd ones.
 	cutFrom, cutTo    time.Duration
@@ -140,8 +143,12 @@
 func (fleet *fleet) retry(wish wish) (waits bool) {
 	instance := fleet.instances[wish.instance]
 	rate, _, ok := fleet.limits.Pool()
-	if instance.ledger.Take() || ok && instance.ledger.Allows() && instance.client.Take(pool) && instance.ledger.TakeExtra() {
-		fleet.retries = append(fleet.retries, time.Now())
+	reservation := instance.ledger.Reserve()
+	if reservation == nil && ok && instance.ledger.Allows() && instance.client.Take(pool) {
+		reservation = instance.ledger.ReserveExtra()
+	}
+	if reservation != nil {
+		fleet.sendLater(wish.instance, reservation)
 	} else if ok && instance.ledger.Allows() && instance.client.Admission(pool, rate, wish.number).Pending {
 		instance.client.Want(pool, wish.number)
 		return true
@@ -150,6 +157,20 @@
 	return false
 }
 
+// sendLater sends a retry once its request has been admitted by an upstream.
+func (fleet *fleet) sendLater(number int, reservation *Reservation) {
+	sender := fleet.instances[number]
+	fleet.messages = append(fleet.messages, message{at: time.Now().Add(fleet.admission(fleet.since())), arrive: func() {
+		switch {
+		case fleet.instances[number] != sender || !fleet.runs(number):
+		case reservation.Send():
+			fleet.retries = append(fleet.retries, time.Now())
+		default:
+			reservation.Release()
+		}
+	}})
+}
+
 // exchange lets an instance allocate, ask for and issue permits.
 func (fleet *fleet) exchange(number int) {
 	instance := fleet.instances[number]
@@ -300,6 +321,8 @@
 		joins, freezes map[time.Duration][]int
 		changes        map[time.Duration]Limits
 		cutFrom, cutTo time.Duration
+		// admission is how long a retry waits for admission, nothing if it is nil.
+		admission func(since time.Duration) time.Duration
 		// least is the part of the limits that is used at least from 10 s to 20 s.
 		least float64
 	}{
@@ -326,6 +349,7 @@
 		{name: "instances join", count: 5, demand: 15, joins: series(time.Second, []int{5}, []int{6}, []int{7}, []int{8, 9})},
 		{name: "instances freeze", count: 5, demand: 15, freezes: series(time.Second, []int{0}, []int{1}, []int{2}, []int{3}, []int{4})},
 		{name: "cut from each other", count: 5, demand: 15, cutFrom: 12 * time.Second, cutTo: 20 * time.Second},
+		{name: "long waits for admission", count: 5, demand: 15, admission: func(since time.Duration) time.Duration { return max(0, 16*time.Second-since) }},
 		{name: "lower limits", count: 5, demand: 15, changes: map[time.Duration]Limits{15 * time.Second: {Ratio: 0.1, Extra: 20, Window: 10 * time.Second}}},
 		{name: "no extra", count: 5, demand: 15, limits: Limits{Ratio: 0.2, Window: 10 * time.Second}, ends: series(2*time.Second, numbers(0, 4))},
 	}
@@ -337,12 +361,15 @@
 				if test.count > 100 {
 					length = 20 * time.Second
 				}
+				if test.admission == nil {
+					test.admission = func(time.Duration) time.Duration { return 0 }
+				}
 				if test.limits == (Limits{}) {
 					test.limits = limits
 				}
 				fleet := &fleet{
 					random: rand.New(rand.NewPCG(1, 1)), limits: test.limits, start: time.Now().Add(-fleetStep),
-					cutFrom: test.cutFrom, cutTo: test.cutTo,
+					cutFrom: test.cutFrom, cutTo: test.cutTo, admission: test.admission,
 				}
 				fleet.launch(fleet.start.Add(-fleet.limits.Window), numbers(0, test.count-1)...)
 				restarts := make(map[time.Duration][]int)
--- a/internal/flow/retry/history.go
+++ b/internal/flow/retry/history.go
@@ -43,14 +43,27 @@
 // add counts requests and retries that were sent at a time, unless that is too long
 // ago.
 func (history *history) add(at time.Time, requests, retries uint32) {
+	if slot := history.slot(at); slot != nil {
+		slot.Requests += requests
+		slot.Retries += retries
+	}
+}
+
+// remove takes back a retry that was sent at a time.
+func (history *history) remove(at time.Time) {
+	if slot := history.slot(at); slot != nil && slot.Retries > 0 {
+		slot.Retries--
+	}
+}
+
+// slot returns the slot of a time, or nil if that is too long ago.
+func (history *history) slot(at time.Time) *Slot {
 	history.advance()
 	age := int(time.Since(history.start)/SlotTime) - int(at.Sub(history.start)/SlotTime)
 	if age < 0 || age >= len(history.kept) {
-		return
+		return nil
 	}
-	slot := &history.kept[len(history.kept)-1-age]
-	slot.Requests += requests
-	slot.Retries += retries
+	return &history.kept[len(history.kept)-1-age]
 }
 
 // sum returns the retries that may lie within a window, and the requests that do so
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,7 +48,10 @@
 	// requests and retries hold when this instance sent its own requests and those
 	// retries for which they pay.
 	requests, retries []time.Time
-	total             history
+	// reserved is the number of retries reserved and not sent, and reservedOwn that of
+	// those for which this instance's own requests pay.
+	reserved, reservedOwn int
+	total                 history
 	// reported holds what other instances last reported.
 	reported map[string]reported
 }
@@ -83,51 +87,125 @@
 	ledger.total.add(time.Now(), 1, 0)
 }
 
-// Take takes a retry for which this instance's own requests pay, and reports whether
-// there was one left.
-func (ledger *Ledger) Take() bool {
+// Reservation is a retry that the limits allow and that has not been sent yet. It
+// counts as if it was sent now. Its methods must not be called concurrently.
+type Reservation struct {
+	ledger *Ledger
+	// extra means that a permit pays for the retry, taken at reservedAt.
+	extra      bool
+	reservedAt time.Time
+	// sentAt is when the retry was counted as sent, or zero.
+	sentAt time.Time
+	// held means that the reservation counts, as the retry was not sent.
+	held bool
+}
+
+// Extra reports whether a permit pays for the retry, else the instance's own requests
+// do.
+func (reservation *Reservation) Extra() bool { return reservation.extra }
+
+// Reserve reserves a retry for which this instance's own requests pay, or returns nil
+// if there is none left.
+func (ledger *Ledger) Reserve() *Reservation { return ledger.reserve(false) }
+
+// ReserveExtra reserves a retry for which the caller has a permit, or returns nil if
+// that may not be used.
+func (ledger *Ledger) ReserveExtra() *Reservation { return ledger.reserve(true) }
+
+func (ledger *Ledger) reserve(extra bool) *Reservation {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	limits := ledger.config.Limits()
-	ledger.trim(limits.Window)
-	if float64(len(ledger.retries)+1) > float64(len(ledger.requests))*limits.Ratio*ownFraction+roundingError || !ledger.allows(limits) {
-		return false
+	if !extra && !ledger.allowsOwn(limits) || !ledger.allows(limits) {
+		return nil
 	}
-	ledger.retries = append(ledger.retries, time.Now())
-	ledger.recordRetry()
-	return true
+	reservation := &Reservation{ledger: ledger, extra: extra, reservedAt: time.Now()}
+	ledger.hold(reservation, true)
+	return reservation
 }
 
-// TakeExtra takes a retry for which the caller has a permit, and reports whether that
-// may be used.
-func (ledger *Ledger) TakeExtra() bool {
+// Allows reports whether all instances together may send another retry.
+func (ledger *Ledger) Allows() bool {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	if !ledger.allows(ledger.config.Limits()) {
+	return ledger.allows(ledger.config.Limits())
+}
+
+// Send counts the retry as sent now and reports whether it may be sent. If not, the
+// reservation has ended: the requests that paid for it lie too far back, or its permit
+// has expired.
+func (reservation *Reservation) Send() bool {
+	ledger := reservation.ledger
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.hold(reservation, false)
+	limits := ledger.config.Limits()
+	expired := reservation.extra && time.Since(reservation.reservedAt) > PermitLifetime
+	if expired || !reservation.extra && !ledger.allowsOwn(limits) || !ledger.allows(limits) {
 		return false
 	}
-	ledger.recordRetry()
+	reservation.sentAt = time.Now()
+	if !reservation.extra {
+		ledger.retries = append(ledger.retries, reservation.sentAt)
+	}
+	ledger.own.Retries++
+	ledger.total.add(reservation.sentAt, 0, 1)
 	return true
 }
 
-// Allows reports whether all instances together may send another retry.
-func (ledger *Ledger) Allows() bool {
+// Unsent takes back that the retry was sent, which has reached no upstream, so that it
+// can be sent again.
+func (reservation *Reservation) Unsent() {
+	ledger := reservation.ledger
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	return ledger.allows(ledger.config.Limits())
+	if index := slices.Index(ledger.retries, reservation.sentAt); !reservation.extra && index >= 0 {
+		ledger.retries = slices.Delete(ledger.retries, index, index+1)
+	}
+	ledger.own.Retries--
+	ledger.total.remove(reservation.sentAt)
+	ledger.hold(reservation, true)
+}
+
+// Release ends the reservation, unless the retry was sent.
+func (reservation *Reservation) Release() {
+	ledger := reservation.ledger
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.hold(reservation, false)
 }
 
+// hold makes a reservation count, or not.
+func (ledger *Ledger) hold(reservation *Reservation, held bool) {
+	if reservation.held == held {
+		return
+	}
+	reservation.held = held
+	number := -1
+	if held {
+		number = 1
+	}
+	ledger.reserved += number
+	if !reservation.extra {
+		ledger.reservedOwn += number
+	}
+}
+
+// allowsOwn reports whether this instance's own requests pay for another retry.
+func (ledger *Ledger) allowsOwn(limits Limits) bool {
+	ledger.trim(limits.Window)
+	retries := len(ledger.retries) + ledger.reservedOwn + 1
+	return float64(retries) <= float64(len(ledger.requests))*limits.Ratio*ownFraction+roundingError
+}
+
+// allows reports whether all instances together may send another retry.
 func (ledger *Ledger) allows(limits Limits) bool {
 	if !ledger.isSettled(limits) {
 		return false
 	}
 	requests, retries := ledger.total.sum(limits.Window)
-	return float64(retries+1) <= (limits.Ratio*float64(requests)+limits.Extra)*totalFraction+roundingError
-}
-
-func (ledger *Ledger) recordRetry() {
-	ledger.own.Retries++
-	ledger.total.add(time.Now(), 0, 1)
+	sum := float64(retries) + float64(ledger.reserved+1)
+	return sum <= (limits.Ratio*float64(requests)+limits.Extra)*totalFraction+roundingError
 }
 
 // isSettled reports whether the ledger knows all that was sent within the window.
