--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -182,11 +182,10 @@
 	return nil
 }
 
-// countSend counts the next send as a request or as a retry, and reports whether it
-// may be sent. A retry that has waited too long needs a new place in the budget.
-func (proxyRequest *proxyRequest) countSend(ctx context.Context) bool {
+// countRetry counts the next send if it is a retry, and reports whether it may be sent.
+// A retry that has waited too long needs a new place in the budget.
+func (proxyRequest *proxyRequest) countRetry(ctx context.Context) bool {
 	if proxyRequest.sends == 0 {
-		proxyRequest.relay.retryBudget.ledger(proxyRequest.service.Name).RecordRequest()
 		return true
 	}
 	if !proxyRequest.retryGrant.Send() && (!proxyRequest.takeRetry(ctx) || !proxyRequest.retryGrant.Send()) {
@@ -202,6 +201,15 @@
 	return true
 }
 
+// recordSent counts a send that may have reached its upstream.
+func (proxyRequest *proxyRequest) recordSent() {
+	if proxyRequest.sends == 0 {
+		proxyRequest.relay.retryBudget.ledger(proxyRequest.service.Name).RecordRequest()
+		proxyRequest.relay.metrics.increment("sends-first")
+	}
+	proxyRequest.sends++
+}
+
 // recordUnsent records that the last send has reached no upstream.
 func (proxyRequest *proxyRequest) recordUnsent() {
 	if proxyRequest.sends == 0 {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -24,7 +24,7 @@
 // send sends the request to an upstream and forwards the response to the caller.
 func (proxyRequest *proxyRequest) send(ctx context.Context, upstream fleet.Upstream) outcome {
 	relay := proxyRequest.relay
-	if !proxyRequest.countSend(ctx) {
+	if !proxyRequest.countRetry(ctx) {
 		return outcomeUnfunded
 	}
 	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
@@ -39,7 +39,7 @@
 		return proxyRequest.handleSendError(ctx, upstream, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	proxyRequest.sends++
+	proxyRequest.recordSent()
 	proxyRequest.respondedAt = time.Now()
 	active.begun.Store(true)
 	info := relay.config.Protocol.ParseResponse(response.Status, response.Header)
@@ -135,7 +135,7 @@
 		proxyRequest.recordUnsent()
 		return outcomeNotSent
 	}
-	proxyRequest.sends++
+	proxyRequest.recordSent()
 	if errors.Is(context.Cause(ctx), errPartBlocked) {
 		proxyRequest.runs++
 		return outcomeUnknown
