Let loaders keep what relays know of the retry budget

After a kill of all relays nobody knows what was sent before, so none of them retries for a whole window. Sound requests that an upstream breaks off in that time are refused.

Relays now tell two loaders what all have sent, once a second and every 250 ms while they retry; a loader sends that to a relay whose start it has not seen, with its age.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -15,13 +15,24 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
+// handleDatagram handles a datagram of an entry instance.
+func (loader *Loader) handleDatagram(_ string, datagram *wirepb.Datagram) {
+	switch body := datagram.GetBody().(type) {
+	case *wirepb.Datagram_Demand:
+		loader.handleDemand(body.Demand)
+	case *wirepb.Datagram_Memory:
+		loader.keepMemory(body.Memory)
+	}
+}
+
 // handleDemand handles a demand of an entry instance.
-func (loader *Loader) handleDemand(_ string, datagram *wirepb.Datagram) {
-	demand := datagram.GetDemand()
-	if demand == nil || !loader.acceptDemand(demand) {
+func (loader *Loader) handleDemand(demand *wirepb.Demand) {
+	if !loader.acceptDemand(demand) {
 		return
 	}
-	loader.recordEntry(demand.GetEntry(), demand.GetStart(), demand.GetFullSerial())
+	if loader.recordEntry(demand.GetEntry(), demand.GetStart(), demand.GetFullSerial()) {
+		loader.sendMemories(demand.GetEntry())
+	}
 	loader.planner.SetDemand(decodeDemand(demand))
 	loader.admission.SetRequests(demand.GetEntry(), admit.EngineConfig{
 		Slots:        int(demand.GetSlots()),
@@ -40,22 +51,23 @@
 }
 
 // recordEntry records the last full state that an entry instance has
-// acknowledged. After a start of an entry instance it has a full state sent to
-// all soon: the new one learns what the engine holds, and the others learn of
-// the new one.
-func (loader *Loader) recordEntry(entry string, start int64, acknowledged uint64) {
+// acknowledged. After a start of an entry instance, which it reports, it has a full
+// state sent to all soon: the new one learns what the engine holds, and the others
+// learn of the new one.
+func (loader *Loader) recordEntry(entry string, start int64, acknowledged uint64) (started bool) {
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	if loader.entryStarts[entry] == start {
 		state := loader.entryStates[entry]
 		state.acknowledged = acknowledged
 		loader.entryStates[entry] = state
-		return
+		return false
 	}
 	loader.entryStarts[entry] = start
 	loader.newEntry = true
 	delete(loader.entryStates, entry)
 	wake(loader.wakeOrders)
+	return true
 }
 
 // acceptDemand reports whether a demand is for the engine's present
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -102,6 +102,8 @@
 	newEntry    bool
 	// entryStates holds what each entry instance was last sent.
 	entryStates map[string]entryState
+	// memories holds what each entry instance last said that it knows.
+	memories map[string]keptMemory
 
 	// listedStartedAt is the latest start of the engine that the entry
 	// instances know, in Unix milliseconds.
@@ -128,6 +130,7 @@
 		missedReports: unreachableAfter,
 		entryStarts:   make(map[string]int64),
 		entryStates:   make(map[string]entryState),
+		memories:      make(map[string]keptMemory),
 		fencingToken:  now.UnixMilli(),
 		serial:        uint64(now.UnixMicro()),
 	}
@@ -137,7 +140,7 @@
 func (loader *Loader) Run(ctx context.Context) error {
 	loader.config.Logger.Info("loader: started", zap.String("engine", loader.config.Address))
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return loader.config.Datagrams.Serve(ctx, loader.handleDemand) })
+	group.Go(func() error { return loader.config.Datagrams.Serve(ctx, loader.handleDatagram) })
 	group.Go(func() error { loader.runOrders(ctx); return nil })
 	group.Go(func() error { return loader.serveMetrics(ctx) })
 	group.Go(func() error { loader.runGrants(ctx); return nil })
--- a/internal/daemon/loader/loader_test.go
+++ b/internal/daemon/loader/loader_test.go
@@ -48,7 +48,7 @@
 
 func newLoader(engine *engine) *Loader {
 	loader := New(Config{Engine: engine, Logger: zap.NewNop()})
-	loader.handleDemand("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+	loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 		Entry: "10.0.0.1:7600", Model: "m", AdapterSlots: 4, Upstream: "i-1", Born: 1000,
 		Uses: []*wirepb.AdapterUse{{Adapter: "a1", Waiting: 1}},
 	}}})
@@ -113,7 +113,7 @@
 		_ = entry.Serve(t.Context(), func(_ string, datagram *wirepb.Datagram) { states <- datagram.GetEngineState() })
 	}()
 	for start := range int64(2) {
-		loader.handleDemand("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+		loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry: entry.Address(), Start: 1 + start, Model: "m", Upstream: "i-1", Born: 1000,
 		}}})
 		loader.fetchReport(t.Context())
@@ -143,7 +143,7 @@
 	}
 	loader := New(Config{Engine: engine, Datagrams: datagrams, Logger: zap.NewNop()})
 	demand := func(entry string, asks ...*wirepb.Ask) {
-		loader.handleDemand("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+		loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry: entry, Start: 1, Model: "m", Upstream: "i-1", Born: 1000, Slots: 64, EventTokens: 3, GapMs: 300, Asks: asks,
 		}}})
 	}
@@ -215,8 +215,8 @@
 	engine.report.StartedAt = 2000
 	loader := newLoader(engine)
 	loader.fetchReport(t.Context())
-	loader.handleDemand("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Upstream: "i-2", Born: 2000}}})
-	loader.handleDemand("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Upstream: "i-1", Born: 1000}}})
+	loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Upstream: "i-2", Born: 2000}}})
+	loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Upstream: "i-1", Born: 1000}}})
 	if got := loader.newState(true, nil).GetUpstream(); got != "i-2" {
 		t.Errorf("state for upstream %s, want i-2", got)
 	}
@@ -251,7 +251,7 @@
 	if engine.calls.Load() != 0 {
 		t.Error("the engine was called during its backoff")
 	}
-	loader.handleDemand("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Model: "m", Upstream: "i-1", Born: 2000}}})
+	loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{Entry: "10.0.0.1:7600", Model: "m", Upstream: "i-1", Born: 2000}}})
 	loader.poll(t.Context())
 	if engine.calls.Load() == 0 {
 		t.Error("the engine was not called after its restart")
--- /dev/null
+++ b/internal/daemon/relay/memory.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/rank"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+const (
+	// memoryInterval is the time between two reports of what loaders keep, and
+	// busyMemoryInterval that while this instance retries.
+	memoryInterval     = time.Second
+	busyMemoryInterval = 250 * time.Millisecond
+	// memoryKeepers is the number of loaders that keep what an instance knows.
+	memoryKeepers = 2
+)
+
+// reportMemory tells some loaders what this instance knows of all, so that those that
+// start after all have ended learn it. sentAt is when it last did so. It returns when
+// it last did so now.
+func (relay *Relay) reportMemory(sentAt time.Time) time.Time {
+	interval := memoryInterval
+	if len(relay.retryBudget.changes.recent()) > 0 {
+		interval = busyMemoryInterval
+	}
+	if time.Since(sentAt) < interval {
+		return sentAt
+	}
+	memory := &wirepb.Memory{Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePast()}
+	if len(memory.GetRetries()) == 0 {
+		return time.Now()
+	}
+	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: memory}}, relay.memoryKeepers()...)
+	return time.Now()
+}
+
+// memoryKeepers returns the addresses of the loaders that keep what this instance
+// knows: those that rank first for it, its own failure domain before others.
+func (relay *Relay) memoryKeepers() []string {
+	config := relay.store.config()
+	if config == nil {
+		return nil
+	}
+	own := relay.config.DatagramAddress
+	engines := slices.DeleteFunc(relay.store.instances.Upstreams(), func(upstream fleet.Upstream) bool {
+		service, ok := config.Service(upstream.Service)
+		return !ok || service.Engine == nil || upstream.Draining
+	})
+	slices.SortFunc(engines, func(a, b fleet.Upstream) int {
+		return cmp.Or(relay.domainDistance(a)-relay.domainDistance(b), cmp.Compare(rank.Score(own, b.ID), rank.Score(own, a.ID)))
+	})
+	var addresses []string
+	for _, engine := range engines[:min(len(engines), memoryKeepers)] {
+		addresses = append(addresses, relay.loaderAddress(engine))
+	}
+	return addresses
+}
+
+// domainDistance returns 0 for an upstream in this instance's failure domain, else 1.
+func (relay *Relay) domainDistance(upstream fleet.Upstream) int {
+	if upstream.FailureDomain == relay.config.FailureDomain {
+		return 0
+	}
+	return 1
+}
+
+// handleMemory records what an entry instance knew that may have ended since.
+func (relay *Relay) handleMemory(memory *wirepb.Memory) {
+	age := time.Duration(memory.GetAgeMs()) * time.Millisecond
+	for _, encoded := range memory.GetRetries() {
+		service, use := codec.DecodeRetryUse(encoded)
+		relay.retryBudget.ledger(service).Recall(use.Past, age)
+	}
+	relay.config.Logger.Debug("relay: recalled what an entry instance knew", zap.String("entry", memory.GetEntry()), zap.Duration("age", age))
+}
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -57,7 +57,7 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	lastSent := make(map[string]sentDemand)
-	var usageSentAt, queriedAt time.Time
+	var usageSentAt, queriedAt, memorySentAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -75,6 +75,7 @@
 			usageSentAt = time.Now()
 			relay.reportUsage(usage)
 		}
+		memorySentAt = relay.reportMemory(memorySentAt)
 		if time.Since(queriedAt) >= queryInterval {
 			queriedAt = time.Now()
 			relay.queryReader()
@@ -205,6 +206,8 @@
 		relay.handlePermitAsks(body.PermitAsks)
 	case *wirepb.Datagram_PermitGrants:
 		relay.handlePermitGrants(body.PermitGrants)
+	case *wirepb.Datagram_Memory:
+		relay.handleMemory(body.Memory)
 	}
 }
 
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -104,6 +104,18 @@
 	return encoded
 }
 
+// encodePast encodes what all entry instances have sent to the services, as far as it is
+// known.
+func (retryBudget *retryBudget) encodePast() []*wirepb.RetryUse {
+	var encoded []*wirepb.RetryUse
+	for _, service := range retryBudget.services() {
+		if use := retryBudget.ledger(service).Use(true); len(use.Past) > 0 {
+			encoded = append(encoded, codec.EncodeRetryUse(service, use))
+		}
+	}
+	return encoded
+}
+
 // recordPeerRetries records what another entry instance has sent to services.
 func (relay *Relay) recordPeerRetries(report *wirepb.Usage) {
 	for _, encoded := range report.GetRetries() {
@@ -237,6 +249,12 @@
 	config := relay.store.config()
 	var pools []permit.Standing
 	var services []string
+	if config != nil {
+		// A ledger of each service, used or not, tells starting instances its past.
+		for _, service := range config.Services() {
+			budget.ledger(service.Name)
+		}
+	}
 	if ok && config != nil && relay.peersKnown.Load() && time.Since(relay.start) >= allocateRetriesAfter && !relay.isolated() {
 		live := relay.peers.live()
 		for _, service := range config.Services() {
--- a/internal/flow/retry/fleet_test.go
+++ b/internal/flow/retry/fleet_test.go
@@ -25,6 +25,8 @@
 	exchangePeriod    = 50 * time.Millisecond
 	gossipPeriod      = 150 * time.Millisecond
 	quietGossipPeriod = time.Second
+	// memoryPeriod is the time between two reports of what loaders keep.
+	memoryPeriod = 250 * time.Millisecond
 	// silentAfter is how long an ended instance still counts as live at the others,
 	// removedAfter how long it still counts at all, and heardAfter how long it takes
 	// until a started one counts. A started one allocates nothing for settleTime.
@@ -47,6 +49,11 @@
 	// admission returns how long a retry waits for an upstream that admits it, at a time
 	// after the start of the fleet.
 	admission func(since time.Duration) time.Duration
+	// past is what all had sent at pastAt, as loaders keep it. remembers means that
+	// starting instances are told.
+	past      []Slot
+	pastAt    time.Time
+	remembers bool
 	// cutFrom and cutTo bound the time for which instances with even numbers are cut
 	// from those with odd ones.
 	cutFrom, cutTo    time.Duration
@@ -92,6 +99,11 @@
 			allocator: permit.NewAllocator(permit.AllocatorConfig{PermitLifetime: PermitLifetime, StandingOnly: true}),
 			startedAt: time.Now(),
 		}
+		if started := fleet.instances[number]; fleet.remembers {
+			fleet.messages = append(fleet.messages, message{at: time.Now().Add(heardAfter), arrive: func() {
+				started.ledger.Recall(fleet.past, time.Since(fleet.pastAt))
+			}})
+		}
 	}
 }
 
@@ -255,6 +267,11 @@
 			fleet.waiting = append(fleet.waiting, wish)
 		}
 	}
+	if fleet.since()%memoryPeriod == 0 && fleet.runs(0) {
+		if past := fleet.instances[0].ledger.Use(true).Past; len(past) > 0 {
+			fleet.past, fleet.pastAt = past, time.Now()
+		}
+	}
 	for number := range fleet.instances {
 		phase := fleet.since() + time.Duration(number)*fleetStep
 		if fleet.runs(number) && (phase%exchangePeriod == 0 || woken[number]) {
@@ -316,6 +333,8 @@
 		// second later, unless gone is set.
 		ends map[time.Duration][]int
 		gone bool
+		// remembers means that loaders tell starting instances the past.
+		remembers bool
 		// joins maps times to instances that join, freezes to those that freeze for 3 s,
 		// and changes to new limits.
 		joins, freezes map[time.Duration][]int
@@ -339,6 +358,9 @@
 		{name: "one restarts again and again", count: 5, demand: 15, ends: series(time.Second, []int{2}, []int{2}, []int{2}, []int{2}, []int{2}, []int{2}, []int{2}, []int{2})},
 		{name: "some restart in series", count: 5, demand: 15, ends: series(2*time.Second, []int{0, 1, 2}, []int{2, 3, 4}, []int{0, 1, 3}, []int{1, 2, 4})},
 		{name: "all restart", count: 5, demand: 15, ends: series(3*time.Second, numbers(0, 4), numbers(0, 4))},
+		{name: "all restart, remembered", count: 5, demand: 15, remembers: true, least: 0.6, ends: series(3*time.Second, numbers(0, 4), numbers(0, 4))},
+		{name: "all restart after a quiet time, remembered", count: 5, demand: 15, remembers: true, quietUntil: 10 * time.Second, ends: series(2*time.Second, numbers(0, 4), numbers(0, 4))},
+		{name: "some restart, remembered", count: 5, demand: 15, remembers: true, quietUntil: 10 * time.Second, ends: series(2*time.Second, []int{0, 1, 2}, []int{2, 3, 4}, []int{0, 1, 3})},
 		{name: "all of thirty restart", count: 30, demand: 15, ends: series(3*time.Second, numbers(0, 29), numbers(0, 29))},
 		{name: "a rolling restart", count: 5, demand: 15, ends: series(time.Second, []int{0}, []int{1}, []int{2}, []int{3}, []int{4})},
 		{name: "few requests, all restart", count: 5, demand: 0.5, ends: series(2*time.Second, numbers(0, 4), numbers(0, 4), numbers(0, 4))},
@@ -369,7 +391,7 @@
 				}
 				fleet := &fleet{
 					random: rand.New(rand.NewPCG(1, 1)), limits: test.limits, start: time.Now().Add(-fleetStep),
-					cutFrom: test.cutFrom, cutTo: test.cutTo, admission: test.admission,
+					cutFrom: test.cutFrom, cutTo: test.cutTo, admission: test.admission, remembers: test.remembers,
 				}
 				fleet.launch(fleet.start.Add(-fleet.limits.Window), numbers(0, test.count-1)...)
 				restarts := make(map[time.Duration][]int)
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -42,9 +42,10 @@
 	config LedgerConfig
 
 	mutex sync.Mutex
-	// settled means that total holds all that was sent within the window.
-	settled bool
-	own     Use
+	// settled means that total holds all that was sent within the window, and recalled
+	// that it is from an instance that has ended since.
+	settled, recalled bool
+	own               Use
 	// requests and retries hold when this instance sent its own requests and those
 	// retries for which they pay.
 	requests, retries []time.Time
@@ -234,9 +235,9 @@
 	limits := ledger.config.Limits()
 	before, known := ledger.reported[instance]
 	ledger.reported[instance] = reported{start: start, requests: use.Requests, retries: use.Retries, at: time.Now()}
-	if !ledger.isSettled(limits) && len(use.Past) > 0 {
-		ledger.total.adopt(use.Past)
-		ledger.settled = true
+	if len(use.Past) > 0 && (ledger.recalled || !ledger.isSettled(limits)) {
+		ledger.adopt(use.Past)
+		ledger.recalled = false
 		return
 	}
 	if !known {
@@ -259,6 +260,28 @@
 // counted converts a number to that of a slot.
 func counted(number uint64) uint32 { return uint32(min(number, math.MaxUint32)) }
 
+// Recall records the past that an instance knew which may have ended since. Age is the
+// time since it said so. A running instance knows the past better.
+func (ledger *Ledger) Recall(past []Slot, age time.Duration) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	limits := ledger.config.Limits()
+	if len(past) == 0 || ledger.isSettled(limits) {
+		return
+	}
+	since := make([]Slot, min(max(age, 0), limits.Window)/SlotTime)
+	ledger.adopt(append(since, past...))
+	ledger.recalled = true
+}
+
+// adopt replaces what is known by another instance's past and what this one has sent.
+func (ledger *Ledger) adopt(past []Slot) {
+	ledger.total = history{start: ledger.total.start}
+	ledger.total.adopt(past)
+	ledger.total.add(time.Now(), 0, counted(ledger.own.Retries))
+	ledger.settled = true
+}
+
 // trim removes what has left the window.
 func (ledger *Ledger) trim(window time.Duration) {
 	since := time.Now().Add(-window)
