Log which broken requests are the same but for their ids

Logs could not tell whether the requests that break off at each end of an engine are one request that is repeated. The lines of broken responses now have its identity, a hash of organisation, method, target and body, taken while the body is read, and whether the send had an event.

--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -64,7 +64,9 @@
 	organisation *routes.Organisation
 	service      *routes.Service
 	body         []byte
-	adapter      lora.Adapter
+	// identity is equal for two requests that differ in nothing but their ids.
+	identity uint64
+	adapter  lora.Adapter
 
 	// tried holds the upstreams that must not be tried again.
 	tried []string
@@ -109,7 +111,9 @@
 	// intervals between its events.
 	sentAt time.Time
 	// respondedAt is when the head of the response to the last send was received.
-	respondedAt    time.Time
+	respondedAt time.Time
+	// eventReceived means that the response to the last send had an event.
+	eventReceived  bool
 	eventIntervals []time.Duration
 	// probe means that the request may be sent although parts of it are blocked.
 	probe bool
@@ -201,6 +205,8 @@
 
 // readBody reads the body of the request.
 func (proxyRequest *proxyRequest) readBody() *refusal {
+	hasher := proxyRequest.newIdentityHasher()
+	defer func() { proxyRequest.identity = hasher.identity() }()
 	if proxyRequest.request.Body == nil || proxyRequest.request.ContentLength == 0 {
 		return nil
 	}
@@ -209,7 +215,7 @@
 	if err := control.SetReadDeadline(proxyRequest.deadline); err != nil {
 		proxyRequest.relay.config.Logger.Debug("relay: failed to set the read deadline", logs.ErrorField(err))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(proxyRequest.writer, proxyRequest.request.Body, maxBodyBytes))
+	body, err := io.ReadAll(hasher.tee(http.MaxBytesReader(proxyRequest.writer, proxyRequest.request.Body, maxBodyBytes)))
 	var large *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -32,7 +32,7 @@
 	defer done()
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
-	proxyRequest.sentAt, proxyRequest.eventIntervals = time.Now(), nil
+	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.eventReceived = time.Now(), nil, false
 	defer relay.picker.RecordEnded(upstream.ID, proxyRequest.adapter)
 	response, err := relay.config.Pool.Do(ctx, upstream.Address, proxyRequest.upstreamRequest(upstream))
 	if err != nil {
@@ -141,7 +141,8 @@
 		return outcomeUnknown
 	}
 	if ctx.Err() == nil || lost {
-		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost), zap.Strings("parts", proxyRequest.info.SharedParts))
+		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost),
+			zap.Strings("parts", proxyRequest.info.SharedParts), proxyRequest.identityField())
 	}
 	return proxyRequest.recordUnknown(upstream)
 }
@@ -159,7 +160,8 @@
 // recordBroken records a response that is incomplete or invalid.
 func (proxyRequest *proxyRequest) recordBroken(upstream fleet.Upstream, err error) outcome {
 	proxyRequest.log("relay: response incomplete or invalid", logs.ErrorField(err),
-		zap.Strings("parts", proxyRequest.info.SharedParts), zap.Duration("since-head", time.Since(proxyRequest.respondedAt)))
+		zap.Strings("parts", proxyRequest.info.SharedParts), zap.Duration("since-head", time.Since(proxyRequest.respondedAt)),
+		proxyRequest.identityField(), zap.Bool("event-received", proxyRequest.eventReceived))
 	proxyRequest.recordHealth(upstream, false)
 	return outcomeUnknown
 }
