Refuse requests that crash the upstreams which run them

Callers of sound requests saw broken streams, and refusals since sound parts of prompts were blamed.

Cause: the tracker of poisoned parts knew no request again. A repeat has another id, so its ends spoke against its parts only, as if different requests had them; sound requests share these and cleared them each time. Class of fault: a request that harms each upstream which runs it, the sibling of the poisoned part.

The tracker's subjects are now parts and whole requests, known by a hash of organisation, method, host, target and body. All ends under one request count once against its parts, and once it is blocked they speak against nothing else. Plain upstreams, which have no loader, are asked by opening a connection after a response broke off.

--- a/internal/daemon/relay/activesends.go
+++ b/internal/daemon/relay/activesends.go
@@ -13,9 +13,9 @@
 	// errUpstreamLost is the cause with which the sends to an upstream are cancelled
 	// when it becomes unreachable or restarts.
 	errUpstreamLost = errors.New("the upstream was lost")
-	// errPartBlocked is the cause with which sends are cancelled that have not begun
-	// when a part of their prompt is blocked.
-	errPartBlocked = errors.New("a part of the prompt was blocked")
+	// errBlocked is the cause with which sends are cancelled that have not begun when
+	// their request, or a part of its prompt, is blocked.
+	errBlocked = errors.New("the request was blocked")
 )
 
 // activeSend is a running send.
@@ -25,7 +25,7 @@
 	cancel   context.CancelCauseFunc
 	// repeatable means that the request may be sent to another upstream.
 	repeatable bool
-	// probe means that it is a probe of blocked parts.
+	// probe means that it is a probe.
 	probe bool
 	// begun means that the head of the response was received.
 	begun atomic.Bool
@@ -40,7 +40,7 @@
 func newActiveSends() *activeSends { return &activeSends{sends: make(map[*activeSend]bool)} }
 
 // track returns a context for a send that is cancelled if the upstream is lost, where
-// the request may be repeated, or if a part of its prompt is blocked. The caller calls
+// the request may be repeated, or if it is blocked. The caller calls
 // done when the send has ended.
 func (activeSends *activeSends) track(ctx context.Context, upstream string, sent *proxyRequest, repeatable bool) (tracked context.Context, send *activeSend, done func()) {
 	tracked, cancel := context.WithCancelCause(ctx)
@@ -80,15 +80,15 @@
 	}
 }
 
-// cancelBlocked cancels the sends with blocked parts that have not begun, before they
+// cancelBlocked cancels the sends of blocked requests that have not begun, before they
 // crash their upstreams.
 func (relay *Relay) cancelBlocked() {
-	cancelled := relay.activeSends.cancel(errPartBlocked, func(send *activeSend) bool {
+	cancelled := relay.activeSends.cancel(errBlocked, func(send *activeSend) bool {
 		request := send.request
-		return !send.begun.Load() && !send.probe && relay.poison.Blocked(request.organisationName(), request.info.SharedParts)
+		return !send.begun.Load() && !send.probe && relay.poison.Blocked(request.organisationName(), request.subjects)
 	})
 	if cancelled > 0 {
 		relay.metrics.increment("poison-cancelled")
-		relay.config.Logger.Info("poison: cancelled sends with a blocked part", zap.Int("sends", cancelled))
+		relay.config.Logger.Info("poison: cancelled sends of blocked requests", zap.Int("sends", cancelled))
 	}
 }
--- a/internal/daemon/relay/poison.go
+++ b/internal/daemon/relay/poison.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
@@ -25,6 +24,9 @@
 	// crashConfirmTime is how long after responses broke off it may be learned that
 	// their upstream crashed.
 	crashConfirmTime = time.Second
+	// probeDelay is how long after a response broke off at an upstream without a loader a
+	// connection to it is opened.
+	probeDelay = 20 * time.Millisecond
 	// maxEvidencePerReport bounds the evidence in a full usage report.
 	maxEvidencePerReport = 32
 )
@@ -40,8 +42,9 @@
 	return &brokenResponses{byUpstream: make(map[string][]poison.Evidence)}
 }
 
-// add adds evidence and drops what was not confirmed in time.
-func (brokenResponses *brokenResponses) add(upstream string, evidence []poison.Evidence) {
+// add adds evidence and drops what was not confirmed in time. It reports whether it is
+// the first of an upstream.
+func (brokenResponses *brokenResponses) add(upstream string, evidence []poison.Evidence) (first bool) {
 	brokenResponses.mutex.Lock()
 	defer brokenResponses.mutex.Unlock()
 	for id, pending := range brokenResponses.byUpstream {
@@ -49,7 +52,9 @@
 			delete(brokenResponses.byUpstream, id)
 		}
 	}
+	first = len(brokenResponses.byUpstream[upstream]) == 0
 	brokenResponses.byUpstream[upstream] = append(brokenResponses.byUpstream[upstream], evidence...)
+	return first
 }
 
 // take removes and returns the evidence of an upstream that was added in time.
@@ -64,31 +69,46 @@
 	return pending
 }
 
-// poisonRefusal returns the refusal of a request with a part that crashes upstreams,
-// or nil. Each send must be preceded by a call without a wait between them.
+// poisonSubjects returns what the request may crash upstreams with: the parts of its
+// prompt that others share, and itself.
+func (proxyRequest *proxyRequest) poisonSubjects() []poison.Subject {
+	subjects := make([]poison.Subject, 0, len(proxyRequest.info.SharedParts)+1)
+	for _, part := range proxyRequest.info.SharedParts {
+		subjects = append(subjects, poison.Part(part))
+	}
+	return append(subjects, poison.Request(proxyRequest.identity))
+}
+
+// poisonRefusal returns the refusal of a request that crashes upstreams, or that has a
+// part that does, or nil. Each send must be preceded by a call without a wait between
+// them.
 func (proxyRequest *proxyRequest) poisonRefusal() *refusal {
-	if proxyRequest.probe || len(proxyRequest.info.SharedParts) == 0 {
+	if proxyRequest.probe {
 		return nil
 	}
 	relay := proxyRequest.relay
-	verdict := relay.poison.Check(proxyRequest.organisationName(), proxyRequest.info.SharedParts, relay.probePlace)
+	verdict := relay.poison.Check(proxyRequest.organisationName(), proxyRequest.subjects, relay.probePlace)
 	switch {
 	case verdict.Blocked:
 		relay.metrics.increment("poison-refused")
-		proxyRequest.log("poison: request has a blocked part", zap.String("part", verdict.Part))
-		return &refusal{http.StatusServiceUnavailable, "a part of the prompt crashes upstreams", verdict.RetryAfter}
+		proxyRequest.log("poison: request is blocked", zap.Stringer("subject", verdict.Subject))
+		reason := "a part of the prompt crashes upstreams"
+		if verdict.Subject.Identity() != 0 {
+			reason = "the request crashes upstreams"
+		}
+		return &refusal{http.StatusServiceUnavailable, reason, verdict.RetryAfter}
 	case verdict.Probe:
 		proxyRequest.probe = true
 		relay.metrics.increment("poison-probes")
-		proxyRequest.log("poison: request is sent as a probe", zap.Strings("parts", proxyRequest.info.SharedParts))
+		proxyRequest.log("poison: request is sent as a probe", zap.Stringers("subjects", proxyRequest.subjects))
 		relay.reportPoisonSoon()
 	}
 	return nil
 }
 
-// probePlace returns this instance's place in the ranking of all for a part.
-func (relay *Relay) probePlace(part string) int {
-	return rank.Place(part, relay.config.DatagramAddress, relay.peers.live())
+// probePlace returns this instance's place in the ranking of all for a subject.
+func (relay *Relay) probePlace(subject poison.Subject) int {
+	return rank.Place(subject.String(), relay.config.DatagramAddress, relay.peers.live())
 }
 
 // organisationName returns the name of the organisation, empty on an open route.
@@ -99,25 +119,45 @@
 	return proxyRequest.organisation.Name
 }
 
-// recordBreak records that the upstream's response broke off. A request that had not
-// begun, or whose send this instance ended itself, did nothing to the upstream.
-func (proxyRequest *proxyRequest) recordBreak(ctx context.Context, upstream fleet.Upstream) {
-	if ctx.Err() != nil || len(proxyRequest.info.SharedParts) == 0 || upstream.Draining {
+// recordBreak records that the upstream's response broke off, or that none was received
+// if answered is false. A request whose send this instance ended itself did nothing to
+// the upstream.
+func (proxyRequest *proxyRequest) recordBreak(ctx context.Context, upstream fleet.Upstream, answered bool) {
+	lost := errors.Is(context.Cause(ctx), errUpstreamLost)
+	if ctx.Err() != nil && !lost || proxyRequest.request.Context().Err() != nil || upstream.Draining {
 		return
 	}
-	now := time.Now()
+	relay, now := proxyRequest.relay, time.Now()
 	evidence := poison.Evidence{
-		Organisation: proxyRequest.organisationName(), Request: xxh3.HashString(proxyRequest.info.ID), Upstream: incarnationOf(upstream), At: now,
-		Fresh: now.Sub(proxyRequest.respondedAt) < onsetTime, Probe: proxyRequest.probe,
+		Subject:      poison.Request(proxyRequest.identity),
+		Organisation: proxyRequest.organisationName(), Request: proxyRequest.identity, Upstream: incarnationOf(upstream), At: now,
+		Fresh: answered && !proxyRequest.eventReceived, Unanswered: !answered && proxyRequest.service.Engine == nil, Probe: proxyRequest.probe,
 	}
-	var all []poison.Evidence
-	for _, part := range proxyRequest.info.SharedParts {
-		evidence.Part = part
-		all = append(all, evidence)
+	all := []poison.Evidence{evidence}
+	if answered {
+		// Without an answer, the request may have waited at the engine.
+		evidence.Fresh = now.Sub(proxyRequest.respondedAt) < onsetTime
+		for _, part := range proxyRequest.info.SharedParts {
+			evidence.Subject = poison.Part(part)
+			all = append(all, evidence)
+		}
 	}
 	proxyRequest.probe = false
-	proxyRequest.relay.brokenResponses.add(upstream.ID, all)
-	proxyRequest.relay.confirmCrash(upstream.ID)
+	first := relay.brokenResponses.add(upstream.ID, all)
+	relay.confirmCrash(upstream.ID)
+	if first && proxyRequest.service.Engine == nil {
+		time.AfterFunc(probeDelay, func() { relay.probeConnection(upstream) })
+	}
+}
+
+// probeConnection opens a connection to an upstream without a loader at which a
+// response broke off, to learn whether it crashed. The connection is kept for later.
+func (relay *Relay) probeConnection(upstream fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashConfirmTime)
+	defer cancel()
+	if err := relay.config.Pool.Open(ctx, upstream.Address); err != nil {
+		relay.recordRefusedConnection(upstream, err)
+	}
 }
 
 // confirmCrash makes evidence of the responses that broke off if their upstream is
@@ -143,25 +183,26 @@
 	if len(evidence) == 0 {
 		return
 	}
-	var fresh []string
+	var fresh []poison.Subject
 	for _, item := range evidence {
 		if item.Fresh {
-			fresh = append(fresh, item.Part)
+			fresh = append(fresh, item.Subject)
 		}
 	}
 	relay.metrics.increment("poison-crashes")
 	relay.config.Logger.Info("poison: upstream crashed while it answered requests", zap.String("upstream", upstream),
-		zap.Int64("born", evidence[0].Upstream.StartedAt), zap.Int("evidence", len(evidence)), zap.Strings("fresh-parts", fresh))
-	relay.logPoison(relay.poison.Add(true, evidence), nil, "")
+		zap.Int64("born", evidence[0].Upstream.StartedAt), zap.Int("evidence", len(evidence)), zap.Stringers("fresh", fresh))
+	blocked, cleared := relay.poison.Add(true, evidence)
+	relay.logPoison(blocked, cleared, "")
 	relay.reportPoisonSoon()
 }
 
 // recordCompleted records that an upstream completed its response.
 func (proxyRequest *proxyRequest) recordCompleted() {
 	relay := proxyRequest.relay
-	cleared := relay.poison.RecordCompleted(proxyRequest.organisationName(), proxyRequest.info.SharedParts)
+	cleared := relay.poison.RecordCompleted(proxyRequest.organisationName(), proxyRequest.subjects)
 	if len(cleared) > 0 {
-		proxyRequest.log("poison: response completed with blocked parts", zap.Strings("parts", cleared))
+		proxyRequest.log("poison: response completed although blocked", zap.Stringers("subjects", cleared))
 	}
 	relay.logPoison(nil, cleared, "")
 }
@@ -175,20 +216,20 @@
 	relay.logPoison(blocked, cleared, report.GetEntry())
 }
 
-// logPoison logs parts that were blocked and cleared, and wakes the requests that
+// logPoison logs subjects that were blocked and cleared, and wakes the requests that
 // wait. What another entry instance told led to it if peer is not empty.
-func (relay *Relay) logPoison(blocked, cleared []string, peer string) {
-	for _, part := range blocked {
+func (relay *Relay) logPoison(blocked, cleared []poison.Subject, peer string) {
+	for _, subject := range blocked {
 		var upstreams []string
-		for _, item := range relay.poison.Evidence(part) {
+		for _, item := range relay.poison.Evidence(subject) {
 			upstreams = append(upstreams, item.Upstream.ID)
 		}
 		relay.metrics.increment("poison-blocked")
-		relay.config.Logger.Warn("poison: part blocked", zap.String("part", part), zap.Strings("crashed", upstreams), zap.String("told", peer))
+		relay.config.Logger.Warn("poison: blocked", zap.Stringer("subject", subject), zap.Strings("crashed", upstreams), zap.String("told", peer))
 	}
-	for _, part := range cleared {
+	for _, subject := range cleared {
 		relay.metrics.increment("poison-cleared")
-		relay.config.Logger.Info("poison: part cleared", zap.String("part", part), zap.String("told", peer))
+		relay.config.Logger.Info("poison: cleared", zap.Stringer("subject", subject), zap.String("told", peer))
 	}
 	if len(blocked) > 0 {
 		relay.cancelBlocked()
--- a/internal/daemon/relay/poison_test.go
+++ b/internal/daemon/relay/poison_test.go
@@ -17,12 +17,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		broken := newBrokenResponses()
 		add := func(upstream, part string) {
-			broken.add(upstream, []poison.Evidence{{Part: part, At: time.Now()}})
+			broken.add(upstream, []poison.Evidence{{Subject: poison.Part(part), At: time.Now()}})
 		}
 		parts := func(upstream string) []string {
 			taken := []string{}
 			for _, item := range broken.take(upstream) {
-				taken = append(taken, item.Part)
+				taken = append(taken, item.Subject.Part())
 			}
 			return taken
 		}
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -17,6 +17,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
@@ -66,6 +67,8 @@
 	body         []byte
 	// identity is equal for two requests that differ in nothing but their ids.
 	identity uint64
+	// subjects holds what the request may crash upstreams with.
+	subjects []poison.Subject
 	adapter  lora.Adapter
 
 	// tried holds the upstreams that must not be tried again.
@@ -115,7 +118,7 @@
 	// eventReceived means that the response to the last send had an event.
 	eventReceived  bool
 	eventIntervals []time.Duration
-	// probe means that the request may be sent although parts of it are blocked.
+	// probe means that the request may be sent although it or a part of it is blocked.
 	probe bool
 	// headersSent means that the response headers were forwarded.
 	headersSent bool
@@ -171,6 +174,7 @@
 	if refused := proxyRequest.readBody(); refused != nil {
 		return refused
 	}
+	proxyRequest.subjects = proxyRequest.poisonSubjects()
 	if refused := proxyRequest.poisonRefusal(); refused != nil {
 		return refused
 	}
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -69,7 +69,7 @@
 	case outcomeAnswered:
 		proxyRequest.recordCompleted()
 	case outcomeUnknown:
-		proxyRequest.recordBreak(ctx, upstream)
+		proxyRequest.recordBreak(ctx, upstream, true)
 	}
 	return result
 }
@@ -136,13 +136,14 @@
 		return outcomeNotSent
 	}
 	proxyRequest.recordSent()
-	if errors.Is(context.Cause(ctx), errPartBlocked) {
+	if errors.Is(context.Cause(ctx), errBlocked) {
 		proxyRequest.runs++
 		return outcomeUnknown
 	}
 	if ctx.Err() == nil || lost {
 		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost),
 			zap.Strings("parts", proxyRequest.info.SharedParts), proxyRequest.identityField())
+		proxyRequest.recordBreak(ctx, upstream, false)
 	}
 	return proxyRequest.recordUnknown(upstream)
 }
--- a/internal/flow/poison/history.go
+++ b/internal/flow/poison/history.go
@@ -8,8 +8,9 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 )
 
-// history is what is known of one part.
+// history is what is known of one subject.
 type history struct {
+	subject Subject
 	// evidence is ordered by time.
 	evidence []knownEvidence
 	// completed holds the last completion for each organisation.
@@ -39,6 +40,7 @@
 			continue
 		}
 		history.evidence[i].Fresh = known.Fresh || added.Fresh
+		history.evidence[i].Unanswered = known.Unanswered || added.Unanswered
 		history.evidence[i].Probe = known.Probe || added.Probe
 		return history.evidence[i].Fresh != known.Fresh
 	}
@@ -79,7 +81,7 @@
 	return last
 }
 
-// block is the state of a part for one organisation.
+// block is the state of a subject for one organisation.
 type block struct {
 	blocked bool
 	// last is when the last crash was, and probeAt when a probe may be sent.
@@ -87,11 +89,12 @@
 	probeAt time.Time
 }
 
-// blockFor returns whether the part is blocked for an organisation: because of the
+// blockFor returns whether the subject is blocked for an organisation: because of the
 // crashes under its own requests, or of those under all requests if they concern
-// several organisations. So an organisation cannot get a part blocked for others.
+// several organisations. So an organisation cannot get a
+// subject blocked for others.
 func (history *history) blockFor(organisation string, config Config) block {
-	if len(history.evidence) < minRequests {
+	if len(history.evidence) < minEvidence {
 		return block{}
 	}
 	own := history.tally(config, func(known knownEvidence) bool { return known.Organisation == organisation })
@@ -109,13 +112,12 @@
 // tally sums up evidence.
 type tally struct {
 	weight        int
-	requests      int
 	organisations int
 	failedProbes  int
 	last          time.Time
 }
 
-func (tally tally) blocks() bool { return tally.weight >= blockWeight && tally.requests >= minRequests }
+func (tally tally) blocks() bool { return tally.weight >= blockWeight }
 
 func (tally tally) block(config Config) block {
 	hold := config.InitialHold
@@ -125,45 +127,104 @@
 	return block{blocked: true, last: tally.last, probeAt: tally.last.Add(hold)}
 }
 
+// crash is the end of one upstream, with the weight that each request gives it.
+type crash struct {
+	upstream cordon.Incarnation
+	weights  map[uint64]int
+	probe    bool
+}
+
 // tally sums up the evidence that a function selects.
 func (history *history) tally(config Config, selected func(knownEvidence) bool) tally {
 	var sum tally
-	requests, organisations := make(map[uint64]bool), make(map[string]bool)
-	weights := make(map[cordon.Incarnation]int)
-	soundAt := history.lastCompletion()
+	var crashes []*crash
+	byUpstream := make(map[cordon.Incarnation]*crash)
+	perRequest, organisations := make(map[uint64]int), make(map[string]bool)
 	var countedAt time.Time
 	for _, known := range history.evidence {
 		if !selected(known) {
 			continue
 		}
-		weight := otherWeight
-		if known.Fresh && (soundAt.IsZero() || known.At.Sub(soundAt) > config.SoundTime) {
-			weight = freshWeight
-		}
-		requests[known.Request], organisations[known.Organisation] = true, true
+		organisations[known.Organisation] = true
 		sum.last = known.At
-		before, counted := weights[known.Upstream]
-		if !counted && known.At.Sub(countedAt) < coincidence {
+		counted, ok := byUpstream[known.Upstream]
+		switch {
+		case !ok && known.At.Sub(countedAt) < coincidence:
 			continue
-		}
-		if !counted {
+		case !ok:
 			countedAt = known.At
-			if known.Probe {
-				sum.failedProbes++
+			counted = &crash{upstream: known.Upstream, weights: make(map[uint64]int), probe: known.Probe}
+			byUpstream[known.Upstream] = counted
+			crashes = append(crashes, counted)
+		}
+		perRequest[known.Request]++
+		counted.weights[known.Request] = max(counted.weights[known.Request], history.weight(known.Evidence, config))
+	}
+	for _, counted := range crashes {
+		if counted.probe {
+			sum.failedProbes++
+		}
+	}
+	sum.weight, sum.organisations = history.sumWeights(crashes, perRequest), len(organisations)
+	return sum
+}
+
+// weight returns the weight of one record of evidence.
+func (history *history) weight(evidence Evidence, config Config) int {
+	soundAt := history.lastCompletion()
+	fresh := evidence.Fresh && (soundAt.IsZero() || evidence.At.Sub(soundAt) > config.SoundTime)
+	switch {
+	case fresh:
+		return freshWeight
+	case history.subject.Identity() == 0:
+		return lateWeight
+	case evidence.Unanswered:
+		return unansweredWeight
+	default:
+		return otherWeight
+	}
+}
+
+// sumWeights sums up the weights of crashes. Of the requests under which an upstream
+// crashed, the one counts that gives the most weight, and of several the one under which
+// most upstreams crashed. Against a part, each request counts with freshWeight at most,
+// however often it is repeated.
+func (history *history) sumWeights(crashes []*crash, perRequest map[uint64]int) int {
+	byRequest := make(map[uint64]int)
+	for _, crash := range crashes {
+		var request uint64
+		for candidate, weight := range crash.weights {
+			better := cmp.Or(cmp.Compare(weight, crash.weights[request]), cmp.Compare(perRequest[candidate], perRequest[request]), cmp.Compare(candidate, request))
+			if better > 0 {
+				request = candidate
 			}
 		}
-		weights[known.Upstream] = max(before, weight)
-		sum.weight += weights[known.Upstream] - before
+		byRequest[request] += crash.weights[request]
+	}
+	sum := 0
+	for _, weight := range byRequest {
+		if history.subject.Identity() == 0 {
+			weight = min(weight, freshWeight)
+		}
+		sum += weight
 	}
-	sum.requests, sum.organisations = len(requests), len(organisations)
 	return sum
 }
 
+// removeExplained removes the evidence of other requests at crashes that blocked
+// requests explain.
+func (history *history) removeExplained(explained map[cordon.Incarnation]uint64) {
+	history.evidence = slices.DeleteFunc(history.evidence, func(known knownEvidence) bool {
+		identity, ok := explained[known.Upstream]
+		return ok && identity != known.Request
+	})
+}
+
 // blockedUntil returns the end of the longest hold for any organisation, or zero if
-// the part is not blocked.
+// the subject is not blocked.
 func (history *history) blockedUntil(config Config) time.Time {
 	var until time.Time
-	if len(history.evidence) < minRequests {
+	if len(history.evidence) < minEvidence {
 		return until
 	}
 	for _, known := range history.evidence {
@@ -174,7 +235,7 @@
 	return until
 }
 
-// sharesRequestsWith reports whether all requests that speak against the part also
+// sharesRequestsWith reports whether all requests that speak against the subject also
 // speak against another one.
 func (history *history) sharesRequestsWith(other *history) bool {
 	for _, known := range history.evidence {
@@ -201,7 +262,7 @@
 	return history.evidence[len(history.evidence)-1].At
 }
 
-// expired reports whether the part may be forgotten.
+// expired reports whether the subject may be forgotten.
 func (history *history) expired(now time.Time, config Config) bool {
 	last := history.blockedUntil(config)
 	if last.IsZero() {
@@ -215,5 +276,5 @@
 
 // compareEvidence orders evidence for passing it on.
 func compareEvidence(a, b Evidence) int {
-	return cmp.Or(cmp.Compare(a.Part, b.Part), a.At.Compare(b.At), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Upstream.ID, b.Upstream.ID))
+	return cmp.Or(a.Subject.compare(b.Subject), a.At.Compare(b.At), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Upstream.ID, b.Upstream.ID))
 }
--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -1,11 +1,12 @@
-// Package poison finds the parts of prompts that crash upstreams, so that requests
-// with them can be refused (poison messages, also known as queries of death).
+// Package poison finds what crashes upstreams, so that it can be refused (poison
+// messages, also known as queries of death). Its subjects are the parts of prompts, which
+// requests share, and whole requests, which callers repeat.
 //
-// Evidence against a part is a crash of an upstream while it answered a request with
-// the part. A completed response to such a request is evidence that the part is
-// sound. Each instance keeps a Tracker, and all exchange what they record, so that
-// crashes that different instances observe add up. Evidence is a set, and merging it
-// is idempotent and commutative.
+// Evidence against a subject is a crash of an upstream while it answered a request with
+// it. A completed response to such a request is evidence that the subject is sound. Each
+// instance keeps a Tracker, and all exchange what they record, so that crashes that
+// different instances observe add up. Evidence is a set, and merging it is idempotent
+// and commutative.
 package poison
 
 import (
@@ -17,10 +18,10 @@
 
 // Defaults of Config.
 const (
-	// DefaultInitialHold is how long a part is blocked before one request with it may
+	// DefaultInitialHold is how long a subject is blocked before one request with it may
 	// be sent as a probe. Each failed probe multiplies the time by holdFactor.
 	DefaultInitialHold = 30 * time.Second
-	// DefaultSoundTime is how long after a completed response a part counts as having
+	// DefaultSoundTime is how long after a completed response a subject counts as having
 	// been sound.
 	DefaultSoundTime = time.Minute
 	// DefaultAnnouncePeriod is how long a record is passed on with each report to
@@ -33,14 +34,14 @@
 	holdFactor = 20
 	maxHold    = 24 * time.Hour
 	// retention is how long after its hold, or after its last crash if it is not
-	// blocked, a part is remembered.
+	// blocked, a subject is remembered.
 	retention = 10 * time.Minute
-	// expireInterval is the time between two searches for parts to forget.
+	// expireInterval is the time between two searches for subjects to forget.
 	expireInterval = time.Second
 	// coincidence is the time within which crashes of several upstreams count as one,
 	// as they may have a cause in common, such as a loss of power.
 	coincidence = 20 * time.Millisecond
-	// ambiguousHold is the hold for a request that lacks one of the parts that share
+	// ambiguousHold is the hold for a request that lacks one of the subjects that share
 	// the blame for the same crashes: its outcome shows which of them is at fault.
 	ambiguousHold = 2 * time.Second
 	// probeInterval is how long the outcome of a probe is awaited before the next
@@ -49,28 +50,39 @@
 	// probeStagger is how much later each instance may send a probe than the one
 	// that ranks before it, so that they do not send one each.
 	probeStagger = 250 * time.Millisecond
-	// probeRetryAfter is how long the callers of a part that waits for its probe are
+	// probeRetryAfter is how long the callers of a subject that waits for its probe are
 	// told to wait.
 	probeRetryAfter = time.Second
 )
 
 const (
-	// A crash counts freshWeight against a part if the upstream had just begun to
-	// answer a request with it and the part was not known to be sound, else
-	// otherWeight. A part is blocked when its crashes sum up to blockWeight and
-	// minRequests different requests were involved.
-	freshWeight = 2
-	otherWeight = 1
-	blockWeight = 4
-	minRequests = 2
+	// A crash counts against a part with freshWeight if the upstream had just begun to
+	// answer a request with it and the part was not known to be sound, else with
+	// lateWeight. All crashes under one request, repeats included, count against a part
+	// with freshWeight together.
+	freshWeight = 6
+	lateWeight  = 3
+	// A crash counts against a request with freshWeight if the upstream had begun to
+	// answer it and the request was not known to be sound, with unansweredWeight if it
+	// had not and the upstream has no queue, else with otherWeight.
+	unansweredWeight = 4
+	otherWeight      = 2
+	// A subject is blocked when its crashes sum up to blockWeight.
+	blockWeight = 12
+	// minEvidence is the least evidence that can sum up to blockWeight.
+	minEvidence = 2
 )
 
 const (
-	// maxParts bounds the parts with evidence, maxEvidence the evidence of one part,
-	// and maxSoundParts the parts remembered as sound.
-	maxParts      = 4096
-	maxEvidence   = 24
-	maxSoundParts = 16384
+	// maxSubjects bounds the subjects with evidence, and maxEvidence the evidence of one.
+	maxSubjects = 4096
+	maxEvidence = 24
+	// maxSoundParts and maxSoundRequests bound the parts and the requests that are
+	// remembered as sound.
+	maxSoundParts    = 16384
+	maxSoundRequests = 4096
+	// maxExplained bounds the crashes that blocked requests explain.
+	maxExplained = 4096
 	// maxRecent bounds the evidence passed on with each report.
 	maxRecent = 256
 )
@@ -89,19 +101,21 @@
 	return config
 }
 
-// Evidence is one request with a part that an upstream was answering when it
+// Evidence is one request with a subject that an upstream was answering when it
 // crashed.
 type Evidence struct {
-	Part         string
+	Subject      Subject
 	Organisation string
-	// Request identifies the request.
+	// Request is the identity of the request. Its repeats have the same one.
 	Request uint64
 	// Upstream is the incarnation that crashed, and At when it did.
 	Upstream cordon.Incarnation
 	At       time.Time
 	// Fresh means that the upstream had just begun to answer the request.
 	Fresh bool
-	// Probe means that the request was sent although the part was blocked.
+	// Unanswered means that the upstream, which has no queue, had not begun to answer.
+	Unanswered bool
+	// Probe means that the request was sent although the subject was blocked.
 	Probe bool
 }
 
@@ -110,17 +124,17 @@
 	return evidence.Request == other.Request && evidence.Upstream == other.Upstream
 }
 
-// Completion is a response to a request with a part that an upstream completed.
+// Completion is a response to a request with a subject that an upstream completed.
 type Completion struct {
-	Part         string
+	Subject      Subject
 	Organisation string
 	At           time.Time
 }
 
-// Probe is the sending of a probe of a blocked part.
+// Probe is the sending of a probe of a blocked subject.
 type Probe struct {
-	Part string
-	At   time.Time
+	Subject Subject
+	At      time.Time
 }
 
 // News is what one instance tells others.
@@ -132,11 +146,11 @@
 
 // Verdict says whether a request may be sent. The zero value means that it may.
 type Verdict struct {
-	// Blocked means that the request must be refused because of Part. It may be
+	// Blocked means that the request must be refused because of Subject. It may be
 	// accepted again after RetryAfter.
 	Blocked    bool
-	Part       string
+	Subject    Subject
 	RetryAfter time.Duration
-	// Probe means that the request may be sent as a probe of blocked parts.
+	// Probe means that the request may be sent as a probe of blocked subjects.
 	Probe bool
 }
--- a/internal/flow/poison/tracker.go
+++ b/internal/flow/poison/tracker.go
@@ -5,54 +5,90 @@
 	"slices"
 	"sync"
 	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 )
 
-// Tracker tracks which parts of prompts crash upstreams. Its methods may be called
-// concurrently.
+// Tracker tracks which parts of prompts and which requests crash upstreams. Its methods
+// may be called concurrently.
 type Tracker struct {
 	config Config
 
-	mutex sync.Mutex
-	parts map[string]*history
-	// sound and soundBefore hold the last completions of parts without evidence. When
-	// sound is full, it replaces soundBefore.
-	sound, soundBefore map[string]Completion
-	expiredAt          time.Time
+	mutex    sync.Mutex
+	subjects map[Subject]*history
+	// soundParts and soundRequests hold the last completions of subjects without
+	// evidence.
+	soundParts, soundRequests *soundSubjects
+	// explained holds the blocked request that explains a crash. No other request
+	// speaks against anything then.
+	explained map[cordon.Incarnation]uint64
+	expiredAt time.Time
 	// nextEvidence is where the next part of the evidence begins that AgainstBlocked returns.
 	nextEvidence int
 }
 
 // New returns an empty Tracker.
 func New(config Config) *Tracker {
-	return &Tracker{config: config.withDefaults(), parts: make(map[string]*history), sound: make(map[string]Completion)}
+	return &Tracker{
+		config: config.withDefaults(), subjects: make(map[Subject]*history), explained: make(map[cordon.Incarnation]uint64),
+		soundParts: newSoundSubjects(maxSoundParts), soundRequests: newSoundSubjects(maxSoundRequests),
+	}
 }
 
 // Add records evidence that this instance (own) or another one observed. It returns
-// the parts that are blocked because of it and were not before.
-func (tracker *Tracker) Add(own bool, added []Evidence) (blocked []string) {
+// the subjects that are blocked because of it and were not before, and those that no
+// longer are.
+func (tracker *Tracker) Add(own bool, added []Evidence) (blocked, cleared []Subject) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	tracker.expire()
 	for _, evidence := range tracker.withoutExplained(tracker.withoutRefuted(added)) {
-		known := tracker.parts[evidence.Part]
+		known := tracker.subjects[evidence.Subject]
 		before := known.blockFor(evidence.Organisation, tracker.config).blocked
 		announced := knownEvidence{Evidence: evidence}
 		if own {
 			announced.announceUntil = time.Now().Add(tracker.config.AnnouncePeriod)
 		}
 		known.add(announced)
-		if !before && known.blockFor(evidence.Organisation, tracker.config).blocked && !slices.Contains(blocked, evidence.Part) {
-			blocked = append(blocked, evidence.Part)
+		after := known.blockFor(evidence.Organisation, tracker.config).blocked
+		if !before && after && !slices.Contains(blocked, evidence.Subject) {
+			blocked = append(blocked, evidence.Subject)
+		}
+		if after && evidence.Subject.Identity() != 0 {
+			cleared = append(cleared, tracker.explain(known)...)
 		}
 	}
-	return blocked
+	blocked = slices.DeleteFunc(blocked, func(subject Subject) bool { return slices.Contains(cleared, subject) })
+	return blocked, cleared
+}
+
+// explain drops what other requests speak against at the crashes of a blocked request.
+// It returns the subjects that are no longer blocked.
+func (tracker *Tracker) explain(request *history) (cleared []Subject) {
+	if len(tracker.explained) >= maxExplained {
+		clear(tracker.explained)
+	}
+	for _, known := range request.evidence {
+		tracker.explained[known.Upstream] = request.subject.Identity()
+	}
+	for subject, other := range tracker.subjects {
+		if other == request {
+			continue
+		}
+		before := !other.blockedUntil(tracker.config).IsZero()
+		other.removeExplained(tracker.explained)
+		if before && other.blockedUntil(tracker.config).IsZero() {
+			cleared = append(cleared, subject)
+		}
+	}
+	return cleared
 }
 
 // withoutRefuted drops the evidence that a completion refutes. The completion is
 // announced again, as the sender of the evidence has not heard of it.
 func (tracker *Tracker) withoutRefuted(added []Evidence) []Evidence {
 	return slices.DeleteFunc(slices.Clone(added), func(evidence Evidence) bool {
-		known := tracker.historyOf(evidence.Part)
+		known := tracker.historyOf(evidence.Subject)
 		if known == nil {
 			return true
 		}
@@ -66,12 +102,13 @@
 	})
 }
 
-// withoutExplained drops the evidence against the other parts of a request if one of
-// its parts is blocked already, which explains the crash.
+// withoutExplained drops the evidence against the other subjects of a request if one of
+// them is blocked already, which explains the crash, and that of other requests at a
+// crash that a blocked one explains.
 func (tracker *Tracker) withoutExplained(added []Evidence) []Evidence {
 	explained := make(map[uint64]bool)
 	isBlocked := func(evidence Evidence) bool {
-		known, ok := tracker.parts[evidence.Part]
+		known, ok := tracker.subjects[evidence.Subject]
 		return ok && known.blockFor(evidence.Organisation, tracker.config).blocked
 	}
 	for _, evidence := range added {
@@ -80,63 +117,63 @@
 		}
 	}
 	return slices.DeleteFunc(added, func(evidence Evidence) bool {
-		return explained[evidence.Request] && !isBlocked(evidence)
+		request, ok := tracker.explained[evidence.Upstream]
+		return ok && request != evidence.Request || explained[evidence.Request] && !isBlocked(evidence)
 	})
 }
 
-// historyOf returns the history of a part, which it creates if needed, or nil if
+// historyOf returns the history of a subject, which it creates if needed, or nil if
 // there are too many.
-func (tracker *Tracker) historyOf(part string) *history {
-	known, ok := tracker.parts[part]
+func (tracker *Tracker) historyOf(subject Subject) *history {
+	known, ok := tracker.subjects[subject]
 	if ok {
 		return known
 	}
-	if len(tracker.parts) >= maxParts {
+	if len(tracker.subjects) >= maxSubjects {
 		return nil
 	}
-	known = &history{completed: make(map[string]knownCompletion)}
-	if completion, ok := tracker.lastSound(part); ok {
+	known = &history{subject: subject, completed: make(map[string]knownCompletion)}
+	if completion, ok := tracker.sound(subject).last(subject); ok {
 		known.completed[completion.Organisation] = knownCompletion{at: completion.At, announceUntil: time.Now().Add(tracker.config.AnnouncePeriod)}
 	}
-	tracker.parts[part] = known
+	tracker.subjects[subject] = known
 	return known
 }
 
-// lastSound returns the last completion of a part without evidence.
-func (tracker *Tracker) lastSound(part string) (Completion, bool) {
-	if completion, ok := tracker.sound[part]; ok {
-		return completion, true
+// sound returns the sound subjects of a subject's kind.
+func (tracker *Tracker) sound(subject Subject) *soundSubjects {
+	if subject.Identity() != 0 {
+		return tracker.soundRequests
 	}
-	completion, ok := tracker.soundBefore[part]
-	return completion, ok
+	return tracker.soundParts
 }
 
-// expire forgets parts, once every expireInterval.
+// expire forgets subjects, once every expireInterval.
 func (tracker *Tracker) expire() {
 	now := time.Now()
 	if now.Sub(tracker.expiredAt) < expireInterval {
 		return
 	}
 	tracker.expiredAt = now
-	maps.DeleteFunc(tracker.parts, func(_ string, known *history) bool { return known.expired(now, tracker.config) })
-	if len(tracker.parts) < maxParts {
+	maps.DeleteFunc(tracker.subjects, func(_ Subject, known *history) bool { return known.expired(now, tracker.config) })
+	if len(tracker.subjects) < maxSubjects {
 		return
 	}
-	maps.DeleteFunc(tracker.parts, func(_ string, known *history) bool {
+	maps.DeleteFunc(tracker.subjects, func(_ Subject, known *history) bool {
 		return known.blockedUntil(tracker.config).IsZero() && now.Sub(known.lastEvidence()) > tracker.config.SoundTime
 	})
 }
 
 // RecordCompleted records that an upstream completed its response to a request with
-// parts. It returns the parts that are no longer blocked for the organisation.
-func (tracker *Tracker) RecordCompleted(organisation string, parts []string) (cleared []string) {
+// subjects. It returns those that are no longer blocked for the organisation.
+func (tracker *Tracker) RecordCompleted(organisation string, subjects []Subject) (cleared []Subject) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
-	for _, part := range parts {
-		known, ok := tracker.parts[part]
+	for _, subject := range subjects {
+		known, ok := tracker.subjects[subject]
 		if !ok {
-			tracker.recordSound(Completion{Part: part, Organisation: organisation, At: now})
+			tracker.sound(subject).record(Completion{Subject: subject, Organisation: organisation, At: now})
 			continue
 		}
 		before := known.blockFor(organisation, tracker.config).blocked
@@ -144,41 +181,35 @@
 			known.completed[organisation] = knownCompletion{at: now, announceUntil: now.Add(tracker.config.AnnouncePeriod)}
 		}
 		if before && !known.blockFor(organisation, tracker.config).blocked {
-			cleared = append(cleared, part)
+			cleared = append(cleared, subject)
 		}
 	}
 	return cleared
 }
 
-func (tracker *Tracker) recordSound(completion Completion) {
-	if len(tracker.sound) >= maxSoundParts/2 {
-		tracker.soundBefore, tracker.sound = tracker.sound, make(map[string]Completion)
-	}
-	tracker.sound[completion.Part] = completion
-}
-
-// Merge records what another instance observed. It returns the parts that are blocked
-// because of it and were not before, and those that no longer are.
-func (tracker *Tracker) Merge(news News) (blocked, cleared []string) {
-	cleared = tracker.complete(news.Completions)
+// Merge records what another instance observed. It returns the subjects that are
+// blocked because of it and were not before, and those that no longer are.
+func (tracker *Tracker) Merge(news News) (blocked, cleared []Subject) {
+	refuted := tracker.complete(news.Completions)
 	tracker.recordProbes(news.Probes)
-	return tracker.Add(false, news.Evidence), cleared
+	blocked, cleared = tracker.Add(false, news.Evidence)
+	return blocked, append(refuted, cleared...)
 }
 
-// complete records completions that another instance observed. It returns the parts
-// that are no longer blocked for the organisation of the completion.
-func (tracker *Tracker) complete(completions []Completion) (cleared []string) {
+// complete records completions that another instance observed. It returns the
+// subjects that are no longer blocked for the organisation of the completion.
+func (tracker *Tracker) complete(completions []Completion) (cleared []Subject) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	for _, completion := range completions {
-		known := tracker.historyOf(completion.Part)
+		known := tracker.historyOf(completion.Subject)
 		if known == nil {
 			continue
 		}
 		before := known.blockFor(completion.Organisation, tracker.config).blocked
 		known.complete(completion.Organisation, knownCompletion{at: completion.At})
 		if before && !known.blockFor(completion.Organisation, tracker.config).blocked {
-			cleared = append(cleared, completion.Part)
+			cleared = append(cleared, completion.Subject)
 		}
 	}
 	return cleared
@@ -188,22 +219,22 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	for _, probe := range probes {
-		if known, ok := tracker.parts[probe.Part]; ok && known.probedAt.Before(probe.At) {
+		if known, ok := tracker.subjects[probe.Subject]; ok && known.probedAt.Before(probe.At) {
 			known.probedAt = probe.At
 		}
 	}
 }
 
 // Check decides whether a request may be sent. place returns this instance's place,
-// counted from 0, in the ranking of all instances for a part.
-func (tracker *Tracker) Check(organisation string, parts []string, place func(part string) int) Verdict {
+// counted from 0, in the ranking of all instances for a subject.
+func (tracker *Tracker) Check(organisation string, subjects []Subject, place func(Subject) int) Verdict {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	now := time.Now()
 	var verdict Verdict
 	var probed []*history
-	for _, part := range parts {
-		known, ok := tracker.parts[part]
+	for _, subject := range subjects {
+		known, ok := tracker.subjects[subject]
 		if !ok {
 			continue
 		}
@@ -212,12 +243,12 @@
 			continue
 		}
 		probeAt := block.probeAt
-		if tracker.ambiguous(known, organisation, parts) {
+		if tracker.ambiguous(known, organisation, subjects) {
 			probeAt = block.last.Add(ambiguousHold)
 		}
-		if !known.probeDue(now, probeAt, place(part)) {
+		if !known.probeDue(now, probeAt, place(subject)) {
 			retryAfter := max(probeAt.Sub(now), probeRetryAfter)
-			verdict = Verdict{Blocked: true, Part: part, RetryAfter: max(retryAfter, verdict.RetryAfter)}
+			verdict = Verdict{Blocked: true, Subject: subject, RetryAfter: max(retryAfter, verdict.RetryAfter)}
 			continue
 		}
 		probed = append(probed, known)
@@ -231,21 +262,21 @@
 	return Verdict{Probe: true}
 }
 
-// Blocked reports whether a request has a blocked part, also if it could be a probe.
-func (tracker *Tracker) Blocked(organisation string, parts []string) bool {
+// Blocked reports whether a request has a blocked subject, also if it could be a probe.
+func (tracker *Tracker) Blocked(organisation string, subjects []Subject) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	return slices.ContainsFunc(parts, func(part string) bool {
-		known, ok := tracker.parts[part]
+	return slices.ContainsFunc(subjects, func(subject Subject) bool {
+		known, ok := tracker.subjects[subject]
 		return ok && known.blockFor(organisation, tracker.config).blocked
 	})
 }
 
-// ambiguous reports whether another blocked part, which the request lacks, explains
-// all that speaks against a part.
-func (tracker *Tracker) ambiguous(known *history, organisation string, parts []string) bool {
-	for part, other := range tracker.parts {
-		if other == known || slices.Contains(parts, part) || !known.sharesRequestsWith(other) {
+// ambiguous reports whether another blocked subject, which the request lacks, explains
+// all that speaks against a subject.
+func (tracker *Tracker) ambiguous(known *history, organisation string, subjects []Subject) bool {
+	for subject, other := range tracker.subjects {
+		if other == known || slices.Contains(subjects, subject) || !known.sharesRequestsWith(other) {
 			continue
 		}
 		if other.blockFor(organisation, tracker.config).blocked {
@@ -262,7 +293,7 @@
 	defer tracker.mutex.Unlock()
 	now := time.Now()
 	var news News
-	for part, known := range tracker.parts {
+	for subject, known := range tracker.subjects {
 		for _, item := range known.evidence {
 			if now.Before(item.announceUntil) {
 				news.Evidence = append(news.Evidence, item.Evidence)
@@ -270,11 +301,11 @@
 		}
 		for organisation, completion := range known.completed {
 			if now.Before(completion.announceUntil) {
-				news.Completions = append(news.Completions, Completion{Part: part, Organisation: organisation, At: completion.at})
+				news.Completions = append(news.Completions, Completion{Subject: subject, Organisation: organisation, At: completion.at})
 			}
 		}
 		if now.Before(known.probeAnnounceUntil) {
-			news.Probes = append(news.Probes, Probe{Part: part, At: known.probedAt})
+			news.Probes = append(news.Probes, Probe{Subject: subject, At: known.probedAt})
 		}
 	}
 	if len(news.Evidence) > maxRecent {
@@ -296,13 +327,13 @@
 	}
 }
 
-// AgainstBlocked returns up to limit records of the evidence against blocked parts,
+// AgainstBlocked returns up to limit records of the evidence against blocked subjects,
 // whoever observed it. If there are more, each call returns the next ones.
 func (tracker *Tracker) AgainstBlocked(limit int) []Evidence {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	var all []Evidence
-	for _, known := range tracker.parts {
+	for _, known := range tracker.subjects {
 		if known.blockedUntil(tracker.config).IsZero() {
 			continue
 		}
@@ -319,12 +350,12 @@
 	return append(slices.Clone(all[start:]), all[:start]...)[:limit]
 }
 
-// CountBlocked returns the number of parts that are blocked for some organisation.
+// CountBlocked returns the number of subjects that are blocked for some organisation.
 func (tracker *Tracker) CountBlocked() int {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	count := 0
-	for _, known := range tracker.parts {
+	for _, known := range tracker.subjects {
 		if !known.blockedUntil(tracker.config).IsZero() {
 			count++
 		}
@@ -332,11 +363,11 @@
 	return count
 }
 
-// Evidence returns what speaks against a part.
-func (tracker *Tracker) Evidence(part string) []Evidence {
+// Evidence returns what speaks against a subject.
+func (tracker *Tracker) Evidence(subject Subject) []Evidence {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	known, ok := tracker.parts[part]
+	known, ok := tracker.subjects[subject]
 	if !ok {
 		return nil
 	}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -171,6 +171,17 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Body: body}, nil
 }
 
+// Open opens a connection to an address and keeps it for later requests. Its errors are
+// of class NotSent.
+func (pool *Pool) Open(ctx context.Context, address string) error {
+	conn, err := pool.dial(ctx, address)
+	if err != nil {
+		return NotSent.Wrap(err)
+	}
+	pool.putIdle(address, conn, pool.config.IdleTimeout)
+	return nil
+}
+
 // Close closes the idle connections.
 func (pool *Pool) Close() {
 	pool.mutex.Lock()
--- a/internal/wire/codec/poison.go
+++ b/internal/wire/codec/poison.go
@@ -17,18 +17,18 @@
 	encoded := &wirepb.PoisonNews{}
 	for _, evidence := range news.Evidence {
 		encoded.Evidence = append(encoded.Evidence, &wirepb.CrashEvidence{
-			Part: evidence.Part, Organisation: evidence.Organisation, Request: evidence.Request,
+			Part: evidence.Subject.Part(), Identity: evidence.Subject.Identity(), Organisation: evidence.Organisation, Request: evidence.Request,
 			Upstream: evidence.Upstream.ID, Born: evidence.Upstream.StartedAt,
-			AgeMs: encodeAge(evidence.At), Fresh: evidence.Fresh, Probe: evidence.Probe,
+			AgeMs: encodeAge(evidence.At), Fresh: evidence.Fresh, Unanswered: evidence.Unanswered, Probe: evidence.Probe,
 		})
 	}
 	for _, completion := range news.Completions {
-		encoded.Completions = append(encoded.Completions, &wirepb.PartCompletion{
-			Part: completion.Part, Organisation: completion.Organisation, AgeMs: encodeAge(completion.At),
+		encoded.Completions = append(encoded.Completions, &wirepb.PoisonCompletion{
+			Part: completion.Subject.Part(), Identity: completion.Subject.Identity(), Organisation: completion.Organisation, AgeMs: encodeAge(completion.At),
 		})
 	}
 	for _, probe := range news.Probes {
-		encoded.Probes = append(encoded.Probes, &wirepb.PartProbe{Part: probe.Part, AgeMs: encodeAge(probe.At)})
+		encoded.Probes = append(encoded.Probes, &wirepb.PoisonProbe{Part: probe.Subject.Part(), Identity: probe.Subject.Identity(), AgeMs: encodeAge(probe.At)})
 	}
 	return encoded
 }
@@ -38,22 +38,33 @@
 	var news poison.News
 	for _, evidence := range encoded.GetEvidence() {
 		news.Evidence = append(news.Evidence, poison.Evidence{
-			Part: evidence.GetPart(), Organisation: evidence.GetOrganisation(), Request: evidence.GetRequest(),
+			Subject: decodeSubject(evidence), Organisation: evidence.GetOrganisation(), Request: evidence.GetRequest(),
 			Upstream: cordon.Incarnation{ID: evidence.GetUpstream(), StartedAt: evidence.GetBorn()},
-			At:       decodeAge(evidence.GetAgeMs()), Fresh: evidence.GetFresh(), Probe: evidence.GetProbe(),
+			At:       decodeAge(evidence.GetAgeMs()), Fresh: evidence.GetFresh(), Unanswered: evidence.GetUnanswered(), Probe: evidence.GetProbe(),
 		})
 	}
 	for _, completion := range encoded.GetCompletions() {
 		news.Completions = append(news.Completions, poison.Completion{
-			Part: completion.GetPart(), Organisation: completion.GetOrganisation(), At: decodeAge(completion.GetAgeMs()),
+			Subject: decodeSubject(completion), Organisation: completion.GetOrganisation(), At: decodeAge(completion.GetAgeMs()),
 		})
 	}
 	for _, probe := range encoded.GetProbes() {
-		news.Probes = append(news.Probes, poison.Probe{Part: probe.GetPart(), At: decodeAge(probe.GetAgeMs())})
+		news.Probes = append(news.Probes, poison.Probe{Subject: decodeSubject(probe), At: decodeAge(probe.GetAgeMs())})
 	}
 	return news
 }
 
+// decodeSubject returns the subject of a message.
+func decodeSubject(message interface {
+	GetPart() string
+	GetIdentity() uint64
+}) poison.Subject {
+	if identity := message.GetIdentity(); identity != 0 {
+		return poison.Request(identity)
+	}
+	return poison.Part(message.GetPart())
+}
+
 // encodeAge returns the time since a moment in milliseconds.
 func encodeAge(at time.Time) uint32 {
 	return uint32(min(max(time.Since(at).Milliseconds(), 0), math.MaxUint32))
