Let loaders keep the evidence against blocked requests and parts

The evidence against what is blocked now travels with what loaders keep for relays that start. TestRecallPoison: a relay that a loader tells blocks the request.

--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/flow/rank"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
@@ -33,14 +34,22 @@
 	if time.Since(sentAt) < interval {
 		return sentAt
 	}
-	memory := &wirepb.Memory{Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePast()}
-	if len(memory.GetRetries()) == 0 {
+	memory := relay.memory()
+	if len(memory.GetRetries()) == 0 && memory.GetPoison() == nil {
 		return time.Now()
 	}
 	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: memory}}, relay.memoryKeepers()...)
 	return time.Now()
 }
 
+// memory returns what this instance knows of all.
+func (relay *Relay) memory() *wirepb.Memory {
+	return &wirepb.Memory{
+		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePast(),
+		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerReport)}),
+	}
+}
+
 // memoryKeepers returns the addresses of the loaders that keep what this instance
 // knows: those that rank first for it, its own failure domain before others.
 func (relay *Relay) memoryKeepers() []string {
@@ -78,5 +87,7 @@
 		service, use := codec.DecodeRetryUse(encoded)
 		relay.retryBudget.ledger(service).Recall(use.Past, age)
 	}
+	blocked, cleared := relay.poison.Merge(codec.DecodePoisonNews(memory.GetPoison()).Aged(age))
+	relay.logPoison(blocked, cleared, memory.GetEntry())
 	relay.config.Logger.Debug("relay: recalled what an entry instance knew", zap.String("entry", memory.GetEntry()), zap.Duration("age", age))
 }
--- a/internal/daemon/relay/poison_test.go
+++ b/internal/daemon/relay/poison_test.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 )
 
@@ -35,3 +38,21 @@
 		}
 	})
 }
+
+// TestRecallPoison guards against a block that is forgotten when all entry instances
+// end: one that starts is told by a loader.
+func TestRecallPoison(t *testing.T) {
+	config := Config{ReadyPath: "/ready", Logger: zap.NewNop()}
+	sender, starting := New(config), New(config)
+	subject := poison.Request(7)
+	for number := range 2 {
+		sender.poison.Add(true, []poison.Evidence{{
+			Subject: subject, Organisation: "hule", Request: 7, At: time.Now().Add(time.Duration(number) * -time.Second), Fresh: true,
+			Upstream: cordon.Incarnation{ID: "engine-" + strconv.Itoa(number)},
+		}})
+	}
+	starting.handleMemory(sender.memory())
+	if !starting.poison.Blocked("hule", []poison.Subject{subject}) {
+		t.Error("an instance that was told of a blocked request by a loader does not block it")
+	}
+}
