--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -24,6 +24,8 @@
 type Listing struct {
 	ID       string
 	Upstream *fleet.Upstream
+	// Fault says why the entry names no upstream, if it was not removed.
+	Fault string
 }
 
 // RequestInfo holds the values of a caller's request headers.
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -80,6 +80,8 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes limits the size of a request's headers.
 	maxHeaderBytes = 32 << 10
+	// maxListingFaults bounds the faults of entries that are remembered.
+	maxListingFaults = 64
 	// expireInterval is the time between two checks for expired connections and
 	// upstreams.
 	expireInterval = 100 * time.Millisecond
@@ -121,6 +123,9 @@
 	// instanceWatcher follows the instance list. earlyReadAt is when it was last
 	// woken before its next read was due, in Unix milliseconds.
 	instanceWatcher *watch.Watcher[Listing]
+	// listingFaults holds the fault that was last logged of each entry that names no
+	// upstream. It is used only by instanceWatcher.
+	listingFaults map[string]string
 	// configWatcher follows the configuration and the adapter versions.
 	configWatcher *watch.Watcher[ConfigChange]
 	readerReport  readerReport
@@ -161,6 +166,7 @@
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
+		listingFaults:   make(map[string]string),
 	}
 	relay.requestNumbers.Store(rand.Uint64())
 	relay.permits = newPermits(&relay.metrics)
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -179,6 +179,7 @@
 // one, although the upstreams in use do not change yet.
 func (relay *Relay) applyListings(listings []Listing, complete bool) (changes []Listing) {
 	list := relay.store.instances
+	relay.logFaults(listings)
 	if complete {
 		present := make([]fleet.Upstream, 0, len(listings))
 		for _, listing := range listings {
@@ -211,6 +212,20 @@
 	return changes
 }
 
+// logFaults logs why entries name no upstream, each distinct fault of an entry once.
+func (relay *Relay) logFaults(listings []Listing) {
+	for _, listing := range listings {
+		if listing.Fault == "" || relay.listingFaults[listing.ID] == listing.Fault {
+			continue
+		}
+		if len(relay.listingFaults) >= maxListingFaults {
+			clear(relay.listingFaults)
+		}
+		relay.listingFaults[listing.ID] = listing.Fault
+		relay.config.Logger.Warn("fleet: entry names no upstream", zap.String("entry", listing.ID), zap.String("fault", listing.Fault))
+	}
+}
+
 // updateUpstreams passes the listed upstreams on to the picker and the health
 // tracker, and wakes the waiting requests.
 func (relay *Relay) updateUpstreams() {
