Resume a stream only with what its first response was

TestResumedByError failed before for 7 of 15 answers of the next upstream: JSON and HTML with an empty line, HTML and an untyped response without a body, which ended the stream as complete, and a response head in, after and within events.

The response that resumes a stream must have the media type of the first, and a line that begins with HTTP/1. is the head of another response and never a line of an event. The stream ends as broken then.

--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -120,8 +120,10 @@
 	eventIntervals []time.Duration
 	// probe means that the request may be sent although it or a part of it is blocked.
 	probe bool
-	// headersSent means that the response headers were forwarded.
+	// headersSent means that the response headers were forwarded, and mediaType is the
+	// media type that they name.
 	headersSent bool
+	mediaType   string
 }
 
 // serve handles a caller's request.
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -58,8 +57,8 @@
 	if !info.Sealed {
 		return proxyRequest.recordBroken(upstream, errors.New("the response bears no seal"))
 	}
-	if proxyRequest.headersSent && response.Status != http.StatusOK {
-		return proxyRequest.recordBroken(upstream, fmt.Errorf("the stream cannot be resumed: the upstream answered %d", response.Status))
+	if err := proxyRequest.checkResumes(response); err != nil {
+		return proxyRequest.recordBroken(upstream, err)
 	}
 	if response.Status >= http.StatusInternalServerError && proxyRequest.mayRunAgain() {
 		return proxyRequest.keepFailure(upstream, response)
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,10 +30,14 @@
 	minMeasuredIntervals = 5
 )
 
+// statusLinePrefix begins the head of a response, and no line of an event.
+var statusLinePrefix = []byte("HTTP/1.")
+
 var (
 	errPartialEvent    = errors.New("the stream ended within an event")
 	errLargeEvent      = errors.New("an event is too large")
 	errMissingEventIDs = errors.New("too much data without an event id")
+	errHeadInStream    = errors.New("the stream has the head of another response")
 )
 
 // forwardStream forwards the events of a response, each one as soon as it is
@@ -73,13 +79,37 @@
 	}
 }
 
+// checkResumes returns an error if a response cannot continue the stream of which a part
+// was forwarded: an error of the upstream, or something else than the first one was.
+func (proxyRequest *proxyRequest) checkResumes(response *http1.Response) error {
+	switch {
+	case !proxyRequest.headersSent:
+		return nil
+	case response.Status != http.StatusOK:
+		return fmt.Errorf("the stream cannot be resumed: the upstream answered %d", response.Status)
+	case mediaType(response) != proxyRequest.mediaType:
+		return fmt.Errorf("the stream cannot be resumed: the upstream answered with %q, not %q", mediaType(response), proxyRequest.mediaType)
+	}
+	return nil
+}
+
+// mediaType returns the media type of a response without parameters, or "" if it names
+// none that can be read.
+func mediaType(response *http1.Response) string {
+	name, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return name
+}
+
 // sendHeaders forwards the headers before the first event. If an interrupted stream
 // is resumed, the headers of the first response stand.
 func (proxyRequest *proxyRequest) sendHeaders(response *http1.Response) {
 	if proxyRequest.headersSent {
 		return
 	}
-	proxyRequest.headersSent = true
+	proxyRequest.headersSent, proxyRequest.mediaType = true, mediaType(response)
 	proxyRequest.firstEvent = time.Since(proxyRequest.started)
 	proxyRequest.relay.metrics.recordFirstEvent(proxyRequest.firstEvent)
 	proxyRequest.copyHeaders(response)
@@ -155,12 +185,15 @@
 }
 
 // readEvent returns the next event with the empty line that ends it. Its error is
-// io.EOF at a clean end, errPartialEvent within an event, and errLargeEvent for an
-// event above maxEventBytes.
+// io.EOF at a clean end, errPartialEvent within an event, errHeadInStream at the head of
+// another response, and errLargeEvent for an event above maxEventBytes.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
+		if startsLine := len(event) == 0 || event[len(event)-1] == '\n'; startsLine && bytes.HasPrefix(line, statusLinePrefix) {
+			return nil, errHeadInStream
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
