Take no refusal without an id for proof on a kept connection

A faulty runner may write an earlier refusal once more. If it comes just after the next request was sent, it is read as the response to that. With the earlier id it is recognised and proves nothing; without an id it was taken for the request's own: in TestRepeatedRefusal callers were told 503, not run, for each of three requests that the runner ran.

A refusal that names no request now proves that it did not run only if the connection has had no response before. A connection on which the second refusal comes before the next request was closed already. Reports and orders of loaders name no request; each order names the engine's sequence, so that a misread answer to one repeats nothing.

--- a/internal/link/http1/body.go
+++ b/internal/link/http1/body.go
@@ -54,6 +54,7 @@
 		_ = body.conn.Close()
 		return
 	}
+	body.conn.answered = true
 	body.pool.putIdle(body.address, body.conn, idleTimeout)
 }
 
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -82,7 +82,10 @@
 	Header http.Header
 	// ContentLength is the length of the body, or -1 if it is not announced.
 	ContentLength int64
-	Body          io.ReadCloser
+	// Reused means that the connection has had a response to an earlier request. A
+	// faulty upstream may have written that again.
+	Reused bool
+	Body   io.ReadCloser
 }
 
 // Pool holds connections to upstreams. Its methods may be called concurrently.
@@ -104,6 +107,8 @@
 	headRemaining int
 	// expiresAt is when the idle connection must no longer be used.
 	expiresAt time.Time
+	// answered means that a response was read to its end.
+	answered bool
 }
 
 // Read implements io.Reader. It fails once a response head is too large.
@@ -168,7 +173,7 @@
 		return nil, Broken.Wrap(fmt.Errorf("no response from %s: %w", address, err))
 	}
 	body := &body{pool: pool, address: address, conn: conn, response: response, stop: stop, writeResult: writeResult}
-	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Body: body}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Reused: conn.answered, Body: body}, nil
 }
 
 // Open opens a connection to an address and keeps it for later requests. Its errors are
