--- a/internal/bench/engsim/completion.go
+++ b/internal/bench/engsim/completion.go
@@ -104,6 +104,7 @@
 		return
 	}
 	engine.requests.Add(request, body)
+	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 	parsed, err := parseCompletion(request, body)
 	if err != nil {
 		engine.writeRefusal(writer, &refusal{http.StatusBadRequest, "invalid", err.Error()})
--- a/internal/bench/plain/plain.go
+++ b/internal/bench/plain/plain.go
@@ -178,6 +178,7 @@
 	}
 	service.requests.Add(request, body)
 	id := request.Header.Get("X-Request-Id")
+	writer.Header().Set("X-Request-Id", id)
 	call := service.beginCall(Call{
 		Time: time.Now(), RequestID: id, Organisation: request.Header.Get("X-Organisation"),
 		Method: request.Method, Path: request.URL.Path, BodySize: len(body),
--- a/internal/link/engine/exchange.go
+++ b/internal/link/engine/exchange.go
@@ -20,8 +20,13 @@
 // message.
 const maxErrorBody = 4 << 10
 
-// fencingHeader carries the fencing token of a request.
-const fencingHeader = "X-Fencing-Token"
+const (
+	// fencingHeader carries the fencing token of a request.
+	fencingHeader = "X-Fencing-Token"
+	// requestIDHeader carries the id of a request, and in a response that of the request
+	// to which it belongs.
+	requestIDHeader = "X-Request-Id"
+)
 
 // singleUse is a request body without GetBody. http.Transport would otherwise
 // resend a GET, and any request with an Idempotency-Key, when a reused
@@ -33,14 +38,17 @@
 
 // send sends a request once. The caller closes the response body; closing it
 // before its end closes the connection.
-func (client *Client) send(ctx context.Context, method, path string, headers http.Header, body []byte) (*http.Response, error) {
+func (client *Client) send(ctx context.Context, method, path string, headers http.Header, body []byte) (*exchange, error) {
 	if ctx.Err() != nil {
 		return nil, transportFault(ctx, ctx.Err(), fault.NotRun)
 	}
-	var waitingForConn atomic.Bool
+	var waitingForConn, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { waitingForConn.Store(true) },
-		GotConn: func(httptrace.GotConnInfo) { waitingForConn.Store(false) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			waitingForConn.Store(false)
+			reused.Store(info.Reused)
+		},
 	})
 	request, err := http.NewRequestWithContext(ctx, method, client.url+path, singleUse{bytes.NewReader(body)})
 	if err != nil {
@@ -57,7 +65,29 @@
 	if err != nil {
 		return nil, transportFault(ctx, err, executionAfterFailure(&waitingForConn))
 	}
-	return response, nil
+	if named := response.Header.Get(requestIDHeader); named != "" && named != headers.Get(requestIDHeader) {
+		_ = response.Body.Close()
+		return nil, fault.New(fault.UpstreamFailed, fault.RunUnknown, "the answer belongs to request %q; send it again only if it may run twice", named)
+	}
+	return &exchange{Response: response, reused: reused.Load()}, nil
+}
+
+// exchange is a response with what is known of its connection.
+type exchange struct {
+	*http.Response
+	// reused means that the connection has had a response to an earlier request.
+	reused bool
+}
+
+// refusalFault returns the fault for a response that refuses a request. An upstream
+// that has a fault may write an earlier refusal once more on a kept connection, so one
+// that names no request proves nothing there.
+func (exchange *exchange) refusalFault() error {
+	err := statusFault(exchange.Response)
+	if found, ok := fault.As(err); ok && found.Ran() == fault.NotRun && exchange.reused && exchange.Header.Get(requestIDHeader) == "" {
+		return fault.New(fault.UpstreamFailed, fault.RunUnknown, "the refusal names no request and may be an earlier one's (%v); send it again only if it may run twice", err)
+	}
+	return err
 }
 
 // callJSON sends a JSON object, or no body if request is nil, and decodes the
@@ -78,7 +108,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return statusFault(response)
+		return statusFault(response.Response)
 	}
 	data, err := readBounded(ctx, response.Body, maxResponseSize)
 	if err != nil {
--- a/internal/link/engine/generate.go
+++ b/internal/link/engine/generate.go
@@ -78,7 +78,7 @@
 		headers = http.Header{}
 	}
 	headers.Set("Content-Type", "application/json")
-	headers.Set("X-Request-Id", request.RequestID)
+	headers.Set(requestIDHeader, request.RequestID)
 	if request.ResumeFrom > 0 {
 		headers.Set("X-Resume-From", strconv.FormatInt(request.ResumeFrom, 10))
 	}
@@ -92,7 +92,7 @@
 	}
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
-		return nil, statusFault(response)
+		return nil, response.refusalFault()
 	}
 	return newStream(ctx, response.Body, request), nil
 }
--- a/internal/link/engine/plain.go
+++ b/internal/link/engine/plain.go
@@ -35,7 +35,7 @@
 	if headers == nil {
 		headers = http.Header{}
 	}
-	headers.Set("X-Request-Id", request.RequestID)
+	headers.Set(requestIDHeader, request.RequestID)
 	response, err := client.send(ctx, request.Method, request.Path, headers, request.Body)
 	if err != nil {
 		return nil, err
