Give loaders all evidence against what is blocked, and bound the history

Full reports and loaders took turns at the evidence that a report can't hold, so that each could miss some for good. The history of sends is bounded by the window in force, up to an hour, instead of by two minutes.

--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -21,6 +21,8 @@
 	busyMemoryInterval = 250 * time.Millisecond
 	// memoryKeepers is the number of loaders that keep what an instance knows.
 	memoryKeepers = 2
+	// maxEvidencePerMemory bounds the evidence that loaders keep.
+	maxEvidencePerMemory = 256
 )
 
 // reportMemory tells some loaders what this instance knows of all, so that those that
@@ -46,7 +48,7 @@
 func (relay *Relay) memory() *wirepb.Memory {
 	return &wirepb.Memory{
 		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePast(),
-		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerReport)}),
+		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerMemory)}),
 	}
 }
 
--- a/internal/flow/retry/history.go
+++ b/internal/flow/retry/history.go
@@ -1,12 +1,15 @@
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// SlotTime is the length of a slot.
 	SlotTime = 100 * time.Millisecond
-	// maxSlots bounds the slots that are kept: those of the longest window.
-	maxSlots = 1200
+	// maxSlots bounds the slots that are kept, and so the window, to an hour.
+	maxSlots = 36_000
 )
 
 // history counts requests and retries by slot.
@@ -71,6 +74,9 @@
 func (history *history) sum(window time.Duration) (requests, retries uint64) {
 	history.advance()
 	whole := int(window / SlotTime)
+	if excess := len(history.kept) - (whole + 1); excess > len(history.kept)/2 {
+		history.kept = slices.Clone(history.kept[excess:])
+	}
 	for age := range min(len(history.kept), whole+1) {
 		slot := history.kept[len(history.kept)-1-age]
 		retries += uint64(slot.Retries)
