--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
@@ -138,28 +137,6 @@
 	At      time.Time
 }
 
-// News is what one instance tells others.
-type News struct {
-	Evidence    []Evidence
-	Completions []Completion
-	Probes      []Probe
-}
-
-// Aged returns the news as they were told by an instance a time ago.
-func (news News) Aged(age time.Duration) News {
-	aged := News{Evidence: slices.Clone(news.Evidence), Completions: slices.Clone(news.Completions), Probes: slices.Clone(news.Probes)}
-	for i := range aged.Evidence {
-		aged.Evidence[i].At = aged.Evidence[i].At.Add(-age)
-	}
-	for i := range aged.Completions {
-		aged.Completions[i].At = aged.Completions[i].At.Add(-age)
-	}
-	for i := range aged.Probes {
-		aged.Probes[i].At = aged.Probes[i].At.Add(-age)
-	}
-	return aged
-}
-
 // Verdict says whether a request may be sent. The zero value means that it may.
 type Verdict struct {
 	// Blocked means that the request must be refused because of Subject. It may be
