Count how long a permit for a retry may wait for its send

The rate of the pool allowed for the time until a permit is taken, but not for the time until its request is sent, which is as long again.

--- a/internal/flow/retry/limits.go
+++ b/internal/flow/retry/limits.go
@@ -14,8 +14,9 @@
 	// PermitLifetime is how long an instance may use a permit for a retry.
 	PermitLifetime = 300 * time.Millisecond
 	// maxUseDelay is how long after an instance was issued a permit the retry may be
-	// sent: PermitLifetime and the delay of datagrams.
-	maxUseDelay = PermitLifetime + 250*time.Millisecond
+	// sent: the delay of datagrams, and PermitLifetime until it is taken and again until
+	// its request is sent.
+	maxUseDelay = 2*PermitLifetime + 250*time.Millisecond
 )
 
 // Limits bounds the retries of all instances together. In any span as long as Window,
