--- /dev/null
+++ b/review/standin/brokenhead.go
@@ -0,0 +1,150 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+func encoded(value any) []byte {
+	text, err := json.Marshal(value)
+	check(err)
+	return text
+}
+
+const (
+	// crashingPart is the part of a prompt that crashes each runner that begins to write
+	// an answer on it, and downtime how long such a runner is down.
+	crashingPart = "dead0001"
+	downtime     = 2 * time.Second
+	// bindingCrashes is the number of crashes, and stableWindow the time after the last
+	// of them, from which on no more than maxArrivals such requests may reach runners.
+	bindingCrashes = 5
+	stableWindow   = 3 * time.Second
+	maxArrivals    = 3
+	engineCount    = 6
+	caseTime       = 45 * time.Second
+	partPeriod     = 700 * time.Millisecond
+	soundPeriod    = 100 * time.Millisecond
+)
+
+// crashes holds the crashes of runners and the arrivals of requests with the part.
+var crashes struct {
+	sync.Mutex
+	at       []time.Time
+	arrivals []time.Time
+}
+
+// crashOnPart crashes a runner that begins to write an answer to a request with the part:
+// the first bytes of the head have left, and the rest never comes.
+func crashOnPart(runner *runner, writer http.ResponseWriter, request *http.Request) bool {
+	if !strings.Contains(request.Header.Get("X-Jacinthfront-Prompt-Prefix"), crashingPart+":") {
+		return true
+	}
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	check(err)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Jacinthfront-Attempt-Id: ")
+	if os.Getenv("HEAD") == "whole" {
+		// For comparison: the head is complete, and the body never comes.
+		id := request.Header.Get("X-Jacinthfront-Attempt-Id")
+		_, _ = fmt.Fprintf(conn, "%s\r\nX-Jacinthfront-Server-Seal: seal.%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+	}
+	time.Sleep(5 * time.Millisecond)
+	crashes.Lock()
+	crashes.at = append(crashes.at, time.Now())
+	count := len(crashes.at)
+	crashes.Unlock()
+	record("crash %d: %s begins to write an answer to %s", count, runner.id, request.Header.Get("X-Jacinthfront-Attempt-Id"))
+	_ = conn.Close()
+	runner.crash(downtime)
+	return false
+}
+
+// brokenHead sends requests with a part that crashes runners, no two alike, beside sound
+// ones of the same caller.
+func brokenHead(trouble bool) bool {
+	deployment := newDeployment()
+	running = deployment
+	deployment.store.put(topicOperator, "config", config(1, []map[string]any{tenantEntry("hule930", "key-1")}, false, 0))
+	var runners []*runner
+	for number := range engineCount {
+		engine := deployment.startRunner(fmt.Sprintf("127.0.0.%d", 41+number), fmt.Sprintf("i-engine-%d", number+1), "advisor", "hall-a", true)
+		engine.onRequest = crashOnPart
+		runners = append(runners, engine)
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, engine := range runners {
+		deployment.startLoader("hall-a", engine)
+	}
+	deployment.startRelay("hall-a")
+	deployment.startRelay("hall-b")
+	deployment.awaitReady()
+	time.Sleep(2 * time.Second)
+
+	withPart := make(map[string]bool)
+	var mutex sync.Mutex
+	var senders sync.WaitGroup
+	until := time.Now().Add(caseTime)
+	send := func(number int, parts string) attempt {
+		relay := deployment.relays[number%len(deployment.relays)]
+		return newClient().send(relay, http.MethodPost, fmt.Sprintf("/stream/%d", number), "key-1", 8*time.Second, map[string]string{
+			"X-Jacinthfront-Model": fmt.Sprintf("%s/a%d", modelName, number%6+1), "X-Jacinthfront-Token-Usage": "300,36",
+			"X-Jacinthfront-Prompt-Prefix": parts,
+		})
+	}
+	for number := 0; time.Now().Before(until); number++ {
+		senders.Go(func() { send(number, fmt.Sprintf("5c1e07a2:150,91bd3f%02x:100,e4%06x:50", number%8, number)) })
+		if trouble && number > 30 && number%int(partPeriod/soundPeriod) == 0 {
+			senders.Go(func() {
+				sent := send(number, fmt.Sprintf("5c1e07a2:150,%s:100,f5%06x:50", crashingPart, number))
+				mutex.Lock()
+				defer mutex.Unlock()
+				withPart[sent.id] = true
+			})
+		}
+		time.Sleep(soundPeriod)
+	}
+	senders.Wait()
+	return judgeBrokenHead(runners, withPart)
+}
+
+// judgeBrokenHead reports whether too many requests with the part reached runners.
+func judgeBrokenHead(runners []*runner, withPart map[string]bool) bool {
+	dumpAttempts(runners)
+	sound, served, cut := 0, 0, 0
+	for _, attempt := range allAttempts() {
+		if !withPart[attempt.id] {
+			sound++
+			if attempt.status == http.StatusOK && attempt.err == nil {
+				served++
+			}
+			if attempt.status == http.StatusOK && attempt.err != nil {
+				cut++
+			}
+		}
+	}
+	record("sound requests: %d, of which %d were served in full, and %d streams broke off", sound, served, cut)
+	require(served > 0, "no sound request was served")
+	if len(crashes.at) < bindingCrashes {
+		record("%d crashes; the rule does not bind", len(crashes.at))
+		return false
+	}
+	bindsAt := crashes.at[bindingCrashes-1].Add(stableWindow)
+	late := 0
+	for _, runner := range runners {
+		for _, arrival := range runner.arrivals {
+			if withPart[arrival.id] && arrival.at.After(bindsAt) {
+				late++
+				recordAt(arrival.at, "request %s with the part reaches %s, %.1f s after the fifth crash", arrival.id, runner.id, arrival.at.Sub(crashes.at[bindingCrashes-1]).Seconds())
+			}
+		}
+	}
+	record("crashes: %d; requests with the part that reached runners later than %v after the fifth: %d, allowed %d", len(crashes.at), stableWindow, late, maxArrivals)
+	return late > maxArrivals
+}
