Show that a request which ends engines before they answer is blocked late

Seen: eight copies of a request that has crashed three engines reach engines over 3 s after the third crash; three are allowed.

Cause: a crash of an engine that had not begun to answer weighs 2 of the 12 that block a request, so that six crashes are needed.

--- a/review/standin/brokenhead.go
+++ b/review/standin/brokenhead.go
@@ -66,16 +66,14 @@
 	return false
 }
 
-// brokenHead sends requests with a part that crashes runners, no two alike, beside sound
-// ones of the same caller.
-func brokenHead(trouble bool) bool {
-	deployment := newDeployment()
-	running = deployment
-	deployment.store.put(topicOperator, "config", config(1, []map[string]any{tenantEntry("hule930", "key-1")}, false, 0))
+// startEngines starts engines with their loaders, and two relays. Streams may be resumed
+// if resumable is set. The function is called when an engine begins to run a request.
+func (deployment *deployment) startEngines(resumable bool, onRequest func(*runner, http.ResponseWriter, *http.Request) bool) []*runner {
+	deployment.store.put(topicOperator, "config", config(1, []map[string]any{tenantEntry("hule930", "key-1")}, resumable, 0))
 	var runners []*runner
 	for number := range engineCount {
 		engine := deployment.startRunner(fmt.Sprintf("127.0.0.%d", 41+number), fmt.Sprintf("i-engine-%d", number+1), "advisor", "hall-a", true)
-		engine.onRequest = crashOnPart
+		engine.onRequest = onRequest
 		runners = append(runners, engine)
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -86,6 +84,15 @@
 	deployment.startRelay("hall-b")
 	deployment.awaitReady()
 	time.Sleep(2 * time.Second)
+	return runners
+}
+
+// brokenHead sends requests with a part that crashes runners, no two alike, beside sound
+// ones of the same caller.
+func brokenHead(trouble bool) bool {
+	deployment := newDeployment()
+	running = deployment
+	runners := deployment.startEngines(false, crashOnPart)
 
 	withPart := make(map[string]bool)
 	var mutex sync.Mutex
@@ -111,15 +118,16 @@
 		time.Sleep(soundPeriod)
 	}
 	senders.Wait()
-	return judgeBrokenHead(runners, withPart)
+	return judgeCrashes(runners, withPart, bindingCrashes)
 }
 
-// judgeBrokenHead reports whether too many requests with the part reached runners.
-func judgeBrokenHead(runners []*runner, withPart map[string]bool) bool {
+// judgeCrashes reports whether too many of the requests that crash runners reached
+// runners. The rule binds after a number of crashes.
+func judgeCrashes(runners []*runner, crashing map[string]bool, binding int) bool {
 	dumpAttempts(runners)
 	sound, served, cut := 0, 0, 0
 	for _, attempt := range allAttempts() {
-		if !withPart[attempt.id] {
+		if !crashing[attempt.id] {
 			sound++
 			if attempt.status == http.StatusOK && attempt.err == nil {
 				served++
@@ -131,20 +139,20 @@
 	}
 	record("sound requests: %d, of which %d were served in full, and %d streams broke off", sound, served, cut)
 	require(served > 0, "no sound request was served")
-	if len(crashes.at) < bindingCrashes {
+	if len(crashes.at) < binding {
 		record("%d crashes; the rule does not bind", len(crashes.at))
 		return false
 	}
-	bindsAt := crashes.at[bindingCrashes-1].Add(stableWindow)
+	bindsAt := crashes.at[binding-1].Add(stableWindow)
 	late := 0
 	for _, runner := range runners {
 		for _, arrival := range runner.arrivals {
-			if withPart[arrival.id] && arrival.at.After(bindsAt) {
+			if crashing[arrival.id] && arrival.at.After(bindsAt) {
 				late++
-				recordAt(arrival.at, "request %s with the part reaches %s, %.1f s after the fifth crash", arrival.id, runner.id, arrival.at.Sub(crashes.at[bindingCrashes-1]).Seconds())
+				recordAt(arrival.at, "request %s that crashes runners reaches %s, %.1f s after crash %d", arrival.id, runner.id, arrival.at.Sub(crashes.at[binding-1]).Seconds(), binding)
 			}
 		}
 	}
-	record("crashes: %d; requests with the part that reached runners later than %v after the fifth: %d, allowed %d", len(crashes.at), stableWindow, late, maxArrivals)
+	record("crashes: %d; requests that crash runners and reached one later than %v after crash %d: %d, allowed %d", len(crashes.at), stableWindow, binding, late, maxArrivals)
 	return late > maxArrivals
 }
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,16 +37,20 @@
 var attemptNumber atomic.Uint64
 
 // client sends requests on connections of its own, which it keeps.
-type client struct{ http.Client }
+type client struct {
+	http.Client
+	// body is the body of the requests that have one; each has its own if it is empty.
+	body string
+}
 
-func newClient() *client { return &client{http.Client{Transport: &http.Transport{}}} }
+func newClient() *client { return &client{Client: http.Client{Transport: &http.Transport{}}} }
 
 // send sends a request and reads the answer to its end.
 func (client *client) send(relay *relay, method, path, key string, deadline time.Duration, headers map[string]string) attempt {
 	sent := attempt{id: fmt.Sprintf("a%08x", attemptNumber.Add(1)), relay: relay.name, key: key}
 	var body io.Reader
 	if method == http.MethodPost {
-		body = strings.NewReader("body of " + sent.id)
+		body = strings.NewReader(cmp.Or(client.body, "body of "+sent.id))
 	}
 	request, err := http.NewRequest(method, "http://"+relay.callers+path, body)
 	check(err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,8 +30,10 @@
 // scenarios holds the scenarios by name. Each returns whether the rule was broken. With
 // trouble false it leaves out the disruption.
 var scenarios = map[string]func(trouble bool) bool{
-	"stale-key":   staleKey,
-	"broken-head": brokenHead,
+	"stale-key":     staleKey,
+	"broken-head":   brokenHead,
+	"deadly-burst":  deadlyBurst,
+	"joined-events": joinedEvents,
 }
 
 func main() {
