--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,15 +17,15 @@
 
 // attempt is a client attempt with its answer.
 type attempt struct {
-	id, relay, key string
-	sentAt         time.Time
-	endedAt        time.Time
-	status         int
-	err            error
+	id, relay, key, path string
+	sentAt               time.Time
+	endedAt              time.Time
+	status               int
+	err                  error
 }
 
 func (attempt attempt) String() string {
-	return fmt.Sprintf("request %s with key %s to %s sent at %.4f: status %d, error %v", attempt.id, attempt.key, attempt.relay,
+	return fmt.Sprintf("request %s on %s with key %s to %s sent at %.4f: status %d, error %v", attempt.id, attempt.path, attempt.key, attempt.relay,
 		attempt.sentAt.Sub(begin).Seconds(), attempt.status, attempt.err)
 }
 
@@ -47,7 +47,7 @@
 
 // send sends a request and reads the answer to its end.
 func (client *client) send(relay *relay, method, path, key string, deadline time.Duration, headers map[string]string) attempt {
-	sent := attempt{id: fmt.Sprintf("a%08x", attemptNumber.Add(1)), relay: relay.name, key: key}
+	sent := attempt{id: fmt.Sprintf("a%08x", attemptNumber.Add(1)), relay: relay.name, key: key, path: path}
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader(cmp.Or(client.body, "body of "+sent.id))
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 	"broken-head":   brokenHead,
 	"deadly-burst":  deadlyBurst,
 	"joined-events": joinedEvents,
+	"late-config":   lateConfig,
 }
 
 func main() {
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -23,7 +23,9 @@
 	store     *store
 	storeAt   string
 	// port is that of all datagrams between the processes.
-	port      int
+	port int
+	// zones holds the zones of the relays that startEngines starts.
+	zones     []string
 	relays    []*relay
 	processes []*exec.Cmd
 }
@@ -38,7 +40,7 @@
 func newDeployment() *deployment {
 	directory, err := os.MkdirTemp("", "review")
 	check(err)
-	deployment := &deployment{directory: directory, store: newStore()}
+	deployment := &deployment{directory: directory, store: newStore(), zones: []string{"hall-a", "hall-b"}}
 	deployment.storeAt = serve("127.0.0.1", deployment.store)
 	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
 	check(err)
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 )
 
 // proxy forwards the connections of one process to the store. While it is cut, it lets
@@ -14,6 +15,9 @@
 	address string
 	target  string
 
+	// accepted is the number of bytes that the process has sent.
+	accepted atomic.Int64
+
 	mutex sync.Mutex
 	cut   bool
 	// changed is closed and replaced when cut changes.
@@ -41,16 +45,17 @@
 		_ = caller.Close()
 		return
 	}
-	go proxy.copy(caller, target)
-	proxy.copy(target, caller)
+	go proxy.copy(caller, target, &proxy.accepted)
+	proxy.copy(target, caller, new(atomic.Int64))
 }
 
-// copy forwards bytes until one side ends, and then closes both.
-func (proxy *proxy) copy(from, to net.Conn) {
+// copy forwards and counts bytes until one side ends, and then closes both.
+func (proxy *proxy) copy(from, to net.Conn, count *atomic.Int64) {
 	defer func() { _ = from.Close(); _ = to.Close() }()
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
+		count.Add(int64(n))
 		proxy.awaitPath()
 		if err != nil {
 			return
