--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,16 +8,24 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // Exit codes of a script.
 const (
-	exitHeld    = 0
-	exitBroken  = 1
-	exitNotRun  = 2
-	recordsFile = 2
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// scenarioArgument and recordArgument are the places of the arguments.
+const (
+	scenarioArgument = 1
+	recordArgument   = 2
 )
 
 var (
@@ -38,15 +46,20 @@
 }
 
 func main() {
-	if len(os.Args) <= recordsFile || scenarios[os.Args[1]] == nil {
+	if len(os.Args) <= recordArgument || scenarios[os.Args[scenarioArgument]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin SCENARIO RECORD")
 		os.Exit(exitNotRun)
 	}
 	var err error
-	recordOut, err = os.Create(os.Args[recordsFile])
+	recordOut, err = os.Create(os.Args[recordArgument])
 	check(err)
+	// The thread that starts processes must live as long as they do.
+	runtime.LockOSThread()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() { finish(exitNotRun, "the case was ended by the signal %v", <-signals) }()
 	trouble := os.Getenv("TROUBLE") != "0"
-	broken := scenarios[os.Args[1]](trouble)
+	broken := scenarios[os.Args[scenarioArgument]](trouble)
 	if broken {
 		finish(exitBroken, "the rule was broken")
 	}
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -102,6 +103,8 @@
 	check(err)
 	command := exec.Command(program, role, "--settings", file)
 	command.Stdout, command.Stderr = log, log
+	// No process outlives this one, however it ends.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(command.Start())
 	deployment.processes = append(deployment.processes, command)
 	record("%s started: %s %s", name, program, role)
