--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -38,6 +38,8 @@
 	time.Sleep(100 * time.Millisecond)
 	deployment.startLoader("hall-a", engine)
 	cut := deployment.startRelay("hall-a")
+	// One relay of three is cut off, a share of 0.33.
+	deployment.startRelay("hall-b")
 	deployment.startRelay("hall-b")
 	deployment.awaitReady()
 	version = 3
