Blame a part of a prompt for an engine that ends within its response head

Cause: an exchange that ended within the head of the response was reported as one without any byte, so that the request may have waited in the engine's queue. That is evidence against the whole request only, and no two requests were alike.

Change: http1 returns what was received of the final response's head. From the first byte of a final response on, the break is evidence against the parts.

--- a/internal/daemon/relay/poison.go
+++ b/internal/daemon/relay/poison.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// onsetTime is how long after the head of its response an upstream has just begun
-	// to answer a request.
+	// onsetTime is how long after the first byte of its response an upstream has just
+	// begun to answer a request.
 	onsetTime = 500 * time.Millisecond
 	// crashConfirmTime is how long after responses broke off it may be learned that
 	// their upstream crashed.
@@ -119,10 +119,9 @@
 	return proxyRequest.organisation.Name
 }
 
-// recordBreak records that the upstream's response broke off, or that none was received
-// if answered is false. A request whose send this instance ended itself did nothing to
-// the upstream.
-func (proxyRequest *proxyRequest) recordBreak(ctx context.Context, upstream fleet.Upstream, answered bool) {
+// recordBreak records that the last send broke off. A request whose send this instance
+// ended itself did nothing to the upstream.
+func (proxyRequest *proxyRequest) recordBreak(ctx context.Context, upstream fleet.Upstream) {
 	lost := errors.Is(context.Cause(ctx), errUpstreamLost)
 	if ctx.Err() != nil && !lost || proxyRequest.request.Context().Err() != nil || upstream.Draining {
 		return
@@ -131,12 +130,12 @@
 	evidence := poison.Evidence{
 		Subject:      poison.Request(proxyRequest.identity),
 		Organisation: proxyRequest.organisationName(), Request: proxyRequest.identity, Upstream: incarnationOf(upstream), At: now,
-		Fresh: answered && !proxyRequest.eventReceived, Unanswered: !answered && proxyRequest.service.Engine == nil, Probe: proxyRequest.probe,
+		Fresh: proxyRequest.stage.begun() && proxyRequest.stage < stageEvent, Unanswered: !proxyRequest.stage.begun() && proxyRequest.service.Engine == nil, Probe: proxyRequest.probe,
 	}
 	all := []poison.Evidence{evidence}
-	if answered {
-		// Without an answer, the request may have waited at the engine.
-		evidence.Fresh = now.Sub(proxyRequest.respondedAt) < onsetTime
+	if proxyRequest.stage.begun() {
+		// Before the engine begins to answer, the request may wait in its queue.
+		evidence.Fresh = now.Sub(proxyRequest.begunAt) < onsetTime
 		for _, part := range proxyRequest.info.SharedParts {
 			evidence.Subject = poison.Part(part)
 			all = append(all, evidence)
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -113,10 +113,10 @@
 	// sentAt is when the request was last sent, and eventIntervals holds the first
 	// intervals between its events.
 	sentAt time.Time
-	// respondedAt is when the head of the response to the last send was received.
-	respondedAt time.Time
-	// eventReceived means that the response to the last send had an event.
-	eventReceived  bool
+	// stage is how far the last send came, and begunAt when its upstream had begun to
+	// answer.
+	stage          stage
+	begunAt        time.Time
 	eventIntervals []time.Duration
 	// probe means that the request may be sent although it or a part of it is blocked.
 	probe bool
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -31,7 +31,7 @@
 	defer done()
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
-	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.eventReceived = time.Now(), nil, false
+	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.stage = time.Now(), nil, stageUnsent
 	defer relay.picker.RecordEnded(upstream.ID, proxyRequest.adapter)
 	response, err := relay.config.Pool.Do(ctx, upstream.Address, proxyRequest.upstreamRequest(upstream))
 	if err != nil {
@@ -39,7 +39,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	proxyRequest.recordSent()
-	proxyRequest.respondedAt = time.Now()
+	proxyRequest.stage, proxyRequest.begunAt = stageBody, time.Now()
 	active.begun.Store(true)
 	info := relay.config.Protocol.ParseResponse(response.Status, response.Header)
 	proxyRequest.applyNotices(upstream, info)
@@ -68,7 +68,7 @@
 	case outcomeAnswered:
 		proxyRequest.recordCompleted()
 	case outcomeUnknown:
-		proxyRequest.recordBreak(ctx, upstream, true)
+		proxyRequest.recordBreak(ctx, upstream)
 	}
 	return result
 }
@@ -124,7 +124,8 @@
 // handleSendError handles a send without a response.
 func (proxyRequest *proxyRequest) handleSendError(ctx context.Context, upstream fleet.Upstream, err error) outcome {
 	lost := errors.Is(context.Cause(ctx), errUpstreamLost)
-	if http1.NotSent.Has(err) {
+	proxyRequest.recordStage(err)
+	if proxyRequest.stage == stageUnsent {
 		if ctx.Err() == nil {
 			proxyRequest.log("relay: failed to reach upstream", logs.ErrorField(err))
 			proxyRequest.relay.readInstancesSoon()
@@ -140,9 +141,9 @@
 		return outcomeUnknown
 	}
 	if ctx.Err() == nil || lost {
-		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost),
+		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost), zap.Stringer("stage", proxyRequest.stage),
 			zap.Strings("parts", proxyRequest.info.SharedParts), proxyRequest.identityField())
-		proxyRequest.recordBreak(ctx, upstream, false)
+		proxyRequest.recordBreak(ctx, upstream)
 	}
 	return proxyRequest.recordUnknown(upstream)
 }
@@ -160,8 +161,8 @@
 // recordBroken records a response that is incomplete or invalid.
 func (proxyRequest *proxyRequest) recordBroken(upstream fleet.Upstream, err error) outcome {
 	proxyRequest.log("relay: response incomplete or invalid", logs.ErrorField(err),
-		zap.Strings("parts", proxyRequest.info.SharedParts), zap.Duration("since-head", time.Since(proxyRequest.respondedAt)),
-		proxyRequest.identityField(), zap.Bool("event-received", proxyRequest.eventReceived))
+		zap.Strings("parts", proxyRequest.info.SharedParts), zap.Duration("since-begun", time.Since(proxyRequest.begunAt)),
+		proxyRequest.identityField(), zap.Stringer("stage", proxyRequest.stage))
 	proxyRequest.recordHealth(upstream, false)
 	return outcomeUnknown
 }
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -119,7 +119,7 @@
 // recordArrival records when an event arrived, to measure the engine's speed.
 func (proxyRequest *proxyRequest) recordArrival(upstream fleet.Upstream, last *time.Time) {
 	now := time.Now()
-	proxyRequest.eventReceived = true
+	proxyRequest.stage = stageEvent
 	if last.IsZero() {
 		proxyRequest.relay.latencies.recordFirstEvent(proxyRequest.route.Name, now.Sub(proxyRequest.sentAt))
 	}
--- /dev/null
+++ b/internal/link/http1/cuthead.go
@@ -0,0 +1,88 @@
+package http1
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxHeadPrefix bounds the bytes of a response head that are kept for a CutHeadError.
+const maxHeadPrefix = 1 << 10
+
+// versionPrefix begins each response head.
+const versionPrefix = "HTTP/1."
+
+// CutHeadError means that an exchange ended within the head of the final response: the
+// upstream had begun to answer.
+type CutHeadError struct {
+	// Status is 0 if the status line is incomplete.
+	Status int
+	// Header holds the lines that were received whole, within the first maxHeadPrefix
+	// bytes.
+	Header http.Header
+	// BeganAt is when the first byte was received.
+	BeganAt time.Time
+
+	err error
+}
+
+// Error implements error.
+func (err *CutHeadError) Error() string { return "within the response head: " + err.err.Error() }
+
+// Unwrap returns the error with which the exchange ended.
+func (err *CutHeadError) Unwrap() error { return err.err }
+
+// headPrefix is the beginning of what a connection has received since a request.
+type headPrefix struct {
+	bytes []byte
+	// received counts all bytes, also those that are not kept.
+	received int
+	beganAt  time.Time
+}
+
+// add records received bytes.
+func (headPrefix *headPrefix) add(received []byte) {
+	if headPrefix.received == 0 {
+		headPrefix.beganAt = time.Now()
+	}
+	headPrefix.received += len(received)
+	kept := min(len(received), maxHeadPrefix-len(headPrefix.bytes))
+	headPrefix.bytes = append(headPrefix.bytes, received[:kept]...)
+}
+
+// cutHead returns err as a CutHeadError if the bytes from start on, where the last
+// response began, are the beginning of a final response.
+func (headPrefix *headPrefix) cutHead(start int, err error) error {
+	if headPrefix.received <= start {
+		return err
+	}
+	cut := &CutHeadError{Header: make(http.Header), BeganAt: headPrefix.beganAt, err: err}
+	statusLine, lines, complete := bytes.Cut(headPrefix.bytes[min(start, len(headPrefix.bytes)):], []byte("\n"))
+	switch status, ok := parseStatus(string(statusLine)); {
+	case !ok || strings.HasPrefix(status, "1"):
+		return err
+	case complete:
+		cut.Status, _ = strconv.Atoi(status)
+	}
+	for complete {
+		var line []byte
+		line, lines, complete = bytes.Cut(lines, []byte("\n"))
+		if name, value, ok := strings.Cut(string(line), ":"); ok && complete {
+			cut.Header.Add(name, strings.TrimSpace(value))
+		}
+	}
+	return cut
+}
+
+// parseStatus returns what the beginning of a status line has of the status. It returns
+// false if the text begins no status line.
+func parseStatus(line string) (status string, ok bool) {
+	if len(line) < len(versionPrefix) {
+		return "", strings.HasPrefix(versionPrefix, line)
+	}
+	version, rest, _ := strings.Cut(line, " ")
+	status, _, _ = strings.Cut(strings.TrimSpace(rest), " ")
+	return status, strings.HasPrefix(version, versionPrefix)
+}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -42,8 +42,8 @@
 var (
 	// NotSent means that no byte of the request was sent.
 	NotSent = errs.Class("not sent")
-	// Broken means that the request was sent at least in part and that no
-	// response was received.
+	// Broken means that the request was sent at least in part and that no whole
+	// response head was received. If a part of it was, the error is a CutHeadError.
 	Broken = errs.Class("connection broken")
 )
 
@@ -105,6 +105,8 @@
 	// headRemaining is the number of bytes that may still be read of a response
 	// head, or -1 while no head is read.
 	headRemaining int
+	// prefix is what was received of the head that is read.
+	prefix headPrefix
 	// expiresAt is when the idle connection must no longer be used.
 	expiresAt time.Time
 	// answered means that a response was read to its end.
@@ -121,9 +123,31 @@
 	}
 	n, err := conn.Conn.Read(buffer[:min(len(buffer), conn.headRemaining)])
 	conn.headRemaining -= n
+	if n > 0 {
+		conn.prefix.add(buffer[:n])
+	}
 	return n, err
 }
 
+// readResponse reads the head of the final response and skips interim ones.
+func (conn *conn) readResponse(method string) (*http.Response, error) {
+	conn.headRemaining, conn.prefix = maxHeadSize, headPrefix{bytes: conn.prefix.bytes[:0]}
+	defer func() { conn.headRemaining = -1 }()
+	for {
+		start := conn.prefix.received - conn.reader.Buffered()
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, conn.prefix.cutHead(start, err)
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("unexpected status 101 Switching Protocols")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
 // abort closes a connection with a reset, which drops bytes that were written and
 // not yet delivered: an aborted request must not reach the upstream later.
 func (conn *conn) abort() {
@@ -164,9 +188,7 @@
 	writeResult := make(chan error, 1)
 	go func() { writeResult <- writeRequest(conn, request) }()
 	// The caller of Do closes the body.
-	conn.headRemaining = maxHeadSize
-	response, err := readResponse(conn.reader, request.Method) //nolint:bodyclose
-	conn.headRemaining = -1
+	response, err := conn.readResponse(request.Method) //nolint:bodyclose
 	if err != nil {
 		stop()
 		conn.abort()
@@ -214,22 +236,6 @@
 	return err
 }
 
-// readResponse reads the head of the final response and skips interim ones.
-func readResponse(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("unexpected status 101 Switching Protocols")
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
-
 // Close aborts the connection unless the body was read to its end.
 func (body *body) Close() error {
 	body.once.Do(body.abort)
