Confirm a topic only when it was read to the end that the store named

Cause: the end of the partition, which each response to a read names, was skipped, and each read without an error confirmed the state. A response holds 1 MB at most, and the withdrawal came with the next one.

Change: a read returns the named end.

--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -26,6 +26,9 @@
 	errStale    = errors.New("the response is older than the last restore of the store")
 )
 
+// errNoRecords means that a response has none of the records that the store has.
+var errNoRecords = errors.New("the response lacks the records before the end that it names")
+
 // Defaults of Config.
 const (
 	DefaultCallTimeout = 800 * time.Millisecond
@@ -45,11 +48,27 @@
 	// Snapshot returns the newest record of each key and the cursor to read on
 	// from.
 	Snapshot(ctx context.Context) (records []Record, next Cursor, err error)
-	// Read returns the records from an offset on, and the cursor to read on
-	// from. It waits up to wait for the first record and returns none if there
+	// Read returns records from an offset on, as many as the store puts into one
+	// response. It waits up to wait for the first record and returns none if there
 	// is none by then. It fails with ErrTrimmed if records after the offset
 	// were removed.
-	Read(ctx context.Context, from uint64, wait time.Duration) (records []Record, next Cursor, err error)
+	Read(ctx context.Context, from uint64, wait time.Duration) (Page[Record], error)
+}
+
+// Page is the response to a read.
+type Page[Record any] struct {
+	Records []Record
+	// Next is the cursor to read on from.
+	Next Cursor
+	// End is the offset at which the topic ended when the store responded.
+	End uint64
+}
+
+// namedEnd is the end of a topic that the store named in response to a call.
+type namedEnd struct {
+	offset uint64
+	// at is when the call began.
+	at time.Time
 }
 
 // Config configures a Watcher. Zero durations mean the defaults, except that
@@ -109,6 +128,10 @@
 	staleSince time.Time
 	// changed means that the last call changed the local state.
 	changed bool
+	// end is where the topic ended at the last call, and unread is such an end that was
+	// not reached yet.
+	end    uint64
+	unread namedEnd
 
 	mutex    sync.Mutex
 	position Position
@@ -173,10 +196,13 @@
 		switch {
 		case err == nil:
 			backoff = watcher.config.MinBackoff
-			watcher.markConfirmed(called)
+			caughtUp := watcher.confirm(called)
 			if watcher.config.OnChange != nil && watcher.changed {
 				watcher.config.OnChange()
 			}
+			if !caughtUp {
+				continue
+			}
 			watcher.waitInterval(ctx)
 			watcher.waitOnPeer(ctx)
 		case errors.Is(err, ErrTrimmed):
@@ -272,6 +298,7 @@
 		}
 		watcher.config.Apply(records, true)
 		watcher.reset(next)
+		watcher.end, watcher.unread = next.Next, namedEnd{}
 		watcher.staleSince = time.Time{}
 		watcher.synced, watcher.changed = true, true
 		return nil
@@ -285,16 +312,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watcher.config.CallTimeout+wait)
 	defer cancel()
-	records, next, err := watcher.config.Source.Read(ctx, watcher.Position().Next, wait)
+	from := watcher.Position().Next
+	page, err := watcher.config.Source.Read(ctx, from, wait)
 	if err != nil {
 		return err
 	}
-	if err := watcher.checkEpoch(next.Epoch); err != nil {
+	if err := watcher.checkEpoch(page.Next.Epoch); err != nil {
 		return err
 	}
+	if page.Next.Next == from && page.End > from {
+		return errNoRecords
+	}
 	watcher.staleSince = time.Time{}
-	changes := watcher.config.Apply(records, false)
-	watcher.advance(next.Next, changes)
+	changes := watcher.config.Apply(page.Records, false)
+	watcher.advance(page.Next.Next, changes)
+	watcher.end = page.End
 	watcher.changed = len(changes) > 0
 	return nil
 }
@@ -328,6 +360,31 @@
 	}
 }
 
+// confirm records, after a call that began at a time, until when the local state is known
+// to be current. It reports whether the call reached the end of the topic.
+//
+// A topic that grows as fast as it is read is never read to its end. The local state is
+// then as current as the last call whose end was reached by later ones.
+func (watcher *Watcher[Record]) confirm(called time.Time) (caughtUp bool) {
+	next := watcher.Position().Next
+	if next >= watcher.end {
+		watcher.unread = namedEnd{}
+		watcher.markConfirmed(called)
+		return true
+	}
+	if watcher.unread.at.IsZero() {
+		watcher.unread = namedEnd{watcher.end, called}
+		watcher.config.Logger.Info("follow: topic is not read to its end", zap.String("topic", watcher.config.Name),
+			zap.Uint64("next", next), zap.Uint64("end", watcher.end))
+		return false
+	}
+	if next >= watcher.unread.offset {
+		watcher.markConfirmed(watcher.unread.at)
+		watcher.unread = namedEnd{watcher.end, called}
+	}
+	return false
+}
+
 // markConfirmed records a time at which the local state was current.
 func (watcher *Watcher[Record]) markConfirmed(called time.Time) {
 	if watcher.failing {
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +20,9 @@
 	first   int
 	down    bool
 	calls   int
+	// pageSize is the number of records in a response at most, if it is not 0, and
+	// growth the number that are added with each read.
+	pageSize, growth int
 	// epoch is what all answers name.
 	epoch uint64
 }
@@ -35,26 +39,33 @@
 	return topic.records[len(topic.records)-1:], topic.end(), nil
 }
 
-func (topic *topic) Read(ctx context.Context, from uint64, wait time.Duration) ([]string, Cursor, error) {
+func (topic *topic) Read(ctx context.Context, from uint64, wait time.Duration) (Page[string], error) {
 	topic.mutex.Lock()
 	topic.calls++
+	for range topic.growth {
+		topic.records = append(topic.records, fmt.Sprint(len(topic.records)+1))
+	}
 	end := len(topic.records)
 	down, trimmed := topic.down, int(from) < topic.first || int(from) > end
 	topic.mutex.Unlock()
 	switch {
 	case down:
-		return nil, Cursor{}, errDown
+		return Page[string]{}, errDown
 	case trimmed:
-		return nil, Cursor{}, ErrTrimmed
+		return Page[string]{}, ErrTrimmed
 	case int(from) == end:
 		sleep(ctx, wait)
 	}
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	if int(from) > len(topic.records) {
-		return nil, Cursor{}, ErrTrimmed
+		return Page[string]{}, ErrTrimmed
+	}
+	page := Page[string]{Records: topic.records[from:], Next: topic.end(), End: uint64(len(topic.records))}
+	if topic.pageSize > 0 && len(page.Records) > topic.pageSize {
+		page.Records, page.Next.Next = page.Records[:topic.pageSize], from+uint64(topic.pageSize)
 	}
-	return topic.records[from:], topic.end(), ctx.Err()
+	return page, ctx.Err()
 }
 
 // end returns the cursor after the last record.
@@ -150,6 +161,101 @@
 	})
 }
 
+// TestShortPages guards against a state that counts as current although the store named
+// records that were not read yet (CONFIG, review/1), against a pause before they are
+// read, and against one that never counts as current as the topic grows while it is read.
+func TestShortPages(t *testing.T) {
+	const callTime = 10 * time.Millisecond
+	tests := []struct {
+		name     string
+		behind   int
+		pageSize int
+		growth   int
+		// calls is the number of calls until the records are read, and age how old the
+		// state is then.
+		calls int
+		age   time.Duration
+	}{
+		{name: "whole", behind: 7, calls: 1, age: callTime},
+		{name: "two pages", behind: 4, pageSize: 3, calls: 2, age: callTime},
+		{name: "three pages", behind: 7, pageSize: 3, calls: 3, age: callTime},
+		{name: "grows as fast as it is read", behind: 7, pageSize: 3, growth: 3, calls: 4, age: 4 * callTime},
+		{name: "grows faster", behind: 6, pageSize: 2, growth: 3, calls: 5, age: 5 * callTime},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &topic{records: []string{"1"}}
+				applied := 0
+				var watcher *Watcher[string]
+				watcher = New(Config[string]{
+					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: time.Second, Interval: time.Second,
+					Apply: func(records []string, _ bool) []string {
+						applied += len(records)
+						time.Sleep(callTime)
+						return records
+					},
+				})
+				stop := run(t, watcher)
+				time.Sleep(100 * time.Millisecond)
+				store.change(func() {
+					for range test.behind {
+						store.records = append(store.records, "changed")
+					}
+					store.pageSize, store.growth, store.calls = test.pageSize, test.growth, 0
+				})
+				before := watcher.Position().ConfirmedAt
+				for watcher.Position().ConfirmedAt.Equal(before) {
+					time.Sleep(time.Millisecond)
+				}
+				synctest.Wait()
+				calls := 0
+				store.change(func() { calls = store.calls })
+				position := watcher.Position()
+				if position.Next < uint64(1+test.behind) {
+					t.Errorf("confirmed at offset %d, before the records up to %d were read", position.Next, 1+test.behind)
+				}
+				if age := time.Since(position.ConfirmedAt); age > test.age+2*time.Millisecond {
+					t.Errorf("confirmed as of %v ago, want %v", age, test.age)
+				}
+				if diff := cmp.Diff(test.calls, min(calls, test.calls)); diff != "" || calls > test.calls+1 {
+					t.Errorf("%d calls until confirmed (-want +got):\n%s", calls, diff)
+				}
+				stop()
+			})
+		})
+	}
+}
+
+// TestEmptyPage guards against calls without a pause to a store that names records and
+// returns none.
+func TestEmptyPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &topic{records: []string{"1"}}
+		watcher := New(Config[string]{
+			Name: "config", Source: emptyPages{store}, Logger: zap.NewNop(), LongPoll: time.Second,
+			Apply: func(records []string, _ bool) []string { return records },
+		})
+		stop := run(t, watcher)
+		time.Sleep(5 * time.Second)
+		stop()
+		if store.calls > 40 {
+			t.Errorf("%d calls in 5 s", store.calls)
+		}
+		if age := time.Since(watcher.Position().ConfirmedAt); age < 5*time.Second {
+			t.Errorf("the state was confirmed %v ago", age)
+		}
+	})
+}
+
+// emptyPages is a topic whose reads return no records.
+type emptyPages struct{ *topic }
+
+func (emptyPages emptyPages) Read(_ context.Context, from uint64, _ time.Duration) (Page[string], error) {
+	emptyPages.calls++
+	return Page[string]{Next: Cursor{Next: from}, End: from + 1}, nil
+}
+
 // peer is another process that has read the topic.
 type peer struct {
 	mutex  sync.Mutex
