Notice in time that a failure domain's store reader is cut off from the store

Cause: it trusted the position of its store reader for 3.3 s, derived from the bound of withdrawn keys alone, and counted from the begin of a call that the store holds.

Change: a position tells when the store last answered. Polls and ages are derived from the settings' bounds (config-apply, version, drain, revoke), and one that cannot be met is logged. A relay whose calls fail or are overdue tells the others, which elect another reader and wait for its report instead of calling the store at once.

--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -25,6 +25,12 @@
 	// that has not confirmed its configuration for nearly that long rejects
 	// requests with a key.
 	RevocationDelay Period `toml:"revoke" json:"Revoke"`
+	// ConfigDelay is how soon a configuration must be in force after its
+	// acknowledgement, VersionDelay how soon a new version of an adapter, and
+	// DrainDelay how soon a draining upstream must get no more requests.
+	ConfigDelay  Period `toml:"config-apply"`
+	VersionDelay Period `toml:"version"`
+	DrainDelay   Period `toml:"drain"`
 	// GracePeriod is the longest time that a planned stop may take.
 	GracePeriod Period `toml:"grace" json:"Grace"`
 	// RetryRatio and RetryExtra bound the retries of all instances together within
@@ -59,6 +65,9 @@
 
 const (
 	defaultRevoke      = 5 * time.Second
+	defaultConfigDelay = 2 * time.Second
+	defaultVersion     = 5 * time.Second
+	defaultDrain       = 2 * time.Second
 	defaultGrace       = 8 * time.Second
 	defaultRetryRatio  = 0.2
 	defaultRetryWindow = 10 * time.Second
@@ -69,6 +78,7 @@
 	return Relay{
 		Bounds: RelayBounds{
 			RevocationDelay: Period{defaultRevoke}, GracePeriod: Period{defaultGrace},
+			ConfigDelay: Period{defaultConfigDelay}, VersionDelay: Period{defaultVersion}, DrainDelay: Period{defaultDrain},
 			RetryRatio: defaultRetryRatio, RetryWindow: Period{defaultRetryWindow},
 		},
 		Log: Log{Level: "info", Format: "json"},
@@ -94,6 +104,9 @@
 	checks.address("listen.metrics", relay.Listen.Metrics)
 	checks.address("peers.listen", relay.Peers.Listen)
 	checks.positive("bounds.revoke", relay.Bounds.RevocationDelay.Duration)
+	checks.positive("bounds.config-apply", relay.Bounds.ConfigDelay.Duration)
+	checks.positive("bounds.version", relay.Bounds.VersionDelay.Duration)
+	checks.positive("bounds.drain", relay.Bounds.DrainDelay.Duration)
 	checks.positive("bounds.grace", relay.Bounds.GracePeriod.Duration)
 	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow.Duration)
 	checks.notNegative("bounds.retry-ratio", relay.Bounds.RetryRatio)
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -29,6 +29,8 @@
 
 	mutex     sync.Mutex
 	byAddress map[string]*peer
+	// storeFailing means that this instance's calls to the store fail.
+	storeFailing bool
 }
 
 // peer is what is known of another entry instance.
@@ -41,6 +43,8 @@
 	start         int64
 	domain        string
 	configVersion uint64
+	// storeFailing means that its calls to the store fail.
+	storeFailing bool
 	// fullReportsDue counts down the full usage reports that are to be sent in a row,
 	// and fullReportAt is when the last one was sent.
 	fullReportsDue int
@@ -177,15 +181,45 @@
 	return version, complete
 }
 
+// recordStoreState records whether an entry instance's calls to the store fail, this one's
+// if address is its own. It reports whether that changed.
+func (peers *peers) recordStoreState(address string, failing bool) (changed bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	state := &peers.storeFailing
+	if address != peers.own {
+		sender, ok := peers.byAddress[address]
+		if !ok {
+			return false
+		}
+		state = &sender.storeFailing
+	}
+	changed = *state != failing
+	*state = failing
+	return changed
+}
+
 // storeReader returns the entry instance that reads the store for this instance's
-// failure domain, and the other live entry instances there.
+// failure domain, and the other live entry instances there. One whose calls to the store
+// fail is elected only if those of all do.
 func (peers *peers) storeReader() (reader string, others []string) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
+	var reaching []string
+	if !peers.storeFailing {
+		reaching = append(reaching, peers.own)
+	}
 	for address, peer := range peers.byAddress {
-		if peer.domain == peers.domain && peer.live() {
-			others = append(others, address)
+		if peer.domain != peers.domain || !peer.live() {
+			continue
 		}
+		others = append(others, address)
+		if !peer.storeFailing {
+			reaching = append(reaching, address)
+		}
+	}
+	if len(reaching) == 0 {
+		reaching = append([]string{peers.own}, others...)
 	}
-	return rank.First("store", append([]string{peers.own}, others...)), others
+	return rank.First("store", reaching), others
 }
--- a/internal/daemon/relay/poison.go
+++ b/internal/daemon/relay/poison.go
@@ -240,7 +240,7 @@
 
 // reportPoisonSoon makes sendReports send what this instance observed at once.
 func (relay *Relay) reportPoisonSoon() {
-	relay.poisonChanged.Store(true)
+	relay.usageUrgent.Store(true)
 	relay.reportSoon()
 }
 
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -63,13 +63,6 @@
 type Bounds = setup.RelayBounds
 
 const (
-	// configTrustMargin is how long before the end of Bounds.RevocationDelay an
-	// instance stops trusting an unconfirmed configuration.
-	configTrustMargin = 200 * time.Millisecond
-	// configPollTime is how long a read of the configuration waits for a change.
-	configPollTime = 1500 * time.Millisecond
-	// listReadInterval is the time between two reads of the instance list.
-	listReadInterval = 900 * time.Millisecond
 	// minEarlyReadInterval is the least time between two early reads of the instance
 	// list.
 	minEarlyReadInterval = 300 * time.Millisecond
@@ -110,16 +103,17 @@
 	// keeps the sends to others within the rate limits that they name.
 	cordon  *cordon.Set
 	permits *permits
-	// poison tracks the parts of prompts that crash upstreams, and poisonChanged
-	// means that the other entry instances must be told of it at once.
+	// poison tracks the parts of prompts that crash upstreams.
 	poison          *poison.Tracker
 	brokenResponses *brokenResponses
-	poisonChanged   atomic.Bool
-	latencies       *latencies
-	start           time.Time
-	wake            chan struct{}
-	stateChanged    *broadcast
-	activeSends     *activeSends
+	// usageUrgent means that the other entry instances must be told at once of what this
+	// one observed.
+	usageUrgent  atomic.Bool
+	latencies    *latencies
+	start        time.Time
+	wake         chan struct{}
+	stateChanged *broadcast
+	activeSends  *activeSends
 	// instanceWatcher follows the instance list. earlyReadAt is when it was last
 	// woken before its next read was due, in Unix milliseconds.
 	instanceWatcher *watch.Watcher[Listing]
@@ -129,9 +123,11 @@
 	// configWatcher follows the configuration and the adapter versions.
 	configWatcher *watch.Watcher[ConfigChange]
 	readerReport  readerReport
+	storeFailures storeFailures
 	earlyReadAt   atomic.Int64
 	metrics       metrics
 	bounds        atomic.Pointer[Bounds]
+	timing        atomic.Pointer[timing]
 	// requestNumbers numbers the requests that wait for admission. It starts at a
 	// random value, so that a loader does not mistake them for those from before a
 	// restart.
@@ -173,6 +169,7 @@
 	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
+	relay.timing.Store(newTiming(config.Bounds))
 	relay.retryBudget = newRetryBudget(relay.retryLimits, relay.start)
 	relay.instanceWatcher = relay.newInstanceWatcher()
 	relay.configWatcher = relay.newConfigWatcher()
@@ -207,6 +204,7 @@
 	group.Go(func() error { relay.expire(running); return nil })
 	group.Go(func() error { relay.updateBounds(running); return nil })
 	relay.config.Logger.Info("relay: started", zap.String("address", relay.config.DatagramAddress))
+	relay.logUnmetBounds()
 	select {
 	case <-ctx.Done():
 		relay.drain()
@@ -254,6 +252,7 @@
 			return
 		case bounds := <-relay.config.BoundsUpdates:
 			before := relay.bounds.Swap(&bounds)
+			relay.updateTiming(bounds)
 			relay.config.Logger.Info("settings: bounds in force", zap.Any("bounds", bounds), zap.Bool("changed", *before != bounds))
 		}
 	}
@@ -264,12 +263,6 @@
 	return !relay.stopping.Load() && relay.store.config() != nil && relay.configConfirmed()
 }
 
-// configLifetime returns how long the configuration is trusted after it was last
-// confirmed.
-func (relay *Relay) configLifetime() time.Duration {
-	return relay.bounds.Load().RevocationDelay.Duration - configTrustMargin
-}
-
 func (relay *Relay) serveReady(writer http.ResponseWriter, _ *http.Request) {
 	if !relay.Ready() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -71,7 +71,7 @@
 		usage := relay.limiter.LocalUsage()
 		changed := relay.usageChanges.update(usage.Spent)
 		changed = relay.retryBudget.updateChanges() || changed
-		if relay.poisonChanged.Swap(false) || time.Since(usageSentAt) >= maxUsageInterval || changed && time.Since(usageSentAt) >= usageInterval(relay.peers.count()) {
+		if relay.usageUrgent.Swap(false) || time.Since(usageSentAt) >= maxUsageInterval || changed && time.Since(usageSentAt) >= usageInterval(relay.peers.count()) {
 			usageSentAt = time.Now()
 			relay.reportUsage(usage)
 		}
--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -13,19 +13,16 @@
 
 // One entry instance of each failure domain, the store reader, reads the store. The
 // others query its position, and read the store themselves only if there is
-// something new or the reported position is too old. A position's age counts from
+// something new or the store last answered the reader too long ago. Ages count from
 // the query, so that a report that was delayed on the way does not seem newer than
 // it is.
+//
+// When the reader's calls fail or are overdue, it tells the others, and they elect
+// another one, which reads at once. Meanwhile they wait for its report as long as what
+// they know is recent enough, so that they do not all call the store.
 
-const (
-	// queryInterval is the time between two queries to the store reader.
-	queryInterval = 250 * time.Millisecond
-	// maxConfigUpdateAge and maxListUpdateAge limit the age of a reported position. They
-	// leave time for this instance's own reads before the configuration is too old to
-	// be trusted, and before an upstream that is draining must not be used.
-	maxConfigUpdateAge = 3300 * time.Millisecond
-	maxListUpdateAge   = 1600 * time.Millisecond
-)
+// queryInterval is the time between two queries to the store reader.
+const queryInterval = 250 * time.Millisecond
 
 // Topics of position reports.
 const (
@@ -78,17 +75,21 @@
 	for _, topic := range report.GetTopics() {
 		position := watch.Position{
 			Cursor: watch.Cursor{Epoch: topic.GetEpoch(), Next: topic.GetNext()}, ChangedNext: topic.GetChanged(),
-			ConfirmedAt: readerReport.queriedAt.Add(-time.Duration(topic.GetAgeMs()) * time.Millisecond),
+			ConfirmedAt: readerReport.queriedAt.Add(-milliseconds(topic.GetAgeMs())),
+		}
+		position.AnsweredAt = position.ConfirmedAt
+		if topic.GetAnsweredMs() > 0 {
+			position.AnsweredAt = readerReport.queriedAt.Add(-milliseconds(topic.GetAnsweredMs()))
 		}
 		switch topic.GetTopic() {
 		case topicConfig:
 			if !answer {
-				position.ConfirmedAt = readerReport.configUpdate.ConfirmedAt
+				position.ConfirmedAt, position.AnsweredAt = readerReport.configUpdate.ConfirmedAt, readerReport.configUpdate.AnsweredAt
 			}
 			readerReport.configUpdate = watch.Update[ConfigChange]{Position: position}
 		case topicInstances:
 			if !answer {
-				position.ConfirmedAt = readerReport.listUpdate.ConfirmedAt
+				position.ConfirmedAt, position.AnsweredAt = readerReport.listUpdate.ConfirmedAt, readerReport.listUpdate.AnsweredAt
 			}
 			readerReport.listUpdate = watch.Update[Listing]{
 				Position: position, Changes: decodeListings(topic.GetListings()), From: topic.GetFrom(), Complete: topic.GetComplete(),
@@ -110,23 +111,42 @@
 func (relay *Relay) configUpdate() (watch.Update[ConfigChange], bool) {
 	relay.readerReport.mutex.Lock()
 	defer relay.readerReport.mutex.Unlock()
-	return relay.readerReport.configUpdate, elapsed(relay.readerReport.configUpdate.ConfirmedAt) < maxConfigUpdateAge
+	reported := relay.readerReport.configUpdate
+	if relay.awaitsReport(reported.Position) {
+		reported = watch.Update[ConfigChange]{Position: relay.configWatcher.Position()}
+	}
+	return reported, elapsed(reported.AnsweredAt) < relay.timing.Load().maxConfigAge
 }
 
 func (relay *Relay) listUpdate() (watch.Update[Listing], bool) {
 	relay.readerReport.mutex.Lock()
 	defer relay.readerReport.mutex.Unlock()
-	return relay.readerReport.listUpdate, elapsed(relay.readerReport.listUpdate.ConfirmedAt) < maxListUpdateAge
+	reported := relay.readerReport.listUpdate
+	if relay.awaitsReport(reported.Position) {
+		reported = watch.Update[Listing]{Position: relay.instanceWatcher.Position()}
+	}
+	return reported, elapsed(reported.AnsweredAt) < relay.timing.Load().maxListAge
+}
+
+// awaitsReport reports whether another instance was elected as the store reader and has
+// not reported a position yet. Its caller holds the mutex of the report.
+func (relay *Relay) awaitsReport(reported watch.Position) bool {
+	return reported.ConfirmedAt.IsZero() && relay.readerReport.reader != relay.config.DatagramAddress
 }
 
 // queryReader sends a query to the store reader, unless that is this instance.
 func (relay *Relay) queryReader() {
 	reader, others := relay.peers.storeReader()
-	if relay.readerReport.setReader(reader) {
+	changed := relay.readerReport.setReader(reader)
+	if changed {
 		relay.config.Logger.Info("relay: store reader elected", zap.String("reader", reader),
 			zap.Int("others", len(others)), zap.Duration("config-age", relay.configAge()))
 	}
 	if reader == relay.config.DatagramAddress {
+		if changed {
+			relay.configWatcher.Wake()
+			relay.instanceWatcher.Wake()
+		}
 		return
 	}
 	position := relay.instanceWatcher.Position()
@@ -172,10 +192,16 @@
 
 func encodePosition(topic string, position watch.Position) *wirepb.TopicPosition {
 	return &wirepb.TopicPosition{
-		Topic: topic, Epoch: position.Epoch, Next: position.Next, Changed: position.ChangedNext, AgeMs: uint32(elapsed(position.ConfirmedAt).Milliseconds() + 1),
+		Topic: topic, Epoch: position.Epoch, Next: position.Next, Changed: position.ChangedNext,
+		AgeMs: roundUp(elapsed(position.ConfirmedAt)), AnsweredMs: roundUp(elapsed(position.AnsweredAt)),
 	}
 }
 
+// roundUp returns an age in milliseconds, at least 1.
+func roundUp(age time.Duration) uint32 { return uint32(age.Milliseconds() + 1) }
+
+func milliseconds(count uint32) time.Duration { return time.Duration(count) * time.Millisecond }
+
 func encodeListing(listing Listing) *wirepb.Listing {
 	encoded := &wirepb.Listing{Id: listing.ID}
 	if upstream := listing.Upstream; upstream != nil {
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	stdcmp "cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/rank"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -19,6 +22,9 @@
 	readerAddress = "10.0.0.2:7600"
 )
 
+// defaultTiming follows from the default bounds.
+var defaultTiming = newTiming(setup.DefaultRelay().Bounds)
+
 func newStoreWord(entry string, number uint64, age time.Duration) *wirepb.StoreWord {
 	return &wirepb.StoreWord{Entry: entry, Number: number, Topics: []*wirepb.TopicPosition{
 		{Topic: topicConfig, Next: 9, Changed: 7, AgeMs: uint32(age.Milliseconds())},
@@ -37,20 +43,43 @@
 		delay  time.Duration
 		report func(number uint64) *wirepb.StoreWord
 		age    time.Duration
-		ok     bool
+		// answeredAge is the time since the store answered the reader, age if it is 0.
+		answeredAge time.Duration
+		ok          bool
 	}{
 		{
 			name: "prompt", report: func(number uint64) *wirepb.StoreWord { return newStoreWord(readerAddress, number, time.Second) },
 			age: time.Second, ok: true,
 		},
 		{
-			name: "delayed", guards: "a delay that does not count", delay: 2 * time.Second,
-			report: func(number uint64) *wirepb.StoreWord { return newStoreWord(readerAddress, number, time.Second) },
-			age:    3 * time.Second, ok: true,
+			name: "delayed", guards: "a delay that does not count", delay: time.Second,
+			report: func(number uint64) *wirepb.StoreWord {
+				return newStoreWord(readerAddress, number, 500*time.Millisecond)
+			},
+			age: 1500 * time.Millisecond, ok: true,
 		},
 		{
 			name: "too old", guards: "a store reader that cannot reach the store",
-			report: func(number uint64) *wirepb.StoreWord { return newStoreWord(readerAddress, number, maxConfigUpdateAge) },
+			report: func(number uint64) *wirepb.StoreWord {
+				return newStoreWord(readerAddress, number, defaultTiming.maxConfigAge)
+			},
+		},
+		{
+			name: "answered lately", guards: "a store reader whose long poll began long ago",
+			report: func(number uint64) *wirepb.StoreWord {
+				word := newStoreWord(readerAddress, number, 2*time.Second)
+				word.Topics[0].AnsweredMs = 1000
+				return word
+			},
+			age: 2 * time.Second, answeredAge: time.Second, ok: true,
+		},
+		{
+			name: "answered too long ago", guards: "a store reader that was cut off during its long poll (review/3)", delay: 100 * time.Millisecond,
+			report: func(number uint64) *wirepb.StoreWord {
+				word := newStoreWord(readerAddress, number, 2*time.Second)
+				word.Topics[0].AnsweredMs = uint32(defaultTiming.maxConfigAge.Milliseconds()) - 100
+				return word
+			},
 		},
 		{
 			name: "earlier query", guards: "a late answer to an earlier query",
@@ -71,11 +100,14 @@
 				time.Sleep(test.delay)
 				readerReport.record(test.report(number))
 				position := readerReport.configUpdate.Position
-				ok := elapsed(position.ConfirmedAt) < maxConfigUpdateAge
+				ok := elapsed(position.AnsweredAt) < defaultTiming.maxConfigAge
 				if ok != test.ok {
 					t.Fatalf("%s: update given %v, want %v", test.guards, ok, test.ok)
 				}
-				want := watch.Position{Cursor: watch.Cursor{Next: 9}, ChangedNext: 7, ConfirmedAt: time.Now().Add(-test.age)}
+				want := watch.Position{
+					Cursor: watch.Cursor{Next: 9}, ChangedNext: 7, ConfirmedAt: time.Now().Add(-test.age),
+					AnsweredAt: time.Now().Add(-stdcmp.Or(test.answeredAge, test.age)),
+				}
 				if diff := cmp.Diff(want, position); ok && diff != "" {
 					t.Errorf("%s: position (-want +got):\n%s", test.guards, diff)
 				}
@@ -105,7 +137,7 @@
 			Listings: []*wirepb.Listing{encodeListing(Listing{ID: "i-1", Upstream: upstream}), encodeListing(Listing{ID: "i-2"})},
 		})
 		readerReport.record(unsolicited)
-		if diff := cmp.Diff(watch.Position{Cursor: watch.Cursor{Next: 9}, ChangedNext: 12, ConfirmedAt: queriedAt}, readerReport.configUpdate.Position); diff != "" {
+		if diff := cmp.Diff(watch.Position{Cursor: watch.Cursor{Next: 9}, ChangedNext: 12, ConfirmedAt: queriedAt, AnsweredAt: queriedAt}, readerReport.configUpdate.Position); diff != "" {
 			t.Errorf("position (-want +got):\n%s", diff)
 		}
 		want := watch.Update[Listing]{
@@ -147,11 +179,73 @@
 			peers.recordReport(address, "hall-a", 1, 0)
 		}
 		expect("another instance elected", rank.First("store", members))
+		reader := rank.First("store", members)
+		peers.recordStoreState(reader, true)
+		members = slices.DeleteFunc(members, func(address string) bool { return address == reader })
+		expect("the elected one is cut off from the store", rank.First("store", members))
+		for _, address := range members {
+			peers.recordStoreState(address, true)
+		}
+		expect("all are cut off from the store", reader)
+		peers.recordStoreState(ownAddress, false)
+		expect("all others are cut off from the store", ownAddress)
 		time.Sleep(readerTimeout)
 		expect("all silent", ownAddress)
 	})
 }
 
+// TestTiming guards against intervals that suit only the bounds of some deployments, and
+// against a bound that cannot be met without a word at the start.
+func TestTiming(t *testing.T) {
+	bounds := func(config, version, drain, revoke time.Duration) Bounds {
+		return Bounds{
+			ConfigDelay: setup.Period{Duration: config}, VersionDelay: setup.Period{Duration: version},
+			DrainDelay: setup.Period{Duration: drain}, RevocationDelay: setup.Period{Duration: revoke},
+		}
+	}
+	tests := []struct {
+		name   string
+		bounds Bounds
+		// unmet is the number of bounds that cannot be met.
+		unmet int
+	}{
+		{name: "defaults", bounds: setup.DefaultRelay().Bounds},
+		{name: "long", bounds: bounds(time.Minute, time.Minute, time.Minute, time.Minute)},
+		{name: "short configuration", bounds: bounds(time.Second, 5*time.Second, 2*time.Second, 5*time.Second)},
+		{name: "short version", bounds: bounds(2*time.Second, 800*time.Millisecond, 2*time.Second, 5*time.Second)},
+		{name: "short drain", bounds: bounds(2*time.Second, 5*time.Second, time.Second, 5*time.Second)},
+		{name: "short revocation", bounds: bounds(5*time.Second, 5*time.Second, 2*time.Second, 2*time.Second)},
+		{name: "too short", bounds: bounds(300*time.Millisecond, 5*time.Second, 400*time.Millisecond, time.Second), unmet: 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			timing := newTiming(test.bounds)
+			if diff := cmp.Diff(test.unmet, len(timing.unmet)); diff != "" {
+				t.Fatalf("bounds that cannot be met (-want +got):\n%s\n%v", diff, timing.unmet)
+			}
+			if test.unmet > 0 {
+				return
+			}
+			configDelay := min(test.bounds.ConfigDelay.Duration, test.bounds.VersionDelay.Duration)
+			checks := []struct {
+				name            string
+				longest, within time.Duration
+			}{
+				{"next answer to the configuration's reader", timing.configPoll + queryInterval + reportTime, timing.maxConfigAge},
+				{"own read of the configuration", timing.maxConfigAge + watch.PeerPollPeriod + ownReadTime, configDelay},
+				{"next answer to the list's reader", timing.listInterval + queryInterval + reportTime, timing.maxListAge},
+				{"own read of the list", timing.maxListAge + watch.PeerPollPeriod + ownReadTime + sendTime, test.bounds.DrainDelay.Duration},
+				{"confirmation", 2*timing.configPoll + watch.DefaultCallTimeout + queryInterval + reportTime, timing.configLifetime},
+			}
+			for _, check := range checks {
+				if check.longest > check.within {
+					t.Errorf("%s: up to %v, must be within %v", check.name, check.longest, check.within)
+				}
+			}
+		})
+	}
+}
+
 // TestFullUsageReports guards against an entry instance that receives only changes
 // after a restart, and against lost datagrams that are never made up for.
 func TestFullUsageReports(t *testing.T) {
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -89,10 +89,10 @@
 }
 
 // configConfirmed reports whether the configuration was confirmed as the newest
-// within configLifetime.
+// within timing.configLifetime.
 func (relay *Relay) configConfirmed() bool {
 	at := relay.configWatcher.Position().ConfirmedAt
-	return !at.IsZero() && elapsed(at) < relay.configLifetime() && relay.configCaughtUp()
+	return !at.IsZero() && elapsed(at) < relay.timing.Load().configLifetime && relay.configCaughtUp()
 }
 
 // configCaughtUp reports whether the first configuration that this instance read was
@@ -125,7 +125,7 @@
 // versions.
 func (relay *Relay) newConfigWatcher() *watch.Watcher[ConfigChange] {
 	return watch.New(watch.Config[ConfigChange]{
-		Name: topicConfig, Source: relay.config.ConfigSource, Logger: relay.config.Logger, LongPoll: configPollTime,
+		Name: topicConfig, Source: relay.config.ConfigSource, Logger: relay.config.Logger, LongPoll: relay.timing.Load().configPoll,
 		Apply: func(changes []ConfigChange, complete bool) []ConfigChange {
 			if complete {
 				relay.store.logKept(changes)
@@ -138,7 +138,8 @@
 		},
 		PeerUpdate: relay.configUpdate,
 		OnChange:   relay.announceChange,
-		OnCall:     func(err error) { relay.metrics.recordStoreCall(topicConfig, err) },
+		OnOverdue:  func() { relay.recordStoreState(topicConfig, true) },
+		OnCall:     func(err error) { relay.recordStoreCall(topicConfig, err) },
 	})
 }
 
@@ -146,7 +147,7 @@
 func (relay *Relay) newInstanceWatcher() *watch.Watcher[Listing] {
 	list := relay.store.instances
 	return watch.New(watch.Config[Listing]{
-		Name: topicInstances, Source: relay.config.InstanceSource, Logger: relay.config.Logger, Interval: listReadInterval,
+		Name: topicInstances, Source: relay.config.InstanceSource, Logger: relay.config.Logger, Interval: relay.timing.Load().listInterval,
 		Apply: func(listings []Listing, complete bool) []Listing {
 			generation := list.Generation()
 			changes := relay.applyListings(listings, complete)
@@ -160,7 +161,8 @@
 		OnChange:    relay.announceChange,
 		OnFailure:   list.MarkUnavailable,
 		OnRestore:   list.MarkRestored,
-		OnCall:      func(err error) { relay.metrics.recordStoreCall(topicInstances, err) },
+		OnOverdue:   func() { relay.recordStoreState(topicInstances, true) },
+		OnCall:      func(err error) { relay.recordStoreCall(topicInstances, err) },
 	})
 }
 
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -76,6 +76,7 @@
 		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: !full,
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(full),
 		Poison: relay.encodePoison(full), Retries: relay.retryBudget.encodeUse(kind),
+		StoreFailing: relay.storeFailures.any(),
 	}
 	if config := relay.store.config(); config != nil {
 		encoded.ConfigVersion = config.Version()
@@ -105,6 +106,9 @@
 		}
 	}
 	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion())
+	if relay.peers.recordStoreState(report.GetEntry(), report.GetStoreFailing()) {
+		relay.queryReader()
+	}
 	relay.limiter.MergeUsage(report.GetEntry(), usage)
 	relay.recordPeerDraining(report)
 	relay.recordPeerLimits(report)
--- a/internal/daemon/watch/changes.go
+++ b/internal/daemon/watch/changes.go
@@ -36,6 +36,10 @@
 	// ConfirmedAt is the last time at which there was known to be nothing after
 	// Next.
 	ConfirmedAt time.Time
+	// AnsweredAt is the last time by which the store had answered a call, with nothing
+	// after Next. It is later than ConfirmedAt by the time for which the store held the
+	// call. While it advances, the process that called reaches the store.
+	AnsweredAt time.Time
 }
 
 // Update is what a process has read of a topic, as it tells others.
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -9,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,12 +37,20 @@
 	DefaultMaxBackoff  = 400 * time.Millisecond
 )
 
+// minOverdueTime is the least time after which a call is overdue, in addition to the time
+// for which the store holds it. Where the store is slow, it is overdueFactor times as
+// long as the store took for the last call.
+const (
+	minOverdueTime = 200 * time.Millisecond
+	overdueFactor  = 2
+)
+
 // maxAnswerAge is how old an answer may be. If only answers of an earlier epoch come
 // for longer, the store itself is of that epoch.
 const maxAnswerAge = 10 * time.Second
 
-// peerPollPeriod is how often the update of another process is looked up.
-const peerPollPeriod = 100 * time.Millisecond
+// PeerPollPeriod is how often the update of another process is looked up.
+const PeerPollPeriod = 100 * time.Millisecond
 
 // Source reads a topic as decoded records.
 type Source[Record any] interface {
@@ -102,6 +111,8 @@
 	OnChange func()
 	// OnFailure is called when calls begin to fail.
 	OnFailure func()
+	// OnOverdue is called when a call takes longer than expected, before it fails.
+	OnOverdue func()
 	// OnRestore is called before Apply is called with a snapshot of a store that was
 	// restored from an earlier copy.
 	OnRestore func()
@@ -113,6 +124,12 @@
 type Watcher[Record any] struct {
 	config Config[Record]
 	wake   chan struct{}
+	// longPoll and interval are the LongPoll and Interval in force, in nanoseconds.
+	longPoll, interval atomic.Int64
+	// storeTime is how long the store took for the last call, besides holding it.
+	storeTime time.Duration
+	// held is for how long the store may hold the present call.
+	held time.Duration
 
 	// synced means that a snapshot was read and no records were trimmed since.
 	// failing means that calls have failed since the state was last confirmed.
@@ -166,11 +183,15 @@
 	watcher.position.Cursor, watcher.position.ChangedNext = next, next.Next
 }
 
-// setConfirmedAt records a time at which there was nothing more to read.
-func (watcher *Watcher[Record]) setConfirmedAt(at time.Time) {
+// setConfirmedAt records a time at which there was nothing more to read, and by which the
+// store had answered.
+func (watcher *Watcher[Record]) setConfirmedAt(at, answeredAt time.Time) {
 	watcher.mutex.Lock()
 	defer watcher.mutex.Unlock()
 	watcher.position.ConfirmedAt = at
+	if answeredAt.After(watcher.position.AnsweredAt) {
+		watcher.position.AnsweredAt = answeredAt
+	}
 }
 
 // New returns a Watcher that has read nothing.
@@ -178,7 +199,15 @@
 	config.CallTimeout = cmp.Or(config.CallTimeout, DefaultCallTimeout)
 	config.MinBackoff = cmp.Or(config.MinBackoff, DefaultMinBackoff)
 	config.MaxBackoff = cmp.Or(config.MaxBackoff, DefaultMaxBackoff)
-	return &Watcher[Record]{config: config, wake: make(chan struct{}, 1)}
+	watcher := &Watcher[Record]{config: config, wake: make(chan struct{}, 1)}
+	watcher.SetPace(config.LongPoll, config.Interval)
+	return watcher
+}
+
+// SetPace replaces LongPoll and Interval, from the next call on.
+func (watcher *Watcher[Record]) SetPace(longPoll, interval time.Duration) {
+	watcher.longPoll.Store(int64(longPoll))
+	watcher.interval.Store(int64(interval))
 }
 
 // Run reads the topic until ctx ends.
@@ -229,10 +258,11 @@
 
 // waitInterval waits for Interval or until it is woken.
 func (watcher *Watcher[Record]) waitInterval(ctx context.Context) {
-	if watcher.config.Interval <= 0 {
+	interval := time.Duration(watcher.interval.Load())
+	if interval <= 0 {
 		return
 	}
-	timer := time.NewTimer(watcher.config.Interval)
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -247,7 +277,7 @@
 		watcher.skippedCall = true
 		select {
 		case <-ctx.Done():
-		case <-time.After(peerPollPeriod):
+		case <-time.After(PeerPollPeriod):
 		case <-watcher.wake:
 		}
 	}
@@ -273,14 +303,16 @@
 		watcher.advance(update.Next, changes)
 	}
 	if update.ConfirmedAt.After(own.ConfirmedAt) {
-		watcher.markConfirmed(update.ConfirmedAt)
+		watcher.markConfirmed(update.ConfirmedAt, update.AnsweredAt)
 	}
 	return true
 }
 
 // call reads the snapshot, or the records after it.
 func (watcher *Watcher[Record]) call(ctx context.Context) error {
+	watcher.held = 0
 	if !watcher.synced {
+		defer watcher.watchOverdue()()
 		ctx, cancel := context.WithTimeout(ctx, watcher.config.CallTimeout)
 		defer cancel()
 		records, next, err := watcher.config.Source.Snapshot(ctx)
@@ -303,15 +335,17 @@
 		watcher.synced, watcher.changed = true, true
 		return nil
 	}
-	wait := watcher.config.LongPoll
+	wait := time.Duration(watcher.longPoll.Load())
 	if watcher.failing || watcher.skippedCall {
 		// After an outage, or when peer updates have ended, the local state must
 		// be confirmed at once.
 		wait = 0
 		watcher.skippedCall = false
 	}
+	watcher.held = wait
 	ctx, cancel := context.WithTimeout(ctx, watcher.config.CallTimeout+wait)
 	defer cancel()
+	defer watcher.watchOverdue()()
 	from := watcher.Position().Next
 	page, err := watcher.config.Source.Read(ctx, from, wait)
 	if err != nil {
@@ -331,6 +365,16 @@
 	return nil
 }
 
+// watchOverdue calls OnOverdue when the present call takes longer than expected. The
+// caller calls done when the call has ended.
+func (watcher *Watcher[Record]) watchOverdue() (done func()) {
+	if watcher.config.OnOverdue == nil {
+		return func() {}
+	}
+	timer := time.AfterFunc(watcher.held+max(minOverdueTime, overdueFactor*watcher.storeTime), watcher.config.OnOverdue)
+	return func() { timer.Stop() }
+}
+
 // checkEpoch returns an error if an answer is of another epoch than the position.
 func (watcher *Watcher[Record]) checkEpoch(epoch uint64) error {
 	err := watcher.Position().compareEpoch(epoch)
@@ -369,7 +413,13 @@
 	next := watcher.Position().Next
 	if next >= watcher.end {
 		watcher.unread = namedEnd{}
-		watcher.markConfirmed(called)
+		answeredAt := time.Now()
+		watcher.storeTime = max(0, answeredAt.Sub(called)-watcher.held)
+		if latest := called.Add(watcher.held); answeredAt.After(latest) {
+			// The answer may have waited to be read.
+			answeredAt = latest
+		}
+		watcher.markConfirmed(called, answeredAt)
 		return true
 	}
 	if watcher.unread.at.IsZero() {
@@ -379,19 +429,20 @@
 		return false
 	}
 	if next >= watcher.unread.offset {
-		watcher.markConfirmed(watcher.unread.at)
+		watcher.markConfirmed(watcher.unread.at, watcher.unread.at)
 		watcher.unread = namedEnd{watcher.end, called}
 	}
 	return false
 }
 
-// markConfirmed records a time at which the local state was current.
-func (watcher *Watcher[Record]) markConfirmed(called time.Time) {
+// markConfirmed records a time at which the local state was current, and by which the store
+// had answered.
+func (watcher *Watcher[Record]) markConfirmed(called, answeredAt time.Time) {
 	if watcher.failing {
 		watcher.failing = false
 		watcher.config.Logger.Info("follow: topic is read again", zap.String("topic", watcher.config.Name))
 	}
-	watcher.setConfirmedAt(called)
+	watcher.setConfirmedAt(called, answeredAt)
 	if watcher.config.OnConfirmed != nil {
 		watcher.config.OnConfirmed(called)
 	}
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -314,31 +314,98 @@
 			})
 		}
 		time.Sleep(10 * time.Second)
-		expect("nothing new", "1", 1, peerPollPeriod)
+		expect("nothing new", "1", 1, PeerPollPeriod)
 		store.change(func() { store.records = append(store.records, "-", "-", "2") })
 		reader.set(update(3, 1), false)
 		time.Sleep(time.Second)
-		expect("records that change nothing", "1", 1, peerPollPeriod)
+		expect("records that change nothing", "1", 1, PeerPollPeriod)
 		reader.set(update(4, 4), false)
-		time.Sleep(2 * peerPollPeriod)
-		expect("a record", "2", 2, 2*peerPollPeriod)
+		time.Sleep(2 * PeerPollPeriod)
+		expect("a record", "2", 2, 2*PeerPollPeriod)
 		store.change(func() { store.records = append(store.records, "3") })
 		reader.set(Update[string]{Position: Position{Cursor: Cursor{Next: 5}, ChangedNext: 5}, Changes: []string{"3"}, From: 4, Complete: true}, false)
-		time.Sleep(2 * peerPollPeriod)
-		expect("update with changes", "3", 2, 2*peerPollPeriod)
+		time.Sleep(2 * PeerPollPeriod)
+		expect("update with changes", "3", 2, 2*PeerPollPeriod)
 		store.change(func() { store.records = append(store.records, "4", "5") })
 		reader.set(Update[string]{Position: Position{Cursor: Cursor{Next: 7}, ChangedNext: 7}, Changes: []string{"5"}, From: 6, Complete: true}, false)
-		time.Sleep(2 * peerPollPeriod)
-		expect("update with missing changes", "5", 3, 2*peerPollPeriod)
+		time.Sleep(2 * PeerPollPeriod)
+		expect("update with missing changes", "5", 3, 2*PeerPollPeriod)
 		reader.set(Update[string]{}, true)
-		time.Sleep(peerPollPeriod)
-		expect("reader silent", "5", 5, peerPollPeriod)
+		time.Sleep(PeerPollPeriod)
+		expect("reader silent", "5", 5, PeerPollPeriod)
 		time.Sleep(3 * time.Second)
 		expect("reader silent for long", "5", 9, 2*time.Second)
 		stop()
 	})
 }
 
+// TestOverdue guards against a process that waits out a call to a store from which it was
+// cut off before others learn of it, and against one that a slow store makes overdue
+// with each call.
+func TestOverdue(t *testing.T) {
+	const longPoll = time.Second
+	tests := []struct {
+		name string
+		// times is how long the store takes for each call, besides holding it.
+		times []time.Duration
+		want  []time.Duration
+	}{
+		{name: "in time", times: []time.Duration{0, 10 * time.Millisecond, 10 * time.Millisecond}},
+		{name: "cut off in the long poll", times: []time.Duration{0, time.Hour}, want: []time.Duration{longPoll + minOverdueTime}},
+		{name: "slow", times: []time.Duration{150 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &slowTopic{topic: &topic{records: []string{"1"}}, times: test.times}
+				var overdue []time.Duration
+				watcher := New(Config[string]{
+					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: longPoll,
+					Apply:     func(records []string, _ bool) []string { return records },
+					OnOverdue: func() { store.change(func() { overdue = append(overdue, time.Since(store.calledAt)) }) },
+				})
+				stop := run(t, watcher)
+				time.Sleep(2500 * time.Millisecond)
+				stop()
+				if diff := cmp.Diff(test.want, overdue); diff != "" {
+					t.Errorf("overdue after (-want +got):\n%s", diff)
+				}
+				if age, most := time.Since(watcher.Position().AnsweredAt), longPoll+time.Second; test.want == nil && age > most {
+					t.Errorf("the store answered %v ago, want at most %v", age, most)
+				}
+			})
+		})
+	}
+}
+
+// slowTopic is a topic that takes a time for each call.
+type slowTopic struct {
+	*topic
+	times    []time.Duration
+	calledAt time.Time
+}
+
+func (slowTopic *slowTopic) wait(ctx context.Context) {
+	var next time.Duration
+	slowTopic.change(func() {
+		slowTopic.calledAt = time.Now()
+		if len(slowTopic.times) > 0 {
+			next, slowTopic.times = slowTopic.times[0], slowTopic.times[1:]
+		}
+	})
+	sleep(ctx, next)
+}
+
+func (slowTopic *slowTopic) Snapshot(ctx context.Context) ([]string, Cursor, error) {
+	slowTopic.wait(ctx)
+	return slowTopic.topic.Snapshot(ctx)
+}
+
+func (slowTopic *slowTopic) Read(ctx context.Context, from uint64, wait time.Duration) (Page[string], error) {
+	slowTopic.wait(ctx)
+	return slowTopic.topic.Read(ctx, from, wait)
+}
+
 // TestSince guards against incomplete changes that pass for complete, and
 // against keeping changes without a bound.
 func TestSince(t *testing.T) {
