Pass on no request in a planned stop that cannot be answered before its end

Cause: no part of a request's path knew how long the process would still be there.

Change: before each choice of an upstream a stopping relay compares the time left with the longest recent work of the route, and refuses with 503 as not run what does not fit. Shortly before the end all that is unanswered gets 502 or 503. A SIGHUP during the stop may shorten the grace period.

--- a/cmd/jacinthfront/relays.go
+++ b/cmd/jacinthfront/relays.go
@@ -22,7 +22,8 @@
 	}
 	ctx, stop := signalContext()
 	defer stop()
-	return platform.RunRelay(ctx, settings, command.watchBounds(ctx))
+	// Bounds may also change during a planned stop.
+	return platform.RunRelay(ctx, settings, command.watchBounds(context.WithoutCancel(ctx)))
 }
 
 // watchBounds sends the bounds of the settings file each time it is read again on
--- a/internal/daemon/relay/latencies.go
+++ b/internal/daemon/relay/latencies.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -63,6 +64,18 @@
 	return speed.Quantile(recent.firstEvent, firstEventQuantile), speed.Median(recent.total)
 }
 
+// longest returns the longest recent latency of a route up to the end of the response, 0
+// if none is known.
+func (latencies *latencies) longest(route string) time.Duration {
+	latencies.mutex.Lock()
+	defer latencies.mutex.Unlock()
+	recent, ok := latencies.routes[route]
+	if !ok || len(recent.total) == 0 {
+		return 0
+	}
+	return slices.Max(recent.total)
+}
+
 // route returns the latencies of a route. If maxRoutes is reached, it first drops
 // those of all routes.
 func (latencies *latencies) route(name string) *routeLatencies {
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -131,7 +131,7 @@
 	proxyRequest := &proxyRequest{relay: relay, writer: writer, request: request, info: relay.config.Protocol.ParseRequest(request), started: time.Now()}
 	relay.metrics.running.Add(1)
 	defer relay.metrics.running.Add(-1)
-	if relay.stopping.Load() {
+	if relay.stopping() {
 		writer.Header().Set("Connection", "close")
 	}
 	if refused := proxyRequest.admit(); refused != nil {
@@ -140,6 +140,8 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), proxyRequest.deadline)
 	defer cancel()
+	ctx, done := relay.withStop(ctx)
+	defer done()
 	proxyRequest.run(ctx)
 }
 
@@ -283,6 +285,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	header := proxyRequest.writer.Header()
+	if proxyRequest.relay.stopping() {
+		header.Set("Connection", "close")
+	}
 	proxyRequest.relay.config.Protocol.AddRequestID(header, proxyRequest.info)
 	if refused.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(refused.retryAfter.Seconds(), 'f', 3, 64))
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -80,12 +80,6 @@
 	expireInterval = 100 * time.Millisecond
 	// probeTimeout is the time allowed for reading the headers of a readiness probe.
 	probeTimeout = 2 * time.Second
-	// acceptAfterStop is how long a stopping instance accepts connections from callers
-	// that have not learned of the stop yet.
-	acceptAfterStop = 2500 * time.Millisecond
-	// stopMargin is how long before the end of Bounds.GracePeriod a stop must be
-	// complete.
-	stopMargin = 500 * time.Millisecond
 )
 
 // Relay is an entry instance. Its methods may be called concurrently.
@@ -138,7 +132,7 @@
 	// caughtUp means that the configuration is not older than the other entry
 	// instances' at the start.
 	caughtUp        atomic.Bool
-	stopping        atomic.Bool
+	stop            *plannedStop
 	idleConnections *idleConnections
 	callerServer    *http.Server
 	probeServer     *http.Server
@@ -163,6 +157,7 @@
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
 		listingFaults:   make(map[string]string),
+		stop:            newPlannedStop(),
 	}
 	relay.requestNumbers.Store(rand.Uint64())
 	relay.permits = newPermits(&relay.metrics)
@@ -228,22 +223,6 @@
 	return err
 }
 
-// drain fails the readiness probe, serves callers that have not noticed it yet,
-// and waits for running requests. Connections close after their next response:
-// closing idle connections at once would drop requests that are on their way.
-func (relay *Relay) drain() {
-	relay.stopping.Store(true)
-	relay.config.Logger.Info("relay: stopping", zap.Int64("running", relay.metrics.running.Load()))
-	deadline := time.Now().Add(relay.bounds.Load().GracePeriod.Duration - stopMargin)
-	time.Sleep(min(acceptAfterStop, relay.bounds.Load().GracePeriod.Duration/3))
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	relay.idleConnections.drain(ctx)
-	if err := relay.callerServer.Shutdown(ctx); err != nil {
-		relay.config.Logger.Warn("relay: requests aborted at the end of the grace period", zap.Int64("running", relay.metrics.running.Load()))
-	}
-}
-
 // updateBounds applies bounds that change at run time.
 func (relay *Relay) updateBounds(ctx context.Context) {
 	for {
@@ -260,7 +239,7 @@
 
 // Ready reports whether the instance should receive new connections.
 func (relay *Relay) Ready() bool {
-	return !relay.stopping.Load() && relay.store.config() != nil && relay.configConfirmed()
+	return !relay.stopping() && relay.store.config() != nil && relay.configConfirmed()
 }
 
 func (relay *Relay) serveReady(writer http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -103,6 +104,10 @@
 	case proxyRequest.failure != nil:
 		proxyRequest.writeResponse(proxyRequest.failure, proxyRequest.failureBody)
 		return
+	case errors.Is(context.Cause(ctx), errStopping) && proxyRequest.runs == 0:
+		refused = &refusal{http.StatusServiceUnavailable, "the instance stops", retryAfterStopping}
+	case errors.Is(context.Cause(ctx), errStopping):
+		refused = &refusal{http.StatusBadGateway, "the instance stops; the request may have run", 0}
 	case ctx.Err() != nil && proxyRequest.runs == 0:
 		refused = &refusal{http.StatusServiceUnavailable, "the time ran out before an upstream took the request", retryAfterFull}
 	case ctx.Err() != nil:
@@ -152,6 +157,9 @@
 	}
 	for {
 		changed := proxyRequest.relay.stateChanged.next()
+		if refused := proxyRequest.stopRefusal(); refused != nil {
+			return picker.Choice{}, refused
+		}
 		if refused := proxyRequest.poisonRefusal(); refused != nil {
 			return picker.Choice{}, refused
 		}
