Answer requests that arrive during an entry instance's stop before it ends

What callers saw: a request that arrived during a planned stop of an entry instance was cut with no answer, if the drain limit exceeded the request limit by less than the time for which connections were still accepted.

Cause: the request's limit counted from its arrival alone.

Change: it also ends half a second before the stop does.

Measured: TestDrainLate before: connection cut, FAIL; after: deadline-exceeded with ran unknown.

--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -12,6 +12,10 @@
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
 )
 
+// drainAnswerMargin is how long before the end of a planned stop the requests that arrived
+// during it must be answered.
+const drainAnswerMargin = 500 * time.Millisecond
+
 // Entry is an entry instance, which serves the HTTP interface of callers.
 type Entry struct {
 	config   Config
@@ -20,6 +24,8 @@
 	history  *history
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// drainEnd is when Drain gives up, nil before it was called.
+	drainEnd atomic.Pointer[time.Time]
 	// background counts the cancel calls that outlive their requests.
 	background sync.WaitGroup
 	// drained is closed when Drain has ended.
@@ -80,6 +86,9 @@
 	defer close(entry.drained)
 	ctx, cancel := context.WithTimeout(ctx, entry.config.Limits.DrainTimeout)
 	defer cancel()
+	if end, ok := ctx.Deadline(); ok {
+		entry.drainEnd.Store(&end)
+	}
 	entry.draining.Store(true)
 	entry.server.SetKeepAlivesEnabled(false)
 	select {
@@ -94,6 +103,16 @@
 	return err
 }
 
+// answerLimit returns when a request that arrived at a time must be answered: within
+// RequestTimeout, and before a planned stop cuts it.
+func (entry *Entry) answerLimit(arrived time.Time) time.Time {
+	limit := arrived.Add(entry.config.Limits.RequestTimeout)
+	if end := entry.drainEnd.Load(); end != nil && limit.After(end.Add(-drainAnswerMargin)) {
+		return end.Add(-drainAnswerMargin)
+	}
+	return limit
+}
+
 // acquireInFlight counts a request in flight, or refuses it at the limit.
 func (entry *Entry) acquireInFlight() *fault.Fault {
 	if entry.inFlight.Add(1) > int64(entry.config.Limits.MaxInFlight) {
--- a/internal/daemon/entry/lifecycle_test.go
+++ b/internal/daemon/entry/lifecycle_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+// TestDrainLate guards against a request that arrives during a planned stop and is cut
+// with no answer when the stop ends before its timeout (further report of issue 41).
+func TestDrainLate(t *testing.T) {
+	runTest(t, func(harness *harness) {
+		harness.config.Limits.RequestTimeout, harness.config.Limits.DrainTimeout = 90*time.Second, 92*time.Second
+		harness.setScripts(runScript(sleep(time.Hour)))
+	}, func(harness *harness) {
+		go func() { _ = harness.entry.Drain(harness.t.Context()) }()
+		time.Sleep(harness.entry.config.Limits.DrainDelay - 100*time.Millisecond)
+		if got := harness.chat(""); got.err != nil || !strings.Contains(got.body, `"kind":"deadline-exceeded"`) || !strings.Contains(got.body, `"ran":"unknown"`) {
+			t.Errorf("response %+v", got)
+		}
+		<-harness.entry.drained
+	})
+}
+
 // TestIsolation guards against serving requests with a key at an instance that
 // withdrawals of keys do not reach.
 func TestIsolation(t *testing.T) {
--- a/internal/daemon/entry/run.go
+++ b/internal/daemon/entry/run.go
@@ -20,8 +20,7 @@
 	if refusal := job.admit(); refusal != nil {
 		return refusal
 	}
-	limit := exchange.arrived.Add(exchange.entry.config.Limits.RequestTimeout)
-	ctx, cancel := context.WithDeadline(exchange.request.Context(), limit)
+	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.entry.answerLimit(exchange.arrived))
 	defer cancel()
 	exchange.entry.config.RetryBudget.RecordRequest()
 	err := job.run(ctx)
