Take an unframed body of events that ends inside an event for broken off

What callers saw: on a route that doesn't stream, a response of events with neither a length nor chunks was passed on as whole although it ended inside an event.

Cause: only streaming routes looked at events; without framing a cut connection looks like the end of the body.

Change: such a body must consist of whole events, else it counts as broken off.

Measured: two cases of TestUnframed before: 200 with the cut body, FAIL; after: 502, or the answer of the second upstream where the route may be repeated.

--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -198,6 +198,9 @@
 // its end first, so that an incomplete one never reaches the caller as complete.
 func (proxyRequest *proxyRequest) forwardWhole(upstream fleet.Upstream, response *http1.Response) outcome {
 	body, err := readResponse(response)
+	if err == nil && response.Unframed && mediaType(response) == mediaTypeEvents {
+		err = checkEvents(body)
+	}
 	if err != nil {
 		return proxyRequest.recordBroken(upstream, err)
 	}
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -18,6 +18,9 @@
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
+// mediaTypeEvents is the media type of a stream of events.
+const mediaTypeEvents = "text/event-stream"
+
 const (
 	streamBufferBytes = 4096
 	// maxEventBytes limits the size of an event.
@@ -210,6 +213,20 @@
 	}
 }
 
+// checkEvents returns an error unless a body consists of whole events. Only the end of the
+// last event shows that a body is whole which ends with its connection.
+func checkEvents(body []byte) error {
+	reader := bufio.NewReaderSize(bytes.NewReader(body), streamBufferBytes)
+	for {
+		if _, err := readEvent(reader); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
 // eventID returns the id of an event, if it has one.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -82,6 +82,9 @@
 	Header http.Header
 	// ContentLength is the length of the body, or -1 if it is not announced.
 	ContentLength int64
+	// Unframed means that the body ends with the connection: it has neither a length nor
+	// chunks.
+	Unframed bool
 	// Reused means that the connection has had a response to an earlier request. A
 	// faulty upstream may have written that again.
 	Reused bool
@@ -195,7 +198,10 @@
 		return nil, Broken.Wrap(fmt.Errorf("no response from %s: %w", address, err))
 	}
 	body := &body{pool: pool, address: address, conn: conn, response: response, stop: stop, writeResult: writeResult}
-	return &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Reused: conn.answered, Body: body}, nil
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
+		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0, Reused: conn.answered, Body: body,
+	}, nil
 }
 
 // Open opens a connection to an address and keeps it for later requests. Its errors are
