Take only a whole empty line for the end of an event

Cause: a line is read in parts of 4,096 bytes, and the end of a line whose length is a multiple of that was taken for an empty line.

Change: a part that does not begin a line ends no event.

--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -193,18 +193,20 @@
 func readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
-		line, err := reader.ReadSlice('\n')
-		if startsLine := len(event) == 0 || event[len(event)-1] == '\n'; startsLine && bytes.HasPrefix(line, statusLinePrefix) {
+		// A line that is longer than the buffer is read in several parts.
+		part, err := reader.ReadSlice('\n')
+		startsLine := len(event) == 0 || event[len(event)-1] == '\n'
+		if startsLine && bytes.HasPrefix(part, statusLinePrefix) {
 			return nil, errHeadInStream
 		}
-		event = append(event, line...)
+		event = append(event, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(event) > 0:
 			return nil, errPartialEvent
 		case err != nil:
 			return nil, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		case startsLine && len(bytes.TrimRight(part, "\r\n")) == 0:
 			return event, nil
 		}
 		if len(event) > maxEventBytes {
