Block a request after three crashes of engines that had not answered it

Cause: such a crash counted 2 of 12 against a request at an engine, since it may have waited in the queue, so that six crashes were needed.

Change: it counts 4, as at plain upstreams: three crashes. Nothing is concluded for parts. A blocked request acquits no other that was at all the same crashes.

--- a/internal/daemon/relay/poison.go
+++ b/internal/daemon/relay/poison.go
@@ -130,7 +130,7 @@
 	evidence := poison.Evidence{
 		Subject:      poison.Request(proxyRequest.identity),
 		Organisation: proxyRequest.organisationName(), Request: proxyRequest.identity, Upstream: incarnationOf(upstream), At: now,
-		Fresh: proxyRequest.stage.begun() && proxyRequest.stage < stageEvent, Unanswered: !proxyRequest.stage.begun() && proxyRequest.service.Engine == nil, Probe: proxyRequest.probe,
+		Fresh: proxyRequest.stage.begun() && proxyRequest.stage < stageEvent, Unanswered: !proxyRequest.stage.begun(), Probe: proxyRequest.probe,
 	}
 	all := []poison.Evidence{evidence}
 	if proxyRequest.stage.begun() {
--- a/internal/flow/poison/history.go
+++ b/internal/flow/poison/history.go
@@ -220,6 +220,23 @@
 	})
 }
 
+// explainsAsWell reports whether the subject is a request that was at all upstreams which
+// crashed under another one, so that either may be the cause. The evidence of one crash
+// may still be on its way.
+func (history *history) explainsAsWell(request *history, awaited cordon.Incarnation) bool {
+	if history.subject.Identity() == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(request.evidence, func(known knownEvidence) bool {
+		return known.Upstream != awaited && !history.hasCrash(known.Upstream)
+	})
+}
+
+// hasCrash reports whether there is evidence of an upstream's crash.
+func (history *history) hasCrash(upstream cordon.Incarnation) bool {
+	return slices.ContainsFunc(history.evidence, func(known knownEvidence) bool { return known.Upstream == upstream })
+}
+
 // blockedUntil returns the end of the longest hold for any organisation, or zero if
 // the subject is not blocked.
 func (history *history) blockedUntil(config Config) time.Time {
--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -64,7 +64,8 @@
 	lateWeight  = 3
 	// A crash counts against a request with freshWeight if the upstream had begun to
 	// answer it and the request was not known to be sound, with unansweredWeight if it
-	// had not and the upstream has no queue, else with otherWeight.
+	// had not, else with otherWeight. A request that only waited is told from the one
+	// that crashes upstreams by its absence at other crashes.
 	unansweredWeight = 4
 	otherWeight      = 2
 	// A subject is blocked when its crashes sum up to blockWeight.
@@ -113,7 +114,8 @@
 	At       time.Time
 	// Fresh means that the upstream had just begun to answer the request.
 	Fresh bool
-	// Unanswered means that the upstream, which has no queue, had not begun to answer.
+	// Unanswered means that the upstream had not begun to answer. The request may have
+	// run, or waited at the upstream.
 	Unanswered bool
 	// Probe means that the request was sent although the subject was blocked.
 	Probe bool
--- a/internal/flow/poison/tracker.go
+++ b/internal/flow/poison/tracker.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -42,6 +43,7 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	tracker.expire()
+	var requests []*history
 	for _, evidence := range tracker.withoutExplained(tracker.withoutRefuted(added)) {
 		known := tracker.subjects[evidence.Subject]
 		before := known.blockFor(evidence.Organisation, tracker.config).blocked
@@ -55,24 +57,33 @@
 			blocked = append(blocked, evidence.Subject)
 		}
 		if after && evidence.Subject.Identity() != 0 {
-			cleared = append(cleared, tracker.explain(known)...)
+			requests = append(requests, known)
+		}
+	}
+	// The request under which most upstreams crashed explains the others' crashes.
+	slices.SortStableFunc(requests, func(a, b *history) int { return cmp.Compare(len(b.evidence), len(a.evidence)) })
+	for _, request := range requests {
+		if !request.blockedUntil(tracker.config).IsZero() {
+			cleared = append(cleared, tracker.explain(request)...)
 		}
 	}
 	blocked = slices.DeleteFunc(blocked, func(subject Subject) bool { return slices.Contains(cleared, subject) })
 	return blocked, cleared
 }
 
-// explain drops what other requests speak against at the crashes of a blocked request.
-// It returns the subjects that are no longer blocked.
+// explain drops what other requests speak against at the crashes of a blocked request,
+// but for a request that was at all of them. It returns the subjects that are no longer
+// blocked.
 func (tracker *Tracker) explain(request *history) (cleared []Subject) {
 	if len(tracker.explained) >= maxExplained {
 		clear(tracker.explained)
 	}
+	last := request.evidence[len(request.evidence)-1].Upstream
 	for _, known := range request.evidence {
 		tracker.explained[known.Upstream] = request.subject.Identity()
 	}
 	for subject, other := range tracker.subjects {
-		if other == request {
+		if other == request || other.explainsAsWell(request, last) {
 			continue
 		}
 		before := !other.blockedUntil(tracker.config).IsZero()
@@ -117,11 +128,21 @@
 		}
 	}
 	return slices.DeleteFunc(added, func(evidence Evidence) bool {
-		request, ok := tracker.explained[evidence.Upstream]
-		return ok && request != evidence.Request || explained[evidence.Request] && !isBlocked(evidence)
+		return tracker.isExplained(evidence) || explained[evidence.Request] && !isBlocked(evidence)
 	})
 }
 
+// isExplained reports whether a blocked request explains the crash of evidence of another
+// one, which was not at all crashes under the blocked request.
+func (tracker *Tracker) isExplained(evidence Evidence) bool {
+	identity, ok := tracker.explained[evidence.Upstream]
+	if !ok || identity == evidence.Request {
+		return false
+	}
+	request, own := tracker.subjects[Request(identity)], tracker.subjects[Request(evidence.Request)]
+	return request == nil || own == nil || !own.explainsAsWell(request, evidence.Upstream)
+}
+
 // historyOf returns the history of a subject, which it creates if needed, or nil if
 // there are too many.
 func (tracker *Tracker) historyOf(subject Subject) *history {
--- a/internal/flow/poison/tracker_test.go
+++ b/internal/flow/poison/tracker_test.go
@@ -356,6 +356,23 @@
 				under(scene, -deadly)
 			}
 		}},
+		{name: "three crashes without an answer, with sound requests that wait beside it", want: []Subject{Request(deadly)}, events: func(scene *scene) {
+			under(scene, -sound, -deadly, -third)
+			under(scene, -deadly, -sound)
+			under(scene, -third, -deadly)
+			under(scene, -third)
+		}},
+		{name: "a request that waits at all three crashes", want: []Subject{Request(deadly), Request(sound)}, events: func(scene *scene) {
+			for range 3 {
+				under(scene, -sound, -deadly)
+			}
+		}},
+		{name: "one that waits at the later of four crashes", want: []Subject{Request(deadly)}, events: func(scene *scene) {
+			under(scene, -deadly)
+			for range 3 {
+				under(scene, -sound, -deadly)
+			}
+		}},
 		{name: "its part, with sound requests that break beside it", want: []Subject{Request(deadly)}, events: func(scene *scene) {
 			under(scene, deadly, sound)
 			under(scene, deadly, third)
