Pass on early requests of a planned stop by the typical time of their route

Cause: each request had to fit by the longest recent time of its route and a quarter more.

Change: that holds for requests that are read when no more connections are accepted. Earlier ones count with the typical time.

TestStopLate passes.

--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -54,11 +54,13 @@
 
 // proxyRequest is one request of a caller while this instance handles it.
 type proxyRequest struct {
-	relay    *Relay
-	writer   http.ResponseWriter
-	request  *http.Request
-	info     RequestInfo
-	started  time.Time
+	relay   *Relay
+	writer  http.ResponseWriter
+	request *http.Request
+	info    RequestInfo
+	started time.Time
+	// readAt is when the whole request was read.
+	readAt   time.Time
 	deadline time.Time
 
 	route        *routes.Route
@@ -178,7 +180,7 @@
 	if refused := proxyRequest.readBody(); refused != nil {
 		return refused
 	}
-	proxyRequest.subjects = proxyRequest.poisonSubjects()
+	proxyRequest.readAt, proxyRequest.subjects = time.Now(), proxyRequest.poisonSubjects()
 	if refused := proxyRequest.poisonRefusal(); refused != nil {
 		return refused
 	}
--- a/internal/daemon/relay/stop.go
+++ b/internal/daemon/relay/stop.go
@@ -82,13 +82,16 @@
 		relay.stop.endAnswering()
 		waitUntil(relay.stopDeadline)
 	}()
-	time.Sleep(min(acceptAfterStop, grace/acceptShare))
+	time.Sleep(acceptTime(grace))
 	relay.idleConnections.drain(ctx)
 	if err := relay.callerServer.Shutdown(ctx); err != nil {
 		relay.config.Logger.Warn("relay: requests aborted at the end of the grace period", zap.Int64("running", relay.metrics.running.Load()))
 	}
 }
 
+// acceptTime returns how long after the begin of a stop connections are accepted.
+func acceptTime(grace time.Duration) time.Duration { return min(acceptAfterStop, grace/acceptShare) }
+
 // waitUntil waits until a time that may be brought forward.
 func waitUntil(deadline func() time.Time) {
 	for {
@@ -121,21 +124,23 @@
 	return &refusal{http.StatusServiceUnavailable, "the instance stops before the request could be answered", retryAfterStopping}
 }
 
-// expectedWork returns how long the request may take at an upstream: somewhat longer than
-// the longest recent one of its route. If none is known, that is until its deadline, but
-// for the time in which a stopping instance still accepts connections.
+// expectedWork returns how long the request may take at an upstream. For one that was read
+// while the instance still accepted connections, that is the typical time of its route:
+// all instances may be stopping, and a refusal helps only if others serve. Later ones must
+// fit for certain, so they count with somewhat more than the longest recent time, or if
+// none is known, with the time until their deadline.
 func (proxyRequest *proxyRequest) expectedWork() time.Duration {
 	relay := proxyRequest.relay
-	longest := relay.latencies.longest(proxyRequest.route.Name)
+	begin := relay.stop.begun.Load()
+	if proxyRequest.readAt.Sub(begin.at) < acceptTime(begin.grace) {
+		return proxyRequest.typicalTotal - proxyRequest.streamed()
+	}
 	remaining := time.Until(proxyRequest.deadline)
-	switch {
-	case longest > 0:
-		return min(longest+longest/workMarginDivisor-proxyRequest.streamed(), remaining)
-	case time.Since(relay.stop.begun.Load().at) < acceptAfterStop:
-		return 0
-	default:
+	longest := relay.latencies.longest(proxyRequest.route.Name)
+	if longest == 0 {
 		return remaining
 	}
+	return min(longest+longest/workMarginDivisor-proxyRequest.streamed(), remaining)
 }
 
 // streamed returns for how long the request's stream has been forwarded.
