Keep the retries of all spans that have begun within the limits

Cause: a relay counted the requests of the last window. Where requests stop soon after upstreams begin to reject, part of them lies before the span of the retries, and the limit of that span does not count them. All relays knew of each other's retries.

Change: a retry is allowed if the retries so far fit the limits of each span that has begun. The log line of a retry names what the relay knows of all.

--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -208,7 +208,9 @@
 		paid = "extra"
 	}
 	proxyRequest.relay.metrics.increment("retries-" + paid)
+	requests, retries := proxyRequest.relay.retryBudget.ledger(proxyRequest.service.Name).Total()
 	proxyRequest.log("relay: request retried", zap.String("service", proxyRequest.service.Name), zap.String("paid-by", paid),
+		zap.Uint64("all-requests", requests), zap.Uint64("all-retries", retries),
 		zap.Duration("allowed-for", time.Since(proxyRequest.retryGrant.allowedAt)))
 	return true
 }
--- a/internal/flow/retry/history.go
+++ b/internal/flow/retry/history.go
@@ -20,8 +20,13 @@
 	// newest is the number of the last slot, which is the last element of kept.
 	newest int
 	kept   []Slot
+	// sums holds the sums of the newest slots: the element of an index is that of as many.
+	sums []slotSum
 }
 
+// slotSum is what was counted in several slots.
+type slotSum struct{ requests, retries uint64 }
+
 // advance appends empty slots up to the present one.
 func (history *history) advance() {
 	present := int(time.Since(history.start) / SlotTime)
@@ -74,7 +79,7 @@
 func (history *history) sum(window time.Duration) (requests, retries uint64) {
 	history.advance()
 	whole := int(window / SlotTime)
-	if excess := len(history.kept) - (whole + 1); excess > len(history.kept)/2 {
+	if excess := len(history.kept) - (2*whole + 1); excess > len(history.kept)/2 {
 		history.kept = slices.Clone(history.kept[excess:])
 	}
 	for age := range min(len(history.kept), whole+1) {
@@ -87,6 +92,53 @@
 	return requests, retries
 }
 
+// fits reports whether more retries may be sent now: whether in each span as long as the
+// window that began after the last one, the retries so far and these are within the
+// limits. The limits of a span count the requests of the span itself, of the one before
+// it or of the one half a window before it, whichever has most: requests that lie before
+// a span do not pay for its retries beyond that, although they lie within a window of
+// the time at which these are sent.
+func (history *history) fits(limits Limits, more float64) bool {
+	whole := int(limits.Window / SlotTime)
+	half := whole / 2
+	history.sumUp(2 * whole)
+	// A span begins within the slot of an age, which counts for its retries only.
+	for age := range whole {
+		_, retries := history.between(0, age+1)
+		same, _ := history.between(0, age)
+		before, _ := history.between(age+1, age+whole)
+		across, _ := history.between(age-half+1, age+half)
+		if float64(retries)+more > limits.total(max(same, before, across)) {
+			return false
+		}
+	}
+	return true
+}
+
+// sumUp sums up the slots from the present one on, up to an age.
+func (history *history) sumUp(ages int) {
+	history.advance()
+	history.sums = append(history.sums[:0], slotSum{})
+	var sum slotSum
+	for age := range min(ages, len(history.kept)) {
+		slot := history.kept[len(history.kept)-1-age]
+		sum.requests += uint64(slot.Requests)
+		sum.retries += uint64(slot.Retries)
+		history.sums = append(history.sums, sum)
+	}
+}
+
+// between returns what was counted in the slots from one age up to another, which is left
+// out, as sumUp has summed it up.
+func (history *history) between(from, to int) (requests, retries uint64) {
+	last := len(history.sums) - 1
+	from, to = min(max(from, 0), last), min(max(to, 0), last)
+	if from >= to {
+		return 0, 0
+	}
+	return history.sums[to].requests - history.sums[from].requests, history.sums[to].retries - history.sums[from].retries
+}
+
 // slots returns what was counted within a window, the present slot first.
 func (history *history) slots(window time.Duration) []Slot {
 	history.advance()
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -94,6 +94,14 @@
 	return ledger.allows(ledger.config.Limits())
 }
 
+// Total returns what all instances together have sent within the window, as far as this one
+// knows.
+func (ledger *Ledger) Total() (requests, retries uint64) {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return ledger.total.sum(ledger.config.Limits().Window)
+}
+
 // allowsOwn reports whether this instance's own requests pay for another retry.
 func (ledger *Ledger) allowsOwn(limits Limits) bool {
 	ledger.trim(limits.Window)
@@ -107,8 +115,16 @@
 		return false
 	}
 	requests, retries := ledger.total.sum(limits.Window)
-	sum := float64(retries) + float64(ledger.reserved+1)
-	return sum <= (limits.Ratio*float64(requests)+limits.Extra)*totalFraction+roundingError
+	more := float64(ledger.reserved + 1)
+	if float64(retries)+more > limits.total(requests) {
+		return false
+	}
+	return float64(retries)+more <= limits.total(0) || ledger.total.fits(limits, more)
+}
+
+// total returns how many retries all instances together may send in a span with requests.
+func (limits Limits) total(requests uint64) float64 {
+	return (limits.Ratio*float64(requests)+limits.Extra)*totalFraction + roundingError
 }
 
 // isSettled reports whether the ledger knows all that was sent within the window.
