--- a/internal/daemon/relay/broadcast.go
+++ b/internal/daemon/relay/broadcast.go
@@ -1,6 +1,10 @@
 package relay
 
-import "sync"
+import (
+	"context"
+	"sync"
+	"time"
+)
 
 // broadcast wakes all goroutines that wait for a change.
 type broadcast struct {
@@ -24,3 +28,15 @@
 	close(broadcast.channel)
 	broadcast.channel = make(chan struct{})
 }
+
+// awaitChange waits until a channel of next is closed, at most for a time or until ctx
+// ends.
+func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -183,13 +183,7 @@
 		}
 		budget.client.Want(pool, number)
 		relay.reportSoon()
-		timer := time.NewTimer(pendingRecheckInterval)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-timer.C:
-		}
-		timer.Stop()
+		awaitChange(ctx, changed, pendingRecheckInterval)
 	}
 	return nil
 }
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -186,13 +186,7 @@
 			recheck = pendingRecheckInterval
 			waitingRequest.askPermits()
 		}
-		timer := time.NewTimer(recheck)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		case <-timer.C:
-		}
-		timer.Stop()
+		awaitChange(ctx, changed, recheck)
 	}
 }
 
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -187,8 +187,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &topic{records: []string{"1"}}
 				applied := 0
-				var watcher *Watcher[string]
-				watcher = New(Config[string]{
+				watcher := New(Config[string]{
 					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: time.Second, Interval: time.Second,
 					Apply: func(records []string, _ bool) []string {
 						applied += len(records)
--- a/internal/flow/poison/history.go
+++ b/internal/flow/poison/history.go
@@ -129,9 +129,8 @@
 
 // crash is the end of one upstream, with the weight that each request gives it.
 type crash struct {
-	upstream cordon.Incarnation
-	weights  map[uint64]int
-	probe    bool
+	weights map[uint64]int
+	probe   bool
 }
 
 // tally sums up the evidence that a function selects.
@@ -153,7 +152,7 @@
 			continue
 		case !ok:
 			countedAt = known.At
-			counted = &crash{upstream: known.Upstream, weights: make(map[uint64]int), probe: known.Probe}
+			counted = &crash{weights: make(map[uint64]int), probe: known.Probe}
 			byUpstream[known.Upstream] = counted
 			crashes = append(crashes, counted)
 		}
