Let followers read the store at the exact end of their reader's report

Cause: a follower looked at its reader's report every 0.1 s, for which the long poll gave way (1.4 s in place of 1.5 s), and each relay read the store once more at its first election.

Change: the report says for how long it replaces calls, and the follower wakes then. Only a relay that takes over from another reader reads at once.

TestReaderCutOff, TestOneReader, TestRestored and TestWithdrawnKeyBehind pass.

--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -41,16 +41,17 @@
 	listUpdate   watch.Update[Listing]
 }
 
-// setReader sets the store reader and reports whether it changed. If so, the report
-// of the earlier one is forgotten.
-func (readerReport *readerReport) setReader(reader string) (changed bool) {
+// setReader sets the store reader and returns the earlier one, empty if there was none,
+// and whether it changed. If so, the report of the earlier one is forgotten.
+func (readerReport *readerReport) setReader(reader string) (before string, changed bool) {
 	readerReport.mutex.Lock()
 	defer readerReport.mutex.Unlock()
-	if readerReport.reader == reader {
-		return false
+	before = readerReport.reader
+	if before == reader {
+		return before, false
 	}
 	readerReport.reader, readerReport.configUpdate, readerReport.listUpdate = reader, watch.Update[ConfigChange]{}, watch.Update[Listing]{}
-	return true
+	return before, true
 }
 
 // newQuery returns the number of a new query.
@@ -106,26 +107,26 @@
 	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
 }
 
-// configUpdate and listUpdate return the peer updates for the watchers, and whether
-// they are recent enough to be used.
-func (relay *Relay) configUpdate() (watch.Update[ConfigChange], bool) {
+// configUpdate and listUpdate return the peer updates for the watchers, and for how long
+// they are still recent enough to be used.
+func (relay *Relay) configUpdate() (watch.Update[ConfigChange], time.Duration) {
 	relay.readerReport.mutex.Lock()
 	defer relay.readerReport.mutex.Unlock()
 	reported := relay.readerReport.configUpdate
 	if relay.awaitsReport(reported.Position) {
 		reported = watch.Update[ConfigChange]{Position: relay.configWatcher.Position()}
 	}
-	return reported, elapsed(reported.AnsweredAt) < relay.timing.Load().maxConfigAge
+	return reported, relay.timing.Load().maxConfigAge - elapsed(reported.AnsweredAt)
 }
 
-func (relay *Relay) listUpdate() (watch.Update[Listing], bool) {
+func (relay *Relay) listUpdate() (watch.Update[Listing], time.Duration) {
 	relay.readerReport.mutex.Lock()
 	defer relay.readerReport.mutex.Unlock()
 	reported := relay.readerReport.listUpdate
 	if relay.awaitsReport(reported.Position) {
 		reported = watch.Update[Listing]{Position: relay.instanceWatcher.Position()}
 	}
-	return reported, elapsed(reported.AnsweredAt) < relay.timing.Load().maxListAge
+	return reported, relay.timing.Load().maxListAge - elapsed(reported.AnsweredAt)
 }
 
 // awaitsReport reports whether another instance was elected as the store reader and has
@@ -137,13 +138,14 @@
 // queryReader sends a query to the store reader, unless that is this instance.
 func (relay *Relay) queryReader() {
 	reader, others := relay.peers.storeReader()
-	changed := relay.readerReport.setReader(reader)
+	before, changed := relay.readerReport.setReader(reader)
 	if changed {
 		relay.config.Logger.Info("relay: store reader elected", zap.String("reader", reader),
 			zap.Int("others", len(others)), zap.Duration("config-age", relay.configAge()))
 	}
 	if reader == relay.config.DatagramAddress {
-		if changed {
+		if changed && before != "" {
+			// The watchers wait for the report of the earlier reader.
 			relay.configWatcher.Wake()
 			relay.instanceWatcher.Wake()
 		}
--- a/internal/daemon/relay/timing.go
+++ b/internal/daemon/relay/timing.go
@@ -50,8 +50,8 @@
 func newTiming(bounds Bounds) *timing {
 	configDelay := min(bounds.ConfigDelay.Duration, bounds.VersionDelay.Duration)
 	timing := &timing{
-		maxConfigAge:   configDelay - watch.PeerPollPeriod - ownReadTime,
-		maxListAge:     bounds.DrainDelay.Duration - watch.PeerPollPeriod - ownReadTime - sendTime,
+		maxConfigAge:   configDelay - ownReadTime,
+		maxListAge:     bounds.DrainDelay.Duration - ownReadTime - sendTime,
 		configLifetime: bounds.RevocationDelay.Duration - configTrustMargin,
 	}
 	// A report of the reader's next answer must come before the last one is too old.
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -41,7 +41,7 @@
 // for which the store holds it. Where the store is slow, it is overdueFactor times as
 // long as the store took for the last call.
 const (
-	minOverdueTime = 200 * time.Millisecond
+	minOverdueTime = 150 * time.Millisecond
 	overdueFactor  = 2
 )
 
@@ -49,8 +49,8 @@
 // for longer, the store itself is of that epoch.
 const maxAnswerAge = 10 * time.Second
 
-// PeerPollPeriod is how often the update of another process is looked up.
-const PeerPollPeriod = 100 * time.Millisecond
+// peerPollPeriod is how often the update of another process is looked up.
+const peerPollPeriod = 100 * time.Millisecond
 
 // Source reads a topic as decoded records.
 type Source[Record any] interface {
@@ -100,9 +100,10 @@
 	// Apply applies records and returns those that changed the local state.
 	// With complete set, keys that are not among the records no longer exist.
 	Apply func(records []Record, complete bool) []Record
-	// PeerUpdate returns what another process has read lately, if that is
-	// known. A call that would return nothing more is skipped.
-	PeerUpdate func() (Update[Record], bool)
+	// PeerUpdate returns what another process has read lately, and for how long that
+	// may still replace calls, not positive if it may not. A call that would return
+	// nothing more is skipped.
+	PeerUpdate func() (update Update[Record], valid time.Duration)
 	// OnConfirmed is called after Apply with a time at which the local state
 	// was current: the start of the call, or the ConfirmedAt of the peer
 	// update.
@@ -273,27 +274,31 @@
 
 // waitOnPeer waits for as long as the updates of another process replace calls.
 func (watcher *Watcher[Record]) waitOnPeer(ctx context.Context) {
-	for ctx.Err() == nil && watcher.applyPeerUpdate() {
+	for ctx.Err() == nil {
+		valid := watcher.applyPeerUpdate()
+		if valid <= 0 {
+			return
+		}
 		watcher.skippedCall = true
 		select {
 		case <-ctx.Done():
-		case <-time.After(PeerPollPeriod):
+		case <-time.After(min(valid, peerPollPeriod)):
 		case <-watcher.wake:
 		}
 	}
 }
 
-// applyPeerUpdate applies what another process has read. It returns false if a
-// call is needed: there is no update, or it lacks changes that this process has
-// not read.
-func (watcher *Watcher[Record]) applyPeerUpdate() bool {
+// applyPeerUpdate applies what another process has read, and returns for how long that
+// replaces calls. It is not positive if a call is needed: there is no update, or it lacks
+// changes that this process has not read.
+func (watcher *Watcher[Record]) applyPeerUpdate() (valid time.Duration) {
 	if watcher.config.PeerUpdate == nil {
-		return false
+		return 0
 	}
-	update, ok := watcher.config.PeerUpdate()
+	update, valid := watcher.config.PeerUpdate()
 	own := watcher.Position()
-	if !ok || update.Epoch != own.Epoch || update.ChangedNext > own.Next && (!update.Complete || update.From > own.Next) {
-		return false
+	if valid <= 0 || update.Epoch != own.Epoch || update.ChangedNext > own.Next && (!update.Complete || update.From > own.Next) {
+		return 0
 	}
 	if update.Next > own.Next {
 		var changes []Record
@@ -305,7 +310,7 @@
 	if update.ConfirmedAt.After(own.ConfirmedAt) {
 		watcher.markConfirmed(update.ConfirmedAt, update.AnsweredAt)
 	}
-	return true
+	return valid
 }
 
 // call reads the snapshot, or the records after it.
