Keep whether the store fails for this instance in one place

Cause: the topics whose calls fail and the result for all of them stood in two places, each with a lock of its own. The timer of an overdue call and the watcher could write the second in the other order, so that an instance took itself for cut off while it told others that it was not. Read from the code; no play shows it.

Change: the list of entry instances holds the topics, and the result follows from them.

--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -29,8 +29,9 @@
 
 	mutex     sync.Mutex
 	byAddress map[string]*peer
-	// storeFailing means that this instance's calls to the store fail.
-	storeFailing bool
+	// failingTopics holds the topics for which this instance's calls to the store fail or
+	// are overdue.
+	failingTopics map[string]bool
 }
 
 // peer is what is known of another entry instance.
@@ -52,7 +53,7 @@
 }
 
 func newPeers(own, domain string) *peers {
-	return &peers{own: own, domain: domain, byAddress: make(map[string]*peer)}
+	return &peers{own: own, domain: domain, byAddress: make(map[string]*peer), failingTopics: make(map[string]bool)}
 }
 
 // recordReport records the sender of a usage report.
@@ -181,22 +182,38 @@
 	return version, complete
 }
 
-// recordStoreState records whether an entry instance's calls to the store fail, this one's
-// if address is its own. It reports whether that changed.
+// recordStoreState records whether another entry instance's calls to the store fail, and
+// reports whether that changed.
 func (peers *peers) recordStoreState(address string, failing bool) (changed bool) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	state := &peers.storeFailing
-	if address != peers.own {
-		sender, ok := peers.byAddress[address]
-		if !ok {
-			return false
-		}
-		state = &sender.storeFailing
+	sender, ok := peers.byAddress[address]
+	if !ok || sender.storeFailing == failing {
+		return false
 	}
-	changed = *state != failing
-	*state = failing
-	return changed
+	sender.storeFailing = failing
+	return true
+}
+
+// recordOwnStoreState records whether this instance's calls for a topic fail, and reports
+// whether that changed what ownStoreFails returns.
+func (peers *peers) recordOwnStoreState(topic string, failing bool) (changed bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	before := len(peers.failingTopics) > 0
+	if failing {
+		peers.failingTopics[topic] = true
+	} else {
+		delete(peers.failingTopics, topic)
+	}
+	return before != (len(peers.failingTopics) > 0)
+}
+
+// ownStoreFails reports whether this instance's calls to the store fail for any topic.
+func (peers *peers) ownStoreFails() bool {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return len(peers.failingTopics) > 0
 }
 
 // storeReader returns the entry instance that reads the store for this instance's
@@ -206,7 +223,7 @@
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	var reaching []string
-	if !peers.storeFailing {
+	if len(peers.failingTopics) == 0 {
 		reaching = append(reaching, peers.own)
 	}
 	for address, peer := range peers.byAddress {
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -117,7 +117,6 @@
 	// configWatcher follows the configuration and the adapter versions.
 	configWatcher *watch.Watcher[ConfigChange]
 	readerReport  readerReport
-	storeFailures storeFailures
 	earlyReadAt   atomic.Int64
 	metrics       metrics
 	bounds        atomic.Pointer[Bounds]
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -183,11 +183,12 @@
 		peers.recordStoreState(reader, true)
 		members = slices.DeleteFunc(members, func(address string) bool { return address == reader })
 		expect("the elected one is cut off from the store", rank.First("store", members))
+		peers.recordOwnStoreState(topicConfig, true)
 		for _, address := range members {
 			peers.recordStoreState(address, true)
 		}
 		expect("all are cut off from the store", reader)
-		peers.recordStoreState(ownAddress, false)
+		peers.recordOwnStoreState(topicConfig, false)
 		expect("all others are cut off from the store", ownAddress)
 		time.Sleep(readerTimeout)
 		expect("all silent", ownAddress)
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -76,7 +76,7 @@
 		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: !full,
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(full),
 		Poison: relay.encodePoison(full), Retries: relay.retryBudget.encodeUse(kind),
-		StoreFailing: relay.storeFailures.any(),
+		StoreFailing: relay.peers.ownStoreFails(),
 	}
 	if config := relay.store.config(); config != nil {
 		encoded.ConfigVersion = config.Version()
