Report an overdue call before its outcome

What can happen: a call that succeeds just when it becomes overdue was reported as overdue after its success. The relay then counted as cut off from the store until its next call, and another one read the store.

Cause: the timer's function was not waited for.

Measured: TestOverdueOrder before: called, overdue, FAIL; after: overdue, called.

--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -371,13 +371,22 @@
 }
 
 // watchOverdue calls OnOverdue when the present call takes longer than expected. The
-// caller calls done when the call has ended.
+// caller calls done when the call has ended, which waits for a call of OnOverdue that has
+// begun, so that OnCall follows it.
 func (watcher *Watcher[Record]) watchOverdue() (done func()) {
 	if watcher.config.OnOverdue == nil {
 		return func() {}
 	}
-	timer := time.AfterFunc(watcher.held+max(minOverdueTime, overdueFactor*watcher.storeTime), watcher.config.OnOverdue)
-	return func() { timer.Stop() }
+	called := make(chan struct{})
+	timer := time.AfterFunc(watcher.held+max(minOverdueTime, overdueFactor*watcher.storeTime), func() {
+		defer close(called)
+		watcher.config.OnOverdue()
+	})
+	return func() {
+		if !timer.Stop() {
+			<-called
+		}
+	}
 }
 
 // checkEpoch returns an error if an answer is of another epoch than the position.
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -380,6 +380,31 @@
 	}
 }
 
+// TestOverdueOrder guards against a call that counts as overdue after it has succeeded,
+// which would last until the next call.
+func TestOverdueOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowTopic{topic: &topic{records: []string{"1"}}, times: []time.Duration{minOverdueTime + time.Millisecond}}
+		var events []string
+		record := func(event string) { store.change(func() { events = append(events, event) }) }
+		watcher := New(Config[string]{
+			Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: time.Hour,
+			Apply: func(records []string, _ bool) []string { return records },
+			OnOverdue: func() {
+				time.Sleep(10 * time.Millisecond)
+				record("overdue")
+			},
+			OnCall: func(error) { record("called") },
+		})
+		stop := run(t, watcher)
+		time.Sleep(time.Second)
+		stop()
+		if diff := cmp.Diff([]string{"overdue", "called"}, events); diff != "" {
+			t.Errorf("events (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // slowTopic is a topic that takes a time for each call.
 type slowTopic struct {
 	*topic
