--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -23,7 +23,6 @@
 	services *serviceTable
 	history  *history
 	inFlight atomic.Int64
-	draining atomic.Bool
 	// drainEnd is when Drain gives up, nil before it was called.
 	drainEnd atomic.Pointer[time.Time]
 	// background counts the cancel calls that outlive their requests.
@@ -63,7 +62,7 @@
 	if !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
-	if entry.draining.Load() {
+	if entry.draining() {
 		select {
 		case <-entry.drained:
 		case <-ctx.Done():
@@ -76,7 +75,7 @@
 // draining, the configuration has been read, and every service has had an
 // upstream that is not draining.
 func (entry *Entry) Ready() bool {
-	return !entry.draining.Load() && entry.config.ConfigSource.Current().Version() > 0 && entry.services.allHadUpstream()
+	return !entry.draining() && entry.config.ConfigSource.Current().Version() > 0 && entry.services.allHadUpstream()
 }
 
 // Drain makes the instance unready, keeps serving for DrainDelay while the load
@@ -86,10 +85,8 @@
 	defer close(entry.drained)
 	ctx, cancel := context.WithTimeout(ctx, entry.config.Limits.DrainTimeout)
 	defer cancel()
-	if end, ok := ctx.Deadline(); ok {
-		entry.drainEnd.Store(&end)
-	}
-	entry.draining.Store(true)
+	end, _ := ctx.Deadline()
+	entry.drainEnd.Store(&end)
 	entry.server.SetKeepAlivesEnabled(false)
 	select {
 	case <-time.After(entry.config.Limits.DrainDelay):
@@ -103,6 +100,9 @@
 	return err
 }
 
+// draining reports whether Drain was called.
+func (entry *Entry) draining() bool { return entry.drainEnd.Load() != nil }
+
 // answerLimit returns when a request that arrived at a time must be answered: within
 // RequestTimeout, and before a planned stop cuts it.
 func (entry *Entry) answerLimit(arrived time.Time) time.Time {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -47,7 +47,7 @@
 		relay.picker.RecordLoad(upstream.ID, info.Load)
 	}
 	switch {
-	case info.ID != "" && info.ID != proxyRequest.info.ID, info.ID == "" && (!info.NotRun || response.Reused):
+	case proxyRequest.isForeign(info), info.ID == "" && (!info.NotRun || response.Reused):
 		proxyRequest.log("relay: response belongs to another request", zap.String("answer", info.ID))
 		return proxyRequest.recordUnknown(upstream)
 	case info.NotRun:
--- a/internal/daemon/relay/stage.go
+++ b/internal/daemon/relay/stage.go
@@ -50,6 +50,10 @@
 // an answer to the request: no refusal, no failure, and no late answer to another request.
 func (proxyRequest *proxyRequest) isAnswer(cut *http1.CutHeadError) bool {
 	info := proxyRequest.relay.config.Protocol.ParseResponse(cut.Status, cut.Header)
-	foreign := info.ID != "" && info.ID != proxyRequest.info.ID
-	return !foreign && !info.NotRun && cut.Status < http.StatusMultipleChoices
+	return !proxyRequest.isForeign(info) && !info.NotRun && cut.Status < http.StatusMultipleChoices
+}
+
+// isForeign reports whether a response names another request.
+func (proxyRequest *proxyRequest) isForeign(info ResponseInfo) bool {
+	return info.ID != "" && info.ID != proxyRequest.info.ID
 }
--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -112,27 +112,23 @@
 func (relay *Relay) configUpdate() (watch.Update[ConfigChange], time.Duration) {
 	relay.readerReport.mutex.Lock()
 	defer relay.readerReport.mutex.Unlock()
-	reported := relay.readerReport.configUpdate
-	if relay.awaitsReport(reported.Position) {
-		reported = watch.Update[ConfigChange]{Position: relay.configWatcher.Position()}
-	}
-	return reported, relay.timing.Load().maxConfigAge - elapsed(reported.AnsweredAt)
+	return recentUpdate(relay, relay.readerReport.configUpdate, relay.configWatcher, relay.timing.Load().maxConfigAge)
 }
 
 func (relay *Relay) listUpdate() (watch.Update[Listing], time.Duration) {
 	relay.readerReport.mutex.Lock()
 	defer relay.readerReport.mutex.Unlock()
-	reported := relay.readerReport.listUpdate
-	if relay.awaitsReport(reported.Position) {
-		reported = watch.Update[Listing]{Position: relay.instanceWatcher.Position()}
-	}
-	return reported, relay.timing.Load().maxListAge - elapsed(reported.AnsweredAt)
+	return recentUpdate(relay, relay.readerReport.listUpdate, relay.instanceWatcher, relay.timing.Load().maxListAge)
 }
 
-// awaitsReport reports whether another instance was elected as the store reader and has
-// not reported a position yet. Its caller holds the mutex of the report.
-func (relay *Relay) awaitsReport(reported watch.Position) bool {
-	return reported.ConfirmedAt.IsZero() && relay.readerReport.reader != relay.config.DatagramAddress
+// recentUpdate returns what the store reader reported, and for how long that is recent
+// enough. Until another instance that was elected has reported, it is what this one knows
+// already. Its caller holds the mutex of the report.
+func recentUpdate[Record any](relay *Relay, reported watch.Update[Record], watcher *watch.Watcher[Record], maxAge time.Duration) (watch.Update[Record], time.Duration) {
+	if reported.ConfirmedAt.IsZero() && relay.readerReport.reader != relay.config.DatagramAddress {
+		reported = watch.Update[Record]{Position: watcher.Position()}
+	}
+	return reported, maxAge - elapsed(reported.AnsweredAt)
 }
 
 // queryReader sends a query to the store reader, unless that is this instance.
@@ -222,7 +218,7 @@
 			listing.Upstream = &fleet.Upstream{
 				ID: entry.GetId(), Service: entry.GetService(), Address: entry.GetAddress(), FailureDomain: entry.GetFailureDomain(),
 				Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), StartedAt: entry.GetBorn(),
-				Remaining: time.Duration(entry.GetRemainingMs()) * time.Millisecond,
+				Remaining: milliseconds(entry.GetRemainingMs()),
 			}
 		}
 		listings = append(listings, listing)
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -34,7 +34,7 @@
 )
 
 // statusLinePrefix begins the head of a response, and no line of an event.
-var statusLinePrefix = []byte("HTTP/1.")
+var statusLinePrefix = []byte(http1.StatusLinePrefix)
 
 var (
 	errPartialEvent    = errors.New("the stream ended within an event")
--- a/internal/flow/retry/history.go
+++ b/internal/flow/retry/history.go
@@ -77,31 +77,29 @@
 // sum returns the retries that may lie within a window, and the requests that do so
 // for certain.
 func (history *history) sum(window time.Duration) (requests, retries uint64) {
-	history.advance()
-	whole := int(window / SlotTime)
-	if excess := len(history.kept) - (2*whole + 1); excess > len(history.kept)/2 {
-		history.kept = slices.Clone(history.kept[excess:])
-	}
-	for age := range min(len(history.kept), whole+1) {
-		slot := history.kept[len(history.kept)-1-age]
-		retries += uint64(slot.Retries)
-		if age < whole {
-			requests += uint64(slot.Requests)
-		}
-	}
+	whole := history.sumUp(window)
+	requests, _ = history.between(0, whole)
+	_, retries = history.between(0, whole+1)
 	return requests, retries
 }
 
-// fits reports whether more retries may be sent now: whether in each span as long as the
-// window that began after the last one, the retries so far and these are within the
+// fits reports whether more retries may be sent now: whether in the last window, and in each
+// span as long that has begun since, the retries so far and these are within the
 // limits. The limits of a span count the requests of the span itself, of the one before
 // it or of the one half a window before it, whichever has most: requests that lie before
 // a span do not pay for its retries beyond that, although they lie within a window of
 // the time at which these are sent.
 func (history *history) fits(limits Limits, more float64) bool {
+	requests, retries := history.sum(limits.Window)
+	switch sum := float64(retries) + more; {
+	case sum > limits.total(requests):
+		return false
+	case sum <= limits.total(0):
+		// They fit also a span without requests.
+		return true
+	}
 	whole := int(limits.Window / SlotTime)
 	half := whole / 2
-	history.sumUp(2 * whole)
 	// A span begins within the slot of an age, which counts for its retries only.
 	for age := range whole {
 		_, retries := history.between(0, age+1)
@@ -115,17 +113,23 @@
 	return true
 }
 
-// sumUp sums up the slots from the present one on, up to an age.
-func (history *history) sumUp(ages int) {
+// sumUp sums up the slots of two windows, from the present one on, and forgets older ones.
+// It returns the number of slots in a window.
+func (history *history) sumUp(window time.Duration) (whole int) {
 	history.advance()
+	whole = int(window / SlotTime)
+	if excess := len(history.kept) - (2*whole + 1); excess > len(history.kept)/2 {
+		history.kept = slices.Clone(history.kept[excess:])
+	}
 	history.sums = append(history.sums[:0], slotSum{})
 	var sum slotSum
-	for age := range min(ages, len(history.kept)) {
+	for age := range min(len(history.kept), 2*whole+1) {
 		slot := history.kept[len(history.kept)-1-age]
 		sum.requests += uint64(slot.Requests)
 		sum.retries += uint64(slot.Retries)
 		history.sums = append(history.sums, sum)
 	}
+	return whole
 }
 
 // between returns what was counted in the slots from one age up to another, which is left
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -111,20 +111,7 @@
 
 // allows reports whether all instances together may send another retry.
 func (ledger *Ledger) allows(limits Limits) bool {
-	if !ledger.isSettled(limits) {
-		return false
-	}
-	requests, retries := ledger.total.sum(limits.Window)
-	more := float64(ledger.reserved + 1)
-	if float64(retries)+more > limits.total(requests) {
-		return false
-	}
-	return float64(retries)+more <= limits.total(0) || ledger.total.fits(limits, more)
-}
-
-// total returns how many retries all instances together may send in a span with requests.
-func (limits Limits) total(requests uint64) float64 {
-	return (limits.Ratio*float64(requests)+limits.Extra)*totalFraction + roundingError
+	return ledger.isSettled(limits) && ledger.total.fits(limits, float64(ledger.reserved+1))
 }
 
 // isSettled reports whether the ledger knows all that was sent within the window.
--- a/internal/flow/retry/limits.go
+++ b/internal/flow/retry/limits.go
@@ -37,3 +37,8 @@
 	rate = permit.Rate((usable - burst) / (limits.Window + maxUseDelay).Seconds())
 	return rate, burst, rate >= permit.MinRate
 }
+
+// total returns how many retries all instances together may send in a span with requests.
+func (limits Limits) total(requests uint64) float64 {
+	return (limits.Ratio*float64(requests)+limits.Extra)*totalFraction + roundingError
+}
--- a/internal/link/http1/cuthead.go
+++ b/internal/link/http1/cuthead.go
@@ -1,8 +1,10 @@
 package http1
 
 import (
+	"bufio"
 	"bytes"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -11,8 +13,8 @@
 // maxHeadPrefix bounds the bytes of a response head that are kept for a CutHeadError.
 const maxHeadPrefix = 1 << 10
 
-// versionPrefix begins each response head.
-const versionPrefix = "HTTP/1."
+// StatusLinePrefix begins each response head.
+const StatusLinePrefix = "HTTP/1."
 
 // CutHeadError means that an exchange ended within the head of the final response: the
 // upstream had begun to answer.
@@ -58,7 +60,7 @@
 	if headPrefix.received <= start {
 		return err
 	}
-	cut := &CutHeadError{Header: make(http.Header), BeganAt: headPrefix.beganAt, err: err}
+	cut := &CutHeadError{BeganAt: headPrefix.beganAt, err: err}
 	statusLine, lines, complete := bytes.Cut(headPrefix.bytes[min(start, len(headPrefix.bytes)):], []byte("\n"))
 	switch status, ok := parseStatus(string(statusLine)); {
 	case !ok || strings.HasPrefix(status, "1"):
@@ -66,23 +68,20 @@
 	case complete:
 		cut.Status, _ = strconv.Atoi(status)
 	}
-	for complete {
-		var line []byte
-		line, lines, complete = bytes.Cut(lines, []byte("\n"))
-		if name, value, ok := strings.Cut(string(line), ":"); ok && complete {
-			cut.Header.Add(name, strings.TrimSpace(value))
-		}
-	}
+	whole := lines[:bytes.LastIndexByte(lines, '\n')+1]
+	// The error is that the header has no end.
+	header, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(whole))).ReadMIMEHeader()
+	cut.Header = http.Header(header)
 	return cut
 }
 
 // parseStatus returns what the beginning of a status line has of the status. It returns
 // false if the text begins no status line.
 func parseStatus(line string) (status string, ok bool) {
-	if len(line) < len(versionPrefix) {
-		return "", strings.HasPrefix(versionPrefix, line)
+	if len(line) < len(StatusLinePrefix) {
+		return "", strings.HasPrefix(StatusLinePrefix, line)
 	}
 	version, rest, _ := strings.Cut(line, " ")
 	status, _, _ = strings.Cut(strings.TrimSpace(rest), " ")
-	return status, strings.HasPrefix(version, versionPrefix)
+	return status, strings.HasPrefix(version, StatusLinePrefix)
 }
