Log each past of retries that is taken over

The hypotheses on the retry limit across pauses differ in who told a relay its past, what that held and when; no line said so. "retry: past taken over" does.

--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -87,7 +87,9 @@
 	age := time.Duration(memory.GetAgeMs()) * time.Millisecond
 	for _, encoded := range memory.GetRetries() {
 		service, use := codec.DecodeRetryUse(encoded)
-		relay.retryBudget.ledger(service).Recall(use.Past, age)
+		if relay.retryBudget.ledger(service).Recall(use.Past, age) {
+			relay.logPast(service, "memory", memory.GetEntry(), age, use)
+		}
 	}
 	blocked, cleared := relay.poison.Merge(codec.DecodePoisonNews(memory.GetPoison()).Aged(age))
 	relay.logPoison(blocked, cleared, memory.GetEntry())
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -120,8 +120,23 @@
 func (relay *Relay) recordPeerRetries(report *wirepb.Usage) {
 	for _, encoded := range report.GetRetries() {
 		service, use := codec.DecodeRetryUse(encoded)
-		relay.retryBudget.ledger(service).Merge(report.GetEntry(), report.GetStart(), use)
+		if relay.retryBudget.ledger(service).Merge(report.GetEntry(), report.GetStart(), use) {
+			relay.logPast(service, "usage", report.GetEntry(), 0, use)
+		}
+	}
+}
+
+// logPast logs that this instance has taken over a past: by which kind of message, from
+// which entry instance, how long after that has said so, and what this one knows now.
+func (relay *Relay) logPast(service, message, entry string, age time.Duration, use retry.Use) {
+	var told uint64
+	for _, slot := range use.Past {
+		told += uint64(slot.Retries)
 	}
+	requests, retries := relay.retryBudget.ledger(service).Total()
+	relay.config.Logger.Info("retry: past taken over", zap.String("service", service), zap.String("message", message), zap.String("entry", entry),
+		zap.Duration("age", age), zap.Duration("uptime", time.Since(relay.start)),
+		zap.Uint64("told-retries", told), zap.Uint64("all-requests", requests), zap.Uint64("all-retries", retries))
 }
 
 // rate returns the rate of the permits for a service's retries.
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -132,9 +132,9 @@
 	return use
 }
 
-// Merge records what an incarnation of another instance reports. Start tells its
-// incarnations apart.
-func (ledger *Ledger) Merge(instance string, start int64, use Use) {
+// Merge records what an incarnation of another instance reports, and returns whether its
+// past was taken over. Start tells its incarnations apart.
+func (ledger *Ledger) Merge(instance string, start int64, use Use) (adopted bool) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	limits := ledger.config.Limits()
@@ -143,40 +143,43 @@
 	if len(use.Past) > 0 && (ledger.recalled || !ledger.isSettled(limits)) {
 		ledger.adopt(use.Past)
 		ledger.recalled = false
-		return
+		return true
 	}
 	if !known {
 		// What it sent before is in the past that this instance adopts, or has heard of
 		// from nobody.
-		return
+		return false
 	}
 	if before.start != start {
 		before.requests, before.retries = 0, 0
 	}
 	if use.Requests < before.requests || use.Retries < before.retries {
-		return
+		return false
 	}
 	// When it sent them between its two reports is not known: requests leave the window
 	// as if it was at once, retries as if it was now.
 	ledger.total.add(before.at, counted(use.Requests-before.requests), 0)
 	ledger.total.add(time.Now(), 0, counted(use.Retries-before.retries))
+	return false
 }
 
 // counted converts a number to that of a slot.
 func counted(number uint64) uint32 { return uint32(min(number, math.MaxUint32)) }
 
-// Recall records the past that an instance knew which may have ended since. Age is the
-// time since it said so. A running instance knows the past better.
-func (ledger *Ledger) Recall(past []Slot, age time.Duration) {
+// Recall records the past that an instance knew which may have ended since, and returns
+// whether it was taken over. Age is the time since it said so. A running instance knows the
+// past better.
+func (ledger *Ledger) Recall(past []Slot, age time.Duration) (adopted bool) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	limits := ledger.config.Limits()
 	if len(past) == 0 || ledger.isSettled(limits) {
-		return
+		return false
 	}
 	since := make([]Slot, min(max(age, 0), limits.Window)/SlotTime)
 	ledger.adopt(append(since, past...))
 	ledger.recalled = true
+	return true
 }
 
 // adopt replaces what is known by another instance's past and what this one has sent.
