Merge what is known of retries by incarnation and time

Cause: what all had sent was a sum without names. Nobody could merge two of them, so a relay that starts took over the first it was told, or the one of a running relay in its place, whoever knew more. The one that had been stopped knew least, and its memory was the newest at the loaders.

Now the past is kept and told by incarnation: how much each had sent by the end of each slot. Nobody can know too much, so of two numbers the larger is right, and a merge is commutative, idempotent and loses nothing (retry.Archive). All that is told is merged, at any time. Loaders merge as well (retry.Keeper) and keep what ended incarnations sent beside that of their successors. A relay that was stopped for half a second or more says that it is not settled, does not retry until it has been told, or has heard all that ran before, and asks for the past; a loader that was stopped says so as well.

TestRemembers asked for the last memory of retries of an address; it asks for the most of each incarnation now, and for the age of both as before.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -19,6 +19,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/metric"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 )
@@ -104,6 +105,8 @@
 	entryStates map[string]entryState
 	// memories holds what each entry instance last said that it knows.
 	memories map[string]keptMemory
+	// retries holds what entry instances said of the retries to each service.
+	retries map[string]*retry.Keeper
 
 	// listedStartedAt is the latest start of the engine that the entry
 	// instances know, in Unix milliseconds.
@@ -131,6 +134,7 @@
 		entryStarts:   make(map[string]int64),
 		entryStates:   make(map[string]entryState),
 		memories:      make(map[string]keptMemory),
+		retries:       make(map[string]*retry.Keeper),
 		fencingToken:  now.UnixMilli(),
 		serial:        uint64(now.UnixMicro()),
 	}
@@ -144,6 +148,7 @@
 	group.Go(func() error { loader.runOrders(ctx); return nil })
 	group.Go(func() error { return loader.serveMetrics(ctx) })
 	group.Go(func() error { loader.runGrants(ctx); return nil })
+	group.Go(func() error { loader.watchStalls(ctx); return nil })
 	err := group.Wait()
 	loader.config.Logger.Info("loader: stopped", logs.ErrorField(err))
 	return err
--- a/internal/daemon/loader/memory.go
+++ b/internal/daemon/loader/memory.go
@@ -1,12 +1,16 @@
 package loader
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/retry"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -17,6 +21,10 @@
 	// maxMemoriesSent that which a starting one is sent.
 	maxMemories     = 256
 	maxMemoriesSent = 4
+	// maxServices bounds the services whose retries are kept.
+	maxServices = 1024
+	// stallCheckPeriod is how often the loader checks whether it was stopped.
+	stallCheckPeriod = 100 * time.Millisecond
 )
 
 // keptMemory is what an entry instance knew at a time.
@@ -29,6 +37,10 @@
 func (loader *Loader) keepMemory(memory *wirepb.Memory) {
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
+	for _, encoded := range memory.GetRetries() {
+		loader.keepRetries(encoded)
+	}
+	memory.Retries = nil
 	maps.DeleteFunc(loader.memories, func(_ string, kept keptMemory) bool { return time.Since(kept.at) > memoryLifetime })
 	if _, known := loader.memories[memory.GetEntry()]; !known && len(loader.memories) >= maxMemories {
 		return
@@ -36,17 +48,67 @@
 	loader.memories[memory.GetEntry()] = keptMemory{memory: memory, at: time.Now()}
 }
 
-// sendMemories sends a starting entry instance what others knew last, the latest first.
+// keepRetries keeps what an entry instance knows of the retries to a service. The caller
+// holds the mutex.
+func (loader *Loader) keepRetries(encoded *wirepb.RetryUse) {
+	service, use := codec.DecodeRetryUse(encoded)
+	keeper, ok := loader.retries[service]
+	if !ok {
+		if len(loader.retries) >= maxServices {
+			return
+		}
+		keeper = retry.NewKeeper()
+		loader.retries[service] = keeper
+	}
+	keeper.Keep(use)
+}
+
+// sendMemories sends a starting entry instance what others told: of retries all, and of
+// the rest what each knew last, the latest first.
 func (loader *Loader) sendMemories(entry string) {
 	loader.mutex.Lock()
+	var memories []*wirepb.Memory
+	for service, keeper := range loader.retries {
+		for _, use := range keeper.Uses() {
+			memories = append(memories, &wirepb.Memory{Entry: loader.config.Address, Retries: []*wirepb.RetryUse{codec.EncodeRetryUse(service, use)}})
+		}
+	}
 	kept := slices.SortedFunc(maps.Values(loader.memories), func(a, b keptMemory) int { return b.at.Compare(a.at) })
 	loader.mutex.Unlock()
 	for _, latest := range kept[:min(len(kept), maxMemoriesSent)] {
-		memory, ok := proto.Clone(latest.memory).(*wirepb.Memory)
-		if !ok {
-			continue
+		if memory, ok := proto.Clone(latest.memory).(*wirepb.Memory); ok {
+			memory.AgeMs = uint32(time.Since(latest.at).Milliseconds())
+			memories = append(memories, memory)
 		}
-		memory.AgeMs = uint32(time.Since(latest.at).Milliseconds())
+	}
+	for _, memory := range memories {
 		loader.config.Datagrams.Send(&wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: memory}}, []string{entry}, loader.logUnsent)
 	}
 }
+
+// watchStalls records when the process was stopped, until ctx ends: what entry instances
+// told meanwhile may be lost.
+func (loader *Loader) watchStalls(ctx context.Context) {
+	ticker := time.NewTicker(stallCheckPeriod)
+	defer ticker.Stop()
+	for tickedAt := time.Now(); ; tickedAt = time.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if stalled := time.Since(tickedAt); stalled >= retry.StallTime {
+			loader.recordStall(stalled)
+		}
+	}
+}
+
+// recordStall records that the process was stopped for a time.
+func (loader *Loader) recordStall(stalled time.Duration) {
+	loader.config.Logger.Warn("loader: process was stopped", zap.Duration("for", stalled))
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	for _, keeper := range loader.retries {
+		keeper.Stall()
+	}
+}
--- a/internal/daemon/loader/memory_test.go
+++ b/internal/daemon/loader/memory_test.go
@@ -7,21 +7,28 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-// TestRemembers guards against knowledge that is lost when all entry instances end: one
-// that starts must be sent what the others knew last, with its age, and only then.
+// TestRemembers guards against knowledge that is lost when all entry instances end, or when
+// one that knows less tells later: one that starts must be sent all that others knew, with
+// its age, and only then.
 func TestRemembers(t *testing.T) {
 	datagrams, err := dgram.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	loader := New(Config{Engine: &engine{report: healthyReport()}, Datagrams: datagrams, Logger: zap.NewNop()})
-	for _, retries := range []uint64{1, 2} {
+	told := []*wirepb.RetryPast{
+		{Entry: "10.0.0.1:7600", Start: 1, Requests: 9, Retries: 2, Slots: 3, SlotRetries: []uint32{2}},
+		{Entry: "10.0.0.1:7600", Start: 1, Requests: 7, Retries: 1, Slots: 3, SlotRetries: []uint32{1}},
+		{Entry: "10.0.0.1:7600", Start: 2, Requests: 1, Retries: 1, Slots: 3, SlotRetries: []uint32{1}},
+	}
+	for _, past := range told {
 		loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: &wirepb.Memory{
-			Entry: "10.0.0.1:7600", Retries: []*wirepb.RetryUse{{Service: "advisor", Retries: retries}},
+			Entry: "10.0.0.1:7600", Retries: []*wirepb.RetryUse{{Service: "advisor", Settled: past.GetRetries() == 2, Pasts: []*wirepb.RetryPast{past}, WindowMs: 1000}},
 		}}})
 	}
 	entry, err := dgram.Listen("127.0.0.1:0")
@@ -36,20 +43,27 @@
 			}
 		})
 	}()
-	const kept = 30 * time.Millisecond
+	const kept = 2 * retry.SlotTime
 	time.Sleep(kept)
 	for range 3 {
 		loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry: entry.Address(), Start: 1, Model: "m", Upstream: "i-1", Born: 1000,
 		}}})
 	}
-	select {
-	case memory := <-received:
-		if diff := cmp.Diff(uint64(2), memory.GetRetries()[0].GetRetries()); diff != "" || memory.GetAgeMs() < uint32(kept.Milliseconds()) {
-			t.Errorf("age %d ms, retries (-want +got):\n%s", memory.GetAgeMs(), diff)
+	for _, check := range []func(memory *wirepb.Memory){
+		func(memory *wirepb.Memory) { checkRetries(t, memory) },
+		func(memory *wirepb.Memory) {
+			if memory.GetEntry() != "10.0.0.1:7600" || memory.GetAgeMs() < uint32(kept.Milliseconds()) {
+				t.Errorf("memory of %q, %d ms old, want one of 10.0.0.1:7600 at least %v old", memory.GetEntry(), memory.GetAgeMs(), kept)
+			}
+		},
+	} {
+		select {
+		case memory := <-received:
+			check(memory)
+		case <-time.After(time.Second):
+			t.Fatal("a starting entry instance received too little")
 		}
-	case <-time.After(time.Second):
-		t.Fatal("a starting entry instance received nothing")
 	}
 	select {
 	case <-received:
@@ -57,3 +71,22 @@
 	case <-time.After(kept):
 	}
 }
+
+// checkRetries checks what a loader has kept of retries: the most that was told of each
+// incarnation, not in the last two slots.
+func checkRetries(t *testing.T, memory *wirepb.Memory) {
+	t.Helper()
+	if len(memory.GetRetries()) != 1 || !memory.GetRetries()[0].GetSettled() {
+		t.Fatalf("received %v, want the retries to one service, settled", memory)
+	}
+	got := make(map[int64]uint64)
+	for _, past := range memory.GetRetries()[0].GetPasts() {
+		got[past.GetStart()] = past.GetRetries()
+		if late := past.GetSlotRetries()[:2]; late[0] > 0 || late[1] > 0 {
+			t.Errorf("retries of the last slots of incarnation %d: %v, want none", past.GetStart(), late)
+		}
+	}
+	if diff := cmp.Diff(map[int64]uint64{1: 2, 2: 1}, got); diff != "" {
+		t.Errorf("retries by incarnation (-want +got):\n%s", diff)
+	}
+}
--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -47,7 +47,7 @@
 // memory returns what this instance knows of all.
 func (relay *Relay) memory() *wirepb.Memory {
 	return &wirepb.Memory{
-		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePast(),
+		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePasts(),
 		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerMemory)}),
 	}
 }
@@ -85,12 +85,7 @@
 // handleMemory records what an entry instance knew that may have ended since.
 func (relay *Relay) handleMemory(memory *wirepb.Memory) {
 	age := time.Duration(memory.GetAgeMs()) * time.Millisecond
-	for _, encoded := range memory.GetRetries() {
-		service, use := codec.DecodeRetryUse(encoded)
-		if relay.retryBudget.ledger(service).Recall(use.Past, age) {
-			relay.logPast(service, "memory", memory.GetEntry(), age, use)
-		}
-	}
+	relay.recallRetries(memory)
 	blocked, cleared := relay.poison.Merge(codec.DecodePoisonNews(memory.GetPoison()).Aged(age))
 	relay.logPoison(blocked, cleared, memory.GetEntry())
 	relay.config.Logger.Debug("relay: recalled what an entry instance knew", zap.String("entry", memory.GetEntry()), zap.Duration("age", age))
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -50,6 +50,8 @@
 	// and fullReportAt is when the last one was sent.
 	fullReportsDue int
 	fullReportAt   time.Time
+	// pastWanted means that it does not know what all have sent.
+	pastWanted bool
 }
 
 func newPeers(own, domain string) *peers {
@@ -70,6 +72,15 @@
 	sender.lastHeard, sender.domain, sender.configVersion = time.Now(), domain, configVersion
 }
 
+// recordPastWanted records whether an entry instance wants to be told what all have sent.
+func (peers *peers) recordPastWanted(address string, wanted bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	if peer, ok := peers.byAddress[address]; ok {
+		peer.pastWanted = wanted
+	}
+}
+
 // recordListed records the entry instances that a loader lists.
 func (peers *peers) recordListed(addresses []string) {
 	peers.mutex.Lock()
@@ -121,8 +132,8 @@
 	partialReport reportKind = iota
 	// fullReport has all that the sender did.
 	fullReport
-	// firstReport is a full one to an entry instance that has just started, which also
-	// tells what all have done before.
+	// firstReport is a full one to an entry instance that has just started or was stopped,
+	// which also tells what all have done before.
 	firstReport
 )
 
@@ -136,7 +147,7 @@
 		return partialReport
 	}
 	kind := fullReport
-	if peer.fullReportsDue > 0 {
+	if peer.fullReportsDue > 0 || peer.pastWanted {
 		kind = firstReport
 	}
 	peer.fullReportsDue, peer.fullReportAt = max(peer.fullReportsDue-1, 0), time.Now()
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -164,7 +164,7 @@
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
 	relay.timing.Store(newTiming(config.Bounds))
-	relay.retryBudget = newRetryBudget(relay.retryLimits, relay.start)
+	relay.retryBudget = newRetryBudget(relay.retryLimits, relay.start, config.DatagramAddress)
 	relay.instanceWatcher = relay.newInstanceWatcher()
 	relay.configWatcher = relay.newConfigWatcher()
 	relay.callerServer = &http.Server{
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -65,6 +65,7 @@
 		case <-ticker.C:
 		case <-relay.wake:
 		}
+		relay.retryBudget.tick()
 		relay.reportDemand(lastSent)
 		relay.exchangePermits()
 		relay.initialiseBuckets()
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -33,6 +33,8 @@
 type retryBudget struct {
 	limits func() retry.Limits
 	start  time.Time
+	// own is this instance.
+	own    retry.Incarnation
 	client *permit.Client
 	// changes tracks the services to which this instance has retried lately. It is
 	// used only by sendReports.
@@ -48,10 +50,11 @@
 	ledgers map[string]*retry.Ledger
 }
 
-func newRetryBudget(limits func() retry.Limits, start time.Time) *retryBudget {
+func newRetryBudget(limits func() retry.Limits, start time.Time, address string) *retryBudget {
 	return &retryBudget{
 		limits:    limits,
 		start:     start,
+		own:       retry.Incarnation{Instance: address, Start: start.UnixNano()},
 		changes:   newUsageChanges(),
 		client:    permit.NewClient(permit.ClientConfig{PermitLifetime: retry.PermitLifetime}),
 		allocator: permit.NewAllocator(permit.AllocatorConfig{PermitLifetime: retry.PermitLifetime, StandingOnly: true}),
@@ -65,7 +68,7 @@
 	defer retryBudget.mutex.Unlock()
 	ledger, ok := retryBudget.ledgers[service]
 	if !ok {
-		ledger = retry.NewLedger(retry.LedgerConfig{Limits: retryBudget.limits, Start: retryBudget.start})
+		ledger = retry.NewLedger(retry.LedgerConfig{Limits: retryBudget.limits, Start: retryBudget.start, Incarnation: retryBudget.own})
 		retryBudget.ledgers[service] = ledger
 	}
 	return ledger
@@ -90,8 +93,8 @@
 }
 
 // encodeUse encodes what this instance has sent to the services: to all, or to those
-// to which it has retried lately. An entry instance that has just started is also told
-// the past.
+// to which it has retried lately. An entry instance that does not know the past is also told
+// that.
 func (retryBudget *retryBudget) encodeUse(kind reportKind) []*wirepb.RetryUse {
 	var encoded []*wirepb.RetryUse
 	recent := retryBudget.changes.recent()
@@ -104,39 +107,61 @@
 	return encoded
 }
 
-// encodePast encodes what all entry instances have sent to the services, as far as it is
-// known.
-func (retryBudget *retryBudget) encodePast() []*wirepb.RetryUse {
+// encodePasts encodes what this instance knows of what all have sent to the services.
+func (retryBudget *retryBudget) encodePasts() []*wirepb.RetryUse {
 	var encoded []*wirepb.RetryUse
 	for _, service := range retryBudget.services() {
-		if use := retryBudget.ledger(service).Use(true); len(use.Past) > 0 {
-			encoded = append(encoded, codec.EncodeRetryUse(service, use))
-		}
+		encoded = append(encoded, codec.EncodeRetryUse(service, retryBudget.ledger(service).Use(true)))
 	}
 	return encoded
 }
 
-// recordPeerRetries records what another entry instance has sent to services.
+// settled reports whether this instance knows what all have sent to all services.
+func (retryBudget *retryBudget) settled() bool {
+	for _, service := range retryBudget.services() {
+		if !retryBudget.ledger(service).Settled() {
+			return false
+		}
+	}
+	return true
+}
+
+// tick tells the ledgers that this instance runs.
+func (retryBudget *retryBudget) tick() {
+	for _, service := range retryBudget.services() {
+		retryBudget.ledger(service).Tick()
+	}
+}
+
+// recordPeerRetries records what another entry instance has sent to services, and what it
+// knows of others.
 func (relay *Relay) recordPeerRetries(report *wirepb.Usage) {
+	incarnation := retry.Incarnation{Instance: report.GetEntry(), Start: report.GetStart()}
 	for _, encoded := range report.GetRetries() {
 		service, use := codec.DecodeRetryUse(encoded)
-		if relay.retryBudget.ledger(service).Merge(report.GetEntry(), report.GetStart(), use) {
-			relay.logPast(service, "usage", report.GetEntry(), 0, use)
-		}
+		relay.logLearned(service, "usage", report.GetEntry(), use, relay.retryBudget.ledger(service).Merge(incarnation, use))
+	}
+}
+
+// recallRetries records what a loader has kept of what entry instances have sent.
+func (relay *Relay) recallRetries(memory *wirepb.Memory) {
+	for _, encoded := range memory.GetRetries() {
+		service, use := codec.DecodeRetryUse(encoded)
+		relay.logLearned(service, "memory", memory.GetEntry(), use, relay.retryBudget.ledger(service).Recall(use))
 	}
 }
 
-// logPast logs that this instance has taken over a past: by which kind of message, from
-// which entry instance, how long after that has said so, and what this one knows now.
-func (relay *Relay) logPast(service, message, entry string, age time.Duration, use retry.Use) {
-	var told uint64
-	for _, slot := range use.Past {
-		told += uint64(slot.Retries)
+// logLearned logs what this instance has learned of the past, from which process and by
+// which kind of message, and what it knows now.
+func (relay *Relay) logLearned(service, message, source string, use retry.Use, learned retry.Learned) {
+	if learned == (retry.Learned{}) {
+		return
 	}
 	requests, retries := relay.retryBudget.ledger(service).Total()
-	relay.config.Logger.Info("retry: past taken over", zap.String("service", service), zap.String("message", message), zap.String("entry", entry),
-		zap.Duration("age", age), zap.Duration("uptime", time.Since(relay.start)),
-		zap.Uint64("told-retries", told), zap.Uint64("all-requests", requests), zap.Uint64("all-retries", retries))
+	relay.config.Logger.Info("retry: past learned", zap.String("service", service), zap.String("message", message), zap.String("source", source),
+		zap.Duration("uptime", time.Since(relay.start)), zap.Int("pasts", len(use.Pasts)), zap.Bool("source-settled", use.Settled),
+		zap.Uint64("learned-retries", learned.Retries), zap.Bool("settles", learned.Settled),
+		zap.Uint64("all-requests", requests), zap.Uint64("all-retries", retries))
 }
 
 // rate returns the rate of the permits for a service's retries.
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -76,7 +76,7 @@
 		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: !full,
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(full),
 		Poison: relay.encodePoison(full), Retries: relay.retryBudget.encodeUse(kind),
-		StoreFailing: relay.peers.ownStoreFails(),
+		StoreFailing: relay.peers.ownStoreFails(), PastWanted: !relay.retryBudget.settled(),
 	}
 	if config := relay.store.config(); config != nil {
 		encoded.ConfigVersion = config.Version()
@@ -106,6 +106,7 @@
 		}
 	}
 	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion())
+	relay.peers.recordPastWanted(report.GetEntry(), report.GetPastWanted())
 	if relay.peers.recordStoreState(report.GetEntry(), report.GetStoreFailing()) {
 		relay.queryReader()
 	}
--- a/internal/flow/retry/fleet_test.go
+++ b/internal/flow/retry/fleet_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,11 +30,13 @@
 	memoryPeriod = 250 * time.Millisecond
 	// silentAfter is how long an ended instance still counts as live at the others,
 	// removedAfter how long it still counts at all, and heardAfter how long it takes
-	// until a started one counts. A started one allocates nothing for settleTime.
-	silentAfter  = time.Second
-	removedAfter = 6 * time.Second
-	heardAfter   = 150 * time.Millisecond
-	settleTime   = 300 * time.Millisecond
+	// until a started one counts. A started one allocates nothing for allocateAfter, and
+	// is told the past for firstReportTime.
+	silentAfter     = time.Second
+	removedAfter    = 6 * time.Second
+	heardAfter      = 150 * time.Millisecond
+	allocateAfter   = 300 * time.Millisecond
+	firstReportTime = 300 * time.Millisecond
 )
 
 // fleet simulates instances whose upstreams reject all requests to one service, so
@@ -49,10 +52,8 @@
 	// admission returns how long a retry waits for an upstream that admits it, at a time
 	// after the start of the fleet.
 	admission func(since time.Duration) time.Duration
-	// past is what all had sent at pastAt, as loaders keep it. remembers means that
-	// starting instances are told.
-	past      []Slot
-	pastAt    time.Time
+	// memory is what loaders keep. remembers means that starting instances are told.
+	memory    *Keeper
 	remembers bool
 	// cutFrom and cutTo bound the time for which instances with even numbers are cut
 	// from those with odd ones.
@@ -94,14 +95,19 @@
 			fleet.instances = append(fleet.instances, nil)
 		}
 		fleet.instances[number] = &instance{
-			ledger:    NewLedger(LedgerConfig{Limits: func() Limits { return fleet.limits }, Start: known}),
+			ledger: NewLedger(LedgerConfig{
+				Limits: func() Limits { return fleet.limits }, Start: known,
+				Incarnation: Incarnation{Instance: strconv.Itoa(number), Start: time.Now().UnixNano()},
+			}),
 			client:    permit.NewClient(permit.ClientConfig{PermitLifetime: PermitLifetime}),
 			allocator: permit.NewAllocator(permit.AllocatorConfig{PermitLifetime: PermitLifetime, StandingOnly: true}),
 			startedAt: time.Now(),
 		}
 		if started := fleet.instances[number]; fleet.remembers {
 			fleet.messages = append(fleet.messages, message{at: time.Now().Add(heardAfter), arrive: func() {
-				started.ledger.Recall(fleet.past, time.Since(fleet.pastAt))
+				for _, use := range fleet.memory.Uses() {
+					started.ledger.Recall(use)
+				}
 			}})
 		}
 	}
@@ -190,7 +196,7 @@
 	allocator := rank.First(pool.ID, live)
 	rate, burst, ok := fleet.limits.Pool()
 	var standing []permit.Standing
-	if ok && allocator == strconv.Itoa(number) && time.Since(instance.startedAt) >= settleTime {
+	if ok && allocator == strconv.Itoa(number) && time.Since(instance.startedAt) >= allocateAfter {
 		standing = []permit.Standing{{ID: pool.ID, Rate: rate, Burst: burst}}
 	}
 	instance.allocator.SetStanding(standing)
@@ -210,17 +216,17 @@
 // started are also told the past.
 func (fleet *fleet) gossip(number int) {
 	instance := fleet.instances[number]
-	brief, full := instance.ledger.Use(false), instance.ledger.Use(true)
+	brief, full := instance.ledger.Use(false), sync.OnceValue(func() Use { return instance.ledger.Use(true) })
 	fleet.messages = append(fleet.messages, message{at: time.Now().Add(fleetStep), arrive: func() {
 		for to, other := range fleet.instances {
 			if to == number || !fleet.runs(to) || !fleet.reaches(number, to) {
 				continue
 			}
 			use := brief
-			if time.Since(other.startedAt) < settleTime {
-				use = full
+			if time.Since(other.startedAt) < firstReportTime || !other.ledger.Settled() {
+				use = full()
 			}
-			other.ledger.Merge(strconv.Itoa(number), instance.startedAt.UnixNano(), use)
+			other.ledger.Merge(Incarnation{Instance: strconv.Itoa(number), Start: instance.startedAt.UnixNano()}, use)
 		}
 	}})
 }
@@ -251,6 +257,7 @@
 		if !fleet.runs(number) {
 			continue
 		}
+		fleet.instances[number].ledger.Tick()
 		for expected := demand * fleetStep.Seconds(); fleet.random.Float64() < expected; expected-- {
 			fleet.instances[number].ledger.RecordRequest()
 			fleet.requests = append(fleet.requests, now)
@@ -267,10 +274,8 @@
 			fleet.waiting = append(fleet.waiting, wish)
 		}
 	}
-	if fleet.since()%memoryPeriod == 0 && fleet.runs(0) {
-		if past := fleet.instances[0].ledger.Use(true).Past; len(past) > 0 {
-			fleet.past, fleet.pastAt = past, time.Now()
-		}
+	if fleet.remembers {
+		fleet.keepMemory()
 	}
 	for number := range fleet.instances {
 		phase := fleet.since() + time.Duration(number)*fleetStep
@@ -283,6 +288,17 @@
 	}
 }
 
+// keepMemory lets instances tell loaders what they know.
+func (fleet *fleet) keepMemory() {
+	for number, instance := range fleet.instances {
+		phase := fleet.since() + time.Duration(number)*fleetStep
+		if phase%memoryPeriod != 0 || !fleet.runs(number) {
+			continue
+		}
+		fleet.memory.Keep(instance.ledger.Use(true))
+	}
+}
+
 // within counts the times in a span as long as the limits' window.
 func (fleet *fleet) within(times []time.Time, from time.Time) float64 {
 	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
@@ -335,9 +351,10 @@
 		gone bool
 		// remembers means that loaders tell starting instances the past.
 		remembers bool
-		// joins maps times to instances that join, freezes to those that freeze for 3 s,
-		// and changes to new limits.
+		// joins maps times to instances that join, freezes to those that freeze, for 3 s if
+		// freezeTime is 0, and changes to new limits.
 		joins, freezes map[time.Duration][]int
+		freezeTime     time.Duration
 		changes        map[time.Duration]Limits
 		cutFrom, cutTo time.Duration
 		// admission is how long a retry waits for admission, nothing if it is nil.
@@ -373,6 +390,8 @@
 		{name: "all leave for a while", count: 5, demand: 40, quietUntil: 3 * time.Second, ends: map[time.Duration][]int{9 * time.Second: {0}, 10 * time.Second: {1}, 11 * time.Second: {2, 3, 4}, 13 * time.Second: numbers(0, 1)}},
 		{name: "instances join", count: 5, demand: 15, joins: series(time.Second, []int{5}, []int{6}, []int{7}, []int{8, 9})},
 		{name: "instances freeze", count: 5, demand: 15, freezes: series(time.Second, []int{0}, []int{1}, []int{2}, []int{3}, []int{4})},
+		{name: "others end as one goes on", count: 5, demand: 40, remembers: true, quietUntil: 11 * time.Second, freezeTime: 8 * time.Second, freezes: map[time.Duration][]int{5 * time.Second: {0}}, ends: map[time.Duration][]int{13 * time.Second: numbers(1, 4), 15 * time.Second: {0, 1, 2, 3}, 17 * time.Second: {0, 2, 3, 4}}},
+		{name: "others end as one goes on, demand all the while", count: 5, demand: 40, remembers: true, freezes: map[time.Duration][]int{10 * time.Second: {0}, 18 * time.Second: {1}}, ends: map[time.Duration][]int{13 * time.Second: numbers(1, 4), 15 * time.Second: {0, 1, 2, 3}, 21 * time.Second: {0, 2, 3, 4}}},
 		{name: "cut from each other", count: 5, demand: 15, cutFrom: 12 * time.Second, cutTo: 20 * time.Second},
 		{name: "long waits for admission", count: 5, demand: 15, admission: func(since time.Duration) time.Duration { return max(0, 16*time.Second-since) }},
 		{name: "lower limits", count: 5, demand: 15, changes: map[time.Duration]Limits{15 * time.Second: {Ratio: 0.1, Extra: 20, Window: 10 * time.Second}}},
@@ -394,7 +413,7 @@
 				}
 				fleet := &fleet{
 					random: rand.New(rand.NewPCG(1, 1)), limits: test.limits, start: time.Now().Add(-fleetStep),
-					cutFrom: test.cutFrom, cutTo: test.cutTo, admission: test.admission, remembers: test.remembers,
+					cutFrom: test.cutFrom, cutTo: test.cutTo, admission: test.admission, remembers: test.remembers, memory: NewKeeper(),
 				}
 				fleet.launch(fleet.start.Add(-fleet.limits.Window), numbers(0, test.count-1)...)
 				restarts := make(map[time.Duration][]int)
@@ -410,7 +429,7 @@
 					}
 					fleet.launch(time.Now(), append(restarts[now], test.joins[now]...)...)
 					for _, number := range test.freezes[now] {
-						fleet.instances[number].frozenUntil = time.Now().Add(3 * time.Second)
+						fleet.instances[number].frozenUntil = time.Now().Add(cmp.Or(test.freezeTime, 3*time.Second))
 					}
 					if limits, ok := test.changes[now]; ok {
 						changedAt, before, fleet.limits = time.Now(), fleet.limits, limits
--- a/internal/flow/retry/history.go
+++ b/internal/flow/retry/history.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -24,12 +25,9 @@
 	sums []slotSum
 }
 
-// slotSum is what was counted in several slots.
-type slotSum struct{ requests, retries uint64 }
-
 // advance appends empty slots up to the present one.
 func (history *history) advance() {
-	present := int(time.Since(history.start) / SlotTime)
+	present := history.number(time.Now())
 	if len(history.kept) == 0 {
 		history.kept, history.newest = make([]Slot, 1), present
 	}
@@ -48,29 +46,21 @@
 	}
 }
 
-// add counts requests and retries that were sent at a time, unless that is too long
-// ago.
-func (history *history) add(at time.Time, requests, retries uint32) {
-	if slot := history.slot(at); slot != nil {
-		slot.Requests += requests
-		slot.Retries += retries
-	}
-}
-
-// remove takes back a retry that was sent at a time.
-func (history *history) remove(at time.Time) {
-	if slot := history.slot(at); slot != nil && slot.Retries > 0 {
-		slot.Retries--
-	}
+// number returns the number of the slot of a time.
+func (history *history) number(at time.Time) int {
+	return int(math.Floor(float64(at.Sub(history.start)) / float64(SlotTime)))
 }
 
-// slot returns the slot of a time, or nil if that is too long ago.
-func (history *history) slot(at time.Time) *Slot {
+// at returns the slot of a number, or nil if that is too long ago.
+func (history *history) at(number int) *Slot {
 	history.advance()
-	age := int(time.Since(history.start)/SlotTime) - int(at.Sub(history.start)/SlotTime)
-	if age < 0 || age >= len(history.kept) {
+	age := history.newest - number
+	if age < 0 || age >= maxSlots {
 		return nil
 	}
+	if missing := age + 1 - len(history.kept); missing > 0 {
+		history.kept = append(make([]Slot, missing, missing+len(history.kept)), history.kept...)
+	}
 	return &history.kept[len(history.kept)-1-age]
 }
 
@@ -142,28 +132,3 @@
 	}
 	return history.sums[to].requests - history.sums[from].requests, history.sums[to].retries - history.sums[from].retries
 }
-
-// slots returns what was counted within a window, the present slot first.
-func (history *history) slots(window time.Duration) []Slot {
-	history.advance()
-	count := min(len(history.kept), int(window/SlotTime)+1)
-	slots := make([]Slot, 0, count)
-	for age := range count {
-		slots = append(slots, history.kept[len(history.kept)-1-age])
-	}
-	return slots
-}
-
-// adopt adds what another instance has counted.
-func (history *history) adopt(past []Slot) {
-	history.advance()
-	past = past[:min(len(past), maxSlots)]
-	if missing := len(past) - len(history.kept); missing > 0 {
-		history.kept = append(make([]Slot, missing, missing+len(history.kept)), history.kept...)
-	}
-	for age, slot := range past {
-		own := &history.kept[len(history.kept)-1-age]
-		own.Requests += slot.Requests
-		own.Retries += slot.Retries
-	}
-}
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -20,78 +19,70 @@
 type Use struct {
 	Requests uint64
 	Retries  uint64
-	// Past holds what all instances have sent, as far as the reporting instance knows
-	// it. It is empty if that doesn't know it, or does not say so.
-	Past []Slot
-}
-
-// Slot is what was sent within SlotTime. In Use.Past the first slot is the present one,
-// and each following one is SlotTime older.
-type Slot struct {
-	Requests uint32
-	Retries  uint32
+	// Settled means that the instance knows what all have sent within the window.
+	Settled bool
+	// Pasts holds what the instance knows of all incarnations, or a part of that, within
+	// Window. It is empty if the instance does not say so.
+	Pasts  []Past
+	Window time.Duration
 }
 
 // Ledger counts the requests to one service and the retries of all instances, those of
 // ended instances included, and decides which retries of this instance the limits
-// allow. An instance that starts knows nothing of what was sent before. It retries only
-// once another one has told it, or it has run for a whole window. Its methods may be
-// called concurrently.
+// allow. It does so only once it is settled. Its methods may be called concurrently.
 type Ledger struct {
 	config LedgerConfig
 
 	mutex sync.Mutex
-	// settled means that total holds all that was sent within the window, and recalled
-	// that it is from an instance that has ended since.
-	settled, recalled bool
-	own               Use
+	// archive holds what all have sent, and own what this instance has.
+	archive *Archive
+	own     slotSum
+	settling
 	// requests and retries hold when this instance sent its own requests and those
 	// retries for which they pay.
 	requests, retries []time.Time
 	// reserved is the number of retries reserved and not sent, and reservedOwn that of
 	// those for which this instance's own requests pay.
 	reserved, reservedOwn int
-	total                 history
-	// reported holds what other instances last reported.
-	reported map[string]reported
 }
 
 // LedgerConfig configures a Ledger.
 type LedgerConfig struct {
 	// Limits returns the limits in force, which may change at any time.
 	Limits func() Limits
+	// Incarnation is this instance.
+	Incarnation Incarnation
 	// Start is when the instance started.
 	Start time.Time
 }
 
-// reported is the last report of an incarnation of another instance.
-type reported struct {
-	start    int64
-	requests uint64
-	retries  uint64
-	at       time.Time
-}
-
 // NewLedger returns a Ledger without requests.
 func NewLedger(config LedgerConfig) *Ledger {
-	return &Ledger{config: config, total: history{start: time.Now()}, reported: make(map[string]reported)}
+	return &Ledger{config: config, archive: NewArchive(), settling: newSettling(config.Start)}
 }
 
 // RecordRequest records a request that is sent for the first time.
 func (ledger *Ledger) RecordRequest() {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	ledger.trim(ledger.config.Limits().Window)
+	ledger.trim(ledger.limits().Window)
 	ledger.requests = append(ledger.requests, time.Now())
-	ledger.own.Requests++
-	ledger.total.add(time.Now(), 1, 0)
+	ledger.own.requests++
+	ledger.archive.count(ledger.config.Incarnation, 1, 0)
+}
+
+// limits returns the limits in force, to whose window the archive reaches.
+func (ledger *Ledger) limits() Limits {
+	limits := ledger.config.Limits()
+	ledger.archive.SetWindow(limits.Window)
+	return limits
 }
 
 // Allows reports whether all instances together may send another retry.
 func (ledger *Ledger) Allows() bool {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	return ledger.allows(ledger.config.Limits())
+	return ledger.allows(ledger.limits())
 }
 
 // Total returns what all instances together have sent within the window, as far as this one
@@ -99,7 +90,7 @@
 func (ledger *Ledger) Total() (requests, retries uint64) {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	return ledger.total.sum(ledger.config.Limits().Window)
+	return ledger.archive.total.sum(ledger.limits().Window)
 }
 
 // allowsOwn reports whether this instance's own requests pay for another retry.
@@ -111,83 +102,78 @@
 
 // allows reports whether all instances together may send another retry.
 func (ledger *Ledger) allows(limits Limits) bool {
-	return ledger.isSettled(limits) && ledger.total.fits(limits, float64(ledger.reserved+1))
+	return ledger.isSettled(limits.Window) && ledger.archive.total.fits(limits, float64(ledger.reserved+1))
 }
 
-// isSettled reports whether the ledger knows all that was sent within the window.
-func (ledger *Ledger) isSettled(limits Limits) bool {
-	ledger.settled = ledger.settled || time.Since(ledger.config.Start) >= limits.Window
-	return ledger.settled
+// Tick tells the ledger that the instance runs. Once it has been called, a time without
+// calls counts as one in which the instance was stopped.
+func (ledger *Ledger) Tick() {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	ledger.tick()
 }
 
-// Use returns what this instance has sent since its start, with the past of all if
-// wanted and known.
-func (ledger *Ledger) Use(past bool) Use {
+// Settled reports whether the ledger knows what all have sent within the window.
+func (ledger *Ledger) Settled() bool {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	use, limits := ledger.own, ledger.config.Limits()
-	if past && ledger.isSettled(limits) {
-		use.Past = ledger.total.slots(limits.Window)
-	}
-	return use
+	return ledger.isSettled(ledger.limits().Window)
 }
 
-// Merge records what an incarnation of another instance reports, and returns whether its
-// past was taken over. Start tells its incarnations apart.
-func (ledger *Ledger) Merge(instance string, start int64, use Use) (adopted bool) {
+// Use returns what this instance has sent since its start, with the pasts of all if
+// wanted.
+func (ledger *Ledger) Use(pasts bool) Use {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	limits := ledger.config.Limits()
-	before, known := ledger.reported[instance]
-	ledger.reported[instance] = reported{start: start, requests: use.Requests, retries: use.Retries, at: time.Now()}
-	if len(use.Past) > 0 && (ledger.recalled || !ledger.isSettled(limits)) {
-		ledger.adopt(use.Past)
-		ledger.recalled = false
-		return true
-	}
-	if !known {
-		// What it sent before is in the past that this instance adopts, or has heard of
-		// from nobody.
-		return false
+	limits := ledger.limits()
+	use := Use{Requests: ledger.own.requests, Retries: ledger.own.retries, Settled: ledger.isSettled(limits.Window)}
+	if pasts {
+		use.Pasts, use.Window = ledger.archive.Pasts(ledger.config.Incarnation), limits.Window
 	}
-	if before.start != start {
-		before.requests, before.retries = 0, 0
-	}
-	if use.Requests < before.requests || use.Retries < before.retries {
-		return false
-	}
-	// When it sent them between its two reports is not known: requests leave the window
-	// as if it was at once, retries as if it was now.
-	ledger.total.add(before.at, counted(use.Requests-before.requests), 0)
-	ledger.total.add(time.Now(), 0, counted(use.Retries-before.retries))
-	return false
+	return use
 }
 
-// counted converts a number to that of a slot.
-func counted(number uint64) uint32 { return uint32(min(number, math.MaxUint32)) }
+// Learned is what an instance learned from a message.
+type Learned struct {
+	// Retries is the number of retries within the window that it did not know of.
+	Retries uint64
+	// Settled means that it knows since the message what all have sent.
+	Settled bool
+}
 
-// Recall records the past that an instance knew which may have ended since, and returns
-// whether it was taken over. Age is the time since it said so. A running instance knows the
-// past better.
-func (ledger *Ledger) Recall(past []Slot, age time.Duration) (adopted bool) {
+// Merge records what an incarnation of another instance reports.
+func (ledger *Ledger) Merge(incarnation Incarnation, use Use) Learned {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	limits := ledger.config.Limits()
-	if len(past) == 0 || ledger.isSettled(limits) {
-		return false
+	limits := ledger.limits()
+	learned := ledger.learn(limits, use, len(use.Pasts) > 0)
+	before := ledger.hear(incarnation)
+	ledger.archive.Report(incarnation, use.Requests, use.Retries, before)
+	return learned
+}
+
+// Recall records what a loader has kept of what instances knew which may have ended since.
+func (ledger *Ledger) Recall(use Use) Learned {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	return ledger.learn(ledger.limits(), use, true)
+}
+
+// learn adds the pasts that another process tells, if it does.
+func (ledger *Ledger) learn(limits Limits, use Use, told bool) Learned {
+	if !told {
+		return Learned{}
+	}
+	settled := ledger.isSettled(limits.Window)
+	_, before := ledger.archive.total.sum(limits.Window)
+	for _, past := range use.Pasts {
+		if past.Incarnation != ledger.config.Incarnation {
+			ledger.archive.Merge(past, 0)
+		}
 	}
-	since := make([]Slot, min(max(age, 0), limits.Window)/SlotTime)
-	ledger.adopt(append(since, past...))
-	ledger.recalled = true
-	return true
-}
-
-// adopt replaces what is known by another instance's past and what this one has sent.
-func (ledger *Ledger) adopt(past []Slot) {
-	ledger.total = history{start: ledger.total.start}
-	ledger.total.adopt(past)
-	ledger.total.add(time.Now(), 0, counted(ledger.own.Retries))
-	ledger.settled = true
+	ledger.told = ledger.told || use.Settled
+	_, after := ledger.archive.total.sum(limits.Window)
+	return Learned{Retries: max(after, before) - before, Settled: !settled && ledger.isSettled(limits.Window)}
 }
 
 // trim removes what has left the window.
--- a/internal/flow/retry/reservation.go
+++ b/internal/flow/retry/reservation.go
@@ -33,7 +33,7 @@
 func (ledger *Ledger) reserve(extra bool) *Reservation {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
-	limits := ledger.config.Limits()
+	limits := ledger.limits()
 	if !extra && !ledger.allowsOwn(limits) || !ledger.allows(limits) {
 		return nil
 	}
@@ -50,7 +50,7 @@
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	ledger.hold(reservation, false)
-	limits := ledger.config.Limits()
+	limits := ledger.limits()
 	expired := reservation.extra && time.Since(reservation.reservedAt) > PermitLifetime
 	if expired || !reservation.extra && !ledger.allowsOwn(limits) || !ledger.allows(limits) {
 		return false
@@ -59,8 +59,8 @@
 	if !reservation.extra {
 		ledger.retries = append(ledger.retries, reservation.sentAt)
 	}
-	ledger.own.Retries++
-	ledger.total.add(reservation.sentAt, 0, 1)
+	ledger.own.retries++
+	ledger.archive.count(ledger.config.Incarnation, 0, 1)
 	return true
 }
 
@@ -73,8 +73,8 @@
 	if index := slices.Index(ledger.retries, reservation.sentAt); !reservation.extra && index >= 0 {
 		ledger.retries = slices.Delete(ledger.retries, index, index+1)
 	}
-	ledger.own.Retries--
-	ledger.total.remove(reservation.sentAt)
+	ledger.own.retries--
+	ledger.archive.uncount(ledger.config.Incarnation, reservation.sentAt)
 	ledger.hold(reservation, true)
 }
 
