Keep what an ended instance knew of crashes beside its successor's memory

A loader kept one memory an address, so the first one of a relay that had just started, which had been told nothing yet, replaced that of the relay before it, with the evidence against requests that crash upstreams.

A memory is kept by incarnation now, and that of an earlier one until 2 s after it came; memories without evidence take no place among the four that are sent. TestRemembers fails before (the successor's empty memory is sent) and passes.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -103,8 +103,9 @@
 	newEntry    bool
 	// entryStates holds what each entry instance was last sent.
 	entryStates map[string]entryState
-	// memories holds what each entry instance last said that it knows.
-	memories map[string]keptMemory
+	// memories holds what each entry instance last said that it knows of requests that
+	// crash upstreams.
+	memories map[incarnation]keptMemory
 	// retries holds what entry instances said of the retries to each service.
 	retries map[string]*retry.Keeper
 
@@ -133,7 +134,7 @@
 		missedReports: unreachableAfter,
 		entryStarts:   make(map[string]int64),
 		entryStates:   make(map[string]entryState),
-		memories:      make(map[string]keptMemory),
+		memories:      make(map[incarnation]keptMemory),
 		retries:       make(map[string]*retry.Keeper),
 		fencingToken:  now.UnixMilli(),
 		serial:        uint64(now.UnixMicro()),
--- a/internal/daemon/loader/memory.go
+++ b/internal/daemon/loader/memory.go
@@ -17,7 +17,10 @@
 const (
 	// memoryLifetime is how long a loader keeps what an entry instance knew.
 	memoryLifetime = 10 * time.Minute
-	// maxMemories bounds the entry instances whose knowledge is kept, and
+	// successionTime is how long after its last memory an incarnation may know more than
+	// the next one.
+	successionTime = 2 * time.Second
+	// maxMemories bounds the incarnations whose knowledge is kept, and
 	// maxMemoriesSent that which a starting one is sent.
 	maxMemories     = 256
 	maxMemoriesSent = 4
@@ -27,13 +30,20 @@
 	stallCheckPeriod = 100 * time.Millisecond
 )
 
-// keptMemory is what an entry instance knew at a time.
+// keptMemory is what an incarnation of an entry instance knew at a time.
 type keptMemory struct {
 	memory *wirepb.Memory
 	at     time.Time
 }
 
-// keepMemory keeps what an entry instance knows.
+// incarnation is one run of an entry instance.
+type incarnation struct {
+	entry string
+	start int64
+}
+
+// keepMemory keeps what an entry instance knows. What an earlier incarnation knew is kept
+// for a while, as the present one may not have been told yet.
 func (loader *Loader) keepMemory(memory *wirepb.Memory) {
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
@@ -41,11 +51,19 @@
 		loader.keepRetries(encoded)
 	}
 	memory.Retries = nil
-	maps.DeleteFunc(loader.memories, func(_ string, kept keptMemory) bool { return time.Since(kept.at) > memoryLifetime })
-	if _, known := loader.memories[memory.GetEntry()]; !known && len(loader.memories) >= maxMemories {
+	sender := incarnation{memory.GetEntry(), memory.GetStart()}
+	maps.DeleteFunc(loader.memories, func(of incarnation, kept keptMemory) bool {
+		age := time.Since(kept.at)
+		return age > memoryLifetime || of.entry == sender.entry && age > successionTime
+	})
+	if memory.GetPoison() == nil {
+		delete(loader.memories, sender)
+		return
+	}
+	if _, known := loader.memories[sender]; !known && len(loader.memories) >= maxMemories {
 		return
 	}
-	loader.memories[memory.GetEntry()] = keptMemory{memory: memory, at: time.Now()}
+	loader.memories[sender] = keptMemory{memory: memory, at: time.Now()}
 }
 
 // keepRetries keeps what an entry instance knows of the retries to a service. The caller
--- a/internal/daemon/loader/memory_test.go
+++ b/internal/daemon/loader/memory_test.go
@@ -26,9 +26,10 @@
 		{Entry: "10.0.0.1:7600", Start: 1, Requests: 7, Retries: 1, Slots: 3, SlotRetries: []uint32{1}},
 		{Entry: "10.0.0.1:7600", Start: 2, Requests: 1, Retries: 1, Slots: 3, SlotRetries: []uint32{1}},
 	}
+	blame := map[int64]*wirepb.PoisonNews{1: {Evidence: []*wirepb.CrashEvidence{{Part: "p"}}}}
 	for _, past := range told {
 		loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: &wirepb.Memory{
-			Entry: "10.0.0.1:7600", Retries: []*wirepb.RetryUse{{Service: "advisor", Settled: past.GetRetries() == 2, Pasts: []*wirepb.RetryPast{past}, WindowMs: 1000}},
+			Entry: "10.0.0.1:7600", Start: past.GetStart(), Poison: blame[past.GetStart()], Retries: []*wirepb.RetryUse{{Service: "advisor", Settled: past.GetRetries() == 2, Pasts: []*wirepb.RetryPast{past}, WindowMs: 1000}},
 		}}})
 	}
 	entry, err := dgram.Listen("127.0.0.1:0")
@@ -53,8 +54,8 @@
 	for _, check := range []func(memory *wirepb.Memory){
 		func(memory *wirepb.Memory) { checkRetries(t, memory) },
 		func(memory *wirepb.Memory) {
-			if memory.GetEntry() != "10.0.0.1:7600" || memory.GetAgeMs() < uint32(kept.Milliseconds()) {
-				t.Errorf("memory of %q, %d ms old, want one of 10.0.0.1:7600 at least %v old", memory.GetEntry(), memory.GetAgeMs(), kept)
+			if memory.GetEntry() != "10.0.0.1:7600" || len(memory.GetPoison().GetEvidence()) != 1 || memory.GetAgeMs() < uint32(kept.Milliseconds()) {
+				t.Errorf("memory %v, want one of 10.0.0.1:7600 with evidence, at least %v old", memory, kept)
 			}
 		},
 	} {
