Tell starting relays the levels of token buckets that ended ones knew

A relay that was stopped still counts the burst that others have spent meanwhile.

What an instance has not heard of is still in its bucket, so of two levels the lower is right. Loaders keep the lowest of each organisation, with what the rate has added since (bucket.Keeper), and tell it to relays that start, which never count on more. A relay that was stopped limits its levels to those of others for the next 10 s, as one that has started does. Memories go out each 250 ms while a bucket is below half of its burst. Not seen from outside.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -18,6 +18,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/base/metric"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
@@ -108,6 +109,8 @@
 	memories map[incarnation]keptMemory
 	// retries holds what entry instances said of the retries to each service.
 	retries map[string]*retry.Keeper
+	// levels holds what they said of the organisations' token buckets.
+	levels *bucket.Keeper
 
 	// listedStartedAt is the latest start of the engine that the entry
 	// instances know, in Unix milliseconds.
@@ -136,6 +139,7 @@
 		entryStates:   make(map[string]entryState),
 		memories:      make(map[incarnation]keptMemory),
 		retries:       make(map[string]*retry.Keeper),
+		levels:        bucket.NewKeeper(),
 		fencingToken:  now.UnixMilli(),
 		serial:        uint64(now.UnixMicro()),
 	}
--- a/internal/daemon/loader/memory.go
+++ b/internal/daemon/loader/memory.go
@@ -50,7 +50,8 @@
 	for _, encoded := range memory.GetRetries() {
 		loader.keepRetries(encoded)
 	}
-	memory.Retries = nil
+	loader.levels.Keep(codec.DecodeLevels(memory.GetLevels()))
+	memory.Retries, memory.Levels = nil, nil
 	sender := incarnation{memory.GetEntry(), memory.GetStart()}
 	maps.DeleteFunc(loader.memories, func(of incarnation, kept keptMemory) bool {
 		age := time.Since(kept.at)
@@ -81,11 +82,14 @@
 	keeper.Keep(use)
 }
 
-// sendMemories sends a starting entry instance what others told: of retries all, and of
-// the rest what each knew last, the latest first.
+// sendMemories sends a starting entry instance what others told: of retries and levels all,
+// and of crashes what each knew last, the latest first.
 func (loader *Loader) sendMemories(entry string) {
 	loader.mutex.Lock()
 	var memories []*wirepb.Memory
+	if levels := loader.levels.Levels(); len(levels) > 0 {
+		memories = append(memories, &wirepb.Memory{Entry: loader.config.Address, Levels: codec.EncodeLevels(levels)})
+	}
 	for service, keeper := range loader.retries {
 		for _, use := range keeper.Uses() {
 			memories = append(memories, &wirepb.Memory{Entry: loader.config.Address, Retries: []*wirepb.RetryUse{codec.EncodeRetryUse(service, use)}})
--- a/internal/daemon/loader/memory_test.go
+++ b/internal/daemon/loader/memory_test.go
@@ -29,7 +29,8 @@
 	blame := map[int64]*wirepb.PoisonNews{1: {Evidence: []*wirepb.CrashEvidence{{Part: "p"}}}}
 	for _, past := range told {
 		loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: &wirepb.Memory{
-			Entry: "10.0.0.1:7600", Start: past.GetStart(), Poison: blame[past.GetStart()], Retries: []*wirepb.RetryUse{{Service: "advisor", Settled: past.GetRetries() == 2, Pasts: []*wirepb.RetryPast{past}, WindowMs: 1000}},
+			Entry: "10.0.0.1:7600", Start: past.GetStart(), Poison: blame[past.GetStart()],
+			Levels: []*wirepb.BucketLevel{{Organisation: "hule", Level: float64(past.GetRetries()), Rate: 1, Burst: 100}}, Retries: []*wirepb.RetryUse{{Service: "advisor", Settled: past.GetRetries() == 2, Pasts: []*wirepb.RetryPast{past}, WindowMs: 1000}},
 		}}})
 	}
 	entry, err := dgram.Listen("127.0.0.1:0")
@@ -52,6 +53,7 @@
 		}}})
 	}
 	for _, check := range []func(memory *wirepb.Memory){
+		func(memory *wirepb.Memory) { checkLevel(t, memory) },
 		func(memory *wirepb.Memory) { checkRetries(t, memory) },
 		func(memory *wirepb.Memory) {
 			if memory.GetEntry() != "10.0.0.1:7600" || len(memory.GetPoison().GetEvidence()) != 1 || memory.GetAgeMs() < uint32(kept.Milliseconds()) {
@@ -91,3 +93,12 @@
 		t.Errorf("retries by incarnation (-want +got):\n%s", diff)
 	}
 }
+
+// checkLevel checks that a loader has kept the lowest level that it was told, and counts
+// what has been added since by the rate.
+func checkLevel(t *testing.T, memory *wirepb.Memory) {
+	t.Helper()
+	if levels := memory.GetLevels(); len(levels) != 1 || levels[0].GetLevel() <= 1 || levels[0].GetLevel() >= 2 {
+		t.Errorf("levels %v, want one between 1 and 2", levels)
+	}
+}
--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/flow/rank"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -16,9 +17,11 @@
 
 const (
 	// memoryInterval is the time between two reports of what loaders keep, and
-	// busyMemoryInterval that while this instance retries.
+	// busyMemoryInterval that while this instance retries or a token bucket is below
+	// busyLevel of its burst.
 	memoryInterval     = time.Second
 	busyMemoryInterval = 250 * time.Millisecond
+	busyLevel          = 0.5
 	// memoryKeepers is the number of loaders that keep what an instance knows.
 	memoryKeepers = 2
 	// maxEvidencePerMemory bounds the evidence that loaders keep.
@@ -29,26 +32,30 @@
 // start after all have ended learn it. sentAt is when it last did so. It returns when
 // it last did so now.
 func (relay *Relay) reportMemory(sentAt time.Time) time.Time {
-	interval := memoryInterval
-	if len(relay.retryBudget.changes.recent()) > 0 {
-		interval = busyMemoryInterval
-	}
-	if time.Since(sentAt) < interval {
+	if time.Since(sentAt) < busyMemoryInterval || time.Since(sentAt) < memoryInterval && !relay.memoryBusy() {
 		return sentAt
 	}
 	memory := relay.memory()
-	if len(memory.GetRetries()) == 0 && memory.GetPoison() == nil {
+	if len(memory.GetRetries()) == 0 && len(memory.GetLevels()) == 0 && memory.GetPoison() == nil {
 		return time.Now()
 	}
 	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Memory{Memory: memory}}, relay.memoryKeepers()...)
 	return time.Now()
 }
 
+// memoryBusy reports whether what this instance knows of all changes fast.
+func (relay *Relay) memoryBusy() bool {
+	return len(relay.retryBudget.changes.recent()) > 0 || slices.ContainsFunc(relay.limiter.Levels(), func(level bucket.Level) bool {
+		return level.Level < busyLevel*level.Limit.Burst
+	})
+}
+
 // memory returns what this instance knows of all.
 func (relay *Relay) memory() *wirepb.Memory {
 	return &wirepb.Memory{
 		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePasts(),
 		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerMemory)}),
+		Levels: codec.EncodeLevels(relay.limiter.Levels()),
 	}
 }
 
@@ -86,6 +93,7 @@
 func (relay *Relay) handleMemory(memory *wirepb.Memory) {
 	age := time.Duration(memory.GetAgeMs()) * time.Millisecond
 	relay.recallRetries(memory)
+	relay.limiter.Recall(codec.DecodeLevels(memory.GetLevels()))
 	blocked, cleared := relay.poison.Merge(codec.DecodePoisonNews(memory.GetPoison()).Aged(age))
 	relay.logPoison(blocked, cleared, memory.GetEntry())
 	relay.config.Logger.Debug("relay: recalled what an entry instance knew", zap.String("entry", memory.GetEntry()), zap.Duration("age", age))
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -13,6 +13,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
+	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -58,13 +59,17 @@
 	defer ticker.Stop()
 	lastSent := make(map[string]sentDemand)
 	var usageSentAt, queriedAt, memorySentAt time.Time
-	for {
+	for tickedAt := time.Now(); ; tickedAt = time.Now() {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-relay.wake:
 		}
+		if stalled := time.Since(tickedAt); stalled >= retry.StallTime {
+			relay.config.Logger.Warn("relay: process was stopped", zap.Duration("for", stalled))
+			relay.limiter.Stall()
+		}
 		relay.retryBudget.tick()
 		relay.reportDemand(lastSent)
 		relay.exchangePermits()
--- a/internal/flow/bucket/bucket.go
+++ b/internal/flow/bucket/bucket.go
@@ -39,8 +39,8 @@
 	// startupTime is how long after its start an instance counts as just
 	// started. Instances that start together each get a grant of the burst.
 	startupTime = 2 * time.Second
-	// capTime is how long after its start an instance limits its bucket levels
-	// to those that instances which started earlier report.
+	// capTime is how long after its start, or after it was stopped, an instance limits its
+	// bucket levels to those that others report.
 	capTime = 10 * time.Second
 	// minFraction is the smallest fraction of a rate that an instance counts
 	// on.
@@ -77,8 +77,13 @@
 	// that the levels of another instance were adopted.
 	initialised bool
 	adopted     bool
-	buckets     map[string]*bucket
-	peers       map[string]*peer
+	// cappedSince is since when the levels are limited to those that others report, for
+	// capTime, or zero.
+	cappedSince time.Time
+	// recalled holds levels that ended instances told.
+	recalled *Keeper
+	buckets  map[string]*bucket
+	peers    map[string]*peer
 }
 
 // bucket is this instance's copy of an organisation's token bucket.
@@ -98,7 +103,7 @@
 	config.InitialFraction = cmp.Or(config.InitialFraction, DefaultInitialFraction)
 	config.UsableFraction = cmp.Or(config.UsableFraction, DefaultUsableFraction)
 	now := time.Now()
-	return &Limiter{config: config, start: now, fillStart: now, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Limiter{config: config, start: now, fillStart: now, recalled: NewKeeper(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
 // Take spends cost from an organisation's bucket. If the level does not
--- a/internal/flow/bucket/startup.go
+++ b/internal/flow/bucket/startup.go
@@ -15,8 +15,8 @@
 		return
 	}
 	limiter.initialised, limiter.instances = true, count
-	for _, bucket := range limiter.buckets {
-		bucket.level = math.Min(bucket.level+limiter.startLevel(bucket.limit), bucket.limit.Burst)
+	for organisation, bucket := range limiter.buckets {
+		bucket.level = limiter.bounded(organisation, math.Min(bucket.level+limiter.startLevel(bucket.limit), bucket.limit.Burst))
 	}
 }
 
@@ -66,6 +66,7 @@
 			created.level = math.Min(created.level, level)
 		}
 	}
+	created.level = limiter.bounded(organisation, created.level)
 	return created
 }
 
@@ -84,8 +85,8 @@
 	known.granted = recent && limiter.initialised == usage.Initialised
 	switch {
 	case known.granted:
-		for _, bucket := range limiter.buckets {
-			bucket.level += limiter.grant(bucket.limit)
+		for organisation, bucket := range limiter.buckets {
+			bucket.level = limiter.bounded(organisation, bucket.level+limiter.grant(bucket.limit))
 		}
 	case !restarted && usage.Uptime >= startupTime:
 		known.Spent = usage.Spent
@@ -96,10 +97,11 @@
 // adoptLevels sets the buckets to the levels that another instance reports.
 func (limiter *Limiter) adoptLevels(usage Usage) {
 	limiter.initialised, limiter.adopted, limiter.instances = true, true, 1
+	limiter.cappedSince = limiter.start
 	limiter.fillStart = time.Now().Add(-usage.Uptime)
 	for organisation, level := range usage.Levels {
 		if bucket, ok := limiter.buckets[organisation]; ok {
-			bucket.level, bucket.filledAt = level-bucket.spent, time.Now()
+			bucket.level, bucket.filledAt = limiter.bounded(organisation, level-bucket.spent), time.Now()
 		}
 	}
 }
@@ -108,7 +110,7 @@
 // while this one may not know all instances that count on a fraction of the
 // rates.
 func (limiter *Limiter) capLevels(usage Usage) {
-	if !limiter.adopted || !usage.Initialised || time.Since(limiter.start) > capTime {
+	if limiter.cappedSince.IsZero() || !usage.Initialised || time.Since(limiter.cappedSince) > capTime {
 		return
 	}
 	for organisation, level := range usage.Levels {
