--- a/internal/flow/retry/archive.go
+++ b/internal/flow/retry/archive.go
@@ -73,17 +73,12 @@
 // windowSlots returns the number of slots in the window.
 func (archive *Archive) windowSlots() int { return int(archive.window / SlotTime) }
 
-// Merge adds what an instance told an age ago.
-func (archive *Archive) Merge(past Past, age time.Duration) {
-	slots := archive.windowSlots()
+// Merge adds what an instance tells now.
+func (archive *Archive) Merge(past Past) {
 	present := archive.present()
-	told := newRecord(past, present-int(age/SlotTime))
-	if told.newest < present-slots {
-		return
-	}
-	known := archive.record(past.Incarnation)
+	told, known := newRecord(past, present), archive.record(past.Incarnation)
 	from := min(told.oldest(), known.oldest())
-	archive.update(known, from, func() { known.join(told, present-slots) })
+	archive.update(known, from, func() { known.join(told, present-archive.windowSlots()) })
 }
 
 // Report adds what an incarnation reports to have sent since its start. Before is when it,
--- a/internal/flow/retry/keeper.go
+++ b/internal/flow/retry/keeper.go
@@ -20,7 +20,7 @@
 func (keeper *Keeper) Keep(use Use) {
 	keeper.archive.SetWindow(use.Window)
 	for _, past := range use.Pasts {
-		keeper.archive.Merge(past, 0)
+		keeper.archive.Merge(past)
 	}
 	if use.Settled {
 		keeper.settledAt = time.Now()
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -168,7 +168,7 @@
 	_, before := ledger.archive.total.sum(limits.Window)
 	for _, past := range use.Pasts {
 		if past.Incarnation != ledger.config.Incarnation {
-			ledger.archive.Merge(past, 0)
+			ledger.archive.Merge(past)
 		}
 	}
 	ledger.told = ledger.told || use.Settled
