--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -106,7 +106,7 @@
 	entryStates map[string]entryState
 	// memories holds what each entry instance last said that it knows of requests that
 	// crash upstreams.
-	memories map[incarnation]keptMemory
+	memories map[retry.Incarnation]keptMemory
 	// retries holds what entry instances said of the retries to each service.
 	retries map[string]*retry.Keeper
 	// levels holds what they said of the organisations' token buckets.
@@ -137,7 +137,7 @@
 		missedReports: unreachableAfter,
 		entryStarts:   make(map[string]int64),
 		entryStates:   make(map[string]entryState),
-		memories:      make(map[incarnation]keptMemory),
+		memories:      make(map[retry.Incarnation]keptMemory),
 		retries:       make(map[string]*retry.Keeper),
 		levels:        bucket.NewKeeper(),
 		fencingToken:  now.UnixMilli(),
--- a/internal/daemon/loader/memory.go
+++ b/internal/daemon/loader/memory.go
@@ -36,12 +36,6 @@
 	at     time.Time
 }
 
-// incarnation is one run of an entry instance.
-type incarnation struct {
-	entry string
-	start int64
-}
-
 // keepMemory keeps what an entry instance knows. What an earlier incarnation knew is kept
 // for a while, as the present one may not have been told yet.
 func (loader *Loader) keepMemory(memory *wirepb.Memory) {
@@ -52,10 +46,10 @@
 	}
 	loader.levels.Keep(codec.DecodeLevels(memory.GetLevels()))
 	memory.Retries, memory.Levels = nil, nil
-	sender := incarnation{memory.GetEntry(), memory.GetStart()}
-	maps.DeleteFunc(loader.memories, func(of incarnation, kept keptMemory) bool {
+	sender := retry.Incarnation{Instance: memory.GetEntry(), Start: memory.GetStart()}
+	maps.DeleteFunc(loader.memories, func(of retry.Incarnation, kept keptMemory) bool {
 		age := time.Since(kept.at)
-		return age > memoryLifetime || of.entry == sender.entry && age > successionTime
+		return age > memoryLifetime || of.Instance == sender.Instance && age > successionTime
 	})
 	if memory.GetPoison() == nil {
 		delete(loader.memories, sender)
--- a/internal/flow/retry/keeper.go
+++ b/internal/flow/retry/keeper.go
@@ -16,8 +16,11 @@
 // NewKeeper returns a Keeper that keeps nothing.
 func NewKeeper() *Keeper { return &Keeper{archive: NewArchive()} }
 
-// Keep adds what an instance tells.
+// Keep adds what an instance tells. It ignores a message without a window.
 func (keeper *Keeper) Keep(use Use) {
+	if use.Window <= 0 {
+		return
+	}
 	keeper.archive.SetWindow(use.Window)
 	for _, past := range use.Pasts {
 		keeper.archive.Merge(past)
