Leave a larger margin for retries that nobody reports

Known of the mechanism: as upstreams begin to fail, relays spend in about a second and a half what pays for a window, 0.85 of the limits, so that what ended relays had sent in their last tenth of a second, and told nobody, is up to a twentieth of the limits. The margin was a twenty-fifth.

--- a/internal/flow/retry/fleet_test.go
+++ b/internal/flow/retry/fleet_test.go
@@ -392,6 +392,8 @@
 		{name: "instances freeze", count: 5, demand: 15, freezes: series(time.Second, []int{0}, []int{1}, []int{2}, []int{3}, []int{4})},
 		{name: "others end as one goes on", count: 5, demand: 40, remembers: true, quietUntil: 11 * time.Second, freezeTime: 8 * time.Second, freezes: map[time.Duration][]int{5 * time.Second: {0}}, ends: map[time.Duration][]int{13 * time.Second: numbers(1, 4), 15 * time.Second: {0, 1, 2, 3}, 17 * time.Second: {0, 2, 3, 4}}},
 		{name: "others end as one goes on, demand all the while", count: 5, demand: 40, remembers: true, freezes: map[time.Duration][]int{10 * time.Second: {0}, 18 * time.Second: {1}}, ends: map[time.Duration][]int{13 * time.Second: numbers(1, 4), 15 * time.Second: {0, 1, 2, 3}, 21 * time.Second: {0, 2, 3, 4}}},
+		{name: "all of thirteen end in the burst", count: 13, demand: 40, remembers: true, quietUntil: 10 * time.Second, ends: map[time.Duration][]int{10400 * time.Millisecond: numbers(0, 12), 12 * time.Second: numbers(0, 12), 13500 * time.Millisecond: numbers(1, 12), 15 * time.Second: numbers(0, 11)}},
+		{name: "all of thirteen end late in the burst", count: 13, demand: 40, remembers: true, quietUntil: 10 * time.Second, ends: map[time.Duration][]int{11 * time.Second: numbers(0, 12), 13 * time.Second: numbers(0, 12), 15 * time.Second: numbers(1, 12)}},
 		{name: "cut from each other", count: 5, demand: 15, cutFrom: 12 * time.Second, cutTo: 20 * time.Second},
 		{name: "long waits for admission", count: 5, demand: 15, admission: func(since time.Duration) time.Duration { return max(0, 16*time.Second-since) }},
 		{name: "lower limits", count: 5, demand: 15, changes: map[time.Duration]Limits{15 * time.Second: {Ratio: 0.1, Extra: 20, Window: 10 * time.Second}}},
--- a/internal/flow/retry/ledger.go
+++ b/internal/flow/retry/ledger.go
@@ -11,8 +11,9 @@
 	ownFraction = 0.92
 	// totalFraction is the part of the limits at which an instance stops to retry. The
 	// rest is a margin for what others have sent since they last reported it, or ended
-	// before they did.
-	totalFraction = 0.96
+	// before they did: when upstreams begin to fail, instances spend in a second what
+	// pays for a window of retries.
+	totalFraction = 0.93
 )
 
 // Use is what an instance has sent to a service since its start.
