--- a/internal/wire/codec/memory_test.go
+++ b/internal/wire/codec/memory_test.go
@@ -36,11 +36,15 @@
 	}
 }
 
-// TestRetryPastBound guards against a malformed past for which too much memory is reserved.
+// TestRetryPastBound guards against malformed pasts for which too much memory is reserved.
 func TestRetryPastBound(t *testing.T) {
-	_, got := DecodeRetryUse(&wirepb.RetryUse{Pasts: []*wirepb.RetryPast{{Slots: 1 << 31}}})
-	if slots := len(got.Pasts[0].Slots); slots > maxPastSlots {
-		t.Errorf("%d slots, want at most %d", slots, maxPastSlots)
+	encoded := &wirepb.RetryUse{}
+	for range 10 * maxPasts {
+		encoded.Pasts = append(encoded.Pasts, &wirepb.RetryPast{Slots: 1 << 31})
+	}
+	_, got := DecodeRetryUse(encoded)
+	if pasts, slots := len(got.Pasts), len(got.Pasts[0].Slots); pasts > maxPasts || slots > maxPastSlots {
+		t.Errorf("%d pasts of %d slots, want at most %d of %d", pasts, slots, maxPasts, maxPastSlots)
 	}
 }
 
--- a/internal/wire/codec/retry.go
+++ b/internal/wire/codec/retry.go
@@ -7,8 +7,11 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-// maxPastSlots bounds the slots of a past that is decoded.
-const maxPastSlots = 36_000
+// maxPasts and maxPastSlots bound the pasts that are decoded, and the slots of each.
+const (
+	maxPasts     = 64
+	maxPastSlots = 36_000
+)
 
 // EncodeRetryUse encodes what an entry instance has sent to a service.
 func EncodeRetryUse(service string, use retry.Use) *wirepb.RetryUse {
@@ -27,7 +30,7 @@
 		Requests: encoded.GetRequests(), Retries: encoded.GetRetries(), Settled: encoded.GetSettled(),
 		Window: time.Duration(encoded.GetWindowMs()) * time.Millisecond,
 	}
-	for _, past := range encoded.GetPasts() {
+	for _, past := range encoded.GetPasts()[:min(len(encoded.GetPasts()), maxPasts)] {
 		use.Pasts = append(use.Pasts, decodeRetryPast(past))
 	}
 	return encoded.GetService(), use
