Keep the pasts in a datagram within its size

With more than a dozen busy services a usage report or a memory would not have fitted a datagram, and none of it would have been sent. Pasts take 32 kB at most, and each message begins with another service. Found by reading.

--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/permit"
@@ -24,6 +25,8 @@
 	// poolsInterval is the time between two checks of which instance allocates the
 	// permits for which service.
 	poolsInterval = 250 * time.Millisecond
+	// maxPastBytes bounds the pasts in a datagram, in bytes. It holds 64 kB.
+	maxPastBytes = 32 << 10
 	// retryTask begins the name of the task of allocating a service's permits.
 	retryTask = "retries "
 )
@@ -45,6 +48,9 @@
 	allocator *permit.Allocator
 	allocates []string
 	poolsAt   time.Time
+	// firstPast is the number of the service with which encodePasts begins next. It is used
+	// only by sendReports.
+	firstPast int
 
 	mutex   sync.Mutex
 	ledgers map[string]*retry.Ledger
@@ -93,26 +99,36 @@
 }
 
 // encodeUse encodes what this instance has sent to the services: to all, or to those
-// to which it has retried lately. An entry instance that does not know the past is also told
-// that.
+// to which it has retried lately. An entry instance that does not know the past is also
+// told that.
 func (retryBudget *retryBudget) encodeUse(kind reportKind) []*wirepb.RetryUse {
+	if kind == firstReport {
+		return retryBudget.encodePasts()
+	}
 	var encoded []*wirepb.RetryUse
 	recent := retryBudget.changes.recent()
 	for _, service := range retryBudget.services() {
-		if kind == partialReport && !recent[service] {
-			continue
+		if kind == fullReport || recent[service] {
+			encoded = append(encoded, codec.EncodeRetryUse(service, retryBudget.ledger(service).Use(false)))
 		}
-		encoded = append(encoded, codec.EncodeRetryUse(service, retryBudget.ledger(service).Use(kind == firstReport)))
 	}
 	return encoded
 }
 
-// encodePasts encodes what this instance knows of what all have sent to the services.
+// encodePasts encodes what this instance has sent to all services, and what it knows of what
+// all have sent, as far as a datagram holds it. Each call begins with another service.
 func (retryBudget *retryBudget) encodePasts() []*wirepb.RetryUse {
-	var encoded []*wirepb.RetryUse
-	for _, service := range retryBudget.services() {
-		encoded = append(encoded, codec.EncodeRetryUse(service, retryBudget.ledger(service).Use(true)))
+	services, room := retryBudget.services(), maxPastBytes
+	encoded := make([]*wirepb.RetryUse, 0, len(services))
+	for number := range services {
+		service := services[(retryBudget.firstPast+number)%len(services)]
+		use := codec.EncodeRetryUse(service, retryBudget.ledger(service).Use(true))
+		if room -= proto.Size(use); room < 0 {
+			use.Pasts, use.Settled = nil, false
+		}
+		encoded = append(encoded, use)
 	}
+	retryBudget.firstPast++
 	return encoded
 }
 
