Tell less of retries at a time, and look at fewer records for it

A relay tells of itself and of four others, in rotation, that have retried within the window; the requests of the others come from themselves, by the loaders that merge. Whether a bucket is low is decided once a memory.

--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -32,10 +32,18 @@
 // start after all have ended learn it. sentAt is when it last did so. It returns when
 // it last did so now.
 func (relay *Relay) reportMemory(sentAt time.Time) time.Time {
-	if time.Since(sentAt) < busyMemoryInterval || time.Since(sentAt) < memoryInterval && !relay.memoryBusy() {
+	interval := memoryInterval
+	if relay.memoryBusy || len(relay.retryBudget.changes.recent()) > 0 {
+		interval = busyMemoryInterval
+	}
+	if time.Since(sentAt) < interval {
 		return sentAt
 	}
-	memory := relay.memory()
+	levels := relay.limiter.Levels()
+	relay.memoryBusy = slices.ContainsFunc(levels, func(level bucket.Level) bool {
+		return level.Level < busyLevel*level.Limit.Burst
+	})
+	memory := relay.memory(levels)
 	if len(memory.GetRetries()) == 0 && len(memory.GetLevels()) == 0 && memory.GetPoison() == nil {
 		return time.Now()
 	}
@@ -43,19 +51,12 @@
 	return time.Now()
 }
 
-// memoryBusy reports whether what this instance knows of all changes fast.
-func (relay *Relay) memoryBusy() bool {
-	return len(relay.retryBudget.changes.recent()) > 0 || slices.ContainsFunc(relay.limiter.Levels(), func(level bucket.Level) bool {
-		return level.Level < busyLevel*level.Limit.Burst
-	})
-}
-
-// memory returns what this instance knows of all.
-func (relay *Relay) memory() *wirepb.Memory {
+// memory returns what this instance knows of all, with levels of token buckets.
+func (relay *Relay) memory(levels []bucket.Level) *wirepb.Memory {
 	return &wirepb.Memory{
 		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePasts(),
 		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerMemory)}),
-		Levels: codec.EncodeLevels(relay.limiter.Levels()),
+		Levels: codec.EncodeLevels(levels),
 	}
 }
 
--- a/internal/daemon/relay/poison_test.go
+++ b/internal/daemon/relay/poison_test.go
@@ -51,7 +51,7 @@
 			Upstream: cordon.Incarnation{ID: "engine-" + strconv.Itoa(number)},
 		}})
 	}
-	starting.handleMemory(sender.memory())
+	starting.handleMemory(sender.memory(nil))
 	if !starting.poison.Blocked("hule", []poison.Subject{subject}) {
 		t.Error("an instance that was told of a blocked request by a loader does not block it")
 	}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -91,8 +91,10 @@
 	limiter     *bucket.Limiter
 	retryBudget *retryBudget
 	peers       *peers
-	// usageChanges is used only by sendReports.
+	// usageChanges is used only by sendReports, and memoryBusy too: it means that a token
+	// bucket was below busyLevel at the last memory.
 	usageChanges *usageChanges
+	memoryBusy   bool
 	// cordon holds the upstreams that are draining or asked for a backoff, and permits
 	// keeps the sends to others within the rate limits that they name.
 	cordon  *cordon.Set
--- a/internal/flow/retry/archive.go
+++ b/internal/flow/retry/archive.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxPasts bounds the incarnations of which one message tells.
-	maxPasts = 16
+	maxPasts = 5
 	// maxRecords bounds the incarnations that an Archive keeps.
 	maxRecords = 4096
 	// recordLifetime is how long an incarnation is kept of which nothing is heard.
@@ -130,32 +130,45 @@
 	})
 }
 
-// Pasts returns what is known of incarnations: of first in any case, if it is not empty, and
-// of others that have sent anything within the window, up to maxPasts in all. If there are
-// more, each call returns the next ones.
-func (archive *Archive) Pasts(first Incarnation) []Past {
-	if first != (Incarnation{}) {
-		archive.record(first)
-	}
+// Pasts returns what an instance tells: all that is known of itself, and of others that have
+// sent retries within the window, up to maxPasts in all. If there are more, each call
+// returns the next ones.
+func (archive *Archive) Pasts(own Incarnation) []Past {
 	archive.expire()
-	var pasts, others []Past
+	archive.record(own)
+	present, slots := archive.present(), archive.windowSlots()
+	told := archive.known(func(incarnation Incarnation, record *record) bool {
+		return incarnation != own && record.sentWithin(present, slots).retries > 0
+	})
+	if room := maxPasts - 1; len(told) > room {
+		start := archive.next % len(told)
+		archive.next = start + room
+		told = append(told[start:], told[:start]...)[:room]
+	}
+	return archive.pasts(append([]Incarnation{own}, told...))
+}
+
+// known returns the incarnations whose records pass a test.
+func (archive *Archive) known(test func(Incarnation, *record) bool) []Incarnation {
+	var known []Incarnation
 	for incarnation, record := range archive.records {
-		past, active := record.past(archive.present(), archive.windowSlots())
-		past.Incarnation = incarnation
-		switch {
-		case incarnation == first:
-			pasts = append(pasts, past)
-		case active:
-			others = append(others, past)
+		if test(incarnation, record) {
+			known = append(known, incarnation)
 		}
 	}
-	slices.SortFunc(others, func(a, b Past) int { return a.Incarnation.compare(b.Incarnation) })
-	if room := maxPasts - len(pasts); len(others) > room {
-		start := archive.next % len(others)
-		archive.next = start + room
-		others = append(slices.Clone(others[start:]), others[:start]...)[:room]
+	slices.SortFunc(known, Incarnation.compare)
+	return known
+}
+
+// pasts returns the pasts of incarnations.
+func (archive *Archive) pasts(incarnations []Incarnation) []Past {
+	pasts := make([]Past, 0, len(incarnations))
+	for _, incarnation := range incarnations {
+		past := archive.records[incarnation].past(archive.present(), archive.windowSlots())
+		past.Incarnation = incarnation
+		pasts = append(pasts, past)
 	}
-	return append(pasts, others...)
+	return pasts
 }
 
 // record returns the record of an incarnation.
--- a/internal/flow/retry/archive_test.go
+++ b/internal/flow/retry/archive_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -39,9 +38,7 @@
 
 // sorted returns the pasts that an archive tells, by incarnation.
 func sorted(archive *Archive) []Past {
-	pasts := archive.Pasts(Incarnation{})
-	slices.SortFunc(pasts, func(a, b Past) int { return a.Incarnation.compare(b.Incarnation) })
-	return pasts
+	return archive.pasts(archive.known(func(Incarnation, *record) bool { return true }))
 }
 
 // TestArchiveMerge guards against a past that replaces one that knows more: whatever the
--- a/internal/flow/retry/keeper.go
+++ b/internal/flow/retry/keeper.go
@@ -1,9 +1,16 @@
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// maxUses bounds the messages in which a Keeper tells what it keeps.
-const maxUses = 16
+// maxUses bounds the messages in which a Keeper tells what it keeps, and maxKept the
+// incarnations in each.
+const (
+	maxUses = 16
+	maxKept = 16
+)
 
 // Keeper keeps what instances tell of the requests and retries to one service, for
 // instances that start after those have ended. It must not be used concurrently.
@@ -33,18 +40,23 @@
 // Stall records that the process was stopped, so that it may lack what was told meanwhile.
 func (keeper *Keeper) Stall() { keeper.settledAt = time.Time{} }
 
-// Uses returns what is kept, in parts. They are settled if an instance that was has told
-// within the window.
+// Uses returns what is kept of the incarnations that have sent anything within the window, in
+// parts. They are settled if an instance that was has told within the window.
 func (keeper *Keeper) Uses() []Use {
-	settled := !keeper.settledAt.IsZero() && time.Since(keeper.settledAt) < keeper.archive.window
+	archive := keeper.archive
+	archive.expire()
+	present, slots := archive.present(), archive.windowSlots()
+	kept := archive.known(func(_ Incarnation, record *record) bool {
+		return record.sentWithin(present, slots) != slotSum{}
+	})
+	use := Use{Settled: !keeper.settledAt.IsZero() && time.Since(keeper.settledAt) < archive.window, Window: archive.window}
+	if len(kept) == 0 && use.Settled {
+		return []Use{use}
+	}
 	var uses []Use
-	for told := 0; told < len(keeper.archive.records) && len(uses) < maxUses; {
-		pasts := keeper.archive.Pasts(Incarnation{})
-		uses = append(uses, Use{Settled: settled, Window: keeper.archive.window, Pasts: pasts})
-		told += max(len(pasts), 1)
-		if len(pasts) < maxPasts {
-			break
-		}
+	for part := range slices.Chunk(kept, maxKept) {
+		use.Pasts = archive.pasts(part)
+		uses = append(uses, use)
 	}
-	return uses
+	return uses[:min(len(uses), maxUses)]
 }
--- a/internal/flow/retry/record.go
+++ b/internal/flow/retry/record.go
@@ -101,15 +101,18 @@
 	}
 }
 
-// past returns the past in the slots of a window that ends with the present slot, and whether
-// anything was sent in them.
-func (record *record) past(present, slots int) (past Past, active bool) {
+// sentWithin returns what was sent in the slots of a window that ends with the present slot.
+func (record *record) sentWithin(present, slots int) slotSum {
+	last, before := record.sum(record.newest), record.sum(max(present-slots-1, record.oldest()))
+	return slotSum{last.requests - before.requests, last.retries - before.retries}
+}
+
+// past returns the past in the slots of a window that ends with the present slot.
+func (record *record) past(present, slots int) Past {
 	last := record.sum(record.newest)
-	past = Past{Requests: last.requests, Retries: last.retries, Slots: make([]Slot, 0, slots+1)}
+	past := Past{Requests: last.requests, Retries: last.retries, Slots: make([]Slot, 0, slots+1)}
 	for slot := present; slot >= present-slots && slot > record.oldest(); slot-- {
-		sent := record.slot(slot)
-		active = active || sent != Slot{}
-		past.Slots = append(past.Slots, sent)
+		past.Slots = append(past.Slots, record.slot(slot))
 	}
-	return past, active
+	return past
 }
