Keep an instance settled that was stopped while no other ran

Its only relay counts as not settled for up to a window after the process has not run for 0.5 s. Without others nothing can have been missed, so it stays settled now.

--- a/internal/flow/retry/settling.go
+++ b/internal/flow/retry/settling.go
@@ -50,14 +50,21 @@
 	settling.tickedAt = time.Now()
 }
 
-// checkStall records that the instance was stopped since it last looked at the clock.
+// checkStall records that the instance was stopped since it last looked at the clock. If no
+// other one ran before, it lacks nothing.
 func (settling *settling) checkStall() {
 	if settling.tickedAt.IsZero() || time.Since(settling.tickedAt) < StallTime {
 		return
 	}
-	settling.settled, settling.told = false, false
-	settling.stalledAt, settling.since = settling.tickedAt, time.Now()
+	tickedAt := settling.tickedAt
 	settling.tickedAt = time.Now()
+	for _, heard := range settling.heard {
+		if heard.lastAt.After(tickedAt.Add(-liveTime)) {
+			settling.settled, settling.told = false, false
+			settling.stalledAt, settling.since = tickedAt, time.Now()
+			return
+		}
+	}
 }
 
 // hear records a report of an incarnation. It returns when the instance last reported
