Count crashes before the first byte against the parts of prompts

Cause: a crash counted against a part only once a byte of the answer had arrived. What a process has written into its buffers ends with it, so the part at fault had no evidence at all.

Change: a request without an answer speaks against its parts too, with more weight against a part that has not been answered lately than against one that has. A blocked part explains its crashes: these no longer speak against a part that was sound lately, nor against one that was absent from some of them. A part that was sound lately explains nothing, and is probed after 2 s. At most 4 requests without an answer count against a part at one crash, so that one crash doesn't replace the evidence of others; if a report is full, the evidence with most weight goes first. The log line of a crash names the subjects without an answer.

--- a/internal/daemon/relay/poison.go
+++ b/internal/daemon/relay/poison.go
@@ -27,6 +27,8 @@
 	// probeDelay is how long after a response broke off at an upstream without a loader a
 	// connection to it is opened.
 	probeDelay = 20 * time.Millisecond
+	// maxLoggedSubjects bounds the subjects in a log line.
+	maxLoggedSubjects = 32
 	// maxEvidencePerReport bounds the evidence in a full usage report.
 	maxEvidencePerReport = 32
 )
@@ -127,19 +129,17 @@
 		return
 	}
 	relay, now := proxyRequest.relay, time.Now()
+	begun := proxyRequest.stage.begun()
 	evidence := poison.Evidence{
 		Subject:      poison.Request(proxyRequest.identity),
 		Organisation: proxyRequest.organisationName(), Request: proxyRequest.identity, Upstream: incarnationOf(upstream), At: now,
-		Fresh: proxyRequest.stage.begun() && proxyRequest.stage < stageEvent, Unanswered: !proxyRequest.stage.begun(), Probe: proxyRequest.probe,
+		Fresh: begun && proxyRequest.stage < stageEvent, Unanswered: !begun, Probe: proxyRequest.probe,
 	}
 	all := []poison.Evidence{evidence}
-	if proxyRequest.stage.begun() {
-		// Before the engine begins to answer, the request may wait in its queue.
-		evidence.Fresh = now.Sub(proxyRequest.begunAt) < onsetTime
-		for _, part := range proxyRequest.info.SharedParts {
-			evidence.Subject = poison.Part(part)
-			all = append(all, evidence)
-		}
+	evidence.Fresh = begun && now.Sub(proxyRequest.begunAt) < onsetTime
+	for _, part := range proxyRequest.info.SharedParts {
+		evidence.Subject = poison.Part(part)
+		all = append(all, evidence)
 	}
 	proxyRequest.probe = false
 	first := relay.brokenResponses.add(upstream.ID, all)
@@ -182,15 +182,19 @@
 	if len(evidence) == 0 {
 		return
 	}
-	var fresh []poison.Subject
+	var fresh, unanswered []poison.Subject
 	for _, item := range evidence {
-		if item.Fresh {
+		switch {
+		case item.Fresh:
 			fresh = append(fresh, item.Subject)
+		case item.Unanswered:
+			unanswered = append(unanswered, item.Subject)
 		}
 	}
 	relay.metrics.increment("poison-crashes")
-	relay.config.Logger.Info("poison: upstream crashed while it answered requests", zap.String("upstream", upstream),
-		zap.Int64("born", evidence[0].Upstream.StartedAt), zap.Int("evidence", len(evidence)), zap.Stringers("fresh", fresh))
+	relay.config.Logger.Info("poison: upstream crashed with requests", zap.String("upstream", upstream),
+		zap.Int64("born", evidence[0].Upstream.StartedAt), zap.Int("evidence", len(evidence)),
+		zap.Stringers("fresh", fresh), zap.Stringers("unanswered", unanswered[:min(len(unanswered), maxLoggedSubjects)]))
 	blocked, cleared := relay.poison.Add(true, evidence)
 	relay.logPoison(blocked, cleared, "")
 	relay.reportPoisonSoon()
--- a/internal/flow/poison/history.go
+++ b/internal/flow/poison/history.go
@@ -46,12 +46,36 @@
 	}
 	history.evidence = append(history.evidence, added)
 	slices.SortStableFunc(history.evidence, func(a, b knownEvidence) int { return a.At.Compare(b.At) })
+	history.limitUnanswered(added.Upstream)
 	if excess := len(history.evidence) - maxEvidence; excess > 0 {
 		history.evidence = slices.Delete(history.evidence, 0, excess)
 	}
 	return true
 }
 
+// limitUnanswered drops the evidence of requests without an answer at one crash beyond
+// maxUnanswered of them. It keeps those with the lowest identities, so that all instances
+// keep the same ones.
+func (history *history) limitUnanswered(upstream cordon.Incarnation) {
+	var last *knownEvidence
+	count := 0
+	for i := range history.evidence {
+		known := &history.evidence[i]
+		if known.Upstream != upstream || !known.Unanswered {
+			continue
+		}
+		if count++; last == nil || known.Request > last.Request {
+			last = known
+		}
+	}
+	if count > maxUnanswered {
+		dropped := last.Request
+		history.evidence = slices.DeleteFunc(history.evidence, func(known knownEvidence) bool {
+			return known.Upstream == upstream && known.Request == dropped
+		})
+	}
+}
+
 // complete stores a completion, drops the evidence that it refutes, and reports
 // whether there was any.
 func (history *history) complete(organisation string, completion knownCompletion) bool {
@@ -81,6 +105,12 @@
 	return last
 }
 
+// soundAt reports whether the subject had been sound lately at a time.
+func (history *history) soundAt(at time.Time, config Config) bool {
+	last := history.lastCompletion()
+	return !last.IsZero() && at.Sub(last) <= config.SoundTime
+}
+
 // block is the state of a subject for one organisation.
 type block struct {
 	blocked bool
@@ -99,16 +129,24 @@
 	}
 	own := history.tally(config, func(known knownEvidence) bool { return known.Organisation == organisation })
 	if own.blocks() {
-		return own.block(config)
+		return own.block(history.initialHold(config))
 	}
 	refutedUntil := history.lastCompletion()
 	all := history.tally(config, func(known knownEvidence) bool { return known.At.After(refutedUntil) })
 	if all.blocks() && all.organisations > 1 {
-		return all.block(config)
+		return all.block(history.initialHold(config))
 	}
 	return block{}
 }
 
+// initialHold returns how long the subject is blocked before the first probe.
+func (history *history) initialHold(config Config) time.Duration {
+	if !history.subject.isRequest() && history.soundAt(history.lastEvidence(), config) {
+		return min(ambiguousHold, config.InitialHold)
+	}
+	return config.InitialHold
+}
+
 // tally sums up evidence.
 type tally struct {
 	weight        int
@@ -119,8 +157,7 @@
 
 func (tally tally) blocks() bool { return tally.weight >= blockWeight }
 
-func (tally tally) block(config Config) block {
-	hold := config.InitialHold
+func (tally tally) block(hold time.Duration) block {
 	for range tally.failedProbes {
 		hold = min(hold*holdFactor, maxHold)
 	}
@@ -170,17 +207,16 @@
 
 // weight returns the weight of one record of evidence.
 func (history *history) weight(evidence Evidence, config Config) int {
-	soundAt := history.lastCompletion()
-	fresh := evidence.Fresh && (soundAt.IsZero() || evidence.At.Sub(soundAt) > config.SoundTime)
+	sound := history.soundAt(evidence.At, config)
 	switch {
-	case fresh:
+	case evidence.Fresh && !sound:
 		return freshWeight
-	case history.subject.Identity() == 0:
-		return lateWeight
-	case evidence.Unanswered:
+	case evidence.Unanswered && (history.subject.isRequest() || !sound):
 		return unansweredWeight
-	default:
+	case history.subject.isRequest() || evidence.Unanswered:
 		return otherWeight
+	default:
+		return lateWeight
 	}
 }
 
@@ -202,7 +238,7 @@
 	}
 	sum := 0
 	for _, weight := range byRequest {
-		if history.subject.Identity() == 0 {
+		if !history.subject.isRequest() {
 			weight = min(weight, freshWeight)
 		}
 		sum += weight
@@ -210,23 +246,34 @@
 	return sum
 }
 
-// removeExplained removes the evidence of other requests at crashes that blocked
-// requests explain.
-func (history *history) removeExplained(explained map[cordon.Incarnation]uint64) {
+// removeExplained removes the evidence at crashes that other blocked subjects explain.
+func (history *history) removeExplained(explained map[cordon.Incarnation]Subject) {
 	history.evidence = slices.DeleteFunc(history.evidence, func(known knownEvidence) bool {
-		identity, ok := explained[known.Upstream]
-		return ok && identity != known.Request
+		suspect, ok := explained[known.Upstream]
+		return ok && !suspect.concerns(known.Evidence)
 	})
 }
 
-// explainsAsWell reports whether the subject is a request that was at all upstreams which
-// crashed under another one, so that either may be the cause. The evidence of one crash
-// may still be on its way.
-func (history *history) explainsAsWell(request *history, awaited cordon.Incarnation) bool {
-	if history.subject.Identity() == 0 {
+// mayExplain reports whether the subject, if it is blocked, explains crashes: a part that
+// was sound lately does not, as another one may be the cause.
+func (history *history) mayExplain(config Config) bool {
+	return history.subject.isRequest() || !history.soundAt(history.lastEvidence(), config)
+}
+
+// explainsAsWell reports whether the subject was at all upstreams which crashed under a
+// suspect, so that either may be the cause. The evidence of one crash may still be on its
+// way. A part does not explain the crashes of a request, and a subject that was sound
+// lately not those of a part that was not.
+func (history *history) explainsAsWell(suspect *history, awaited cordon.Incarnation, config Config) bool {
+	switch {
+	case suspect.subject.isRequest():
+		if !history.subject.isRequest() {
+			return false
+		}
+	case history.soundAt(suspect.lastEvidence(), config):
 		return false
 	}
-	return !slices.ContainsFunc(request.evidence, func(known knownEvidence) bool {
+	return !slices.ContainsFunc(suspect.evidence, func(known knownEvidence) bool {
 		return known.Upstream != awaited && !history.hasCrash(known.Upstream)
 	})
 }
@@ -236,6 +283,15 @@
 	return slices.ContainsFunc(history.evidence, func(known knownEvidence) bool { return known.Upstream == upstream })
 }
 
+// crashes returns the number of upstreams whose crashes speak against the subject.
+func (history *history) crashes() int {
+	upstreams := make(map[cordon.Incarnation]bool)
+	for _, known := range history.evidence {
+		upstreams[known.Upstream] = true
+	}
+	return len(upstreams)
+}
+
 // blockedUntil returns the end of the longest hold for any organisation, or zero if
 // the subject is not blocked.
 func (history *history) blockedUntil(config Config) time.Time {
@@ -251,12 +307,11 @@
 	return until
 }
 
-// sharesRequestsWith reports whether all requests that speak against the subject also
-// speak against another one.
-func (history *history) sharesRequestsWith(other *history) bool {
+// sharesCrashesWith reports whether there is evidence against another subject at all
+// crashes that speak against the subject.
+func (history *history) sharesCrashesWith(other *history) bool {
 	for _, known := range history.evidence {
-		shared := slices.ContainsFunc(other.evidence, func(candidate knownEvidence) bool { return candidate.Request == known.Request })
-		if !shared {
+		if !other.hasCrash(known.Upstream) {
 			return false
 		}
 	}
--- a/internal/flow/poison/news.go
+++ b/internal/flow/poison/news.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -88,22 +89,15 @@
 		}
 	}
 	if len(news.Evidence) > maxRecent {
-		slices.SortStableFunc(news.Evidence, compareFresh)
+		slices.SortStableFunc(news.Evidence, func(a, b Evidence) int { return cmp.Compare(tracker.weight(b), tracker.weight(a)) })
 		news.Evidence = news.Evidence[:maxRecent]
 	}
 	return news
 }
 
-// compareFresh orders fresh evidence first.
-func compareFresh(a, b Evidence) int {
-	switch {
-	case a.Fresh == b.Fresh:
-		return 0
-	case a.Fresh:
-		return -1
-	default:
-		return 1
-	}
+// weight returns the weight of evidence against a subject that is tracked.
+func (tracker *Tracker) weight(evidence Evidence) int {
+	return tracker.subjects[evidence.Subject].weight(evidence, tracker.config)
 }
 
 // AgainstBlocked returns up to limit records of the evidence against blocked subjects,
--- a/internal/flow/poison/poison.go
+++ b/internal/flow/poison/poison.go
@@ -2,8 +2,9 @@
 // messages, also known as queries of death). Its subjects are the parts of prompts, which
 // requests share, and whole requests, which callers repeat.
 //
-// Evidence against a subject is a crash of an upstream while it answered a request with
-// it. A completed response to such a request is evidence that the subject is sound. Each
+// Evidence against a subject is a crash of an upstream to which a request with it had been
+// sent. Of the subjects at a crash, those that have been sound lately are suspected least,
+// and one that was at all crashes of a group explains them for the others. A completed response to such a request is evidence that the subject is sound. Each
 // instance keeps a Tracker, and all exchange what they record, so that crashes that
 // different instances observe add up. Evidence is a set, and merging it is idempotent
 // and commutative.
@@ -42,7 +43,8 @@
 	// as they may have a cause in common, such as a loss of power.
 	coincidence = 20 * time.Millisecond
 	// ambiguousHold is the hold for a request that lacks one of the subjects that share
-	// the blame for the same crashes: its outcome shows which of them is at fault.
+	// the blame for the same crashes: its outcome shows which of them is at fault. It is
+	// also the initial hold of a subject that was known to be sound.
 	ambiguousHold = 2 * time.Second
 	// probeInterval is how long the outcome of a probe is awaited before the next
 	// one.
@@ -62,12 +64,15 @@
 	// with freshWeight together.
 	freshWeight = 6
 	lateWeight  = 3
-	// A crash counts against a request with freshWeight if the upstream had begun to
-	// answer it and the request was not known to be sound, with unansweredWeight if it
-	// had not, else with otherWeight. A request that only waited is told from the one
-	// that crashes upstreams by its absence at other crashes.
+	// A crash before a byte of the answer arrived counts against a request, and against a
+	// part that was not known to be sound, with unansweredWeight: the request may have run,
+	// as bytes of its answer are lost with the upstream, or waited. Against a part that was
+	// known to be sound it counts with otherWeight.
 	unansweredWeight = 4
-	otherWeight      = 2
+	// Any other crash counts against a request with freshWeight if the request was not
+	// known to be sound, else with otherWeight. A request that only waited is told from the
+	// one that crashes upstreams by its absence at other crashes.
+	otherWeight = 2
 	// A subject is blocked when its crashes sum up to blockWeight.
 	blockWeight = 12
 	// minEvidence is the least evidence that can sum up to blockWeight.
@@ -78,11 +83,14 @@
 	// maxSubjects bounds the subjects with evidence, and maxEvidence the evidence of one.
 	maxSubjects = 4096
 	maxEvidence = 24
+	// maxUnanswered bounds the requests without an answer that count against a part at one
+	// crash, so that those of one crash do not replace the evidence of others.
+	maxUnanswered = 4
 	// maxSoundParts and maxSoundRequests bound the parts and the requests that are
 	// remembered as sound.
 	maxSoundParts    = 16384
 	maxSoundRequests = 4096
-	// maxExplained bounds the crashes that blocked requests explain.
+	// maxExplained bounds the crashes that blocked subjects explain.
 	maxExplained = 4096
 	// maxRecent bounds the evidence passed on with each report.
 	maxRecent = 256
@@ -102,7 +110,7 @@
 	return config
 }
 
-// Evidence is one request with a subject that an upstream was answering when it
+// Evidence is one request with a subject that had been sent to an upstream when it
 // crashed.
 type Evidence struct {
 	Subject      Subject
--- a/internal/flow/poison/subject.go
+++ b/internal/flow/poison/subject.go
@@ -24,6 +24,9 @@
 // Identity returns the identity of a whole request, or 0 for a part.
 func (subject Subject) Identity() uint64 { return subject.identity }
 
+// isRequest reports whether the subject is a whole request.
+func (subject Subject) isRequest() bool { return subject.identity != 0 }
+
 // String returns a text that names the subject.
 func (subject Subject) String() string {
 	if subject.identity != 0 {
@@ -32,6 +35,15 @@
 	return "part " + subject.part
 }
 
+// concerns reports whether evidence speaks against the subject itself, or is of the
+// request that the subject is.
+func (subject Subject) concerns(evidence Evidence) bool {
+	if subject.isRequest() {
+		return subject.identity == evidence.Request
+	}
+	return subject == evidence.Subject
+}
+
 // compare orders subjects.
 func (subject Subject) compare(other Subject) int {
 	return cmp.Or(cmp.Compare(subject.part, other.part), cmp.Compare(subject.identity, other.identity))
--- a/internal/flow/poison/tracker.go
+++ b/internal/flow/poison/tracker.go
@@ -20,9 +20,9 @@
 	// soundParts and soundRequests hold the last completions of subjects without
 	// evidence.
 	soundParts, soundRequests *soundSubjects
-	// explained holds the blocked request that explains a crash. No other request
-	// speaks against anything then.
-	explained map[cordon.Incarnation]uint64
+	// explained holds the blocked subject that explains a crash. The crash speaks against
+	// nothing else then.
+	explained map[cordon.Incarnation]Subject
 	expiredAt time.Time
 	// nextEvidence is where the next part of the evidence begins that AgainstBlocked returns.
 	nextEvidence int
@@ -31,7 +31,7 @@
 // New returns an empty Tracker.
 func New(config Config) *Tracker {
 	return &Tracker{
-		config: config.withDefaults(), subjects: make(map[Subject]*history), explained: make(map[cordon.Incarnation]uint64),
+		config: config.withDefaults(), subjects: make(map[Subject]*history), explained: make(map[cordon.Incarnation]Subject),
 		soundParts: newSoundSubjects(maxSoundParts), soundRequests: newSoundSubjects(maxSoundRequests),
 	}
 }
@@ -43,7 +43,7 @@
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	tracker.expire()
-	var requests []*history
+	var suspects []*history
 	for _, evidence := range tracker.withoutExplained(tracker.withoutRefuted(added)) {
 		known := tracker.subjects[evidence.Subject]
 		before := known.blockFor(evidence.Organisation, tracker.config).blocked
@@ -56,34 +56,33 @@
 		if !before && after && !slices.Contains(blocked, evidence.Subject) {
 			blocked = append(blocked, evidence.Subject)
 		}
-		if after && evidence.Subject.Identity() != 0 {
-			requests = append(requests, known)
+		if after && known.mayExplain(tracker.config) && !slices.Contains(suspects, known) {
+			suspects = append(suspects, known)
 		}
 	}
-	// The request under which most upstreams crashed explains the others' crashes.
-	slices.SortStableFunc(requests, func(a, b *history) int { return cmp.Compare(len(b.evidence), len(a.evidence)) })
-	for _, request := range requests {
-		if !request.blockedUntil(tracker.config).IsZero() {
-			cleared = append(cleared, tracker.explain(request)...)
+	// The subject under which most upstreams crashed explains the others' crashes.
+	slices.SortStableFunc(suspects, func(a, b *history) int { return cmp.Compare(b.crashes(), a.crashes()) })
+	for _, suspect := range suspects {
+		if !suspect.blockedUntil(tracker.config).IsZero() {
+			cleared = append(cleared, tracker.explain(suspect)...)
 		}
 	}
 	blocked = slices.DeleteFunc(blocked, func(subject Subject) bool { return slices.Contains(cleared, subject) })
 	return blocked, cleared
 }
 
-// explain drops what other requests speak against at the crashes of a blocked request,
-// but for a request that was at all of them. It returns the subjects that are no longer
-// blocked.
-func (tracker *Tracker) explain(request *history) (cleared []Subject) {
+// explain drops what the crashes of a blocked suspect speak against, but for a subject that
+// explains them as well. It returns the subjects that are no longer blocked.
+func (tracker *Tracker) explain(suspect *history) (cleared []Subject) {
 	if len(tracker.explained) >= maxExplained {
 		clear(tracker.explained)
 	}
-	last := request.evidence[len(request.evidence)-1].Upstream
-	for _, known := range request.evidence {
-		tracker.explained[known.Upstream] = request.subject.Identity()
+	last := suspect.evidence[len(suspect.evidence)-1].Upstream
+	for _, known := range suspect.evidence {
+		tracker.explained[known.Upstream] = suspect.subject
 	}
 	for subject, other := range tracker.subjects {
-		if other == request || other.explainsAsWell(request, last) {
+		if other == suspect || other.explainsAsWell(suspect, last, tracker.config) {
 			continue
 		}
 		before := !other.blockedUntil(tracker.config).IsZero()
@@ -114,33 +113,37 @@
 }
 
 // withoutExplained drops the evidence against the other subjects of a request if one of
-// them is blocked already, which explains the crash, and that of other requests at a
-// crash that a blocked one explains.
+// them is blocked already and explains the crash, and the evidence at a crash that another
+// blocked subject explains.
 func (tracker *Tracker) withoutExplained(added []Evidence) []Evidence {
 	explained := make(map[uint64]bool)
-	isBlocked := func(evidence Evidence) bool {
+	explains := func(evidence Evidence) bool {
 		known, ok := tracker.subjects[evidence.Subject]
-		return ok && known.blockFor(evidence.Organisation, tracker.config).blocked
+		return ok && known.blockFor(evidence.Organisation, tracker.config).blocked && known.mayExplain(tracker.config)
 	}
 	for _, evidence := range added {
-		if isBlocked(evidence) {
+		if explains(evidence) {
 			explained[evidence.Request] = true
 		}
 	}
 	return slices.DeleteFunc(added, func(evidence Evidence) bool {
-		return tracker.isExplained(evidence) || explained[evidence.Request] && !isBlocked(evidence)
+		return tracker.isExplained(evidence) || explained[evidence.Request] && !explains(evidence)
 	})
 }
 
-// isExplained reports whether a blocked request explains the crash of evidence of another
-// one, which was not at all crashes under the blocked request.
+// isExplained reports whether a blocked subject explains the crash of evidence against
+// another one, which was not at all crashes under the blocked subject.
 func (tracker *Tracker) isExplained(evidence Evidence) bool {
-	identity, ok := tracker.explained[evidence.Upstream]
-	if !ok || identity == evidence.Request {
+	suspect, ok := tracker.explained[evidence.Upstream]
+	if !ok || suspect.concerns(evidence) {
 		return false
 	}
-	request, own := tracker.subjects[Request(identity)], tracker.subjects[Request(evidence.Request)]
-	return request == nil || own == nil || !own.explainsAsWell(request, evidence.Upstream)
+	accused := evidence.Subject
+	if suspect.isRequest() {
+		accused = Request(evidence.Request)
+	}
+	known, other := tracker.subjects[suspect], tracker.subjects[accused]
+	return known == nil || other == nil || !other.explainsAsWell(known, evidence.Upstream, tracker.config)
 }
 
 // historyOf returns the history of a subject, which it creates if needed, or nil if
@@ -163,7 +166,7 @@
 
 // sound returns the sound subjects of a subject's kind.
 func (tracker *Tracker) sound(subject Subject) *soundSubjects {
-	if subject.Identity() != 0 {
+	if subject.isRequest() {
 		return tracker.soundRequests
 	}
 	return tracker.soundParts
@@ -259,7 +262,7 @@
 // all that speaks against a subject.
 func (tracker *Tracker) ambiguous(known *history, organisation string, subjects []Subject) bool {
 	for subject, other := range tracker.subjects {
-		if other == known || slices.Contains(subjects, subject) || !known.sharesRequestsWith(other) {
+		if other == known || slices.Contains(subjects, subject) || !known.sharesCrashesWith(other) {
 			continue
 		}
 		if other.blockFor(organisation, tracker.config).blocked {
