Bound the memory for bodies of all requests and responses together

Cause: each body was bounded at 8 MiB, and each event at 1 MiB, but not all together; buffers grew by copies, and each send copied the whole request.

Change: a pool of a tenth of the machine's memory holds all bodies, in chunks. An owner (an upstream, or an organisation for requests) may hold as much as is left for all, so one that floods gets half at most. 16 KiB of each body are granted in any case. A response without memory is passed on as it comes if it has a length; else it is given up, which counts against the health of an upstream that holds much. A request without memory gets 503 with Retry-After. The Go runtime collects garbage more often from 0.4 of the machine's memory on; the setting memory-mb names that. Metric buffered-bytes.

--- a/cmd/jacinthfront/relays.go
+++ b/cmd/jacinthfront/relays.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
@@ -20,6 +21,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(settings.HeapLimit())
 	ctx, stop := signalContext()
 	defer stop()
 	// Bounds may also change during a planned stop.
--- a/internal/base/setup/check.go
+++ b/internal/base/setup/check.go
@@ -87,6 +87,12 @@
 	}
 }
 
+func (checks *checks) between(key string, value, least, most Number) {
+	if value < least || value > most {
+		checks.add(key, fmt.Sprint(value), fmt.Sprintf("write a number between %v and %v", least, most))
+	}
+}
+
 func (checks *checks) atLeast(key string, value, least int64) {
 	if value < least {
 		checks.add(key, fmt.Sprint(value), fmt.Sprintf("write a whole number of at least %d", least))
--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -48,9 +48,25 @@
 	Listen        RelayListen `toml:"listen"`
 	Peers         Peers       `toml:"peers"`
 	Bounds        RelayBounds `toml:"bounds"`
-	Log           Log         `toml:"log"`
+	// Memory is the memory that the relay may use, in units of 2^20 bytes.
+	Memory Number `toml:"memory-mb"`
+	Log    Log    `toml:"log"`
 }
 
+const (
+	// bodyMemoryPart is the part of a relay's memory, as a divisor, that bodies may hold.
+	bodyMemoryPart = 10
+	// heapPart is the part of a relay's memory from which on its garbage is collected
+	// more often.
+	heapPart = 0.4
+)
+
+// BodyMemory returns how many bytes the bodies of requests and responses may hold.
+func (relay Relay) BodyMemory() int64 { return int64(relay.Memory * (1 << 20) / bodyMemoryPart) }
+
+// HeapLimit returns the memory limit of the Go runtime, in bytes.
+func (relay Relay) HeapLimit() int64 { return int64(relay.Memory * (1 << 20) * heapPart) }
+
 // Loader holds the settings of a loader.
 type Loader struct {
 	Instance      string `toml:"instance"`
@@ -71,6 +87,9 @@
 	defaultGrace       = 8 * time.Second
 	defaultRetryRatio  = 0.2
 	defaultRetryWindow = 10 * time.Second
+	defaultMemory      = 256
+	minMemory          = 1
+	maxMemory          = 1e9
 )
 
 // DefaultRelay returns the defaults of a relay.
@@ -81,7 +100,8 @@
 			ConfigDelay: Period{defaultConfigDelay}, VersionDelay: Period{defaultVersion}, DrainDelay: Period{defaultDrain},
 			RetryRatio: defaultRetryRatio, RetryWindow: Period{defaultRetryWindow},
 		},
-		Log: Log{Level: "info", Format: "json"},
+		Memory: defaultMemory,
+		Log:    Log{Level: "info", Format: "json"},
 	}
 }
 
@@ -111,6 +131,7 @@
 	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow.Duration)
 	checks.notNegative("bounds.retry-ratio", relay.Bounds.RetryRatio)
 	checks.notNegative("bounds.retry-extra", relay.Bounds.RetryExtra)
+	checks.between("memory-mb", relay.Memory, minMemory, maxMemory)
 	checks.log(relay.Log)
 	return checks.err()
 }
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
+	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
@@ -66,7 +66,8 @@
 	route        *routes.Route
 	organisation *routes.Organisation
 	service      *routes.Service
-	body         []byte
+	// body is the body of the request.
+	body *buffer.Buffer
 	// identity is equal for two requests that differ in nothing but their ids.
 	identity uint64
 	// subjects holds what the request may crash upstreams with.
@@ -101,7 +102,7 @@
 	// failure is the response of an upstream that ran the request and failed. It is
 	// kept with its body, as another upstream may succeed.
 	failure     *http1.Response
-	failureBody []byte
+	failureBody *buffer.Buffer
 
 	// lastEventID is the id of the last event forwarded.
 	lastEventID string
@@ -136,6 +137,7 @@
 	if relay.stopping() {
 		writer.Header().Set("Connection", "close")
 	}
+	defer proxyRequest.releaseBodies()
 	if refused := proxyRequest.admit(); refused != nil {
 		proxyRequest.refuse(*refused)
 		return
@@ -147,6 +149,15 @@
 	proxyRequest.run(ctx)
 }
 
+// releaseBodies gives back the memory of the bodies that the request holds.
+func (proxyRequest *proxyRequest) releaseBodies() {
+	for _, body := range []*buffer.Buffer{proxyRequest.body, proxyRequest.failureBody} {
+		if body != nil {
+			body.Release()
+		}
+	}
+}
+
 // admit checks, reads and charges the request. It returns a refusal if the request
 // may not be served.
 func (proxyRequest *proxyRequest) admit() *refusal {
@@ -215,6 +226,7 @@
 
 // readBody reads the body of the request.
 func (proxyRequest *proxyRequest) readBody() *refusal {
+	proxyRequest.body = proxyRequest.relay.buffers.NewBuffer("organisation " + proxyRequest.organisationName())
 	hasher := proxyRequest.newIdentityHasher()
 	defer func() { proxyRequest.identity = hasher.identity() }()
 	if proxyRequest.request.Body == nil || proxyRequest.request.ContentLength == 0 {
@@ -225,12 +237,15 @@
 	if err := control.SetReadDeadline(proxyRequest.deadline); err != nil {
 		proxyRequest.relay.config.Logger.Debug("relay: failed to set the read deadline", logs.ErrorField(err))
 	}
-	body, err := io.ReadAll(hasher.tee(http.MaxBytesReader(proxyRequest.writer, proxyRequest.request.Body, maxBodyBytes)))
-	var large *http.MaxBytesError
+	err := proxyRequest.body.Fill(hasher.tee(proxyRequest.request.Body), maxBodyBytes)
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{http.StatusRequestTimeout, "the body did not come in time", retryAfterUnready}
-	case errors.As(err, &large):
+	case errors.Is(err, buffer.ErrFull):
+		proxyRequest.closeConnection()
+		return &refusal{http.StatusServiceUnavailable, "the memory for bodies is used up", retryAfterFull}
+	case errors.Is(err, buffer.ErrLarge):
+		proxyRequest.closeConnection()
 		return &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
 	case err != nil:
 		return &refusal{http.StatusBadRequest, "the body cannot be read", 0}
@@ -238,10 +253,15 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		proxyRequest.relay.config.Logger.Debug("relay: failed to clear the read deadline", logs.ErrorField(err))
 	}
-	proxyRequest.body = body
 	return nil
 }
 
+// closeConnection closes the caller's connection after the response, as the rest of the
+// request is not read.
+func (proxyRequest *proxyRequest) closeConnection() {
+	proxyRequest.writer.Header().Set("Connection", "close")
+}
+
 // awaitStartup waits until ready returns true, at most for startupWait after the
 // start of the instance.
 func (proxyRequest *proxyRequest) awaitStartup(ready func() bool) {
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -21,6 +21,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
+	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
@@ -56,6 +57,9 @@
 	Bounds          Bounds
 	// BoundsUpdates delivers bounds that change at run time. It may be nil.
 	BoundsUpdates <-chan Bounds
+	// BodyMemory bounds the memory for the bodies of requests and responses, in bytes. 0
+	// means buffer.DefaultLimit.
+	BodyMemory int64
 }
 
 // Bounds holds the limits that the service promises its callers: how soon a
@@ -110,6 +114,8 @@
 	wake         chan struct{}
 	stateChanged *broadcast
 	activeSends  *activeSends
+	// buffers bounds the memory for bodies.
+	buffers *buffer.Pool
 	// instanceWatcher follows the instance list. earlyReadAt is when it was last
 	// woken before its next read was due, in Unix milliseconds.
 	instanceWatcher *watch.Watcher[Listing]
@@ -157,6 +163,7 @@
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
+		buffers:         buffer.New(buffer.Config{Limit: config.BodyMemory}),
 		listingFaults:   make(map[string]string),
 		stop:            newPlannedStop(),
 	}
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -18,8 +18,6 @@
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
 
-var errLargeResponse = errors.New("the response is too large")
-
 // send sends the request to an upstream and forwards the response to the caller.
 func (proxyRequest *proxyRequest) send(ctx context.Context, upstream fleet.Upstream) outcome {
 	relay := proxyRequest.relay
@@ -116,7 +114,7 @@
 		Target:  proxyRequest.request.RequestURI,
 		Host:    proxyRequest.request.Host,
 		Header:  proxyRequest.relay.config.Protocol.UpstreamHeader(proxyRequest.request, info),
-		Body:    proxyRequest.body,
+		Body:    proxyRequest.body.Chunks(),
 		HasBody: proxyRequest.request.ContentLength != 0 || proxyRequest.request.Method == http.MethodPost,
 	}
 }
@@ -194,56 +192,6 @@
 	}
 }
 
-// forwardWhole forwards a response that is not a stream. It reads the response to
-// its end first, so that an incomplete one never reaches the caller as complete.
-func (proxyRequest *proxyRequest) forwardWhole(upstream fleet.Upstream, response *http1.Response) outcome {
-	body, err := readResponse(response)
-	if err == nil && response.Unframed && mediaType(response) == mediaTypeEvents {
-		err = checkEvents(body)
-	}
-	if err != nil {
-		return proxyRequest.recordBroken(upstream, err)
-	}
-	proxyRequest.recordHealth(upstream, true)
-	proxyRequest.writeResponse(response, body)
-	return outcomeAnswered
-}
-
-// readResponse reads the body of a response to its end.
-func readResponse(response *http1.Response) ([]byte, error) {
-	if response.ContentLength > maxBodyBytes {
-		return nil, errLargeResponse
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		return nil, errLargeResponse
-	}
-	return body, err
-}
-
-// writeResponse writes a complete response to the caller.
-func (proxyRequest *proxyRequest) writeResponse(response *http1.Response, body []byte) {
-	proxyRequest.copyHeaders(response)
-	if response.ContentLength >= 0 || len(body) > 0 {
-		proxyRequest.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	proxyRequest.writer.WriteHeader(response.Status)
-	_, _ = proxyRequest.writer.Write(body)
-	proxyRequest.recordDone(response.Status)
-}
-
-// keepFailure keeps a failure of an upstream, to be forwarded if no other upstream
-// does better.
-func (proxyRequest *proxyRequest) keepFailure(upstream fleet.Upstream, response *http1.Response) outcome {
-	proxyRequest.log("relay: upstream failed", zap.Int("status", response.Status))
-	body, err := readResponse(response)
-	if err != nil {
-		return proxyRequest.recordBroken(upstream, err)
-	}
-	proxyRequest.failure, proxyRequest.failureBody = response, body
-	return outcomeFailed
-}
-
 // copyHeaders copies the headers of a response for the caller.
 func (proxyRequest *proxyRequest) copyHeaders(response *http1.Response) {
 	header := proxyRequest.writer.Header()
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -13,6 +13,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
+	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -47,10 +48,12 @@
 // complete.
 func (proxyRequest *proxyRequest) forwardStream(upstream fleet.Upstream, response *http1.Response) outcome {
 	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
+	memory := proxyRequest.relay.buffers.Reserve(upstreamOwner(upstream))
+	defer memory.Release()
 	var lastArrival time.Time
 	nonEventBytes := 0
 	for {
-		event, err := readEvent(reader)
+		event, err := readEvent(reader, memory.Grow)
 		if errors.Is(err, io.EOF) {
 			proxyRequest.recordHealth(upstream, true)
 			proxyRequest.sendHeaders(response)
@@ -78,6 +81,7 @@
 			return outcomeUnknown
 		}
 		proxyRequest.flush()
+		memory.Release()
 		proxyRequest.recordForwarded()
 	}
 }
@@ -189,8 +193,9 @@
 
 // readEvent returns the next event with the empty line that ends it. Its error is
 // io.EOF at a clean end, errPartialEvent within an event, errHeadInStream at the head of
-// another response, and errLargeEvent for an event above maxEventBytes.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
+// another response, and errLargeEvent for an event above maxEventBytes or for which grow
+// finds no memory beyond buffer.Allowance.
+func readEvent(reader *bufio.Reader, grow func(size int64) bool) ([]byte, error) {
 	var event []byte
 	for {
 		// A line that is longer than the buffer is read in several parts.
@@ -209,7 +214,7 @@
 		case startsLine && len(bytes.TrimRight(part, "\r\n")) == 0:
 			return event, nil
 		}
-		if len(event) > maxEventBytes {
+		if len(event) > maxEventBytes || len(event) > buffer.Allowance && !grow(int64(len(event))) {
 			return nil, errLargeEvent
 		}
 	}
@@ -217,10 +222,11 @@
 
 // checkEvents returns an error unless a body consists of whole events. Only the end of the
 // last event shows that a body is whole which ends with its connection.
-func checkEvents(body []byte) error {
-	reader := bufio.NewReaderSize(bytes.NewReader(body), streamBufferBytes)
+func checkEvents(body io.Reader) error {
+	reader := bufio.NewReaderSize(body, streamBufferBytes)
 	for {
-		if _, err := readEvent(reader); err != nil {
+		// The body holds the memory already.
+		if _, err := readEvent(reader, func(int64) bool { return true }); err != nil {
 			if errors.Is(err, io.EOF) {
 				return nil
 			}
--- a/internal/daemon/relay/stream_test.go
+++ b/internal/daemon/relay/stream_test.go
@@ -23,11 +23,11 @@
 			inner := strings.Repeat("x", streamBufferBytes) + "HTTP/1.1 200 OK" + end
 			for _, text := range []string{line, line + line, inner} {
 				reader := bufio.NewReaderSize(strings.NewReader(text), streamBufferBytes)
-				if event, err := readEvent(reader); !errors.Is(err, errPartialEvent) {
+				if event, err := readEvent(reader, func(int64) bool { return true }); !errors.Is(err, errPartialEvent) {
 					t.Errorf("lines of %d bytes without an empty line: event of %d bytes, error %v", length, len(event), err)
 				}
 				reader = bufio.NewReaderSize(strings.NewReader(text+end+"next"), streamBufferBytes)
-				if event, err := readEvent(reader); string(event) != text+end || err != nil {
+				if event, err := readEvent(reader, func(int64) bool { return true }); string(event) != text+end || err != nil {
 					t.Errorf("lines of %d bytes: event of %d bytes, want %d; error %v", length, len(event), len(text+end), err)
 				}
 				if rest, _ := io.ReadAll(reader); string(rest) != "next" {
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -30,6 +30,9 @@
 	// the upstream closes the connection.
 	keepAliveMargin = time.Second
 	readBufferSize  = 4096
+	// maxJoinedSize is the size of the parts of a body, in bytes, that are written together
+	// with the head.
+	maxJoinedSize = 16 << 10
 	// maxHeadSize bounds the status line and header of a response together with
 	// the interim (1xx) responses before it, in bytes.
 	maxHeadSize = 64 << 10
@@ -70,7 +73,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the body in parts.
+	Body [][]byte
 	// HasBody makes an empty Body a body with Content-Length 0.
 	HasBody bool
 }
@@ -227,19 +231,35 @@
 	clear(pool.idle)
 }
 
+// writeRequest writes a request, a small one by a single call.
 func writeRequest(writer io.Writer, request Request) error {
+	size := 0
+	for _, part := range request.Body {
+		size += len(part)
+	}
 	var buffer bytes.Buffer
 	fmt.Fprintf(&buffer, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.Target, request.Host)
 	if err := request.Header.Write(&buffer); err != nil {
 		return err
 	}
-	if request.HasBody || len(request.Body) > 0 {
-		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", len(request.Body))
+	if request.HasBody || size > 0 {
+		fmt.Fprintf(&buffer, "Content-Length: %d\r\n", size)
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(request.Body)
-	_, err := writer.Write(buffer.Bytes())
-	return err
+	parts := request.Body
+	for len(parts) > 0 && len(parts[0]) <= maxJoinedSize {
+		buffer.Write(parts[0])
+		parts = parts[1:]
+	}
+	if _, err := writer.Write(buffer.Bytes()); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if _, err := writer.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Close aborts the connection unless the body was read to its end.
--- a/internal/link/http1/http1_test.go
+++ b/internal/link/http1/http1_test.go
@@ -50,7 +50,7 @@
 }
 
 func post(pool *Pool, address string) (string, error) {
-	response, err := pool.Do(context.Background(), address, Request{Method: "POST", Target: "/x", Host: "a.example", Header: http.Header{}, Body: []byte("body")})
+	response, err := pool.Do(context.Background(), address, Request{Method: "POST", Target: "/x", Host: "a.example", Header: http.Header{}, Body: [][]byte{[]byte("body")}})
 	if err != nil {
 		return "", err
 	}
