Send one request at a time to an upstream whose ejection has ended

Cause: an ejection of 1 s ended by time alone. From then on the upstream got all requests again, and was never ejected once more before a success, as only a failed probe lengthens an ejection and nothing sent probes.

Change: after its ejection an upstream gets one request, which ends the ejection or doubles it, up to 4 s. A request that was admitted to an engine which has been ejected meanwhile chooses another one.

--- a/internal/daemon/relay/healthtracker.go
+++ b/internal/daemon/relay/healthtracker.go
@@ -2,17 +2,34 @@
 
 import (
 	"sync"
+	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
+const (
+	// maxEjection is the longest time for which an upstream whose answers fail gets no
+	// request.
+	maxEjection = 4 * time.Second
+	// healthProbeTimeout is how long the outcome of the one request is awaited that an
+	// ejected upstream gets.
+	healthProbeTimeout = 2 * time.Second
+)
+
 // healthTracker tracks the health of the upstreams of all services.
 type healthTracker struct {
 	mutex    sync.Mutex
 	services map[string]*health.Tracker
 }
 
+// admits reports whether a request may be sent to an upstream. One that is ejected gets one
+// request at a time, which shows whether it is still at fault.
+func (healthTracker *healthTracker) admits(upstream fleet.Upstream) bool {
+	tracked := healthTracker.service(upstream.Service)
+	return tracked == nil || tracked.TryProbe(upstream.ID)
+}
+
 // Usable implements picker.Health.
 func (healthTracker *healthTracker) Usable(service, id string) bool {
 	tracked := healthTracker.service(service)
@@ -40,8 +57,8 @@
 	for service, members := range ids {
 		tracked, ok := healthTracker.services[service]
 		if !ok {
-			// New cannot fail, as the default configuration is valid.
-			tracked, _ = health.New(health.Config{})
+			// New cannot fail, as the configuration is valid.
+			tracked, _ = health.New(health.Config{MaxEjection: maxEjection, ProbeTimeout: healthProbeTimeout})
 			healthTracker.services[service] = tracked
 		}
 		tracked.SetUpstreams(members)
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -170,6 +170,11 @@
 				// Another request has used the permit since the choice.
 				continue
 			}
+			if !proxyRequest.relay.health.admits(choice.Upstream) {
+				// The upstream was ejected since the choice, or another request probes it.
+				waitingRequest.leave()
+				continue
+			}
 			proxyRequest.recordChoice(choice)
 			proxyRequest.grant = grant
 			return choice, nil
--- a/internal/daemon/relay/waitingrequest.go
+++ b/internal/daemon/relay/waitingrequest.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// leave ends the wait at the present upstream, so that another one is chosen.
+func (waitingRequest *waitingRequest) leave() {
+	waitingRequest.withdraw()
+	waitingRequest.choice = picker.Choice{}
+}
+
 // admitted reports whether the request may be sent to the chosen upstream, and the
 // number of its grant, 0 if none is needed.
 func (waitingRequest *waitingRequest) admitted(choice picker.Choice) (grant uint64, ok bool) {
