--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -127,6 +127,9 @@
 	// media type that they name.
 	headersSent bool
 	mediaType   string
+	// passedOn means that a part of a response was forwarded that no other one can
+	// continue.
+	passedOn bool
 }
 
 // serve handles a caller's request.
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -71,6 +71,9 @@
 // returns the refusal.
 func (proxyRequest *proxyRequest) mayRetry(ctx context.Context, result outcome) (bool, *refusal) {
 	refused := &refusal{http.StatusServiceUnavailable, "no upstream took the request", retryAfterFull}
+	if proxyRequest.passedOn {
+		return false, refused
+	}
 	switch result {
 	case outcomeNotSent:
 		return true, nil
--- a/internal/daemon/relay/whole.go
+++ b/internal/daemon/relay/whole.go
@@ -3,12 +3,10 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 	"strconv"
 
 	"go.uber.org/zap"
 
-	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -63,9 +61,10 @@
 	return outcomeUnknown
 }
 
-// passOn passes a response on as it comes, after the part that was read. It panics with
-// http.ErrAbortHandler if the response breaks off.
+// passOn passes a response on as it comes, after the part that was read. If it breaks off,
+// the request cannot be sent again.
 func (proxyRequest *proxyRequest) passOn(upstream fleet.Upstream, response *http1.Response, begun *buffer.Buffer) outcome {
+	proxyRequest.headersSent, proxyRequest.passedOn = true, true
 	proxyRequest.copyHeaders(response)
 	proxyRequest.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	proxyRequest.writer.WriteHeader(response.Status)
@@ -74,16 +73,16 @@
 	if err == nil {
 		_, err = io.Copy(proxyRequest.writer, response.Body)
 	}
-	if err != nil {
-		if proxyRequest.request.Context().Err() == nil {
-			proxyRequest.recordBroken(upstream, err)
-		}
-		proxyRequest.log("relay: response aborted", logs.ErrorField(err))
-		panic(http.ErrAbortHandler)
+	switch {
+	case err == nil:
+		proxyRequest.recordHealth(upstream, true)
+		proxyRequest.recordDone(response.Status)
+		return outcomeAnswered
+	case proxyRequest.request.Context().Err() != nil:
+		return outcomeUnknown
+	default:
+		return proxyRequest.recordBroken(upstream, err)
 	}
-	proxyRequest.recordHealth(upstream, true)
-	proxyRequest.recordDone(response.Status)
-	return outcomeAnswered
 }
 
 // writeResponse writes a complete response to the caller.
