Let a relay that starts live through SIGHUP

What callers saw: none of the requests to a relay was answered any more.

Cause: until the settings had been read, SIGHUP had its default action, which ends the process.

Change: main ignores SIGHUP, and a relay asks for it before it reads its settings, so that no change of the file is missed. The time from the start of the program to main remains. TestHangupAtStart holds the start by a pipe as settings: it fails without the change and passes with it.

--- a/cmd/jacinthfront/main.go
+++ b/cmd/jacinthfront/main.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 
@@ -24,7 +26,12 @@
 
 Exit codes: 0 success, 1 failed or refused, 2 wrong arguments or settings, 3 conflict with a newer configuration, 4 outcome unknown.`
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	// A process that is told to read its settings again while it starts must not end. It is
+	// yet to read them.
+	signal.Ignore(syscall.SIGHUP)
+	os.Exit(run(os.Args[1:]))
+}
 
 func run(args []string) int {
 	parser := flags.NewNamedParser("jacinthfront", flags.HelpFlag|flags.PassDoubleDash)
--- a/cmd/jacinthfront/relays.go
+++ b/cmd/jacinthfront/relays.go
@@ -17,6 +17,9 @@
 
 // Execute implements flags.Commander.
 func (command *relayCommand) Execute([]string) error {
+	// From here on, a changed file is read again.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := setup.LoadRelay(command.Settings)
 	if err != nil {
 		return err
@@ -25,14 +28,12 @@
 	ctx, stop := signalContext()
 	defer stop()
 	// Bounds may also change during a planned stop.
-	return platform.RunRelay(ctx, settings, command.watchBounds(context.WithoutCancel(ctx)))
+	return platform.RunRelay(ctx, settings, command.watchBounds(context.WithoutCancel(ctx), hangups))
 }
 
-// watchBounds sends the bounds of the settings file each time it is read again on
-// SIGHUP. A file that cannot be used is reported, and the bounds in force stay.
-func (command *relayCommand) watchBounds(ctx context.Context) <-chan setup.RelayBounds {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+// watchBounds sends the bounds of the settings file each time it is read again on a
+// signal. A file that cannot be used is reported, and the bounds in force stay.
+func (command *relayCommand) watchBounds(ctx context.Context, signals <-chan os.Signal) <-chan setup.RelayBounds {
 	bounds := make(chan setup.RelayBounds)
 	go func() {
 		for {
@@ -65,8 +66,7 @@
 	if err != nil {
 		return err
 	}
-	// A loader's settings do not change while its engine runs.
-	signal.Ignore(syscall.SIGHUP)
+	// A loader's settings do not change while its engine runs: main ignores SIGHUP.
 	ctx, stop := signalContext()
 	defer stop()
 	return platform.RunLoader(ctx, settings)
