--- a/internal/flow/buffer/buffer.go
+++ b/internal/flow/buffer/buffer.go
@@ -26,7 +26,6 @@
 	reservation *Reservation
 	chunks      [][]byte
 	size        int64
-	capacity    int64
 }
 
 // NewBuffer returns an empty Buffer of an owner.
@@ -38,7 +37,7 @@
 // more than limit bytes, or ErrFull. What was read before an error stays in the Buffer.
 func (buffer *Buffer) Fill(reader io.Reader, limit int64) error {
 	for {
-		if buffer.size == buffer.capacity && !buffer.grow() {
+		if buffer.size == buffer.reservation.held && !buffer.grow() {
 			return ErrFull
 		}
 		last := &buffer.chunks[len(buffer.chunks)-1]
@@ -58,17 +57,16 @@
 
 // grow adds a chunk.
 func (buffer *Buffer) grow() bool {
-	size := int64(moreChunk)
+	held, size := buffer.reservation.held, int64(moreChunk)
 	switch {
-	case buffer.capacity == 0:
+	case held == 0:
 		size = firstChunk
-	case buffer.capacity < Allowance:
-		size = Allowance - buffer.capacity
+	case held < Allowance:
+		size = Allowance - held
 	}
-	if !buffer.reservation.Grow(buffer.capacity + size) {
+	if !buffer.reservation.Grow(held + size) {
 		return false
 	}
-	buffer.capacity += size
 	buffer.chunks = append(buffer.chunks, make([]byte, 0, size))
 	return true
 }
@@ -103,5 +101,5 @@
 // Release empties the Buffer and gives its memory back.
 func (buffer *Buffer) Release() {
 	buffer.reservation.Release()
-	buffer.chunks, buffer.size, buffer.capacity = nil, 0, 0
+	buffer.chunks, buffer.size = nil, 0
 }
