Skip responses that name another request, and read the request's own

Cause: a response with another request's id, such as a copy of an earlier refusal, cost the caller a 502 although the request ran and its response followed some milliseconds later on the same connection. What the copy said of its upstream was believed as news. Of a foreign response the backoff and the load are no longer believed. Its draining and a lower rate limit still are; a higher one was not believed before either.

--- a/internal/daemon/relay/notices.go
+++ b/internal/daemon/relay/notices.go
@@ -11,10 +11,13 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-// applyNotices records that an upstream announces in its response headers that it is
-// draining or wants a backoff, before the response is forwarded. The announcement
-// counts even if the response belongs to another request.
+// applyNotices records what an upstream says of itself in its response headers, before the
+// response is forwarded: its load, that it is draining, wants a backoff, or limits the rate
+// of requests.
 func (proxyRequest *proxyRequest) applyNotices(upstream fleet.Upstream, info ResponseInfo) {
+	if info.Load >= 0 {
+		proxyRequest.relay.picker.RecordLoad(upstream.ID, info.Load)
+	}
 	incarnation := incarnationOf(upstream)
 	if info.RetryAfter > 0 {
 		proxyRequest.relay.cordon.SetBackoff(incarnation, info.RetryAfter)
@@ -28,6 +31,15 @@
 	proxyRequest.recordRateLimit(incarnation, info)
 }
 
+// staleNotices returns what is still believed of a response that belongs to another
+// request. It may be a copy of one that was written at any time before. A process that was
+// draining stays so, and a limit is at worst too low for a time. A backoff may be over,
+// and the load is another one by now.
+func (info ResponseInfo) staleNotices() ResponseInfo {
+	info.RetryAfter, info.Load = 0, -1
+	return info
+}
+
 // recordRateLimit records the rate limit that an upstream names in a response. Only
 // a response to this request can end or raise a limit.
 func (proxyRequest *proxyRequest) recordRateLimit(incarnation cordon.Incarnation, info ResponseInfo) {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -31,7 +31,7 @@
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.stage = time.Now(), nil, stageUnsent
 	defer relay.picker.RecordEnded(upstream.ID, proxyRequest.adapter)
-	response, err := relay.config.Pool.Do(ctx, upstream.Address, proxyRequest.upstreamRequest(upstream))
+	response, info, err := proxyRequest.exchange(ctx, upstream)
 	if err != nil {
 		return proxyRequest.handleSendError(ctx, upstream, err)
 	}
@@ -39,14 +39,10 @@
 	proxyRequest.recordSent()
 	proxyRequest.stage, proxyRequest.begunAt = stageBody, time.Now()
 	active.begun.Store(true)
-	info := relay.config.Protocol.ParseResponse(response.Status, response.Header)
 	proxyRequest.applyNotices(upstream, info)
-	if info.Load >= 0 {
-		relay.picker.RecordLoad(upstream.ID, info.Load)
-	}
 	switch {
-	case proxyRequest.isForeign(info), info.ID == "" && (!info.NotRun || response.Reused):
-		proxyRequest.log("relay: response belongs to another request", zap.String("answer", info.ID))
+	case info.ID == "" && (!info.NotRun || response.Reused):
+		proxyRequest.log("relay: response names no request")
 		return proxyRequest.recordUnknown(upstream)
 	case info.NotRun:
 		return proxyRequest.handleNotRun(upstream, response)
@@ -139,6 +135,10 @@
 		proxyRequest.runs++
 		return outcomeUnknown
 	}
+	if http1.Abandoned.Has(err) {
+		proxyRequest.log("relay: no response after one to another request", logs.ErrorField(err))
+		return proxyRequest.recordUnknown(upstream)
+	}
 	if ctx.Err() == nil || lost {
 		proxyRequest.log("relay: no response", logs.ErrorField(err), zap.Bool("upstream-lost", lost), zap.Stringer("stage", proxyRequest.stage),
 			zap.Strings("parts", proxyRequest.info.SharedParts), proxyRequest.identityField())
--- a/internal/daemon/relay/stage.go
+++ b/internal/daemon/relay/stage.go
@@ -52,8 +52,3 @@
 	info := proxyRequest.relay.config.Protocol.ParseResponse(cut.Status, cut.Header)
 	return !proxyRequest.isForeign(info) && !info.NotRun && cut.Status < http.StatusMultipleChoices
 }
-
-// isForeign reports whether a response names another request.
-func (proxyRequest *proxyRequest) isForeign(info ResponseInfo) bool {
-	return info.ID != "" && info.ID != proxyRequest.info.ID
-}
--- a/internal/link/http1/body.go
+++ b/internal/link/http1/body.go
@@ -21,7 +21,10 @@
 	conn    *conn
 	// requestID is the id of the request, empty if it has none.
 	requestID string
+	method    string
 	response  *http.Response
+	// skipped is the number of responses to other requests before this one.
+	skipped int
 	// stop ends the watch of the request's context. It returns false if the
 	// context has already ended.
 	stop        func() bool
@@ -47,12 +50,13 @@
 }
 
 // release returns the connection to the pool if the upstream allows its reuse, no
-// bytes follow the response, the whole request was written, and the connection
-// remembers few refused requests. Otherwise it closes the connection.
+// bytes follow the response, the whole request was written, no response was
+// skipped, and the connection remembers few refused requests. Otherwise it closes
+// the connection.
 func (body *body) release() {
-	reusable := body.stop() && body.requestSent()
+	reusable := body.stop() && body.requestSent() && body.skipped == 0 && !body.conn.refused.full()
 	idleTimeout := body.pool.idleTimeout(body.response)
-	if !reusable || idleTimeout <= 0 || body.conn.reader.Buffered() > 0 || body.conn.refused.full() {
+	if !reusable || idleTimeout <= 0 || body.conn.reader.Buffered() > 0 {
 		_ = body.conn.Close()
 		return
 	}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -98,8 +98,8 @@
 	// Unframed means that the body ends with the connection: it has neither a length nor
 	// chunks.
 	Unframed bool
-	// Reused means that the connection has had a response to an earlier request. A
-	// faulty upstream may have written that again.
+	// Reused means that the connection has had a response to an earlier request, or one
+	// that was skipped. A faulty upstream may have written that again.
 	Reused bool
 	Body   io.ReadCloser
 
@@ -152,6 +152,10 @@
 // readResponse reads the head of the final response and skips interim ones.
 func (conn *conn) readResponse(method string) (*http.Response, error) {
 	conn.headRemaining, conn.prefix = maxHeadSize, headPrefix{bytes: conn.prefix.bytes[:0]}
+	// After a skipped response, the beginning of the head may have been received already.
+	if received, _ := conn.reader.Peek(conn.reader.Buffered()); len(received) > 0 {
+		conn.prefix.add(received)
+	}
 	defer func() { conn.headRemaining = -1 }()
 	for {
 		start := conn.prefix.received - conn.reader.Buffered()
@@ -214,11 +218,11 @@
 		conn.abort()
 		return nil, Broken.Wrap(fmt.Errorf("no response from %s: %w", address, err))
 	}
-	body := &body{pool: pool, address: address, conn: conn, requestID: request.ID, response: response, stop: stop, writeResult: writeResult}
-	return &Response{
-		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
-		Unframed: response.ContentLength < 0 && len(response.TransferEncoding) == 0, Reused: conn.answered, Body: body, body: body,
-	}, nil
+	body := &body{
+		pool: pool, address: address, conn: conn, requestID: request.ID, method: request.Method,
+		response: response, stop: stop, writeResult: writeResult,
+	}
+	return body.newResponse(), nil
 }
 
 // Open opens a connection to an address and keeps it for later requests. Its errors are
