Ignore SIGHUP from before the Go runtime starts

Package hangup has a constructor that ignores the signal before the runtime starts; the runtime then leaves it ignored until signal.Notify asks for it. It needs cgo, which the builds used already. Without cgo, main's call remains.

The soak is unchanged and may still signal within the first half of a millisecond.

--- a/cmd/jacinthfront/main.go
+++ b/cmd/jacinthfront/main.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	_ "jacinthfront.dev/jacinthfront/internal/base/hangup"
 )
 
 // The exit codes, listed in docs/ERRORS.md.
@@ -28,7 +29,7 @@
 
 func main() {
 	// A process that is told to read its settings again while it starts must not end. It is
-	// yet to read them.
+	// yet to read them. Before main, package hangup ignores the signal, if it is built with cgo.
 	signal.Ignore(syscall.SIGHUP)
 	os.Exit(run(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/base/hangup/constructor.go
@@ -0,0 +1,6 @@
+package hangup
+
+// #include <signal.h>
+//
+// __attribute__((constructor)) static void ignore_hangups(void) { signal(SIGHUP, SIG_IGN); }
+import "C"
