--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -22,6 +22,12 @@
 		loader.handleDemand(body.Demand)
 	case *wirepb.Datagram_Memory:
 		loader.keepMemory(body.Memory)
+	case *wirepb.Datagram_StreamOrigins:
+		loader.keepOrigins(body.StreamOrigins)
+	case *wirepb.Datagram_OriginAsk:
+		loader.answerOrigins(body.OriginAsk)
+	case *wirepb.Datagram_IncarnationAsk:
+		loader.recordIncarnationAsk(body.IncarnationAsk)
 	}
 }
 
@@ -191,7 +197,7 @@
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	state := proto.CloneOf(brief)
-	state.Brief, state.Entries = false, loader.nameEntries(entries)
+	state.Brief, state.Entries, state.LoaderStart = false, loader.nameEntries(entries), loader.startedAt
 	state.Resident, state.Pending = codec.EncodeAdapters(loader.sentReport.Resident), codec.EncodeAdapters(loader.sentReport.Pending)
 	return state
 }
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -20,6 +20,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
@@ -80,6 +81,9 @@
 
 	mutex  sync.Mutex
 	report Report
+	// incarnationAsks holds the asks that no report has answered yet, the last one of each
+	// entry instance and upstream id.
+	incarnationAsks map[incarnationAsker]int64
 	// missedReports counts the failed reports since the last successful one.
 	missedReports int
 	// unresponsive means that the last report failed otherwise than by a refused
@@ -111,6 +115,10 @@
 	retries map[string]*retry.Keeper
 	// levels holds what they said of the organisations' token buckets.
 	levels *bucket.Keeper
+	// origins holds which software began streams, as entry instances said.
+	origins *origin.Ledger
+	// startedAt is the start of this process in Unix microseconds.
+	startedAt int64
 
 	// listedStartedAt is the latest start of the engine that the entry
 	// instances know, in Unix milliseconds.
@@ -136,12 +144,16 @@
 		wakeGrants:    make(chan struct{}, 1),
 		missedReports: unreachableAfter,
 		entryStarts:   make(map[string]int64),
-		entryStates:   make(map[string]entryState),
-		memories:      make(map[retry.Incarnation]keptMemory),
-		retries:       make(map[string]*retry.Keeper),
-		levels:        bucket.NewKeeper(),
-		fencingToken:  now.UnixMilli(),
-		serial:        uint64(now.UnixMicro()),
+
+		incarnationAsks: make(map[incarnationAsker]int64),
+		entryStates:     make(map[string]entryState),
+		memories:        make(map[retry.Incarnation]keptMemory),
+		retries:         make(map[string]*retry.Keeper),
+		levels:          bucket.NewKeeper(),
+		origins:         origin.New(origin.Config{}),
+		fencingToken:    now.UnixMilli(),
+		serial:          uint64(now.UnixMicro()),
+		startedAt:       now.UnixMicro(),
 	}
 }
 
--- a/internal/daemon/loader/orders.go
+++ b/internal/daemon/loader/orders.go
@@ -76,7 +76,13 @@
 // fetchReport fetches and records the engine's report, and reports whether it
 // succeeded. During a backoff the last report stays in effect.
 func (loader *Loader) fetchReport(ctx context.Context) bool {
+	asks := loader.takeIncarnationAsks()
 	report, err := loader.config.Engine.Report(ctx)
+	if err != nil {
+		loader.keepIncarnationAsks(asks)
+	} else {
+		loader.answerIncarnations(asks, report.StartedAt)
+	}
 	if ctx.Err() != nil || loader.backOff(err) {
 		return false
 	}
--- /dev/null
+++ b/internal/daemon/relay/incarnation.go
@@ -0,0 +1,148 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
+	"jacinthfront.dev/jacinthfront/internal/flow/picker"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// An upstream may start again under its id at another software version. Until its loader or
+// the list shows that, a connection to it that was just opened may lead to either. So the
+// software that writes a stream is known once the loader has confirmed the incarnation after
+// the connection was opened.
+
+const (
+	// incarnationAskInterval is the least time between two asks of a loader.
+	incarnationAskInterval = 30 * time.Millisecond
+	// identityTimeout is how long the first event of an answer that continues a stream waits
+	// for the answer of a loader.
+	identityTimeout = picker.DefaultReportTTL
+	// beginTimeout is how long the first event of a stream waits for it. The later ones do
+	// not wait.
+	beginTimeout = 20 * time.Millisecond
+)
+
+// errOtherIncarnation means that an answer cannot continue a stream, as another incarnation
+// of the upstream may write it.
+var errOtherIncarnation = errors.New("the stream cannot be resumed: the upstream may have restarted")
+
+// incarnationAsks holds when each loader was last asked for the incarnation of its engine,
+// by the ids of the engines.
+type incarnationAsks struct {
+	mutex   sync.Mutex
+	askedAt map[string]time.Time
+}
+
+// due reports whether an upstream's loader may be asked now, and counts it as asked.
+func (asks *incarnationAsks) due(upstream string, now time.Time) bool {
+	asks.mutex.Lock()
+	defer asks.mutex.Unlock()
+	if now.Sub(asks.askedAt[upstream]) < incarnationAskInterval {
+		return false
+	}
+	asks.askedAt[upstream] = now
+	return true
+}
+
+// keep forgets the upstreams that are not listed.
+func (asks *incarnationAsks) keep(listed []fleet.Upstream) {
+	asks.mutex.Lock()
+	defer asks.mutex.Unlock()
+	kept := make(map[string]time.Time, len(asks.askedAt))
+	for _, upstream := range listed {
+		if at, ok := asks.askedAt[upstream.ID]; ok {
+			kept[upstream.ID] = at
+		}
+	}
+	asks.askedAt = kept
+}
+
+// askIncarnation asks an upstream's loader which incarnation runs.
+func (relay *Relay) askIncarnation(upstream fleet.Upstream) {
+	now := time.Now()
+	if !relay.incarnationAsks.due(upstream.ID, now) {
+		return
+	}
+	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_IncarnationAsk{IncarnationAsk: &wirepb.IncarnationAsk{
+		Entry: relay.config.DatagramAddress, Upstream: upstream.ID, AskedAt: now.Sub(relay.start).Nanoseconds(),
+	}}}, relay.loaderAddress(upstream))
+}
+
+// handleIncarnationAnswer records which incarnation of an upstream ran after the ask.
+func (relay *Relay) handleIncarnationAnswer(answer *wirepb.IncarnationAnswer) {
+	relay.picker.RecordIncarnation(answer.GetUpstream(), answer.GetBorn(), relay.start.Add(time.Duration(answer.GetAskedAt())))
+	relay.stateChanged.notify()
+}
+
+// connection is the connection on which a response comes.
+type connection struct {
+	upstream fleet.Upstream
+	// openedAt is when it was opened, zero if there is none.
+	openedAt time.Time
+}
+
+// identify returns which incarnation of an upstream is at the other end of the connection
+// of the last response, and asks its loader if that is not known.
+func (proxyRequest *proxyRequest) identify() picker.Identity {
+	connection := proxyRequest.connection
+	if proxyRequest.service.Engine == nil {
+		return picker.Confirmed
+	}
+	identity := proxyRequest.relay.picker.Identify(connection.upstream, connection.openedAt)
+	if identity == picker.Unconfirmed {
+		proxyRequest.relay.askIncarnation(connection.upstream)
+	}
+	return identity
+}
+
+// awaitIdentity waits for a time until it is known which incarnation answers.
+func (proxyRequest *proxyRequest) awaitIdentity(ctx context.Context, wait time.Duration) picker.Identity {
+	for until := time.Now().Add(wait); ; {
+		changed := proxyRequest.relay.stateChanged.next()
+		identity := proxyRequest.identify()
+		if identity != picker.Unconfirmed || ctx.Err() != nil || !time.Now().Before(until) {
+			return identity
+		}
+		awaitChange(ctx, changed, min(incarnationAskInterval, time.Until(until)))
+	}
+}
+
+// checkOrigin finds out which software writes a response, before an event of it is
+// forwarded. If the response continues a stream, the error says why it cannot.
+func (proxyRequest *proxyRequest) checkOrigin(ctx context.Context) error {
+	switch {
+	case proxyRequest.identified:
+		return nil
+	case proxyRequest.continues:
+		if proxyRequest.awaitIdentity(ctx, identityTimeout) != picker.Confirmed {
+			return errOtherIncarnation
+		}
+		proxyRequest.recordOrigin(proxyRequest.origin)
+	case !proxyRequest.headersSent:
+		proxyRequest.recordBegin(proxyRequest.awaitIdentity(ctx, beginTimeout))
+	default:
+		proxyRequest.recordBegin(proxyRequest.identify())
+	}
+	return nil
+}
+
+// recordBegin records which software began the stream, if that is known.
+func (proxyRequest *proxyRequest) recordBegin(identity picker.Identity) {
+	if identity == picker.Confirmed {
+		proxyRequest.recordOrigin(proxyRequest.relay.originOf(proxyRequest.connection.upstream))
+	}
+}
+
+// recordOrigin records which software began the stream.
+func (proxyRequest *proxyRequest) recordOrigin(known origin.Origin) {
+	proxyRequest.identified, proxyRequest.origin = true, known
+	proxyRequest.relay.keepOrigin(origin.Record{
+		Key: proxyRequest.streamKey(), Origin: known, Lifetime: proxyRequest.timeout() + takeUpTime,
+	})
+}
--- /dev/null
+++ b/internal/daemon/relay/origins.go
@@ -0,0 +1,283 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
+	"jacinthfront.dev/jacinthfront/internal/flow/rank"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// Loaders keep which software began a stream, as all entry instances may end at once. A
+// record is of use only while upstreams of its version serve, so the loaders beside these
+// keep it: those that rank first for the stream among the engines of its version.
+
+const (
+	// originHolders is the number of loaders that keep the origin of a stream.
+	originHolders = 2
+	// askedHolders is the number of loaders of each version that are asked for it. It
+	// exceeds originHolders, as engines that were listed since may rank before the holders.
+	// As many draining engines are asked as may hold it.
+	askedHolders = 4
+	// maxOriginsPerDatagram bounds the records of one datagram, to about 1 KiB.
+	maxOriginsPerDatagram = 32
+	// takeUpTime is how long after the end of its time a stream may still be taken up.
+	takeUpTime = 5 * time.Second
+)
+
+// origins holds what this instance knows of the software that began streams.
+type origins struct {
+	ledger  *origin.Ledger
+	history *origin.History
+
+	mutex sync.Mutex
+	// groups holds the loaders beside the listed upstreams. It is replaced as a whole.
+	groups map[origin.Origin]*loaderGroup
+	// loaderStarts holds the last known start of each loader, by its address.
+	loaderStarts map[string]int64
+	// lookups holds the running lookups of each stream.
+	lookups map[origin.Key][]*originLookup
+}
+
+func newOrigins() *origins {
+	return &origins{ledger: origin.New(origin.Config{}), history: origin.NewHistory(), loaderStarts: make(map[string]int64), lookups: make(map[origin.Key][]*originLookup)}
+}
+
+// setGroups replaces the loaders beside the listed upstreams.
+func (origins *origins) setGroups(groups map[origin.Origin]*loaderGroup) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	origins.groups = groups
+}
+
+// recordStart records the start of a loader, and reports whether an earlier incarnation of
+// it is known.
+func (origins *origins) recordStart(loader string, start int64) (restarted bool) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	before, known := origins.loaderStarts[loader]
+	origins.loaderStarts[loader] = start
+	return known && before != start
+}
+
+// keepLoaderStarts forgets the starts of loaders that are not listed.
+func (origins *origins) keepLoaderStarts(listed map[string]bool) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	maps.DeleteFunc(origins.loaderStarts, func(loader string, _ int64) bool { return !listed[loader] })
+}
+
+// loaderGroups returns the loaders beside the listed upstreams, by their software. The
+// result is shared and must not be changed.
+func (origins *origins) loaderGroups() map[origin.Origin]*loaderGroup {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	return origins.groups
+}
+
+// originLookup is a lookup of the origin of a stream.
+type originLookup struct {
+	// answers receives the answers of loaders.
+	answers chan originAnswer
+}
+
+// originAnswer is the answer of a loader to a lookup.
+type originAnswer struct {
+	loader string
+	record origin.Record
+	found  bool
+}
+
+// begin registers a lookup. The caller calls end when it is over.
+func (origins *origins) begin(key origin.Key, lookup *originLookup) (end func()) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	origins.lookups[key] = append(origins.lookups[key], lookup)
+	return func() {
+		origins.mutex.Lock()
+		defer origins.mutex.Unlock()
+		rest := slices.DeleteFunc(origins.lookups[key], func(other *originLookup) bool { return other == lookup })
+		if len(rest) == 0 {
+			delete(origins.lookups, key)
+			return
+		}
+		origins.lookups[key] = rest
+	}
+}
+
+// deliver passes an answer on to the lookups of its stream.
+func (origins *origins) deliver(key origin.Key, answer originAnswer) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	for _, lookup := range origins.lookups[key] {
+		select {
+		case lookup.answers <- answer:
+		default:
+		}
+	}
+}
+
+// handleOriginAnswer records which streams a loader knows.
+func (relay *Relay) handleOriginAnswer(source string, answer *wirepb.OriginAnswer) {
+	for _, record := range codec.DecodeOrigins(answer.GetKnown()) {
+		relay.origins.deliver(record.Key, originAnswer{loader: source, record: record, found: true})
+	}
+	for _, key := range answer.GetUnknown() {
+		relay.origins.deliver(origin.Key(key), originAnswer{loader: source})
+	}
+}
+
+// keepOrigin keeps the origin of a stream and tells the loaders that hold it.
+func (relay *Relay) keepOrigin(record origin.Record) {
+	if record.Key == 0 || !record.Origin.Known() {
+		return
+	}
+	holders := relay.originHolders(record)
+	relay.origins.ledger.Record(record, holders)
+	relay.sendOrigins([]origin.Record{record}, holders...)
+}
+
+// sendOrigins sends records to loaders.
+func (relay *Relay) sendOrigins(records []origin.Record, holders ...string) {
+	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
+		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_StreamOrigins{
+			StreamOrigins: &wirepb.StreamOrigins{Streams: codec.EncodeOrigins(part)},
+		}}, holders...)
+	}
+}
+
+// loaderGroup holds the addresses of the loaders beside the engines of one software version.
+type loaderGroup struct {
+	// serving are those of upstreams that are not draining.
+	serving, draining []string
+}
+
+// groupLoaders returns the loaders beside the upstreams of each software version.
+func (relay *Relay) groupLoaders(upstreams []fleet.Upstream) map[origin.Origin]*loaderGroup {
+	groups := make(map[origin.Origin]*loaderGroup)
+	for _, upstream := range upstreams {
+		software := origin.Origin{Service: upstream.Service, Version: upstream.SoftwareVersion}
+		group, ok := groups[software]
+		if !ok {
+			group = new(loaderGroup)
+			groups[software] = group
+		}
+		if upstream.Draining {
+			group.draining = append(group.draining, relay.loaderAddress(upstream))
+		} else {
+			group.serving = append(group.serving, relay.loaderAddress(upstream))
+		}
+	}
+	return groups
+}
+
+// observeOrigins records the software of the listed upstreams, and tells further loaders of
+// the streams whose holders are gone.
+func (relay *Relay) observeOrigins(upstreams []fleet.Upstream) {
+	groups := relay.groupLoaders(upstreams)
+	relay.origins.setGroups(groups)
+	listed, present := make(map[origin.Origin]bool), make(map[string]bool, len(upstreams))
+	for software, group := range groups {
+		listed[software] = true
+		for _, address := range group.serving {
+			present[address] = true
+		}
+	}
+	relay.origins.history.Observe(listed)
+	relay.origins.keepLoaderStarts(present)
+	moved := make(map[string][]origin.Record)
+	for _, record := range relay.origins.ledger.Orphans(present) {
+		holders := relay.originHolders(record)
+		relay.origins.ledger.Record(record, holders)
+		for _, holder := range holders {
+			moved[holder] = append(moved[holder], record)
+		}
+	}
+	for holder, records := range moved {
+		relay.sendOrigins(records, holder)
+	}
+}
+
+// recordLoaderStart tells a loader that has started again of the streams that it held.
+func (relay *Relay) recordLoaderStart(loader string, start int64) {
+	if start != 0 && relay.origins.recordStart(loader, start) {
+		relay.sendOrigins(relay.origins.ledger.HeldBy(loader), loader)
+	}
+}
+
+// originHolders returns the addresses of the loaders that hold the origin of a stream.
+func (relay *Relay) originHolders(record origin.Record) []string {
+	loaders := relay.loaders(func(software origin.Origin) bool { return software == record.Origin })
+	if len(loaders.serving)+len(loaders.draining) == 0 {
+		// The service has no engines, or none of the version is left.
+		loaders = relay.loaders(func(origin.Origin) bool { return true })
+	}
+	if len(loaders.serving) == 0 {
+		return rank.Top(record.Key.String(), loaders.draining, originHolders)
+	}
+	return rank.Top(record.Key.String(), loaders.serving, originHolders)
+}
+
+// askedLoaders returns the addresses of the loaders that may hold the origin of a stream
+// of some services.
+func (relay *Relay) askedLoaders(key origin.Key, services []string) []string {
+	asked := make(map[string]bool)
+	ask := func(loaders loaderGroup) {
+		for _, address := range rank.Top(key.String(), loaders.serving, askedHolders) {
+			asked[address] = true
+		}
+		for _, address := range rank.Top(key.String(), loaders.draining, originHolders) {
+			asked[address] = true
+		}
+	}
+	for software := range relay.origins.loaderGroups() {
+		if slices.Contains(services, software.Service) {
+			ask(relay.loaders(func(other origin.Origin) bool { return other == software }))
+		}
+	}
+	if len(asked) == 0 {
+		ask(relay.loaders(func(origin.Origin) bool { return true }))
+	}
+	return slices.Sorted(maps.Keys(asked))
+}
+
+// loaders returns the loaders beside the engines of the software that a function selects.
+func (relay *Relay) loaders(selected func(origin.Origin) bool) loaderGroup {
+	var loaders loaderGroup
+	config := relay.store.config()
+	if config == nil {
+		return loaders
+	}
+	for software, group := range relay.origins.loaderGroups() {
+		service, ok := config.Service(software.Service)
+		if ok && service.Engine != nil && selected(software) {
+			loaders.serving = append(loaders.serving, group.serving...)
+			loaders.draining = append(loaders.draining, group.draining...)
+		}
+	}
+	return loaders
+}
+
+// originOf returns the software of an upstream. It is not known if the upstream names no
+// version while others of its service do.
+func (relay *Relay) originOf(upstream fleet.Upstream) origin.Origin {
+	if upstream.SoftwareVersion == "" && relay.namesVersions(upstream.Service) {
+		return origin.Origin{}
+	}
+	return origin.Origin{Service: upstream.Service, Version: upstream.SoftwareVersion}
+}
+
+// namesVersions reports whether an upstream of the service names its version.
+func (relay *Relay) namesVersions(service string) bool {
+	for software := range relay.origins.loaderGroups() {
+		if software.Service == service && software.Version != "" {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -48,6 +48,9 @@
 	HasTokenCounts bool
 	// LastEventID is the id of the last event that the caller received, or empty.
 	LastEventID string
+	// Resumes is the id of the request that brought the first event of the stream that
+	// the caller takes up, or empty.
+	Resumes string
 }
 
 // ForwardInfo holds the values that are added to a request to an upstream.
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -17,6 +17,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
@@ -123,6 +124,15 @@
 	eventIntervals []time.Duration
 	// probe means that the request may be sent although it or a part of it is blocked.
 	probe bool
+	// origin is the software that began the stream, once a part of it was forwarded to the
+	// caller.
+	origin origin.Origin
+	// connection is that of the last response with events.
+	connection connection
+	// continues means that the last send continues a stream of which the caller has a part.
+	continues bool
+	// identified means that the incarnation that answers the last send is known.
+	identified bool
 	// headersSent means that the response headers were forwarded, and mediaType is the
 	// media type that they name.
 	headersSent bool
@@ -341,6 +351,9 @@
 	if proxyRequest.headersSent {
 		fields = append(fields, zap.Duration("first-event", proxyRequest.firstEvent), zap.Duration("longest-gap", proxyRequest.longestGap))
 	}
+	if proxyRequest.origin.Known() {
+		fields = append(fields, zap.String("software-version", proxyRequest.origin.Version))
+	}
 	if proxyRequest.route != nil {
 		fields = append(fields, zap.String("route", proxyRequest.route.Name))
 	}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -114,6 +114,9 @@
 	wake         chan struct{}
 	stateChanged *broadcast
 	activeSends  *activeSends
+	// origins holds which software began streams.
+	origins         *origins
+	incarnationAsks *incarnationAsks
 	// buffers bounds the memory for bodies.
 	buffers *buffer.Pool
 	// instanceWatcher follows the instance list. earlyReadAt is when it was last
@@ -163,6 +166,8 @@
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
+		origins:         newOrigins(),
+		incarnationAsks: &incarnationAsks{askedAt: make(map[string]time.Time)},
 		buffers:         buffer.New(buffer.Config{Limit: config.BodyMemory}),
 		listingFaults:   make(map[string]string),
 		stop:            newPlannedStop(),
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -198,10 +198,10 @@
 }
 
 // handleDatagram processes a datagram of a loader or another entry instance.
-func (relay *Relay) handleDatagram(_ string, datagram *wirepb.Datagram) {
+func (relay *Relay) handleDatagram(source string, datagram *wirepb.Datagram) {
 	switch body := datagram.GetBody().(type) {
 	case *wirepb.Datagram_EngineState:
-		relay.handleEngineState(body.EngineState)
+		relay.handleEngineState(source, body.EngineState)
 	case *wirepb.Datagram_Usage:
 		relay.handleUsage(body.Usage)
 	case *wirepb.Datagram_StoreAsk:
@@ -214,11 +214,16 @@
 		relay.handlePermitGrants(body.PermitGrants)
 	case *wirepb.Datagram_Memory:
 		relay.handleMemory(body.Memory)
+	case *wirepb.Datagram_OriginAnswer:
+		relay.handleOriginAnswer(source, body.OriginAnswer)
+	case *wirepb.Datagram_IncarnationAnswer:
+		relay.handleIncarnationAnswer(body.IncarnationAnswer)
 	}
 }
 
 // handleEngineState processes a loader's report on its engine.
-func (relay *Relay) handleEngineState(state *wirepb.EngineState) {
+func (relay *Relay) handleEngineState(source string, state *wirepb.EngineState) {
+	relay.recordLoaderStart(source, state.GetLoaderStart())
 	relay.peers.recordListed(state.GetEntries())
 	relay.picker.SetInstances(relay.peers.count())
 	relay.peersKnown.Store(true)
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -45,6 +45,10 @@
 func (proxyRequest *proxyRequest) run(ctx context.Context) {
 	proxyRequest.setTypicalLatencies()
 	defer proxyRequest.releaseRetry()
+	if refused := proxyRequest.takeUp(ctx); refused != nil {
+		proxyRequest.giveUp(ctx, refused)
+		return
+	}
 	for {
 		choice, refused := proxyRequest.awaitUpstream(ctx)
 		if refused != nil {
@@ -130,8 +134,11 @@
 		Engine:   proxyRequest.service.Engine != nil,
 		KVTokens: proxyRequest.info.PromptTokens + proxyRequest.info.MaxOutputTokens,
 		Exclude:  proxyRequest.tried,
-		Urgent:   proxyRequest.headersSent || proxyRequest.priority() == 0,
+		Urgent:   proxyRequest.resumes() || proxyRequest.priority() == 0,
 		Late:     proxyRequest.late(),
+
+		Resumed:         proxyRequest.resumes(),
+		SoftwareVersion: proxyRequest.origin.Version,
 	}
 	if !proxyRequest.headersSent && !requirements.Late {
 		requirements.MaxWait = proxyRequest.route.ResponseGoal
@@ -166,6 +173,9 @@
 		if refused := proxyRequest.poisonRefusal(); refused != nil {
 			return picker.Choice{}, refused
 		}
+		if refused := proxyRequest.resumeRefusal(); refused != nil {
+			return picker.Choice{}, refused
+		}
 		choice := waitingRequest.choose()
 		proxyRequest.recordWait(choice)
 		if grant, ok := waitingRequest.admitted(choice); ok {
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -30,6 +30,7 @@
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.stage = time.Now(), nil, stageUnsent
+	proxyRequest.continues, proxyRequest.identified = proxyRequest.resumes(), false
 	defer relay.picker.RecordEnded(upstream.ID, proxyRequest.adapter)
 	response, info, err := proxyRequest.exchange(ctx, upstream)
 	if err != nil {
@@ -57,7 +58,7 @@
 	if response.Status >= http.StatusInternalServerError && proxyRequest.mayRunAgain() {
 		return proxyRequest.keepFailure(upstream, response)
 	}
-	result := proxyRequest.forward(upstream, response)
+	result := proxyRequest.forward(ctx, upstream, response)
 	switch result {
 	case outcomeAnswered:
 		proxyRequest.recordCompleted()
@@ -68,9 +69,9 @@
 }
 
 // forward forwards the response to the caller.
-func (proxyRequest *proxyRequest) forward(upstream fleet.Upstream, response *http1.Response) outcome {
+func (proxyRequest *proxyRequest) forward(ctx context.Context, upstream fleet.Upstream, response *http1.Response) outcome {
 	if proxyRequest.route.Streaming && response.Status == http.StatusOK {
-		return proxyRequest.forwardStream(upstream, response)
+		return proxyRequest.forwardStream(ctx, upstream, response)
 	}
 	return proxyRequest.forwardWhole(upstream, response)
 }
--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -205,7 +205,7 @@
 	if upstream := listing.Upstream; upstream != nil {
 		encoded.Service, encoded.Address, encoded.FailureDomain = upstream.Service, upstream.Address, upstream.FailureDomain
 		encoded.Slots, encoded.Draining, encoded.Born = uint32(max(upstream.Slots, 0)), upstream.Draining, upstream.StartedAt
-		encoded.RemainingMs = uint32(max(upstream.Remaining, 0).Milliseconds())
+		encoded.RemainingMs, encoded.SoftwareVersion = uint32(max(upstream.Remaining, 0).Milliseconds()), upstream.SoftwareVersion
 	}
 	return encoded
 }
@@ -218,7 +218,7 @@
 			listing.Upstream = &fleet.Upstream{
 				ID: entry.GetId(), Service: entry.GetService(), Address: entry.GetAddress(), FailureDomain: entry.GetFailureDomain(),
 				Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), StartedAt: entry.GetBorn(),
-				Remaining: milliseconds(entry.GetRemainingMs()),
+				Remaining: milliseconds(entry.GetRemainingMs()), SoftwareVersion: entry.GetSoftwareVersion(),
 			}
 		}
 		listings = append(listings, listing)
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,12 +22,42 @@
 
 	mutex    sync.Mutex
 	versions map[adapterName]uint32
+	// steadySince holds, by the names of routes, since when each has had its services.
+	steadySince map[string]time.Time
 }
 
 type adapterName struct{ model, adapter string }
 
 func newStoreView(list *fleet.List, logger *zap.Logger) *storeView {
-	return &storeView{instances: list, logger: logger, versions: make(map[adapterName]uint32)}
+	return &storeView{instances: list, logger: logger, versions: make(map[adapterName]uint32), steadySince: make(map[string]time.Time)}
+}
+
+// recordServices records which routes have other services in a new configuration.
+func (storeView *storeView) recordServices(current, changed *routes.Table) {
+	before := make(map[string][]string)
+	if current != nil {
+		for _, route := range current.Routes() {
+			before[route.Name] = route.ServiceNames()
+		}
+	}
+	storeView.mutex.Lock()
+	defer storeView.mutex.Unlock()
+	steadySince := make(map[string]time.Time)
+	for _, route := range changed.Routes() {
+		steadySince[route.Name] = time.Now()
+		if since, ok := storeView.steadySince[route.Name]; ok && slices.Equal(before[route.Name], route.ServiceNames()) {
+			steadySince[route.Name] = since
+		}
+	}
+	storeView.steadySince = steadySince
+}
+
+// steadyFor reports whether a route has had its services for a time.
+func (storeView *storeView) steadyFor(route *routes.Route, length time.Duration) bool {
+	storeView.mutex.Lock()
+	defer storeView.mutex.Unlock()
+	since, ok := storeView.steadySince[route.Name]
+	return ok && time.Since(since) >= length
 }
 
 // config returns the configuration in force, or nil if none is known.
@@ -52,6 +83,7 @@
 		if current != nil && current.Version() >= change.Table.Version() {
 			continue
 		}
+		storeView.recordServices(current, change.Table)
 		storeView.table.Store(change.Table)
 		storeView.logger.Info("config: version in force", zap.Uint64("version", change.Table.Version()))
 	}
@@ -155,13 +187,16 @@
 			}
 			return changes
 		},
-		PeerUpdate:  relay.listUpdate,
-		OnConfirmed: func(time.Time) { list.MarkAvailable() },
-		OnChange:    relay.announceChange,
-		OnFailure:   list.MarkUnavailable,
-		OnRestore:   list.MarkRestored,
-		OnOverdue:   func() { relay.recordStoreState(topicInstances, true) },
-		OnCall:      func(err error) { relay.recordStoreCall(topicInstances, err) },
+		PeerUpdate: relay.listUpdate,
+		OnConfirmed: func(at time.Time) {
+			list.MarkAvailable()
+			relay.origins.history.Confirm(at)
+		},
+		OnChange:  relay.announceChange,
+		OnFailure: list.MarkUnavailable,
+		OnRestore: list.MarkRestored,
+		OnOverdue: func() { relay.recordStoreState(topicInstances, true) },
+		OnCall:    func(err error) { relay.recordStoreCall(topicInstances, err) },
 	})
 }
 
@@ -204,7 +239,8 @@
 			}
 		case list.Set(*listing.Upstream):
 			relay.config.Logger.Info("fleet: upstream changed", zap.String("upstream", listing.ID),
-				zap.String("address", listing.Upstream.Address), zap.Bool("draining", listing.Upstream.Draining))
+				zap.String("address", listing.Upstream.Address), zap.Bool("draining", listing.Upstream.Draining),
+				zap.String("software-version", listing.Upstream.SoftwareVersion))
 		}
 		if changed || list.Generation() != generation {
 			changes = append(changes, listing)
@@ -232,6 +268,8 @@
 func (relay *Relay) updateUpstreams() {
 	upstreams := relay.store.instances.Upstreams()
 	relay.picker.SetUpstreams(upstreams)
+	relay.observeOrigins(upstreams)
+	relay.incarnationAsks.keep(upstreams)
 	relay.health.setUpstreams(upstreams)
 	relay.stateChanged.notify()
 	relay.reportSoon()
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -46,12 +47,14 @@
 
 // forwardStream forwards the events of a response, each one as soon as it is
 // complete.
-func (proxyRequest *proxyRequest) forwardStream(upstream fleet.Upstream, response *http1.Response) outcome {
+func (proxyRequest *proxyRequest) forwardStream(ctx context.Context, upstream fleet.Upstream, response *http1.Response) outcome {
 	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
 	memory := proxyRequest.relay.buffers.Reserve(upstreamOwner(upstream))
 	defer memory.Release()
 	var lastArrival time.Time
 	nonEventBytes := 0
+	proxyRequest.connection = connection{upstream, response.OpenedAt}
+	proxyRequest.identify()
 	for {
 		event, err := readEvent(reader, memory.Grow)
 		if errors.Is(err, io.EOF) {
@@ -76,6 +79,9 @@
 		if proxyRequest.isDuplicate(event) {
 			continue
 		}
+		if err := proxyRequest.checkOrigin(ctx); err != nil {
+			return proxyRequest.recordBroken(upstream, err)
+		}
 		proxyRequest.sendHeaders(response)
 		if _, err := proxyRequest.writer.Write(event); err != nil {
 			return outcomeUnknown
--- /dev/null
+++ b/internal/daemon/relay/takeup.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+// A stream goes on in two ways: this instance resumes it within one answer, or its caller
+// takes it up by another request. In both, the request may be sent only to upstreams of the
+// service and the software version that began the stream.
+
+const (
+	// askTimeout is how long the answers of loaders are awaited, and askRepeat when those
+	// that have not answered are asked once more, as datagrams may be lost.
+	askTimeout = 150 * time.Millisecond
+	askRepeat  = 50 * time.Millisecond
+)
+
+// Reasons of refusals of streams that cannot go on. A retry does not help their callers,
+// so that these refusals name no time for one.
+const (
+	reasonOriginUnknown = "it is not known which software version began the stream"
+	reasonOriginGone    = "no upstream of the software version that began the stream serves"
+)
+
+// takesUp reports whether the caller takes up a stream of which it has a part.
+func (proxyRequest *proxyRequest) takesUp() bool {
+	return proxyRequest.route.Streaming && proxyRequest.info.LastEventID != ""
+}
+
+// resumes reports whether the next send continues a stream of which the caller has a part.
+func (proxyRequest *proxyRequest) resumes() bool {
+	return proxyRequest.headersSent || proxyRequest.takesUp()
+}
+
+// streamKey returns the key of the stream that the request begins or takes up.
+func (proxyRequest *proxyRequest) streamKey() origin.Key {
+	if proxyRequest.takesUp() {
+		return origin.KeyOf(proxyRequest.organisationName(), proxyRequest.info.Resumes)
+	}
+	return origin.KeyOf(proxyRequest.organisationName(), proxyRequest.info.ID)
+}
+
+// takeUp finds out which software began the stream that the caller takes up. It returns
+// the refusal if the stream cannot go on.
+func (proxyRequest *proxyRequest) takeUp(ctx context.Context) *refusal {
+	if !proxyRequest.takesUp() {
+		return nil
+	}
+	relay := proxyRequest.relay
+	proxyRequest.awaitStartup(func() bool { return !relay.instanceWatcher.Position().ConfirmedAt.IsZero() })
+	found, source := proxyRequest.findOrigin(ctx)
+	relay.metrics.increment("take-ups-" + source)
+	proxyRequest.log("relay: stream taken up", zap.String("resumes", proxyRequest.info.Resumes), zap.String("last-event", proxyRequest.info.LastEventID),
+		zap.String("software-version", found.Version), zap.String("known-from", source))
+	proxyRequest.origin, proxyRequest.lastEventID = found, proxyRequest.info.LastEventID
+	if !found.Known() {
+		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, 0}
+	}
+	if service, ok := relay.store.config().Service(found.Service); ok && proxyRequest.route.Names(found.Service) {
+		proxyRequest.service = service
+	}
+	return proxyRequest.resumeRefusal()
+}
+
+// findOrigin returns which software began the stream that the caller takes up, and how that
+// is known: from this instance, from a loader, or because no other version was listed while
+// the stream can have begun.
+func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, source string) {
+	relay, key := proxyRequest.relay, proxyRequest.streamKey()
+	if record, ok := relay.origins.ledger.Find(key); ok {
+		return record.Origin, "own"
+	}
+	services := proxyRequest.route.ServiceNames()
+	if record, ok := relay.askOrigin(ctx, key, services); ok {
+		return record.Origin, "loader"
+	}
+	longest := relay.longestStream(services)
+	if sole, ok := relay.origins.history.Sole(services, longest); ok && relay.store.steadyFor(proxyRequest.route, longest) {
+		return sole, "sole-version"
+	}
+	return origin.Origin{}, "nowhere"
+}
+
+// longestStream returns the time within which a stream of some services can have begun that
+// is taken up now.
+func (relay *Relay) longestStream(services []string) time.Duration {
+	longest := time.Duration(0)
+	for _, service := range services {
+		longest = max(longest, relay.store.config().LongestTimeout(service, defaultTimeout))
+	}
+	return longest + takeUpTime
+}
+
+// askOrigin asks the loaders that may hold the origin of a stream.
+func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) (record origin.Record, found bool) {
+	asked := relay.askedLoaders(key, services)
+	if key == 0 || len(asked) == 0 {
+		return origin.Record{}, false
+	}
+	lookup := &originLookup{answers: make(chan originAnswer, 2*len(asked))}
+	defer relay.origins.begin(key, lookup)()
+	silent := make(map[string]bool, len(asked))
+	for _, loader := range asked {
+		silent[loader] = true
+	}
+	ask := &wirepb.Datagram{Body: &wirepb.Datagram_OriginAsk{OriginAsk: &wirepb.OriginAsk{Entry: relay.config.DatagramAddress, Keys: []uint64{uint64(key)}}}}
+	relay.sendDatagram(ask, asked...)
+	timeout, repeat := time.NewTimer(askTimeout), time.NewTimer(askRepeat)
+	defer timeout.Stop()
+	defer repeat.Stop()
+	for len(silent) > 0 {
+		select {
+		case answer := <-lookup.answers:
+			if answer.found {
+				return answer.record, true
+			}
+			delete(silent, answer.loader)
+		case <-repeat.C:
+			for loader := range silent {
+				relay.sendDatagram(ask, loader)
+			}
+		case <-timeout.C:
+			return origin.Record{}, false
+		case <-ctx.Done():
+			return origin.Record{}, false
+		}
+	}
+	return origin.Record{}, false
+}
+
+// resumeRefusal returns the refusal of a request that continues a stream if no upstream can
+// do so, or nil.
+func (proxyRequest *proxyRequest) resumeRefusal() *refusal {
+	if !proxyRequest.resumes() {
+		return nil
+	}
+	if !proxyRequest.continues && !proxyRequest.identified && proxyRequest.headersSent {
+		// The loader may have answered after the last event.
+		proxyRequest.recordBegin(proxyRequest.identify())
+	}
+	if !proxyRequest.origin.Known() {
+		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, 0}
+	}
+	if proxyRequest.service.Name != proxyRequest.origin.Service || !proxyRequest.relay.picker.CanResume(proxyRequest.requirements()) {
+		return &refusal{http.StatusServiceUnavailable, reasonOriginGone, 0}
+	}
+	return nil
+}
--- a/internal/daemon/relay/waitingrequest.go
+++ b/internal/daemon/relay/waitingrequest.go
@@ -43,7 +43,7 @@
 // admissionPriority returns the priority with which the request waits for
 // admission. An interrupted stream comes first.
 func (proxyRequest *proxyRequest) admissionPriority() int {
-	if proxyRequest.headersSent {
+	if proxyRequest.resumes() {
 		return 0
 	}
 	return proxyRequest.priority()
--- /dev/null
+++ b/internal/flow/origin/history.go
@@ -0,0 +1,91 @@
+package origin
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// History keeps when each software version of each service was last listed. Its methods
+// may be called concurrently.
+type History struct {
+	mutex sync.Mutex
+	// since is when the list began to be followed without a gap, and confirmedAt when it
+	// was last confirmed as current.
+	since, confirmedAt time.Time
+	// seenAt holds when each version was last listed, and listed those that are listed now.
+	seenAt map[Origin]time.Time
+	listed map[Origin]bool
+}
+
+// maxConfirmGap is the longest time between two confirmations of the list within which no
+// version can have been listed and removed unseen.
+const maxConfirmGap = 3 * time.Second
+
+// historyRetention is how long it is kept that a version was listed. It exceeds the
+// longest time for which a stream may go on.
+const historyRetention = 10 * time.Minute
+
+// NewHistory returns an empty History.
+func NewHistory() *History {
+	return &History{seenAt: make(map[Origin]time.Time), listed: make(map[Origin]bool)}
+}
+
+// Observe records the software of all listed upstreams.
+func (history *History) Observe(listed map[Origin]bool) {
+	now := time.Now()
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	// What was listed until now was listed up to now.
+	for origin := range history.listed {
+		history.seenAt[origin] = now
+	}
+	for origin := range listed {
+		history.seenAt[origin] = now
+	}
+	history.listed = maps.Clone(listed)
+	maps.DeleteFunc(history.seenAt, func(origin Origin, at time.Time) bool {
+		return !history.listed[origin] && now.Sub(at) > historyRetention
+	})
+}
+
+// Confirm records a time at which the list was current. After a gap, the history begins
+// anew.
+func (history *History) Confirm(at time.Time) {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	if at.Sub(history.confirmedAt) > maxConfirmGap {
+		history.since = at
+	}
+	if at.After(history.confirmedAt) {
+		history.confirmedAt = at
+	}
+}
+
+// Sole returns the only origin that a stream of the given services can have which began
+// within a time: the only one that was listed all that time. It returns false if there
+// were several, or if the history does not reach back so far.
+func (history *History) Sole(services []string, within time.Duration) (Origin, bool) {
+	now := time.Now()
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	followed := !history.since.IsZero() && now.Sub(history.confirmedAt) <= maxConfirmGap
+	if !followed || now.Sub(history.since) < within || within > historyRetention {
+		return Origin{}, false
+	}
+	wanted := make(map[string]bool, len(services))
+	for _, service := range services {
+		wanted[service] = true
+	}
+	var sole Origin
+	for origin, at := range history.seenAt {
+		if !wanted[origin.Service] || !history.listed[origin] && now.Sub(at) > within {
+			continue
+		}
+		if sole.Known() {
+			return Origin{}, false
+		}
+		sole = origin
+	}
+	return sole, sole.Known()
+}
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -37,7 +37,7 @@
 	now := time.Now()
 	var unreported []candidate
 	for _, upstream := range picker.services[request.Service] {
-		if !picker.usable(upstream) || slices.Contains(request.Exclude, upstream.spec.ID) {
+		if !picker.usable(upstream) || slices.Contains(request.Exclude, upstream.spec.ID) || !request.fits(upstream.spec) {
 			continue
 		}
 		if request.Engine && !upstream.reportedAt.IsZero() && (!upstream.report.ModelLoaded || upstream.report.Unreachable) {
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -30,6 +30,10 @@
 	// Late requests have missed their response-time goal and come after those
 	// on time.
 	Late bool
+	// Resumed means that the request continues a stream that the software version
+	// SoftwareVersion began. Only upstreams of that version may get it.
+	Resumed         bool
+	SoftwareVersion string
 	// Number identifies the request among those of this instance.
 	Number uint64
 	// WaitingAt is the id of the upstream where the request already waits, or
--- /dev/null
+++ b/internal/flow/picker/identity.go
@@ -0,0 +1,53 @@
+package picker
+
+import (
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+)
+
+// Identity tells which incarnation of an upstream is at the other end of a connection.
+type Identity uint8
+
+const (
+	// Unconfirmed means that it may be a later one than the listed one.
+	Unconfirmed Identity = iota
+	// Confirmed means that it is the listed one.
+	Confirmed
+	// Replaced means that a later one is known.
+	Replaced
+)
+
+// RecordIncarnation records the start of the incarnation of an engine that ran at a time or
+// later, in Unix milliseconds, as its loader says.
+func (picker *Picker) RecordIncarnation(id string, startedAt int64, at time.Time) {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	if upstream, ok := picker.upstreams[id]; ok && at.After(upstream.confirmedAt) {
+		upstream.confirmed, upstream.confirmedAt = startedAt, at
+	}
+}
+
+// Identify returns which incarnation of an engine is at the other end of a connection that
+// was opened at a time. It is the listed one if that ran after the connection was opened.
+// Of an engine whose loader does not report, the list alone tells.
+func (picker *Picker) Identify(spec fleet.Upstream, openedAt time.Time) Identity {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	upstream, ok := picker.upstreams[spec.ID]
+	if !ok {
+		return Unconfirmed
+	}
+	now := time.Now()
+	silent := !picker.reportIsRecent(upstream, now) && now.Sub(upstream.listedAt) > firstReportTimeout
+	switch {
+	case spec.StartedAt == 0:
+		return Confirmed
+	case max(upstream.report.StartedAt, upstream.spec.StartedAt, upstream.confirmed) > spec.StartedAt:
+		return Replaced
+	case silent, upstream.confirmed == spec.StartedAt && upstream.confirmedAt.After(openedAt):
+		return Confirmed
+	default:
+		return Unconfirmed
+	}
+}
--- a/internal/flow/picker/picker.go
+++ b/internal/flow/picker/picker.go
@@ -112,6 +112,9 @@
 	listedAt   time.Time
 	report     Report
 	reportedAt time.Time
+	// confirmed is the incarnation that ran at confirmedAt, by its start.
+	confirmed   int64
+	confirmedAt time.Time
 	// unreported holds the times at which this instance sent the requests that
 	// no report covers yet.
 	unreported []time.Time
--- a/internal/flow/picker/usable.go
+++ b/internal/flow/picker/usable.go
@@ -1,9 +1,11 @@
 package picker
 
 import (
+	"slices"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
 // cordoned reports whether an upstream is draining or in backoff, and until
@@ -21,6 +23,23 @@
 	return !cordoned && !upstream.draining()
 }
 
+// fits reports whether an upstream has the software version that the request needs.
+func (request Request) fits(spec fleet.Upstream) bool {
+	return !request.Resumed || spec.SoftwareVersion == request.SoftwareVersion
+}
+
+// CanResume reports whether an upstream may continue a stream, now or after a wait: one
+// that fits, was not tried, goes on serving, and is not known to have ended.
+func (picker *Picker) CanResume(request Request) bool {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	return slices.ContainsFunc(picker.services[request.Service], func(upstream *upstream) bool {
+		until, cordoned := picker.cordoned(upstream)
+		leaving := cordoned && until.IsZero() || upstream.draining()
+		return request.fits(upstream.spec) && !leaving && !upstream.report.Unreachable && !slices.Contains(request.Exclude, upstream.spec.ID)
+	})
+}
+
 // Usable reports whether an upstream is known and requests may be sent to it.
 func (picker *Picker) Usable(id string) bool {
 	picker.mutex.Lock()
@@ -50,7 +69,7 @@
 	var shortest time.Duration
 	for _, upstream := range picker.services[request.Service] {
 		until, _ := picker.cordoned(upstream)
-		if until.IsZero() || upstream.draining() {
+		if until.IsZero() || upstream.draining() || !request.fits(upstream.spec) {
 			continue
 		}
 		if left := time.Until(until); shortest == 0 || left < shortest {
@@ -64,7 +83,7 @@
 // model, else NoUpstream.
 func (picker *Picker) unavailableResult(request Request) Result {
 	for _, upstream := range picker.services[request.Service] {
-		if request.Engine && picker.usable(upstream) && !upstream.report.Unreachable && !upstream.reportedAt.IsZero() && !upstream.report.ModelLoaded {
+		if request.Engine && request.fits(upstream.spec) && picker.usable(upstream) && !upstream.report.Unreachable && !upstream.reportedAt.IsZero() && !upstream.report.ModelLoaded {
 			return Starting
 		}
 	}
--- a/internal/flow/rank/rank.go
+++ b/internal/flow/rank/rank.go
@@ -34,5 +34,32 @@
 	return place
 }
 
+// Top returns the members with the highest scores for a task, at most count, the highest
+// first. Members that are named several times count once.
+func Top(task string, members []string, count int) []string {
+	type scored struct {
+		member string
+		score  uint64
+	}
+	before := func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.member, a.member))
+	}
+	best := make([]scored, 0, count+1)
+	for _, member := range members {
+		candidate := scored{member, Score(task, member)}
+		place, found := slices.BinarySearchFunc(best, candidate, before)
+		if found || place >= count {
+			continue
+		}
+		best = slices.Insert(best, place, candidate)
+		best = best[:min(len(best), count)]
+	}
+	top := make([]string, 0, len(best))
+	for _, scored := range best {
+		top = append(top, scored.member)
+	}
+	return top
+}
+
 // Score returns a member's score for a task. The highest score ranks first.
 func Score(task, member string) uint64 { return xxh3.HashString(member + "\x00" + task) }
--- a/internal/flow/rank/rank_test.go
+++ b/internal/flow/rank/rank_test.go
@@ -64,3 +64,24 @@
 		}
 	}
 }
+
+// TestTop guards against a choice that depends on the order of the members, names one
+// twice, or changes for members that remain.
+func TestTop(t *testing.T) {
+	all := members(12)
+	best := Top("task", all, 3)
+	if diff := cmp.Diff(First("task", all), best[0]); diff != "" {
+		t.Errorf("first of the top (-want +got):\n%s", diff)
+	}
+	shuffled := slices.Concat(all[5:], all)
+	if diff := cmp.Diff(best, Top("task", shuffled, 3)); diff != "" {
+		t.Errorf("top of the same members in another order (-want +got):\n%s", diff)
+	}
+	rest := slices.DeleteFunc(slices.Clone(all), func(member string) bool { return member == best[0] })
+	if diff := cmp.Diff(best[1:], Top("task", rest, 2)); diff != "" {
+		t.Errorf("top without the first (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(12, len(Top("task", all, 20))); diff != "" {
+		t.Errorf("members (-want +got):\n%s", diff)
+	}
+}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -101,7 +101,9 @@
 	// Reused means that the connection has had a response to an earlier request, or one
 	// that was skipped. A faulty upstream may have written that again.
 	Reused bool
-	Body   io.ReadCloser
+	// OpenedAt is when the connection was opened.
+	OpenedAt time.Time
+	Body     io.ReadCloser
 
 	body *body
 }
@@ -125,6 +127,8 @@
 	headRemaining int
 	// prefix is what was received of the head that is read.
 	prefix headPrefix
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// expiresAt is when the idle connection must no longer be used.
 	expiresAt time.Time
 	// answered means that a response was read to its end.
--- a/internal/link/http1/next.go
+++ b/internal/link/http1/next.go
@@ -86,6 +86,6 @@
 	response := body.response
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
-		Unframed: isUnframed(response), Reused: body.conn.answered || body.skipped > 0, Body: body, body: body,
+		Unframed: isUnframed(response), Reused: body.conn.answered || body.skipped > 0, OpenedAt: body.conn.openedAt, Body: body, body: body,
 	}
 }
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -48,7 +48,7 @@
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	opened := &conn{Conn: netConn, headRemaining: -1}
+	opened := &conn{Conn: netConn, headRemaining: -1, openedAt: time.Now()}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
 }
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -31,6 +31,8 @@
 	// StartedAt is when the upstream started, in Unix milliseconds. Each
 	// incarnation has another value.
 	StartedAt int64
+	// SoftwareVersion is the version of its software, empty if it names none.
+	SoftwareVersion string
 }
 
 // Config configures a List. Zero values mean the defaults.
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -169,6 +169,9 @@
 // Organisations returns all organisations.
 func (table *Table) Organisations() []Organisation { return table.config.Organisations }
 
+// Routes returns all routes. The result is shared and must not be changed.
+func (table *Table) Routes() []Route { return table.config.Routes }
+
 // Match returns the route with the longest prefix that matches a request.
 func (table *Table) Match(host, path string) (*Route, bool) {
 	for _, route := range table.routesByHost[host] {
@@ -209,6 +212,34 @@
 	return shortest
 }
 
+// LongestTimeout returns the longest Timeout of all routes to a service. Routes without one
+// count with the default that is given.
+func (table *Table) LongestTimeout(service string, defaultTimeout time.Duration) time.Duration {
+	var longest time.Duration
+	for _, route := range table.config.Routes {
+		if slices.Contains(route.ServiceNames(), service) {
+			longest = max(longest, cmp.Or(route.Timeout, defaultTimeout))
+		}
+	}
+	return longest
+}
+
+// ServiceNames returns the names of the services to which the route sends requests.
+func (route *Route) ServiceNames() []string {
+	names := make([]string, 0, len(route.Services))
+	for _, service := range route.Services {
+		names = append(names, service.Service)
+	}
+	return names
+}
+
+// Names reports whether the route sends requests to a service.
+func (route *Route) Names(service string) bool {
+	return slices.ContainsFunc(route.Services, func(weighted WeightedService) bool {
+		return weighted.Service == service && weighted.Weight > 0
+	})
+}
+
 // PickService returns a service of the route, or "" if there is none. If point
 // is uniformly distributed in [0, 1), each service is picked in proportion to
 // its weight.
