Don't load an adapter while the engine is to unload it

An order that evicts an adapter takes it out of the side process's slot table at once. A request that came before the engine had answered made the table order the same adapter again. The engine still held it, so that load ended at once; the request was sent, and then the eviction arrived, late because of a restart and a partition. A failed order's Reconcile could add it again as well.

The table now counts evictions until the engine has answered them or the call has failed. Until then it neither loads such an adapter nor takes it from the engine's state. TestLoadDuringEviction checks that. TestTableAgainstNaive tells the table that each eviction ends at once, as the naive table models it.

--- a/internal/daemon/side/loads.go
+++ b/internal/daemon/side/loads.go
@@ -78,7 +78,9 @@
 	}
 	if order.Evict != (slots.AdapterRef{}) {
 		server.count("evictions")
-		if err := server.config.UpstreamClient.Unload(ctx, order.Evict.Adapter, order.Evict.Version); err != nil {
+		err := server.config.UpstreamClient.Unload(ctx, order.Evict.Adapter, order.Evict.Version)
+		server.endEviction(order.Evict, generation)
+		if err != nil {
 			return errors.Join(errNotEvicted, err)
 		}
 	}
@@ -89,6 +91,16 @@
 	return server.config.UpstreamClient.Load(ctx, order.Load.Adapter, order.Load.Version)
 }
 
+// endEviction records that an eviction has ended, unless the engine restarted since.
+func (server *Server) endEviction(ref slots.AdapterRef, generation uint64) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if generation == server.engine.generation {
+		server.table.EvictionEnded(ref)
+		server.schedule()
+	}
+}
+
 // logOrder logs an order to the engine and its result.
 func (server *Server) logOrder(order slots.Order, took time.Duration, err error) {
 	fields := []zap.Field{zap.Stringer("adapter", order.Load), zap.Duration("took", took), zap.String("upstream", server.config.UpstreamID)}
--- a/internal/flow/slots/loads.go
+++ b/internal/flow/slots/loads.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// evictionStarted records that an order evicts an adapter, unless ref is zero.
+func (table *Table) evictionStarted(ref AdapterRef) {
+	if ref != (AdapterRef{}) {
+		table.evicting[ref]++
+	}
+}
+
+// EvictionEnded records that the engine has answered the eviction of an order, or did not in
+// time. Until then the adapter is not loaded again.
+func (table *Table) EvictionEnded(ref AdapterRef) {
+	if table.evicting[ref]--; table.evicting[ref] <= 0 {
+		delete(table.evicting, ref)
+	}
+}
+
 // LoadFinished records the end of a load. It reports whether the requests that
 // wait for the adapter should go to another upstream.
 func (table *Table) LoadFinished(now time.Time, ref AdapterRef, err error) (reject bool) {
--- a/internal/flow/slots/plan.go
+++ b/internal/flow/slots/plan.go
@@ -53,6 +53,10 @@
 		if !table.limiter.allows(now) {
 			break
 		}
+		if table.evicting[demand.Ref] > 0 {
+			// The engine would keep the adapter for the load and then unload it.
+			continue
+		}
 		overdue := table.overdue(now, demand)
 		evict, ok := table.findSlot(now, waiting, overdue)
 		if !ok {
@@ -67,6 +71,7 @@
 		delete(table.slots, evict)
 		table.slots[demand.Ref] = &slot{loading: true, loadStarted: now, lastUsed: now}
 		table.limiter.loadStarted()
+		table.evictionStarted(evict)
 		orders = append(orders, Order{Load: demand.Ref, Evict: evict})
 	}
 	return orders, false
@@ -82,6 +87,7 @@
 			break
 		}
 		delete(table.slots, ref)
+		table.evictionStarted(ref)
 		orders = append(orders, Order{Evict: ref})
 	}
 	return orders
--- a/internal/flow/slots/slots.go
+++ b/internal/flow/slots/slots.go
@@ -97,6 +97,8 @@
 	slots    map[AdapterRef]*slot
 	size     int
 	failures map[AdapterRef]*loadFailures
+	// evicting counts the evictions of an adapter that have not ended.
+	evicting map[AdapterRef]int
 	limiter  loadLimiter
 	random   *rand.Rand
 }
@@ -109,16 +111,18 @@
 		size:     config.Slots,
 		slots:    map[AdapterRef]*slot{},
 		failures: map[AdapterRef]*loadFailures{},
+		evicting: map[AdapterRef]int{},
 		limiter:  newLoadLimiter(config),
 		random:   rand.New(rand.NewPCG(config.Seed, 0)),
 	}
 }
 
 // Reset replaces the contents after the engine has restarted. It drops all pins
-// and loads, for which the caller must not call Unpin or LoadFinished any more.
+// and orders, for which the caller must not call Unpin, EvictionEnded or LoadFinished any more.
 func (table *Table) Reset(now time.Time, size int, loaded []AdapterRef) {
 	table.size = size
 	table.slots = make(map[AdapterRef]*slot, size)
+	clear(table.evicting)
 	table.limiter.inFlight = 0
 	for _, ref := range loaded {
 		table.slots[ref] = &slot{lastUsed: now}
@@ -130,12 +134,13 @@
 func (table *Table) Resize(size int) { table.size = size }
 
 // Reconcile corrects the table after an order failed with an unknown effect. It
-// adds adapters that the engine has loaded and drops unused ones that it has not.
+// adds adapters that the engine has loaded and drops unused ones that it has not. An adapter
+// that another order evicts is not added, as the engine may be about to unload it.
 func (table *Table) Reconcile(now time.Time, loaded []AdapterRef) {
 	atEngine := make(map[AdapterRef]bool, len(loaded))
 	for _, ref := range loaded {
 		atEngine[ref] = true
-		if _, known := table.slots[ref]; !known {
+		if _, known := table.slots[ref]; !known && table.evicting[ref] == 0 {
 			table.slots[ref] = &slot{lastUsed: now}
 		}
 	}
--- a/internal/flow/slots/slots_test.go
+++ b/internal/flow/slots/slots_test.go
@@ -180,6 +180,10 @@
 				}
 				want := naive.plan(now, demands)
 				got := table.Plan(now, demands)
+				// The evictions end at once: the naive table knows none that last.
+				for _, order := range got {
+					table.EvictionEnded(order.Evict)
+				}
 				if diff := compare.Diff(want, got); diff != "" {
 					t.Fatalf("seed %d step %d (-want +got):\n%s", seed, step, diff)
 				}
@@ -378,6 +382,30 @@
 	}
 }
 
+// Guards against a load of an adapter that the engine is still to unload: it would end at once,
+// and the adapter would be unloaded while requests use it (seed 270 of TestSchedules).
+func TestLoadDuringEviction(t *testing.T) {
+	table := fullTable(t)
+	table.Pin(start, ref("a"))
+	evicted := table.Plan(start, []Demand{{Ref: ref("c"), OldestArrival: start}})
+	if diff := compare.Diff([]Order{{Load: ref("c"), Evict: ref("b")}}, evicted); diff != "" {
+		t.Fatalf("orders (-want +got):\n%s", diff)
+	}
+	table.Unpin(ref("a"))
+	demands := []Demand{{Ref: ref("b"), OldestArrival: start}}
+	if orders := table.Plan(start, demands); len(orders) > 0 {
+		t.Errorf("orders %v during the eviction, want none", orders)
+	}
+	table.Reconcile(start, []AdapterRef{ref("a"), ref("b")})
+	if table.Ready(ref("b")) {
+		t.Error("the adapter is ready during its eviction")
+	}
+	table.EvictionEnded(ref("b"))
+	if orders := table.Plan(start, demands); len(orders) != 1 {
+		t.Errorf("orders %v after the eviction, want one", orders)
+	}
+}
+
 func BenchmarkLookup(b *testing.B) {
 	table := New(Config{Slots: 32})
 	var refs []AdapterRef
