Reject a response head that is joined with that of another response

Cause: an upstream may break off the copy of an earlier refusal and write the answer that is due right after it. If the copy ends within its status line or a header value, net/http reads one head: the status of the refusal with the id and the seal of the request under way. The relay believed that this did not run, or passed the status 503 or 429 on. Change: the HTTP/1 client gives up a response, interim ones included, whose status text or header values hold a status line. The request may have run then.

--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -167,6 +167,9 @@
 		if err != nil {
 			return nil, conn.prefix.cutHead(start, err)
 		}
+		if isJoinedHead(response) {
+			return nil, errJoinedHead
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.New("unexpected status 101 Switching Protocols")
 		}
