Never repeat a request on a connection that has failed it

Cause: only responses that say to the relay that the request did not run were marked. A sealed response with 503, 429 or 408 without that header goes to the caller, who may repeat the request; the copy then comes on the same connection while it runs, and the caller is told again that it does not. Likewise a relay that repeats an idempotent request may take a copy of the failure for its answer. Change: each response with a status of 400 or more that names its request is marked before its body is read.

--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -49,6 +49,10 @@
 		return proxyRequest.handleNotRun(upstream, response)
 	}
 	proxyRequest.runs++
+	if response.Status >= http.StatusBadRequest {
+		// The request may come back: this instance or its caller repeats it.
+		response.MarkRefused()
+	}
 	if !info.Sealed {
 		return proxyRequest.recordBroken(upstream, errors.New("the response bears no seal"))
 	}
--- a/internal/link/http1/refused.go
+++ b/internal/link/http1/refused.go
@@ -30,7 +30,7 @@
 // full reports whether the connection must be closed instead of reused.
 func (refused refusedRequests) full() bool { return len(refused) >= maxRefused }
 
-// MarkRefused records that the response refuses its request, which did not run. The
-// connection then carries no request with the same ID again. It must be called before
-// Body is read to its end.
+// MarkRefused records that the response refuses its request or fails it, so that it may be
+// repeated. The connection then carries no request with the same ID again. It must be
+// called before Body is read to its end.
 func (response *Response) MarkRefused() { response.body.conn.refused.add(response.body.requestID) }
