Keep no connection of the log service's client after a refusal

Cause: responses of the log service name no request. If it writes a refusal again on a kept connection, where the next response is due, an append that took effect is reported as not run. Change: after a response other than 200 the idle connections are closed. Open: a call that has taken the connection before it is closed still believes the copy.

--- a/internal/link/logsvc/exchange.go
+++ b/internal/link/logsvc/exchange.go
@@ -28,7 +28,9 @@
 func (singleUse) Close() error { return nil }
 
 // exchange sends a request once and returns the body of a 200 response. If the
-// response is not read to its end, the connection is closed instead of reused.
+// response is not read to its end, the connection is closed instead of reused. After a
+// response other than 200 idle connections are closed: responses name no request, so that
+// a refusal that is written again would be taken for that of the next request.
 func (client *Client) exchange(ctx context.Context, method, path string, body []byte, limit int64) ([]byte, error) {
 	if ctx.Err() != nil {
 		return nil, transportFault(ctx, ctx.Err(), fault.NotRun)
@@ -49,7 +51,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, statusFault(response)
+		failure := statusFault(response)
+		// The body was read, so that the connection is idle unless another call has taken it.
+		client.http.CloseIdleConnections()
+		return nil, failure
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
