Tell answers about incarnations from those to an earlier relay

Cause: an ask for the incarnation that runs bore the time since the relay's start. A loader whose engine gives no report keeps asks, so that a relay that has started again could take the answer to its predecessor's ask for one from the future, which would confirm connections that are opened later. Found by reading; no run has shown it. Change: asks bear the absolute time; answers from before the start or from the future are ignored, and the last ask of an entry instance replaces earlier ones. Streams of routes that cannot be resumed cause neither asks nor records.

--- a/internal/daemon/loader/incarnation.go
+++ b/internal/daemon/loader/incarnation.go
@@ -14,7 +14,12 @@
 // recordIncarnationAsk records an ask, which the next report answers, and has that fetched
 // at once.
 func (loader *Loader) recordIncarnationAsk(ask *wirepb.IncarnationAsk) {
-	loader.keepIncarnationAsks(map[incarnationAsker]int64{{ask.GetEntry(), ask.GetUpstream()}: ask.GetAskedAt()})
+	asker := incarnationAsker{ask.GetEntry(), ask.GetUpstream()}
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	if _, known := loader.incarnationAsks[asker]; known || len(loader.incarnationAsks) < maxIncarnationAsks {
+		loader.incarnationAsks[asker] = ask.GetAskedAt()
+	}
 	wake(loader.wakeOrders)
 }
 
@@ -27,13 +32,14 @@
 	return asks
 }
 
-// keepIncarnationAsks keeps asks for the next report.
+// keepIncarnationAsks keeps asks that a report has not answered for the next one, unless
+// later ones have come.
 func (loader *Loader) keepIncarnationAsks(asks map[incarnationAsker]int64) {
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	for asker, askedAt := range asks {
-		if _, known := loader.incarnationAsks[asker]; known || len(loader.incarnationAsks) < maxIncarnationAsks {
-			loader.incarnationAsks[asker] = max(loader.incarnationAsks[asker], askedAt)
+		if _, later := loader.incarnationAsks[asker]; !later && len(loader.incarnationAsks) < maxIncarnationAsks {
+			loader.incarnationAsks[asker] = askedAt
 		}
 	}
 }
--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -70,13 +70,18 @@
 		return
 	}
 	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_IncarnationAsk{IncarnationAsk: &wirepb.IncarnationAsk{
-		Entry: relay.config.DatagramAddress, Upstream: upstream.ID, AskedAt: now.Sub(relay.start).Nanoseconds(),
+		Entry: relay.config.DatagramAddress, Upstream: upstream.ID, AskedAt: relay.start.UnixNano() + now.Sub(relay.start).Nanoseconds(),
 	}}}, relay.loaderAddress(upstream))
 }
 
-// handleIncarnationAnswer records which incarnation of an upstream ran after the ask.
+// handleIncarnationAnswer records which incarnation of an upstream ran after the ask. An
+// answer to an ask from before the start of this instance is ignored.
 func (relay *Relay) handleIncarnationAnswer(answer *wirepb.IncarnationAnswer) {
-	relay.picker.RecordIncarnation(answer.GetUpstream(), answer.GetBorn(), relay.start.Add(time.Duration(answer.GetAskedAt())))
+	askedAfter := time.Duration(answer.GetAskedAt() - relay.start.UnixNano())
+	if askedAfter < 0 || askedAfter > time.Since(relay.start) {
+		return
+	}
+	relay.picker.RecordIncarnation(answer.GetUpstream(), answer.GetBorn(), relay.start.Add(askedAfter))
 	relay.stateChanged.notify()
 }
 
@@ -87,6 +92,11 @@
 	openedAt time.Time
 }
 
+// resumable reports whether the stream may go on after a break.
+func (proxyRequest *proxyRequest) resumable() bool {
+	return proxyRequest.route.Resumable || proxyRequest.continues
+}
+
 // identify returns which incarnation of an upstream is at the other end of the connection
 // of the last response, and asks its loader if that is not known.
 func (proxyRequest *proxyRequest) identify() picker.Identity {
@@ -117,7 +127,7 @@
 // forwarded. If the response continues a stream, the error says why it cannot.
 func (proxyRequest *proxyRequest) checkOrigin(ctx context.Context) error {
 	switch {
-	case proxyRequest.identified:
+	case proxyRequest.identified, !proxyRequest.resumable():
 		return nil
 	case proxyRequest.continues:
 		if proxyRequest.awaitIdentity(ctx, identityTimeout) != picker.Confirmed {
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -54,7 +54,9 @@
 	var lastArrival time.Time
 	nonEventBytes := 0
 	proxyRequest.connection = connection{upstream, response.OpenedAt}
-	proxyRequest.identify()
+	if proxyRequest.resumable() {
+		proxyRequest.identify()
+	}
 	for {
 		event, err := readEvent(reader, memory.Grow)
 		if errors.Is(err, io.EOF) {
