Leave a stream at an upstream that restarted, and know its version later

A stream that began at an engine which had just started again under its id was cut: the relay took the listed incarnation for lost, cancelled the sends to it, and could not resume the stream, as its version was not known.

Cause: cancelSends selects by the upstream's id, and the connection led to the later incarnation already (trace of TestJoinedStreams, engines renewed under one id: cancelled 0.3 ms after the first event, take-up refused as unknown). Change: a send whose stream cannot go on elsewhere is not cancelled; one that is cancelled before its first event begins anew. The version is known once the list shows the later incarnation. The first event waits for the loader's answer up to 50 ms instead of 20: beside heavy load one stream ended unidentified at 21 ms.

--- a/internal/daemon/relay/activesends.go
+++ b/internal/daemon/relay/activesends.go
@@ -29,6 +29,9 @@
 	probe bool
 	// begun means that the head of the response was received.
 	begun atomic.Bool
+	// bound means that a part of a stream was forwarded that cannot go on elsewhere, as it is
+	// not known which software writes it.
+	bound atomic.Bool
 }
 
 // activeSends holds the running sends.
@@ -72,9 +75,11 @@
 }
 
 // cancelSends cancels the sends to a lost upstream that may be repeated, so that they
-// are retried at another one.
+// are retried at another one. A send that is bound may be at a later incarnation.
 func (relay *Relay) cancelSends(upstream string) {
-	cancelled := relay.activeSends.cancel(errUpstreamLost, func(send *activeSend) bool { return send.repeatable && send.upstream == upstream })
+	cancelled := relay.activeSends.cancel(errUpstreamLost, func(send *activeSend) bool {
+		return send.repeatable && send.upstream == upstream && !send.bound.Load()
+	})
 	if cancelled > 0 {
 		relay.config.Logger.Info("relay: cancelled sends to a lost upstream", zap.String("upstream", upstream), zap.Int("sends", cancelled))
 	}
--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -25,7 +25,7 @@
 	identityTimeout = picker.DefaultReportTTL
 	// beginTimeout is how long the first event of a stream waits for it. The later ones do
 	// not wait.
-	beginTimeout = 20 * time.Millisecond
+	beginTimeout = 50 * time.Millisecond
 )
 
 // errOtherIncarnation means that an answer cannot continue a stream, as another incarnation
@@ -137,11 +137,27 @@
 	case !proxyRequest.headersSent:
 		proxyRequest.recordBegin(proxyRequest.awaitIdentity(ctx, beginTimeout))
 	default:
+		proxyRequest.followListing()
 		proxyRequest.recordBegin(proxyRequest.identify())
 	}
+	proxyRequest.active.bound.Store(!proxyRequest.identified)
+	if !proxyRequest.headersSent && ctx.Err() != nil {
+		// The stream may begin anew as long as no event was forwarded.
+		return errOtherIncarnation
+	}
 	return nil
 }
 
+// followListing takes over the present entry of the upstream that goes on writing a stream.
+// A connection that was opened to a later incarnation than the listed one is identified once
+// the list shows that; one to an earlier incarnation has ended by then.
+func (proxyRequest *proxyRequest) followListing() {
+	connection := &proxyRequest.connection
+	if listed, ok := proxyRequest.relay.store.instances.Find(connection.upstream.ID); ok && listed.Service == connection.upstream.Service {
+		connection.upstream = listed
+	}
+}
+
 // recordBegin records which software began the stream, if that is known.
 func (proxyRequest *proxyRequest) recordBegin(identity picker.Identity) {
 	if identity == picker.Confirmed {
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -127,6 +127,8 @@
 	// origin is the software that began the stream, once a part of it was forwarded to the
 	// caller.
 	origin origin.Origin
+	// active is the last send.
+	active *activeSend
 	// connection is that of the last response with events.
 	connection connection
 	// continues means that the last send continues a stream of which the caller has a part.
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -27,6 +27,7 @@
 	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
 	ctx, active, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest, repeatable)
 	defer done()
+	proxyRequest.active = active
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.stage = time.Now(), nil, stageUnsent
