--- /dev/null
+++ b/internal/daemon/relay/originlookup.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
+	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
+)
+
+const (
+	// askTimeout is how long the answers of loaders are awaited, and askRepeat when those
+	// that have not answered are asked once more, as datagrams may be lost.
+	askTimeout = 150 * time.Millisecond
+	askRepeat  = 50 * time.Millisecond
+)
+
+// originLookup is a lookup of the origin of a stream.
+type originLookup struct {
+	// answers receives the answers of loaders.
+	answers chan originAnswer
+}
+
+// originAnswer is the answer of a loader to a lookup.
+type originAnswer struct {
+	loader string
+	record origin.Record
+	found  bool
+}
+
+// begin registers a lookup. The caller calls end when it is over.
+func (origins *origins) begin(key origin.Key, lookup *originLookup) (end func()) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	origins.lookups[key] = append(origins.lookups[key], lookup)
+	return func() {
+		origins.mutex.Lock()
+		defer origins.mutex.Unlock()
+		rest := slices.DeleteFunc(origins.lookups[key], func(other *originLookup) bool { return other == lookup })
+		if len(rest) == 0 {
+			delete(origins.lookups, key)
+			return
+		}
+		origins.lookups[key] = rest
+	}
+}
+
+// deliver passes an answer on to the lookups of its stream.
+func (origins *origins) deliver(key origin.Key, answer originAnswer) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	for _, lookup := range origins.lookups[key] {
+		select {
+		case lookup.answers <- answer:
+		default:
+		}
+	}
+}
+
+// handleOriginAnswer records which streams a loader knows.
+func (relay *Relay) handleOriginAnswer(source string, answer *wirepb.OriginAnswer) {
+	for _, record := range codec.DecodeOrigins(answer.GetKnown()) {
+		relay.origins.deliver(record.Key, originAnswer{loader: source, record: record, found: true})
+	}
+	for _, key := range answer.GetUnknown() {
+		relay.origins.deliver(origin.Key(key), originAnswer{loader: source})
+	}
+}
+
+// askOrigin asks the loaders that may hold the origin of a stream.
+func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) (record origin.Record, found bool) {
+	asked := relay.askedLoaders(key, services)
+	if key == 0 || len(asked) == 0 {
+		return origin.Record{}, false
+	}
+	lookup := &originLookup{answers: make(chan originAnswer, 2*len(asked))}
+	defer relay.origins.begin(key, lookup)()
+	silent := make(map[string]bool, len(asked))
+	for _, loader := range asked {
+		silent[loader] = true
+	}
+	ask := &wirepb.Datagram{Body: &wirepb.Datagram_OriginAsk{OriginAsk: &wirepb.OriginAsk{Entry: relay.config.DatagramAddress, Keys: []uint64{uint64(key)}}}}
+	relay.sendDatagram(ask, asked...)
+	timeout, repeat := time.NewTimer(askTimeout), time.NewTimer(askRepeat)
+	defer timeout.Stop()
+	defer repeat.Stop()
+	for len(silent) > 0 {
+		select {
+		case answer := <-lookup.answers:
+			if answer.found {
+				return answer.record, true
+			}
+			delete(silent, answer.loader)
+		case <-repeat.C:
+			for loader := range silent {
+				relay.sendDatagram(ask, loader)
+			}
+		case <-timeout.C:
+			return origin.Record{}, false
+		case <-ctx.Done():
+			return origin.Record{}, false
+		}
+	}
+	return origin.Record{}, false
+}
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -80,58 +80,6 @@
 	return origins.groups
 }
 
-// originLookup is a lookup of the origin of a stream.
-type originLookup struct {
-	// answers receives the answers of loaders.
-	answers chan originAnswer
-}
-
-// originAnswer is the answer of a loader to a lookup.
-type originAnswer struct {
-	loader string
-	record origin.Record
-	found  bool
-}
-
-// begin registers a lookup. The caller calls end when it is over.
-func (origins *origins) begin(key origin.Key, lookup *originLookup) (end func()) {
-	origins.mutex.Lock()
-	defer origins.mutex.Unlock()
-	origins.lookups[key] = append(origins.lookups[key], lookup)
-	return func() {
-		origins.mutex.Lock()
-		defer origins.mutex.Unlock()
-		rest := slices.DeleteFunc(origins.lookups[key], func(other *originLookup) bool { return other == lookup })
-		if len(rest) == 0 {
-			delete(origins.lookups, key)
-			return
-		}
-		origins.lookups[key] = rest
-	}
-}
-
-// deliver passes an answer on to the lookups of its stream.
-func (origins *origins) deliver(key origin.Key, answer originAnswer) {
-	origins.mutex.Lock()
-	defer origins.mutex.Unlock()
-	for _, lookup := range origins.lookups[key] {
-		select {
-		case lookup.answers <- answer:
-		default:
-		}
-	}
-}
-
-// handleOriginAnswer records which streams a loader knows.
-func (relay *Relay) handleOriginAnswer(source string, answer *wirepb.OriginAnswer) {
-	for _, record := range codec.DecodeOrigins(answer.GetKnown()) {
-		relay.origins.deliver(record.Key, originAnswer{loader: source, record: record, found: true})
-	}
-	for _, key := range answer.GetUnknown() {
-		relay.origins.deliver(origin.Key(key), originAnswer{loader: source})
-	}
-}
-
 // keepOrigin keeps the origin of a stream and tells the loaders that hold it.
 func (relay *Relay) keepOrigin(record origin.Record) {
 	if record.Key == 0 || !record.Origin.Known() {
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -8,20 +8,12 @@
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
-	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
 // A stream goes on in two ways: this instance resumes it within one answer, or its caller
 // takes it up by another request. In both, the request may be sent only to upstreams of the
 // service and the software version that began the stream.
 
-const (
-	// askTimeout is how long the answers of loaders are awaited, and askRepeat when those
-	// that have not answered are asked once more, as datagrams may be lost.
-	askTimeout = 150 * time.Millisecond
-	askRepeat  = 50 * time.Millisecond
-)
-
 // Reasons of refusals of streams that cannot go on. A retry does not help their callers,
 // so that these refusals name no time for one.
 const (
@@ -98,43 +90,6 @@
 	return longest + takeUpTime
 }
 
-// askOrigin asks the loaders that may hold the origin of a stream.
-func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) (record origin.Record, found bool) {
-	asked := relay.askedLoaders(key, services)
-	if key == 0 || len(asked) == 0 {
-		return origin.Record{}, false
-	}
-	lookup := &originLookup{answers: make(chan originAnswer, 2*len(asked))}
-	defer relay.origins.begin(key, lookup)()
-	silent := make(map[string]bool, len(asked))
-	for _, loader := range asked {
-		silent[loader] = true
-	}
-	ask := &wirepb.Datagram{Body: &wirepb.Datagram_OriginAsk{OriginAsk: &wirepb.OriginAsk{Entry: relay.config.DatagramAddress, Keys: []uint64{uint64(key)}}}}
-	relay.sendDatagram(ask, asked...)
-	timeout, repeat := time.NewTimer(askTimeout), time.NewTimer(askRepeat)
-	defer timeout.Stop()
-	defer repeat.Stop()
-	for len(silent) > 0 {
-		select {
-		case answer := <-lookup.answers:
-			if answer.found {
-				return answer.record, true
-			}
-			delete(silent, answer.loader)
-		case <-repeat.C:
-			for loader := range silent {
-				relay.sendDatagram(ask, loader)
-			}
-		case <-timeout.C:
-			return origin.Record{}, false
-		case <-ctx.Done():
-			return origin.Record{}, false
-		}
-	}
-	return origin.Record{}, false
-}
-
 // resumeRefusal returns the refusal of a request that continues a stream if no upstream can
 // do so, or nil.
 func (proxyRequest *proxyRequest) resumeRefusal() *refusal {
