Tell a caller when to take a stream up at a relay that has just started

Change: that refusal says so and names a time for a retry. Measured: the tests of internal/daemon/relay pass, one run.

--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -46,7 +46,11 @@
 		return nil
 	}
 	relay := proxyRequest.relay
-	proxyRequest.awaitStartup(func() bool { return !relay.instanceWatcher.Position().ConfirmedAt.IsZero() })
+	listed := func() bool { return !relay.instanceWatcher.Position().ConfirmedAt.IsZero() }
+	proxyRequest.awaitStartup(listed)
+	if !listed() {
+		return &refusal{http.StatusServiceUnavailable, "the instance list is not known yet", retryAfterUnready}
+	}
 	found, source := proxyRequest.findOrigin(ctx)
 	relay.metrics.increment("take-ups-" + source)
 	proxyRequest.log("relay: stream taken up", zap.String("resumes", proxyRequest.info.Resumes), zap.String("last-event", proxyRequest.info.LastEventID),
