Forward an event that waited for its upstream's identity, or ask for it again

Cause: an event was recorded as the last one before the check that waits for the incarnation of the upstream. When that check failed, the event was not forwarded, and the next upstream was asked for the events after it. Change: the check comes before the event is recorded. TestVersionSoak: a take-up goes on if it brings an event.

--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -78,12 +78,12 @@
 			return proxyRequest.recordBroken(upstream, errMissingEventIDs)
 		}
 		proxyRequest.recordArrival(upstream, &lastArrival)
-		if proxyRequest.isDuplicate(event) {
-			continue
-		}
 		if err := proxyRequest.checkOrigin(ctx); err != nil {
 			return proxyRequest.recordBroken(upstream, err)
 		}
+		if proxyRequest.isDuplicate(event) {
+			continue
+		}
 		proxyRequest.sendHeaders(response)
 		if _, err := proxyRequest.writer.Write(event); err != nil {
 			return outcomeUnknown
