Ask the store's records which versions were listed, when all processes have ended

Cause: loaders and relays that start know no stream, and a relay trusted that one version can have begun a stream only after it had followed the list for the longest timeout itself. Change: a relay that needs it reads the records of the instance list that the store retains, one or a few calls, and adds the versions that they name to what it knows. How far they reach follows from the heartbeats at each address. If the route may have had other services, the rule holds for all services with engines. Callers take streams up within the time of the first request, so that 0.5 s instead of 5 s is added to that for when a stream can have begun.

--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -42,12 +42,15 @@
 
 // Relay holds the settings of a relay.
 type Relay struct {
-	Instance      string      `toml:"instance"`
-	FailureDomain string      `toml:"failure-domain"`
-	Store         string      `toml:"store"`
-	Listen        RelayListen `toml:"listen"`
-	Peers         Peers       `toml:"peers"`
-	Bounds        RelayBounds `toml:"bounds"`
+	Instance      string `toml:"instance"`
+	FailureDomain string `toml:"failure-domain"`
+	Store         string `toml:"store"`
+	// Heartbeat is about how often an upstream writes its entry of the instance list, 0 if
+	// that is not known.
+	Heartbeat Period      `toml:"heartbeat"`
+	Listen    RelayListen `toml:"listen"`
+	Peers     Peers       `toml:"peers"`
+	Bounds    RelayBounds `toml:"bounds"`
 	// Memory is the memory that the relay may use, in units of 2^20 bytes.
 	Memory Number `toml:"memory-mb"`
 	Log    Log    `toml:"log"`
--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -169,6 +169,6 @@
 func (proxyRequest *proxyRequest) recordOrigin(known origin.Origin) {
 	proxyRequest.identified, proxyRequest.origin = true, known
 	proxyRequest.relay.keepOrigin(origin.Record{
-		Key: proxyRequest.streamKey(), Origin: known, Lifetime: proxyRequest.timeout() + takeUpTime,
+		Key: proxyRequest.streamKey(), Origin: known, Lifetime: proxyRequest.timeout() + keepMargin,
 	})
 }
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -26,14 +26,16 @@
 	askedHolders = 4
 	// maxOriginsPerDatagram bounds the records of one datagram, to about 1 KiB.
 	maxOriginsPerDatagram = 32
-	// takeUpTime is how long after the end of its time a stream may still be taken up.
-	takeUpTime = 5 * time.Second
+	// keepMargin is how much longer than the time of its request the origin of a stream is
+	// kept.
+	keepMargin = 5 * time.Second
 )
 
 // origins holds what this instance knows of the software that began streams.
 type origins struct {
 	ledger  *origin.Ledger
 	history *origin.History
+	recall  recallState
 
 	mutex sync.Mutex
 	// groups holds the loaders beside the listed upstreams. It is replaced as a whole.
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -28,6 +29,20 @@
 	Fault string
 }
 
+// ListingHistory holds the records of the instance list that the store retains, in their
+// order. An upstream has a record for each of its heartbeats.
+type ListingHistory struct {
+	Listings []Listing
+	// Complete means that no earlier records were removed.
+	Complete bool
+}
+
+// InstanceHistory reads earlier records of the instance list.
+type InstanceHistory interface {
+	// History returns the records that the store retains, up to an offset at least.
+	History(ctx context.Context, end uint64) (ListingHistory, error)
+}
+
 // RequestInfo holds the values of a caller's request headers.
 type RequestInfo struct {
 	ID  string
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -46,6 +46,10 @@
 	// from the platform's store.
 	ConfigSource   watch.Source[ConfigChange]
 	InstanceSource watch.Source[Listing]
+	// InstanceHistory reads earlier records of the instance list. It may be nil.
+	InstanceHistory InstanceHistory
+	// Heartbeat is about how often an upstream writes its entry, 0 if that is not known.
+	Heartbeat time.Duration
 	// Datagrams is the connection to the loaders and the other entry instances, which
 	// all use DatagramPort.
 	Datagrams *dgram.Conn
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,10 @@
 // takes it up by another request. In both, the request may be sent only to upstreams of the
 // service and the software version that began the stream.
 
+// takeUpMargin is added to the longest time of a request for when a stream that is taken up can
+// have begun. Callers take streams up within the time of the first request.
+const takeUpMargin = 500 * time.Millisecond
+
 // Reasons of refusals of streams that cannot go on. A retry does not help their callers,
 // so that these refusals name no time for one.
 const (
@@ -78,12 +83,29 @@
 		return record.Origin, "loader"
 	}
 	longest := relay.longestStream(services)
-	if sole, ok := relay.origins.history.Sole(services, longest); ok && relay.store.steadyFor(proxyRequest.route, longest) {
+	if !relay.store.steadyFor(proxyRequest.route, longest) {
+		// The stream may have begun at another service.
+		services = relay.engineServices()
+	}
+	if !relay.origins.history.Reaches(longest) {
+		relay.recallSoftware(ctx)
+	}
+	if sole, ok := relay.origins.history.Sole(services, longest); ok {
 		return sole, "sole-version"
 	}
 	return origin.Origin{}, "nowhere"
 }
 
+// engineServices returns the services that were listed lately, without those that have no
+// engines.
+func (relay *Relay) engineServices() []string {
+	config := relay.store.config()
+	return slices.DeleteFunc(relay.origins.history.Services(), func(name string) bool {
+		service, ok := config.Service(name)
+		return ok && service.Engine == nil
+	})
+}
+
 // longestStream returns the time within which a stream of some services can have begun that
 // is taken up now.
 func (relay *Relay) longestStream(services []string) time.Duration {
@@ -91,7 +113,7 @@
 	for _, service := range services {
 		longest = max(longest, relay.store.config().LongestTimeout(service, defaultTimeout))
 	}
-	return longest + takeUpTime
+	return longest + takeUpMargin
 }
 
 // resumeRefusal returns the refusal of a request that continues a stream if no upstream can
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -54,8 +54,9 @@
 	Records []Record
 	// Next is the cursor to read on from.
 	Next Cursor
-	// End is the offset at which the topic ended when the store responded.
-	End uint64
+	// End is the offset at which the topic ended when the store responded, and First that of
+	// the first record that the store still had.
+	End, First uint64
 }
 
 // namedEnd is the end of a topic that the store named in response to a call.
--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,9 +23,9 @@
 // version can have been listed and removed unseen.
 const maxConfirmGap = 3 * time.Second
 
-// historyRetention is how long it is kept that a version was listed. It exceeds the
+// HistoryRetention is how long a History keeps that a version was listed. It exceeds the
 // longest time for which a stream may go on.
-const historyRetention = 10 * time.Minute
+const HistoryRetention = 10 * time.Minute
 
 // NewHistory returns an empty History.
 func NewHistory() *History {
@@ -45,7 +46,7 @@
 	}
 	history.listed = maps.Clone(listed)
 	maps.DeleteFunc(history.seenAt, func(origin Origin, at time.Time) bool {
-		return !history.listed[origin] && now.Sub(at) > historyRetention
+		return !history.listed[origin] && now.Sub(at) > HistoryRetention
 	})
 }
 
@@ -62,6 +63,44 @@
 	}
 }
 
+// Reaches reports whether the list is followed now, and was all the time.
+func (history *History) Reaches(within time.Duration) bool {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	return history.reaches(time.Now(), within)
+}
+
+func (history *History) reaches(now time.Time, within time.Duration) bool {
+	followed := !history.since.IsZero() && now.Sub(history.confirmedAt) <= maxConfirmGap
+	return followed && now.Sub(history.since) >= within && within <= HistoryRetention
+}
+
+// Services returns the services that are kept, ordered by name.
+func (history *History) Services() []string {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	services := make(map[string]bool)
+	for origin := range history.seenAt {
+		services[origin.Service] = true
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
+// Recall adds what was listed at any time since another one, as records of the list tell.
+// What is not listed now counts as listed until now.
+func (history *History) Recall(since time.Time, named map[Origin]bool) {
+	now := time.Now()
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	if history.since.IsZero() || !since.Before(history.since) {
+		return
+	}
+	history.since = since
+	for origin := range named {
+		history.seenAt[origin] = now
+	}
+}
+
 // Sole returns the only origin that a stream of the given services can have which began
 // within a time: the only one that was listed all that time. It returns false if there
 // were several, or if the history does not reach back so far.
@@ -69,8 +108,7 @@
 	now := time.Now()
 	history.mutex.Lock()
 	defer history.mutex.Unlock()
-	followed := !history.since.IsZero() && now.Sub(history.confirmedAt) <= maxConfirmGap
-	if !followed || now.Sub(history.since) < within || within > historyRetention {
+	if !history.reaches(now, within) {
 		return Origin{}, false
 	}
 	wanted := make(map[string]bool, len(services))
--- a/internal/flow/origin/origin_test.go
+++ b/internal/flow/origin/origin_test.go
@@ -146,3 +146,36 @@
 		})
 	}
 }
+
+// TestRecall guards against a version that counts as the only one although the history of
+// the list names another, and against take-ups that are refused although it names none.
+func TestRecall(t *testing.T) {
+	tests := []struct {
+		name    string
+		covered time.Duration
+		named   []Origin
+		want    Origin
+	}{
+		{name: "only one", covered: time.Minute, named: []Origin{first}, want: first},
+		{name: "another one", covered: time.Minute, named: []Origin{first, second}},
+		{name: "too short", covered: time.Second, named: []Origin{first}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				history := NewHistory()
+				history.Observe(map[Origin]bool{first: true})
+				history.Confirm(time.Now())
+				named := make(map[Origin]bool)
+				for _, origin := range test.named {
+					named[origin] = true
+				}
+				history.Recall(time.Now().Add(-test.covered), named)
+				sole, _ := history.Sole([]string{"advisor"}, 20*time.Second)
+				if diff := cmp.Diff(test.want, sole); diff != "" {
+					t.Errorf("only version (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
