Find the loaders of a software version without a copy of all addresses

Cause: each stream that began made copies of address lists, and a take-up walked all versions for each version. Whether a send may be repeated was worked out in two places, and a loop stood for maps.DeleteFunc. Change: loadersOf returns the group itself, allLoaders joins the groups only where no version fits; mayRepeat serves both places. Behaviour is the same.

--- a/internal/daemon/loader/incarnation.go
+++ b/internal/daemon/loader/incarnation.go
@@ -1,8 +1,6 @@
 package loader
 
-import (
-	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
-)
+import "jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 
 // maxIncarnationAsks bounds the asks that wait for a report.
 const maxIncarnationAsks = 1024
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -137,15 +137,14 @@
 func New(config Config) *Loader {
 	now := time.Now()
 	return &Loader{
-		config:        config,
-		planner:       lora.New(lora.Config{}),
-		admission:     admit.New(admit.Config{}),
-		wakeOrders:    make(chan struct{}, 1),
-		wakeGrants:    make(chan struct{}, 1),
-		missedReports: unreachableAfter,
-		entryStarts:   make(map[string]int64),
-
+		config:          config,
+		planner:         lora.New(lora.Config{}),
+		admission:       admit.New(admit.Config{}),
+		wakeOrders:      make(chan struct{}, 1),
+		wakeGrants:      make(chan struct{}, 1),
+		missedReports:   unreachableAfter,
 		incarnationAsks: make(map[incarnationAsker]int64),
+		entryStarts:     make(map[string]int64),
 		entryStates:     make(map[string]entryState),
 		memories:        make(map[retry.Incarnation]keptMemory),
 		retries:         make(map[string]*retry.Keeper),
--- a/internal/daemon/loader/origins.go
+++ b/internal/daemon/loader/origins.go
@@ -6,13 +6,10 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-// maxOriginLifetime bounds the time for which a loader keeps which software began a stream.
-const maxOriginLifetime = memoryLifetime
-
-// keepOrigins keeps which software began streams.
+// keepOrigins keeps which software began streams, for memoryLifetime at most.
 func (loader *Loader) keepOrigins(origins *wirepb.StreamOrigins) {
 	for _, record := range codec.DecodeOrigins(origins.GetStreams()) {
-		record.Lifetime = min(record.Lifetime, maxOriginLifetime)
+		record.Lifetime = min(record.Lifetime, memoryLifetime)
 		loader.origins.Record(record, nil)
 	}
 }
--- a/internal/daemon/relay/foreign.go
+++ b/internal/daemon/relay/foreign.go
@@ -41,8 +41,7 @@
 // again is sent to another upstream, and the caller of any other one is told in time.
 func (proxyRequest *proxyRequest) foreignWait() time.Duration {
 	wait := time.Until(proxyRequest.deadline) / 2
-	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
-	if goal := proxyRequest.route.ResponseGoal; goal > 0 && repeatable {
+	if goal := proxyRequest.route.ResponseGoal; goal > 0 && proxyRequest.mayRepeat() {
 		wait = min(wait, goal)
 	}
 	return wait
--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -50,17 +51,11 @@
 	return true
 }
 
-// keep forgets the upstreams that are not listed.
-func (asks *incarnationAsks) keep(listed []fleet.Upstream) {
+// keep forgets the upstreams that a function does not select.
+func (asks *incarnationAsks) keep(listed func(upstream string) bool) {
 	asks.mutex.Lock()
 	defer asks.mutex.Unlock()
-	kept := make(map[string]time.Time, len(asks.askedAt))
-	for _, upstream := range listed {
-		if at, ok := asks.askedAt[upstream.ID]; ok {
-			kept[upstream.ID] = at
-		}
-	}
-	asks.askedAt = kept
+	maps.DeleteFunc(asks.askedAt, func(upstream string, _ time.Time) bool { return !listed(upstream) })
 }
 
 // askIncarnation asks an upstream's loader which incarnation runs.
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -162,10 +162,10 @@
 
 // originHolders returns the addresses of the loaders that hold the origin of a stream.
 func (relay *Relay) originHolders(record origin.Record) []string {
-	loaders := relay.loaders(func(software origin.Origin) bool { return software == record.Origin })
-	if len(loaders.serving)+len(loaders.draining) == 0 {
+	loaders := relay.loadersOf(record.Origin)
+	if loaders == nil {
 		// The service has no engines, or none of the version is left.
-		loaders = relay.loaders(func(origin.Origin) bool { return true })
+		loaders = relay.allLoaders()
 	}
 	if len(loaders.serving) == 0 {
 		return rank.Top(record.Key.String(), loaders.draining, originHolders)
@@ -176,41 +176,47 @@
 // askedLoaders returns the addresses of the loaders that may hold the origin of a stream
 // of some services.
 func (relay *Relay) askedLoaders(key origin.Key, services []string) []string {
-	asked := make(map[string]bool)
-	ask := func(loaders loaderGroup) {
-		for _, address := range rank.Top(key.String(), loaders.serving, askedHolders) {
-			asked[address] = true
-		}
-		for _, address := range rank.Top(key.String(), loaders.draining, originHolders) {
-			asked[address] = true
-		}
+	var asked []string
+	ask := func(loaders *loaderGroup) {
+		asked = append(asked, rank.Top(key.String(), loaders.serving, askedHolders)...)
+		asked = append(asked, rank.Top(key.String(), loaders.draining, originHolders)...)
 	}
 	for software := range relay.origins.loaderGroups() {
-		if slices.Contains(services, software.Service) {
-			ask(relay.loaders(func(other origin.Origin) bool { return other == software }))
+		if loaders := relay.loadersOf(software); loaders != nil && slices.Contains(services, software.Service) {
+			ask(loaders)
 		}
 	}
 	if len(asked) == 0 {
-		ask(relay.loaders(func(origin.Origin) bool { return true }))
+		ask(relay.allLoaders())
 	}
-	return slices.Sorted(maps.Keys(asked))
+	slices.Sort(asked)
+	return slices.Compact(asked)
 }
 
-// loaders returns the loaders beside the engines of the software that a function selects.
-func (relay *Relay) loaders(selected func(origin.Origin) bool) loaderGroup {
-	var loaders loaderGroup
+// loadersOf returns the loaders beside the engines of a software version, or nil if there are
+// none. The result is shared and must not be changed.
+func (relay *Relay) loadersOf(software origin.Origin) *loaderGroup {
 	config := relay.store.config()
 	if config == nil {
-		return loaders
+		return nil
+	}
+	service, ok := config.Service(software.Service)
+	if !ok || service.Engine == nil {
+		return nil
 	}
-	for software, group := range relay.origins.loaderGroups() {
-		service, ok := config.Service(software.Service)
-		if ok && service.Engine != nil && selected(software) {
-			loaders.serving = append(loaders.serving, group.serving...)
-			loaders.draining = append(loaders.draining, group.draining...)
+	return relay.origins.loaderGroups()[software]
+}
+
+// allLoaders returns the loaders beside all engines.
+func (relay *Relay) allLoaders() *loaderGroup {
+	all := new(loaderGroup)
+	for software := range relay.origins.loaderGroups() {
+		if loaders := relay.loadersOf(software); loaders != nil {
+			all.serving = append(all.serving, loaders.serving...)
+			all.draining = append(all.draining, loaders.draining...)
 		}
 	}
-	return loaders
+	return all
 }
 
 // originOf returns the software of an upstream. It is not known if the upstream names no
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -24,8 +24,7 @@
 	if !proxyRequest.countRetry(ctx) {
 		return outcomeUnfunded
 	}
-	repeatable := proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
-	ctx, active, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest, repeatable)
+	ctx, active, done := relay.activeSends.track(ctx, upstream.ID, proxyRequest, proxyRequest.mayRepeat())
 	defer done()
 	proxyRequest.active = active
 	proxyRequest.countLimitedSend(upstream)
@@ -189,6 +188,12 @@
 	return outcomeNotRun
 }
 
+// mayRepeat reports whether the request may be sent to another upstream after the present
+// send, also if it has run there.
+func (proxyRequest *proxyRequest) mayRepeat() bool {
+	return proxyRequest.mayRunAgain() && proxyRequest.runs+1 < proxyRequest.route.MaxAttempts
+}
+
 // mayRunAgain reports whether the route allows the request to run again.
 func (proxyRequest *proxyRequest) mayRunAgain() bool {
 	return proxyRequest.runs < proxyRequest.route.MaxAttempts && proxyRequest.route.Semantics == routes.Idempotent
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -269,7 +269,7 @@
 	upstreams := relay.store.instances.Upstreams()
 	relay.picker.SetUpstreams(upstreams)
 	relay.observeOrigins(upstreams)
-	relay.incarnationAsks.keep(upstreams)
+	relay.incarnationAsks.keep(relay.store.instances.Contains)
 	relay.health.setUpstreams(upstreams)
 	relay.stateChanged.notify()
 	relay.reportSoon()
