--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -122,6 +122,9 @@
 	checks.notEmpty("instance", relay.Instance)
 	checks.notEmpty("failure-domain", relay.FailureDomain)
 	checks.address("store", relay.Store)
+	if relay.Heartbeat.Duration != 0 {
+		checks.positive("heartbeat", relay.Heartbeat.Duration)
+	}
 	checks.address("listen.callers", relay.Listen.Callers)
 	checks.address("listen.probes", relay.Listen.Probes)
 	checks.address("listen.metrics", relay.Listen.Metrics)
--- a/internal/base/setup/relay_test.go
+++ b/internal/base/setup/relay_test.go
@@ -52,6 +52,7 @@
 		{"no port", relay, strings.Replace(goodRelay, ":8225", "", 1), []string{"store", "10.200.1.7", "IP:port"}},
 		{"no time", relay, strings.Replace(goodRelay, `"5000ms"`, `"0s"`, 1), []string{"bounds.revoke", "duration above 0"}},
 		{"unit missing", relay, strings.Replace(goodRelay, `"8s"`, `"8"`, 1), []string{"grace"}},
+		{"negative heartbeat", relay, "heartbeat = \"-1s\"\n" + goodRelay, []string{"heartbeat", "-1s", "above 0"}},
 		{"no memory", relay, "memory-mb = 0\n" + goodRelay, []string{"memory-mb", "between 1 and 1e+09"}},
 		{"no engine", loader, strings.Replace(goodLoader, `engine = "10.1.0.27:8228"`, "", 1), []string{"engine", "IP:port"}},
 	}
