Log which loaders answer when a stream is taken up, and the age of the list

The cause of a take-up at the wrong version could not be told from the log: neither how old the list was from which a version counted as the only one, nor whether a loader that may have known the stream had not answered.

--- a/internal/daemon/relay/originlookup.go
+++ b/internal/daemon/relay/originlookup.go
@@ -69,11 +69,20 @@
 	}
 }
 
+// lookupResult is what loaders say of the origin of a stream.
+type lookupResult struct {
+	record origin.Record
+	found  bool
+	// asked is the number of loaders that were asked, and silent that of those that had not
+	// answered when the lookup ended.
+	asked, silent int
+}
+
 // askOrigin asks the loaders that may hold the origin of a stream.
-func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) (record origin.Record, found bool) {
+func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) lookupResult {
 	asked := relay.askedLoaders(key, services)
 	if key == 0 || len(asked) == 0 {
-		return origin.Record{}, false
+		return lookupResult{}
 	}
 	lookup := &originLookup{answers: make(chan originAnswer, 2*len(asked))}
 	defer relay.origins.begin(key, lookup)()
@@ -89,19 +98,19 @@
 	for len(silent) > 0 {
 		select {
 		case answer := <-lookup.answers:
+			delete(silent, answer.loader)
 			if answer.found {
-				return answer.record, true
+				return lookupResult{record: answer.record, found: true, asked: len(asked), silent: len(silent)}
 			}
-			delete(silent, answer.loader)
 		case <-repeat.C:
 			for loader := range silent {
 				relay.sendDatagram(ask, loader)
 			}
 		case <-timeout.C:
-			return origin.Record{}, false
+			return lookupResult{asked: len(asked), silent: len(silent)}
 		case <-ctx.Done():
-			return origin.Record{}, false
+			return lookupResult{asked: len(asked), silent: len(silent)}
 		}
 	}
-	return origin.Record{}, false
+	return lookupResult{asked: len(asked)}
 }
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -79,8 +79,11 @@
 		return record.Origin, "own"
 	}
 	services := proxyRequest.route.ServiceNames()
-	if record, ok := relay.askOrigin(ctx, key, services); ok {
-		return record.Origin, "loader"
+	lookup := relay.askOrigin(ctx, key, services)
+	proxyRequest.log("relay: loaders asked for the origin of a stream", zap.Bool("found", lookup.found), zap.Int("asked", lookup.asked), zap.Int("silent", lookup.silent),
+		zap.Duration("list-age", elapsed(relay.instanceWatcher.Position().ConfirmedAt)))
+	if lookup.found {
+		return lookup.record.Origin, "loader"
 	}
 	longest := relay.longestStream(services)
 	if !relay.store.steadyFor(proxyRequest.route, longest) {
