Let a relay name peers another address than the one it listens on

Cause: a relay told loaders and other relays the address that it listens on, so that it could not be reached where addresses are translated, and no test could put anything between two relays. Change: the optional setting address under [peers], with its check. Without it nothing changes.

--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -1,14 +1,30 @@
 package setup
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
-// Peers configures the datagrams between relays and loaders.
+// Peers configures the datagrams of a loader.
 type Peers struct {
 	// Listen is the address for datagrams, as IP:port. All processes use the same
 	// port.
 	Listen string `toml:"listen"`
 }
 
+// RelayPeers configures the datagrams of a relay.
+type RelayPeers struct {
+	// Listen is the address for datagrams, as IP:port. All processes use the same
+	// port.
+	Listen string `toml:"listen"`
+	// Address is the address by which other processes reach the relay, as IP:port. It is
+	// empty if that is Listen, and differs where addresses are translated.
+	Address string `toml:"address"`
+}
+
+// Reached returns the address by which other processes reach the relay.
+func (peers RelayPeers) Reached() string { return cmp.Or(peers.Address, peers.Listen) }
+
 // RelayListen holds the addresses that a relay listens on, as IP:port.
 type RelayListen struct {
 	// Callers is the HTTP address for callers.
@@ -49,7 +65,7 @@
 	// that is not known.
 	Heartbeat Period      `toml:"heartbeat"`
 	Listen    RelayListen `toml:"listen"`
-	Peers     Peers       `toml:"peers"`
+	Peers     RelayPeers  `toml:"peers"`
 	Bounds    RelayBounds `toml:"bounds"`
 	// Memory is the memory that the relay may use, in units of 2^20 bytes.
 	Memory Number `toml:"memory-mb"`
@@ -129,6 +145,9 @@
 	checks.address("listen.probes", relay.Listen.Probes)
 	checks.address("listen.metrics", relay.Listen.Metrics)
 	checks.address("peers.listen", relay.Peers.Listen)
+	if relay.Peers.Address != "" {
+		checks.address("peers.address", relay.Peers.Address)
+	}
 	checks.positive("bounds.revoke", relay.Bounds.RevocationDelay.Duration)
 	checks.positive("bounds.config-apply", relay.Bounds.ConfigDelay.Duration)
 	checks.positive("bounds.version", relay.Bounds.VersionDelay.Duration)
--- a/internal/base/setup/relay_test.go
+++ b/internal/base/setup/relay_test.go
@@ -54,6 +54,8 @@
 		{"unit missing", relay, strings.Replace(goodRelay, `"8s"`, `"8"`, 1), []string{"grace"}},
 		{"negative heartbeat", relay, "heartbeat = \"-1s\"\n" + goodRelay, []string{"heartbeat", "-1s", "above 0"}},
 		{"no memory", relay, "memory-mb = 0\n" + goodRelay, []string{"memory-mb", "between 1 and 1e+09"}},
+		{"peers reach it elsewhere", relay, strings.Replace(goodRelay, "[peers]", "[peers]\naddress = \"10.9.0.25:7600\"", 1), nil},
+		{"no port for peers", relay, strings.Replace(goodRelay, "[peers]", "[peers]\naddress = \"10.9.0.25\"", 1), []string{"peers.address", "10.9.0.25", "IP:port"}},
 		{"no engine", loader, strings.Replace(goodLoader, `engine = "10.1.0.27:8228"`, "", 1), []string{"engine", "IP:port"}},
 	}
 	for _, test := range tests {
@@ -95,3 +97,23 @@
 		t.Errorf("bounds are %+v", relay.Bounds)
 	}
 }
+
+// TestReachedAddress guards against a relay that names peers an address by which they cannot
+// reach it.
+func TestReachedAddress(t *testing.T) {
+	tests := []struct {
+		name  string
+		peers RelayPeers
+		want  string
+	}{
+		{"listens there", RelayPeers{Listen: "10.1.0.25:7600"}, "10.1.0.25:7600"},
+		{"translated", RelayPeers{Listen: "10.1.0.25:7600", Address: "10.9.0.25:7600"}, "10.9.0.25:7600"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.peers.Reached(); got != test.want {
+				t.Errorf("peers reach the relay at %s, want %s", got, test.want)
+			}
+		})
+	}
+}
