Read the store once more before a version counts as the only one

What callers saw: streams that they took up at a relay which had been cut off from the store, or had stood still, went on at another software version than the one that began them. Cause: "no other version was listed" was concluded from a list that had been confirmed up to 3 s before, so from before engines of the new version were listed. The loaders that hold the stream's record are beside these engines, so that nobody was asked who knew. Class: a conclusion from the absence of something in what was last heard. Change: before that conclusion the list is read once more, in a call that begins after the take-up came, and the end of the configuration's topic is read, as the route may have got other services. The same read comes before a take-up is refused since no upstream of its version is listed. If the store does not answer within 250 ms, the relay is out of step: it refuses with a Retry-After of 50 ms, so that the caller goes on at another relay. Why this works: a stream that a caller takes up had begun, at an upstream that another relay had read from the store, before the take-up was sent.

--- /dev/null
+++ b/internal/daemon/relay/instep.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// What the others did until a moment can be told only from what was heard after it. An
+// instance that was stopped, or is cut off, may lack entries of the instance list that others
+// have acted on. So before it concludes anything from what it does not know, it reads the
+// store once more.
+
+const (
+	// confirmTimeout bounds the time for that.
+	confirmTimeout = 250 * time.Millisecond
+	// retryAfterOutOfStep is sent with refusals of an instance that could not confirm what it
+	// knows: another one may.
+	retryAfterOutOfStep = 50 * time.Millisecond
+)
+
+// reasonOutOfStep is the reason of such refusals.
+const reasonOutOfStep = "the instance could not confirm in time which upstreams are listed"
+
+// errOutOfStep means that this instance does not know all that others may know.
+var errOutOfStep = errors.New(reasonOutOfStep)
+
+// outOfStepRefusal returns the refusal of a request for which this instance is out of step.
+func outOfStepRefusal() *refusal {
+	return &refusal{http.StatusServiceUnavailable, reasonOutOfStep, retryAfterOutOfStep}
+}
+
+// confirmList makes sure that the instance list holds all that the store held at a time,
+// and returns errOutOfStep if that cannot be confirmed within confirmTimeout.
+func (relay *Relay) confirmList(ctx context.Context, since time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return relay.awaitList(ctx, since)
+}
+
+// confirmStore is confirmList for the configuration too.
+func (relay *Relay) confirmStore(ctx context.Context, since time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	relay.instanceWatcher.Refresh(since)
+	// The watcher of the configuration mostly waits in a call for changes.
+	end, err := relay.configWatcher.End(ctx, since)
+	if err != nil {
+		return errOutOfStep
+	}
+	if err := relay.awaitConfirmed(ctx, func() bool { return !relay.configWatcher.Position().Before(end) }); err != nil {
+		return err
+	}
+	return relay.awaitList(ctx, since)
+}
+
+// awaitList waits until the instance list is confirmed by a call that began at a time or
+// later.
+func (relay *Relay) awaitList(ctx context.Context, since time.Time) error {
+	relay.instanceWatcher.Refresh(since)
+	return relay.awaitConfirmed(ctx, func() bool { return !relay.instanceWatcher.Position().ConfirmedAt.Before(since) })
+}
+
+// awaitConfirmed waits until a condition holds that changes with the positions of the
+// watchers.
+func (relay *Relay) awaitConfirmed(ctx context.Context, confirmed func() bool) error {
+	for {
+		changed := relay.storeConfirmed.next()
+		switch {
+		case confirmed():
+			return nil
+		case ctx.Err() != nil:
+			return errOutOfStep
+		}
+		awaitChange(ctx, changed, confirmTimeout)
+	}
+}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -117,7 +117,9 @@
 	start        time.Time
 	wake         chan struct{}
 	stateChanged *broadcast
-	activeSends  *activeSends
+	// storeConfirmed is notified when what was read of the store is confirmed as current.
+	storeConfirmed *broadcast
+	activeSends    *activeSends
 	// origins holds which software began streams.
 	origins         *origins
 	incarnationAsks *incarnationAsks
@@ -163,6 +165,7 @@
 		start:           time.Now(),
 		wake:            make(chan struct{}, 1),
 		stateChanged:    newBroadcast(),
+		storeConfirmed:  newBroadcast(),
 		usageChanges:    newUsageChanges(),
 		cordon:          cordon.New(cordon.Config{}),
 		poison:          poison.New(poison.Config{}),
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -167,10 +167,11 @@
 			}
 			return changes
 		},
-		PeerUpdate: relay.configUpdate,
-		OnChange:   relay.announceChange,
-		OnOverdue:  func() { relay.recordStoreState(topicConfig, true) },
-		OnCall:     func(err error) { relay.recordStoreCall(topicConfig, err) },
+		PeerUpdate:  relay.configUpdate,
+		OnConfirmed: func(time.Time) { relay.storeConfirmed.notify() },
+		OnChange:    relay.announceChange,
+		OnOverdue:   func() { relay.recordStoreState(topicConfig, true) },
+		OnCall:      func(err error) { relay.recordStoreCall(topicConfig, err) },
 	})
 }
 
@@ -191,6 +192,7 @@
 		OnConfirmed: func(at time.Time) {
 			list.MarkAvailable()
 			relay.origins.history.Confirm(at)
+			relay.storeConfirmed.notify()
 		},
 		OnChange:  relay.announceChange,
 		OnFailure: list.MarkUnavailable,
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -61,42 +61,79 @@
 	proxyRequest.log("relay: stream taken up", zap.String("resumes", proxyRequest.info.Resumes), zap.String("last-event", proxyRequest.info.LastEventID),
 		zap.String("software-version", found.Version), zap.String("known-from", source))
 	proxyRequest.origin, proxyRequest.lastEventID = found, proxyRequest.info.LastEventID
-	if !found.Known() {
+	switch {
+	case source == sourceOutOfStep:
+		return outOfStepRefusal()
+	case !found.Known():
 		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, 0}
 	}
 	if service, ok := relay.store.config().Service(found.Service); ok && proxyRequest.route.Names(found.Service) {
 		proxyRequest.service = service
 	}
+	return proxyRequest.confirmGone(ctx, proxyRequest.started)
+}
+
+// confirmGone returns the refusal of a request that continues a stream if no upstream can do
+// so, or nil. Before that, it makes sure that the list has the upstreams that were listed at
+// a time.
+func (proxyRequest *proxyRequest) confirmGone(ctx context.Context, since time.Time) *refusal {
+	if refused := proxyRequest.resumeRefusal(); refused == nil || !proxyRequest.origin.Known() {
+		return refused
+	}
+	if proxyRequest.relay.confirmList(ctx, since) != nil {
+		return outOfStepRefusal()
+	}
 	return proxyRequest.resumeRefusal()
 }
 
+// How the origin of a stream is known, or why not.
+const (
+	sourceOwn       = "own"
+	sourceLoader    = "loader"
+	sourceSole      = "sole-version"
+	sourceNowhere   = "nowhere"
+	sourceOutOfStep = "out-of-step"
+)
+
 // findOrigin returns which software began the stream that the caller takes up, and how that
 // is known: from this instance, from a loader, or because no other version was listed while
 // the stream can have begun.
 func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, source string) {
 	relay, key := proxyRequest.relay, proxyRequest.streamKey()
 	if record, ok := relay.origins.ledger.Find(key); ok {
-		return record.Origin, "own"
+		return record.Origin, sourceOwn
 	}
-	services := proxyRequest.route.ServiceNames()
-	lookup := relay.askOrigin(ctx, key, services)
+	lookup := relay.askOrigin(ctx, key, proxyRequest.route.ServiceNames())
 	proxyRequest.log("relay: loaders asked for the origin of a stream", zap.Bool("found", lookup.found), zap.Int("asked", lookup.asked), zap.Int("silent", lookup.silent),
 		zap.Duration("list-age", elapsed(relay.instanceWatcher.Position().ConfirmedAt)))
 	if lookup.found {
-		return lookup.record.Origin, "loader"
+		return lookup.record.Origin, sourceLoader
+	}
+	return proxyRequest.soleOrigin(ctx, proxyRequest.started)
+}
+
+// soleOrigin returns the only origin that a stream of the route can have that had begun by a
+// time, if there is only one. The store is read once more, as other instances may have begun
+// the stream at an upstream that this one does not know yet.
+func (proxyRequest *proxyRequest) soleOrigin(ctx context.Context, begunBy time.Time) (sole origin.Origin, source string) {
+	relay := proxyRequest.relay
+	if relay.confirmStore(ctx, begunBy) != nil {
+		return origin.Origin{}, sourceOutOfStep
 	}
+	services := proxyRequest.route.ServiceNames()
 	longest := relay.longestStream(services)
 	if !relay.store.steadyFor(proxyRequest.route, longest) {
 		// The stream may have begun at another service.
 		services = relay.engineServices()
+		longest = relay.longestStream(services)
 	}
 	if !relay.origins.history.Reaches(longest) {
 		relay.recallSoftware(ctx)
 	}
 	if sole, ok := relay.origins.history.Sole(services, longest); ok {
-		return sole, "sole-version"
+		return sole, sourceSole
 	}
-	return origin.Origin{}, "nowhere"
+	return origin.Origin{}, sourceNowhere
 }
 
 // engineServices returns the services that were listed lately, without those that have no
--- a/internal/daemon/watch/changes.go
+++ b/internal/daemon/watch/changes.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Before reports whether a cursor is at an earlier place than another one.
+func (cursor Cursor) Before(other Cursor) bool {
+	if cursor.Epoch != other.Epoch {
+		return cursor.Epoch < other.Epoch
+	}
+	return cursor.Next < other.Next
+}
+
 // Position is how far a process has read a topic.
 type Position struct {
 	Cursor
--- a/internal/daemon/watch/peer.go
+++ b/internal/daemon/watch/peer.go
@@ -20,13 +20,14 @@
 		case <-ctx.Done():
 		case <-time.After(min(valid, peerPollPeriod)):
 		case <-watcher.wake:
+		case <-watcher.refresh:
 		}
 	}
 }
 
 // applyPeerUpdate applies what another process has read, and returns for how long that
-// replaces calls. It is not positive if a call is needed: there is no update, or it lacks
-// changes that this process has not read.
+// replaces calls. It is not positive if a call is needed: there is no update, it lacks
+// changes that this process has not read, or Refresh asks for a call.
 func (watcher *Watcher[Record]) applyPeerUpdate() (valid time.Duration) {
 	if watcher.config.PeerUpdate == nil {
 		return 0
@@ -46,5 +47,8 @@
 	if update.ConfirmedAt.After(own.ConfirmedAt) {
 		watcher.markConfirmed(update.ConfirmedAt, update.AnsweredAt)
 	}
+	if watcher.refreshDue() {
+		return 0
+	}
 	return valid
 }
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -111,6 +111,8 @@
 type Watcher[Record any] struct {
 	config Config[Record]
 	wake   chan struct{}
+	// refresh wakes a wait between two calls when Refresh is called.
+	refresh chan struct{}
 	// longPoll and interval are the LongPoll and Interval in force, in nanoseconds.
 	longPoll, interval atomic.Int64
 	// storeTime is how long the store took for the last call, besides holding it.
@@ -140,6 +142,12 @@
 	mutex    sync.Mutex
 	position Position
 	recent   recentChanges[Record]
+	// refreshSince is the latest time at or after which a call must begin.
+	refreshSince time.Time
+
+	endMutex sync.Mutex
+	// lastEnd is the end that the source named in response to the last call of End.
+	lastEnd topicEnd
 }
 
 // New returns a Watcher that has read nothing.
@@ -147,7 +155,7 @@
 	config.CallTimeout = cmp.Or(config.CallTimeout, DefaultCallTimeout)
 	config.MinBackoff = cmp.Or(config.MinBackoff, DefaultMinBackoff)
 	config.MaxBackoff = cmp.Or(config.MaxBackoff, DefaultMaxBackoff)
-	watcher := &Watcher[Record]{config: config, wake: make(chan struct{}, 1)}
+	watcher := &Watcher[Record]{config: config, wake: make(chan struct{}, 1), refresh: make(chan struct{}, 1)}
 	watcher.SetPace(config.LongPoll, config.Interval)
 	return watcher
 }
@@ -182,6 +190,7 @@
 			}
 			watcher.waitInterval(ctx)
 			watcher.waitOnPeer(ctx)
+			watcher.waitRefresh(ctx, called)
 		case errors.Is(err, ErrTrimmed):
 			watcher.config.Logger.Info("follow: records trimmed, reading a snapshot", zap.String("topic", watcher.config.Name))
 			watcher.synced = false
@@ -204,7 +213,7 @@
 	}
 }
 
-// waitInterval waits for Interval or until it is woken.
+// waitInterval waits for Interval, until it is woken, or until Refresh asks for a call.
 func (watcher *Watcher[Record]) waitInterval(ctx context.Context) {
 	interval := time.Duration(watcher.interval.Load())
 	if interval <= 0 {
@@ -212,10 +221,16 @@
 	}
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-watcher.wake:
+	for !watcher.refreshDue() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-watcher.wake:
+			return
+		case <-watcher.refresh:
+		}
 	}
 }
 
