Compare the list with what others had read before a version counts as the only one

Cause: a read that begins after the take-up proves nothing if the store answers by an old state, and only loaders of the stream's own version held its record, which a relay that does not list that version never asks. Change: with the origin of a stream a relay tells the loaders how far it has read the list, and they say the furthest such place with each answer. A relay that has read less reads on, or refuses as out of step; so it does if no loader answers. Two loaders of up to three other versions of the service hold the record too, so that nothing changes while one version is listed. Why this works: whoever began the stream had told loaders that this relay asks, of the stream and of a place after the entry of its upstream.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -17,6 +17,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/base/metric"
+	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
@@ -117,6 +118,9 @@
 	levels *bucket.Keeper
 	// origins holds which software began streams, as entry instances said.
 	origins *origin.Ledger
+	// list is how far any entry instance had read the instance list that has told of a
+	// stream.
+	list watch.Cursor
 	// startedAt is the start of this process in Unix microseconds.
 	startedAt int64
 
--- a/internal/daemon/loader/origins.go
+++ b/internal/daemon/loader/origins.go
@@ -1,13 +1,16 @@
 package loader
 
 import (
+	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-// keepOrigins keeps which software began streams, for memoryLifetime at most.
+// keepOrigins keeps which software began streams, for memoryLifetime at most, and how far the
+// sender had read the instance list.
 func (loader *Loader) keepOrigins(origins *wirepb.StreamOrigins) {
+	loader.recordList(watch.Cursor{Epoch: origins.GetList().GetEpoch(), Next: origins.GetList().GetNext()})
 	for _, record := range codec.DecodeOrigins(origins.GetStreams()) {
 		record.Lifetime = min(record.Lifetime, memoryLifetime)
 		loader.origins.Record(record, nil)
@@ -16,7 +19,8 @@
 
 // answerOrigins tells an entry instance which software began the streams that it asks for.
 func (loader *Loader) answerOrigins(ask *wirepb.OriginAsk) {
-	answer := new(wirepb.OriginAnswer)
+	list := loader.latestList()
+	answer := &wirepb.OriginAnswer{List: &wirepb.ListPosition{Epoch: list.Epoch, Next: list.Next}}
 	var known []origin.Record
 	for _, key := range ask.GetKeys() {
 		if record, found := loader.origins.Find(origin.Key(key)); found {
@@ -28,3 +32,20 @@
 	answer.Known = codec.EncodeOrigins(known)
 	loader.config.Datagrams.Send(&wirepb.Datagram{Body: &wirepb.Datagram_OriginAnswer{OriginAnswer: answer}}, []string{ask.GetEntry()}, loader.logUnsent)
 }
+
+// recordList records how far an entry instance has read the instance list.
+func (loader *Loader) recordList(cursor watch.Cursor) {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	if loader.list.Before(cursor) {
+		loader.list = cursor
+	}
+}
+
+// latestList returns how far any entry instance had read the instance list that has told of
+// a stream.
+func (loader *Loader) latestList() watch.Cursor {
+	loader.mutex.Lock()
+	defer loader.mutex.Unlock()
+	return loader.list
+}
--- a/internal/daemon/relay/instep.go
+++ b/internal/daemon/relay/instep.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 )
 
 // What the others did until a moment can be told only from what was heard after it. An
@@ -31,16 +33,17 @@
 	return &refusal{http.StatusServiceUnavailable, reasonOutOfStep, retryAfterOutOfStep}
 }
 
-// confirmList makes sure that the instance list holds all that the store held at a time,
-// and returns errOutOfStep if that cannot be confirmed within confirmTimeout.
-func (relay *Relay) confirmList(ctx context.Context, since time.Time) error {
+// confirmList makes sure that the instance list holds all that the store held at a time and
+// all that others had read, up to a place in it. It returns errOutOfStep if that cannot be
+// confirmed within confirmTimeout.
+func (relay *Relay) confirmList(ctx context.Context, since time.Time, others watch.Cursor) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	return relay.awaitList(ctx, since)
+	return relay.awaitList(ctx, since, others)
 }
 
 // confirmStore is confirmList for the configuration too.
-func (relay *Relay) confirmStore(ctx context.Context, since time.Time) error {
+func (relay *Relay) confirmStore(ctx context.Context, since time.Time, others watch.Cursor) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	relay.instanceWatcher.Refresh(since)
@@ -52,14 +55,23 @@
 	if err := relay.awaitConfirmed(ctx, func() bool { return !relay.configWatcher.Position().Before(end) }); err != nil {
 		return err
 	}
-	return relay.awaitList(ctx, since)
+	return relay.awaitList(ctx, since, others)
 }
 
 // awaitList waits until the instance list is confirmed by a call that began at a time or
-// later.
-func (relay *Relay) awaitList(ctx context.Context, since time.Time) error {
-	relay.instanceWatcher.Refresh(since)
-	return relay.awaitConfirmed(ctx, func() bool { return !relay.instanceWatcher.Position().ConfirmedAt.Before(since) })
+// later, and is read as far as others had read it. A store may answer with an earlier state
+// than it did to them.
+func (relay *Relay) awaitList(ctx context.Context, since time.Time, others watch.Cursor) error {
+	for {
+		relay.instanceWatcher.Refresh(since)
+		if err := relay.awaitConfirmed(ctx, func() bool { return !relay.instanceWatcher.Position().ConfirmedAt.Before(since) }); err != nil {
+			return err
+		}
+		if !relay.instanceWatcher.Position().Before(others) {
+			return nil
+		}
+		since = time.Now()
+	}
 }
 
 // awaitConfirmed waits until a condition holds that changes with the positions of the
--- a/internal/daemon/relay/originlookup.go
+++ b/internal/daemon/relay/originlookup.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -28,6 +29,8 @@
 	loader string
 	record origin.Record
 	found  bool
+	// list is how far those had read the instance list that told the loader of streams.
+	list watch.Cursor
 }
 
 // begin registers a lookup. The caller calls end when it is over.
@@ -61,11 +64,12 @@
 
 // handleOriginAnswer records which streams a loader knows.
 func (relay *Relay) handleOriginAnswer(source string, answer *wirepb.OriginAnswer) {
+	list := watch.Cursor{Epoch: answer.GetList().GetEpoch(), Next: answer.GetList().GetNext()}
 	for _, record := range codec.DecodeOrigins(answer.GetKnown()) {
-		relay.origins.deliver(record.Key, originAnswer{loader: source, record: record, found: true})
+		relay.origins.deliver(record.Key, originAnswer{loader: source, record: record, found: true, list: list})
 	}
 	for _, key := range answer.GetUnknown() {
-		relay.origins.deliver(origin.Key(key), originAnswer{loader: source})
+		relay.origins.deliver(origin.Key(key), originAnswer{loader: source, list: list})
 	}
 }
 
@@ -76,6 +80,22 @@
 	// asked is the number of loaders that were asked, and silent that of those that had not
 	// answered when the lookup ended.
 	asked, silent int
+	// list is how far others had read the instance list when they began streams.
+	list watch.Cursor
+}
+
+// unheard reports whether loaders were asked and none of them answered.
+func (result lookupResult) unheard() bool { return result.asked > 0 && result.silent == result.asked }
+
+// add adds the answer of a loader that had not answered before.
+func (result *lookupResult) add(answer originAnswer) {
+	result.silent--
+	if result.list.Before(answer.list) {
+		result.list = answer.list
+	}
+	if answer.found {
+		result.record, result.found = answer.record, true
+	}
 }
 
 // askOrigin asks the loaders that may hold the origin of a stream.
@@ -90,27 +110,28 @@
 	for _, loader := range asked {
 		silent[loader] = true
 	}
+	result := lookupResult{asked: len(asked), silent: len(asked)}
 	ask := &wirepb.Datagram{Body: &wirepb.Datagram_OriginAsk{OriginAsk: &wirepb.OriginAsk{Entry: relay.config.DatagramAddress, Keys: []uint64{uint64(key)}}}}
 	relay.sendDatagram(ask, asked...)
 	timeout, repeat := time.NewTimer(askTimeout), time.NewTimer(askRepeat)
 	defer timeout.Stop()
 	defer repeat.Stop()
-	for len(silent) > 0 {
+	for len(silent) > 0 && !result.found {
 		select {
 		case answer := <-lookup.answers:
-			delete(silent, answer.loader)
-			if answer.found {
-				return lookupResult{record: answer.record, found: true, asked: len(asked), silent: len(silent)}
+			if silent[answer.loader] {
+				delete(silent, answer.loader)
+				result.add(answer)
 			}
 		case <-repeat.C:
 			for loader := range silent {
 				relay.sendDatagram(ask, loader)
 			}
 		case <-timeout.C:
-			return lookupResult{asked: len(asked), silent: len(silent)}
+			return result
 		case <-ctx.Done():
-			return lookupResult{asked: len(asked), silent: len(silent)}
+			return result
 		}
 	}
-	return lookupResult{asked: len(asked)}
+	return result
 }
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -15,11 +15,14 @@
 
 // Loaders keep which software began a stream, as all entry instances may end at once. A
 // record is of use only while upstreams of its version serve, so the loaders beside these
-// keep it: those that rank first for the stream among the engines of its version.
+// keep it: those that rank first for the stream among the engines of its version. Those of
+// the other versions keep it too, for instances that do not know its version yet.
 
 const (
-	// originHolders is the number of loaders that keep the origin of a stream.
-	originHolders = 2
+	// originHolders is the number of loaders of a version that keep the origin of a stream,
+	// and maxOtherVersions bounds the versions besides its own whose loaders do.
+	originHolders    = 2
+	maxOtherVersions = 3
 	// askedHolders is the number of loaders of each version that are asked for it. It
 	// exceeds originHolders, as engines that were listed since may rank before the holders.
 	// As many draining engines are asked as may hold it.
@@ -94,9 +97,11 @@
 
 // sendOrigins sends records to loaders.
 func (relay *Relay) sendOrigins(records []origin.Record, holders ...string) {
+	position := relay.instanceWatcher.Position()
+	list := &wirepb.ListPosition{Epoch: position.Epoch, Next: position.Next}
 	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
 		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_StreamOrigins{
-			StreamOrigins: &wirepb.StreamOrigins{Streams: codec.EncodeOrigins(part)},
+			StreamOrigins: &wirepb.StreamOrigins{Streams: codec.EncodeOrigins(part), List: list},
 		}}, holders...)
 	}
 }
@@ -160,17 +165,36 @@
 	}
 }
 
-// originHolders returns the addresses of the loaders that hold the origin of a stream.
+// originHolders returns the addresses of the loaders that hold the origin of a stream: those
+// of its version, and those of other versions of its service, as an instance that does not
+// know its version yet asks these.
 func (relay *Relay) originHolders(record origin.Record) []string {
 	loaders := relay.loadersOf(record.Origin)
 	if loaders == nil {
 		// The service has no engines, or none of the version is left.
 		loaders = relay.allLoaders()
 	}
+	holders := loaders.holders(record.Key)
+	others := 0
+	for software := range relay.origins.loaderGroups() {
+		if software.Service != record.Origin.Service || software == record.Origin || others == maxOtherVersions {
+			continue
+		}
+		if loaders := relay.loadersOf(software); loaders != nil && len(loaders.serving) > 0 {
+			holders = append(holders, loaders.holders(record.Key)...)
+			others++
+		}
+	}
+	slices.Sort(holders)
+	return slices.Compact(holders)
+}
+
+// holders returns the loaders of a group that hold the origin of a stream.
+func (loaders *loaderGroup) holders(key origin.Key) []string {
 	if len(loaders.serving) == 0 {
-		return rank.Top(record.Key.String(), loaders.draining, originHolders)
+		return rank.Top(key.String(), loaders.draining, originHolders)
 	}
-	return rank.Top(record.Key.String(), loaders.serving, originHolders)
+	return rank.Top(key.String(), loaders.serving, originHolders)
 }
 
 // askedLoaders returns the addresses of the loaders that may hold the origin of a stream
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 )
 
@@ -56,7 +57,7 @@
 	if !listed() {
 		return &refusal{http.StatusServiceUnavailable, "the instance list is not known yet", retryAfterUnready}
 	}
-	found, source := proxyRequest.findOrigin(ctx)
+	found, source, list := proxyRequest.findOrigin(ctx)
 	relay.metrics.increment("take-ups-" + source)
 	proxyRequest.log("relay: stream taken up", zap.String("resumes", proxyRequest.info.Resumes), zap.String("last-event", proxyRequest.info.LastEventID),
 		zap.String("software-version", found.Version), zap.String("known-from", source))
@@ -70,17 +71,17 @@
 	if service, ok := relay.store.config().Service(found.Service); ok && proxyRequest.route.Names(found.Service) {
 		proxyRequest.service = service
 	}
-	return proxyRequest.confirmGone(ctx, proxyRequest.started)
+	return proxyRequest.confirmGone(ctx, list)
 }
 
-// confirmGone returns the refusal of a request that continues a stream if no upstream can do
-// so, or nil. Before that, it makes sure that the list has the upstreams that were listed at
-// a time.
-func (proxyRequest *proxyRequest) confirmGone(ctx context.Context, since time.Time) *refusal {
+// confirmGone returns the refusal of a request that takes up a stream if no upstream can
+// continue it, or nil. Before it returns one, it makes sure that the list has the upstreams
+// that were listed when the request came, and those that others had read up to a place.
+func (proxyRequest *proxyRequest) confirmGone(ctx context.Context, others watch.Cursor) *refusal {
 	if refused := proxyRequest.resumeRefusal(); refused == nil || !proxyRequest.origin.Known() {
 		return refused
 	}
-	if proxyRequest.relay.confirmList(ctx, since) != nil {
+	if proxyRequest.relay.confirmList(ctx, proxyRequest.started, others) != nil {
 		return outOfStepRefusal()
 	}
 	return proxyRequest.resumeRefusal()
@@ -97,27 +98,32 @@
 
 // findOrigin returns which software began the stream that the caller takes up, and how that
 // is known: from this instance, from a loader, or because no other version was listed while
-// the stream can have begun.
-func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, source string) {
+// the stream can have begun. list is how far others had read the instance list.
+func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, source string, list watch.Cursor) {
 	relay, key := proxyRequest.relay, proxyRequest.streamKey()
 	if record, ok := relay.origins.ledger.Find(key); ok {
-		return record.Origin, sourceOwn
+		return record.Origin, sourceOwn, list
 	}
 	lookup := relay.askOrigin(ctx, key, proxyRequest.route.ServiceNames())
 	proxyRequest.log("relay: loaders asked for the origin of a stream", zap.Bool("found", lookup.found), zap.Int("asked", lookup.asked), zap.Int("silent", lookup.silent),
 		zap.Duration("list-age", elapsed(relay.instanceWatcher.Position().ConfirmedAt)))
-	if lookup.found {
-		return lookup.record.Origin, sourceLoader
+	switch {
+	case lookup.found:
+		return lookup.record.Origin, sourceLoader, lookup.list
+	case lookup.unheard():
+		return origin.Origin{}, sourceOutOfStep, lookup.list
 	}
-	return proxyRequest.soleOrigin(ctx, proxyRequest.started)
+	found, source = proxyRequest.soleOrigin(ctx, proxyRequest.started, lookup.list)
+	return found, source, lookup.list
 }
 
 // soleOrigin returns the only origin that a stream of the route can have that had begun by a
 // time, if there is only one. The store is read once more, as other instances may have begun
-// the stream at an upstream that this one does not know yet.
-func (proxyRequest *proxyRequest) soleOrigin(ctx context.Context, begunBy time.Time) (sole origin.Origin, source string) {
+// the stream at an upstream that this one does not know yet. others is how far they had read
+// the instance list.
+func (proxyRequest *proxyRequest) soleOrigin(ctx context.Context, begunBy time.Time, others watch.Cursor) (sole origin.Origin, source string) {
 	relay := proxyRequest.relay
-	if relay.confirmStore(ctx, begunBy) != nil {
+	if relay.confirmStore(ctx, begunBy, others) != nil {
 		return origin.Origin{}, sourceOutOfStep
 	}
 	services := proxyRequest.route.ServiceNames()
