Count a version as listed though its entry was replaced before the list was read

What callers would see: a stream that began at an engine which was renewed under its id, and again, while the relay did not read the list, goes on at the other version. Cause: of a page of the list only the last record of each upstream was decoded, so that a version that an entry named in between was never seen, although the relay had followed the list without a gap. Change: all records are decoded, and the history takes each version that one names.

--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -116,7 +116,7 @@
 func (relay *Relay) groupLoaders(upstreams []fleet.Upstream) map[origin.Origin]*loaderGroup {
 	groups := make(map[origin.Origin]*loaderGroup)
 	for _, upstream := range upstreams {
-		software := origin.Origin{Service: upstream.Service, Version: upstream.SoftwareVersion}
+		software := softwareOf(upstream)
 		group, ok := groups[software]
 		if !ok {
 			group = new(loaderGroup)
@@ -249,6 +249,11 @@
 	if upstream.SoftwareVersion == "" && relay.namesVersions(upstream.Service) {
 		return origin.Origin{}
 	}
+	return softwareOf(upstream)
+}
+
+// softwareOf returns the software that an upstream's entry names.
+func softwareOf(upstream fleet.Upstream) origin.Origin {
 	return origin.Origin{Service: upstream.Service, Version: upstream.SoftwareVersion}
 }
 
--- a/internal/daemon/relay/recall.go
+++ b/internal/daemon/relay/recall.go
@@ -79,7 +79,7 @@
 	named := make(map[origin.Origin]bool)
 	for _, listing := range history.Listings {
 		if listing.Upstream != nil {
-			named[origin.Origin{Service: listing.Upstream.Service, Version: listing.Upstream.SoftwareVersion}] = true
+			named[softwareOf(*listing.Upstream)] = true
 		}
 	}
 	return named
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -218,6 +218,11 @@
 func (relay *Relay) applyListings(listings []Listing, complete bool) (changes []Listing) {
 	list := relay.store.instances
 	relay.logFaults(listings)
+	for _, listing := range listings {
+		if listing.Upstream != nil {
+			relay.origins.history.Add(softwareOf(*listing.Upstream))
+		}
+	}
 	if complete {
 		present := make([]fleet.Upstream, 0, len(listings))
 		for _, listing := range listings {
--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -50,6 +50,14 @@
 	})
 }
 
+// Add records that an upstream's software was listed, if only until the next record of the
+// same upstream.
+func (history *History) Add(software Origin) {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	history.seenAt[software] = time.Now()
+}
+
 // Confirm records a time at which the list was current. After a gap, the history begins
 // anew.
 func (history *History) Confirm(at time.Time) {
--- a/internal/flow/origin/origin_test.go
+++ b/internal/flow/origin/origin_test.go
@@ -108,6 +108,8 @@
 		confirmed time.Duration
 		// silent is how long it is not confirmed after that.
 		silent time.Duration
+		// replaced is software that an entry named until a later record of it.
+		replaced Origin
 	}
 	tests := []struct {
 		name  string
@@ -122,6 +124,8 @@
 		{name: "the other one left long ago", steps: []step{{listed: both, confirmed: 30 * time.Second}, {listed: only, confirmed: 30 * time.Second}}, want: first},
 		{name: "the other one has just come", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: both, confirmed: time.Second}}},
 		{name: "list not current", steps: []step{{listed: only, confirmed: 30 * time.Second, silent: 5 * time.Second}}},
+		{name: "the other one was listed for a moment", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: only, replaced: second, confirmed: time.Second}}},
+		{name: "the other one was listed for a moment long ago", steps: []step{{listed: only, replaced: second, confirmed: 30 * time.Second}}, want: first},
 		{name: "gap in the list", steps: []step{{listed: only, confirmed: 30 * time.Second, silent: 5 * time.Second}, {listed: only, confirmed: 10 * time.Second}}},
 		{name: "all left", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: nil, confirmed: 10 * time.Second}}, want: first},
 		{name: "other service", steps: []step{{listed: map[Origin]bool{first: true, {Service: "counter", Version: "v9"}: true}, confirmed: 30 * time.Second}}, want: first},
@@ -131,6 +135,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				history := NewHistory()
 				for _, step := range test.steps {
+					if step.replaced.Known() {
+						history.Add(step.replaced)
+					}
 					history.Observe(step.listed)
 					for range int(step.confirmed / time.Second) {
 						history.Confirm(time.Now())
