Conclude nothing from a list that was just restored from an earlier copy

What callers would see: a stream that began at an upstream which the store has lost, and which has not registered again yet, goes on at another version. Cause: the list that comes from a restored store counted as complete at once, though upstreams are back in it only within two seconds. Change: for these two seconds no version counts as the only one, and neither after the first list of a relay that starts, if the store was ever restored. Evidence: TestSole (list just restored) fails without the change.

--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -143,6 +143,8 @@
 	// restart.
 	requestNumbers atomic.Uint64
 
+	// listKnown means that the instance list was read.
+	listKnown atomic.Bool
 	// peersKnown means that a loader has reported the entry instances it knows.
 	peersKnown atomic.Bool
 	// caughtUp means that the configuration is not older than the other entry
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -190,18 +190,31 @@
 		},
 		PeerUpdate: relay.listUpdate,
 		OnConfirmed: func(at time.Time) {
+			relay.checkFirstList()
 			list.MarkAvailable()
 			relay.origins.history.Confirm(at)
 			relay.storeConfirmed.notify()
 		},
 		OnChange:  relay.announceChange,
 		OnFailure: list.MarkUnavailable,
-		OnRestore: list.MarkRestored,
+		OnRestore: func() {
+			list.MarkRestored()
+			relay.origins.history.MarkIncomplete(fleet.DefaultGracePeriod)
+		},
 		OnOverdue: func() { relay.recordStoreState(topicInstances, true) },
 		OnCall:    func(err error) { relay.recordStoreCall(topicInstances, err) },
 	})
 }
 
+// checkFirstList records that the first list of an instance may be incomplete, as the store
+// may just have been restored from an earlier copy: upstreams that it lost register again.
+func (relay *Relay) checkFirstList() {
+	if relay.listKnown.Swap(true) || relay.instanceWatcher.Position().Epoch == 0 {
+		return
+	}
+	relay.origins.history.MarkIncomplete(fleet.DefaultGracePeriod)
+}
+
 // readInstancesSoon reads the instance list early, since an upstream does not
 // match its entry. Early reads are at least minEarlyReadInterval apart.
 func (relay *Relay) readInstancesSoon() {
--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -17,6 +17,8 @@
 	// seenAt holds when each version was last listed, and listed those that are listed now.
 	seenAt map[Origin]time.Time
 	listed map[Origin]bool
+	// incompleteUntil is until when the list may lack upstreams that others know.
+	incompleteUntil time.Time
 }
 
 // maxConfirmGap is the longest time between two confirmations of the list within which no
@@ -58,6 +60,14 @@
 	history.seenAt[software] = time.Now()
 }
 
+// MarkIncomplete records that the list may lack upstreams for a time that others know, as it
+// was restored from an earlier copy.
+func (history *History) MarkIncomplete(length time.Duration) {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	history.incompleteUntil = time.Now().Add(length)
+}
+
 // Confirm records a time at which the list was current. After a gap, the history begins
 // anew.
 func (history *History) Confirm(at time.Time) {
@@ -79,7 +89,7 @@
 }
 
 func (history *History) reaches(now time.Time, within time.Duration) bool {
-	followed := !history.since.IsZero() && now.Sub(history.confirmedAt) <= maxConfirmGap
+	followed := !history.since.IsZero() && now.Sub(history.confirmedAt) <= maxConfirmGap && !now.Before(history.incompleteUntil)
 	return followed && now.Sub(history.since) >= within && within <= HistoryRetention
 }
 
--- a/internal/flow/origin/origin_test.go
+++ b/internal/flow/origin/origin_test.go
@@ -110,6 +110,8 @@
 		silent time.Duration
 		// replaced is software that an entry named until a later record of it.
 		replaced Origin
+		// restored means that the list comes from an earlier copy from then on.
+		restored bool
 	}
 	tests := []struct {
 		name  string
@@ -126,6 +128,8 @@
 		{name: "list not current", steps: []step{{listed: only, confirmed: 30 * time.Second, silent: 5 * time.Second}}},
 		{name: "the other one was listed for a moment", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: only, replaced: second, confirmed: time.Second}}},
 		{name: "the other one was listed for a moment long ago", steps: []step{{listed: only, replaced: second, confirmed: 30 * time.Second}}, want: first},
+		{name: "list just restored", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: only, restored: true, confirmed: time.Second}}},
+		{name: "list restored a while ago", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: only, restored: true, confirmed: 2 * time.Second}}, want: first},
 		{name: "gap in the list", steps: []step{{listed: only, confirmed: 30 * time.Second, silent: 5 * time.Second}, {listed: only, confirmed: 10 * time.Second}}},
 		{name: "all left", steps: []step{{listed: only, confirmed: 30 * time.Second}, {listed: nil, confirmed: 10 * time.Second}}, want: first},
 		{name: "other service", steps: []step{{listed: map[Origin]bool{first: true, {Service: "counter", Version: "v9"}: true}, confirmed: 30 * time.Second}}, want: first},
@@ -138,6 +142,9 @@
 					if step.replaced.Known() {
 						history.Add(step.replaced)
 					}
+					if step.restored {
+						history.MarkIncomplete(2 * time.Second)
+					}
 					history.Observe(step.listed)
 					for range int(step.confirmed / time.Second) {
 						history.Confirm(time.Now())
