Know the version of a stream from the loader only, not from an old list

What callers would see: a relay out of step begins or continues a stream at an engine that has started again under its id at another version, and records, or relies on, the version that its old list names. Cause: of an engine whose loader was not heard, the list alone told which incarnation answers, however old the list was and though the silence may be the relay's own. Change: without a report of the loader no incarnation is confirmed. A stream that begins there has no origin, without a wait for one, and streams do not go on at engines whose loader has not been heard. So that a stream without an origin can still be resumed while there is one version, its relay asks as for a take-up when it breaks, and reads the list again if no upstream of its version is known. Evidence: TestIdentify (no loader, loader silent) had Confirmed there; the two cases expected the fault and now expect that nothing is confirmed, which is stricter.

--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -106,12 +106,22 @@
 	return identity
 }
 
+// awaitBegin is awaitIdentity for an answer that begins a stream. It does not wait for a
+// loader that does not report.
+func (proxyRequest *proxyRequest) awaitBegin(ctx context.Context) picker.Identity {
+	if identity := proxyRequest.identify(); identity == picker.Unreported {
+		return identity
+	}
+	return proxyRequest.awaitIdentity(ctx, beginTimeout)
+}
+
 // awaitIdentity waits for a time until it is known which incarnation answers.
 func (proxyRequest *proxyRequest) awaitIdentity(ctx context.Context, wait time.Duration) picker.Identity {
 	for until := time.Now().Add(wait); ; {
 		changed := proxyRequest.relay.stateChanged.next()
 		identity := proxyRequest.identify()
-		if identity != picker.Unconfirmed || ctx.Err() != nil || !time.Now().Before(until) {
+		known := identity == picker.Confirmed || identity == picker.Replaced
+		if known || ctx.Err() != nil || !time.Now().Before(until) {
 			return identity
 		}
 		awaitChange(ctx, changed, min(incarnationAskInterval, time.Until(until)))
@@ -130,7 +140,7 @@
 		}
 		proxyRequest.recordOrigin(proxyRequest.origin)
 	case !proxyRequest.headersSent:
-		proxyRequest.recordBegin(proxyRequest.awaitIdentity(ctx, beginTimeout))
+		proxyRequest.recordBegin(proxyRequest.awaitBegin(ctx))
 	default:
 		proxyRequest.followListing()
 		proxyRequest.recordBegin(proxyRequest.identify())
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -68,6 +68,7 @@
 			proxyRequest.giveUp(ctx, refused)
 			return
 		}
+		proxyRequest.prepareResume(ctx)
 	}
 }
 
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -104,7 +104,14 @@
 	if record, ok := relay.origins.ledger.Find(key); ok {
 		return record.Origin, sourceOwn, list
 	}
-	lookup := relay.askOrigin(ctx, key, proxyRequest.route.ServiceNames())
+	return proxyRequest.lookUpOrigin(ctx, proxyRequest.started)
+}
+
+// lookUpOrigin is findOrigin for a stream that had begun by a time and of which this instance
+// has no record.
+func (proxyRequest *proxyRequest) lookUpOrigin(ctx context.Context, begunBy time.Time) (found origin.Origin, source string, list watch.Cursor) {
+	relay := proxyRequest.relay
+	lookup := relay.askOrigin(ctx, proxyRequest.streamKey(), proxyRequest.route.ServiceNames())
 	proxyRequest.log("relay: loaders asked for the origin of a stream", zap.Bool("found", lookup.found), zap.Int("asked", lookup.asked), zap.Int("silent", lookup.silent),
 		zap.Duration("list-age", elapsed(relay.instanceWatcher.Position().ConfirmedAt)))
 	switch {
@@ -113,10 +120,27 @@
 	case lookup.unheard():
 		return origin.Origin{}, sourceOutOfStep, lookup.list
 	}
-	found, source = proxyRequest.soleOrigin(ctx, proxyRequest.started, lookup.list)
+	found, source = proxyRequest.soleOrigin(ctx, begunBy, lookup.list)
 	return found, source, lookup.list
 }
 
+// prepareResume finds out, after a break of a stream of which the caller has a part, what its
+// resumption needs and this instance does not know: which software began it, and upstreams of
+// that software that were listed since.
+func (proxyRequest *proxyRequest) prepareResume(ctx context.Context) {
+	if !proxyRequest.resumes() || proxyRequest.resumeRefusal() == nil {
+		return
+	}
+	brokeAt := time.Now()
+	if !proxyRequest.origin.Known() {
+		proxyRequest.origin, _, _ = proxyRequest.lookUpOrigin(ctx, brokeAt)
+	}
+	if proxyRequest.origin.Known() && proxyRequest.resumeRefusal() != nil {
+		// Without a confirmed list the stream ends.
+		_ = proxyRequest.relay.confirmList(ctx, brokeAt, watch.Cursor{})
+	}
+}
+
 // soleOrigin returns the only origin that a stream of the route can have that had begun by a
 // time, if there is only one. The store is read once more, as other instances may have begun
 // the stream at an upstream that this one does not know yet. others is how far they had read
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -43,6 +43,10 @@
 		if request.Engine && !upstream.reportedAt.IsZero() && (!upstream.report.ModelLoaded || upstream.report.Unreachable) {
 			continue
 		}
+		if request.Engine && request.Resumed && picker.silent(upstream, now) {
+			// It may have started again at another software version.
+			continue
+		}
 		if picker.config.Health != nil && !picker.config.Health.Usable(request.Service, upstream.spec.ID) {
 			continue
 		}
--- a/internal/flow/picker/identity.go
+++ b/internal/flow/picker/identity.go
@@ -16,6 +16,9 @@
 	Confirmed
 	// Replaced means that a later one is known.
 	Replaced
+	// Unreported means that its loader does not report, so that none can be confirmed. The
+	// list alone does not tell: the engine may have started again since its entry was read.
+	Unreported
 )
 
 // RecordIncarnation records the start of the incarnation of an engine that ran at a time or
@@ -30,7 +33,6 @@
 
 // Identify returns which incarnation of an engine is at the other end of a connection that
 // was opened at a time. It is the listed one if that ran after the connection was opened.
-// Of an engine whose loader does not report, the list alone tells.
 func (picker *Picker) Identify(spec fleet.Upstream, openedAt time.Time) Identity {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
@@ -38,16 +40,21 @@
 	if !ok {
 		return Unconfirmed
 	}
-	now := time.Now()
-	silent := !picker.reportIsRecent(upstream, now) && now.Sub(upstream.listedAt) > firstReportTimeout
 	switch {
 	case spec.StartedAt == 0:
 		return Confirmed
 	case max(upstream.report.StartedAt, upstream.spec.StartedAt, upstream.confirmed) > spec.StartedAt:
 		return Replaced
-	case silent, upstream.confirmed == spec.StartedAt && upstream.confirmedAt.After(openedAt):
+	case upstream.confirmed == spec.StartedAt && upstream.confirmedAt.After(openedAt):
 		return Confirmed
+	case picker.silent(upstream, time.Now()):
+		return Unreported
 	default:
 		return Unconfirmed
 	}
 }
+
+// silent reports whether the loader of a listed engine does not report.
+func (picker *Picker) silent(upstream *upstream, now time.Time) bool {
+	return !picker.reportIsRecent(upstream, now) && now.Sub(upstream.listedAt) > firstReportTimeout
+}
--- a/internal/flow/picker/identity_test.go
+++ b/internal/flow/picker/identity_test.go
@@ -40,8 +40,9 @@
 		{name: "a later one reported", after: report(later), want: Replaced},
 		{name: "confirmed, then a later one reported", before: confirm(listed), after: report(later), want: Replaced},
 		{name: "an earlier one confirmed", after: confirm(listed - 1), want: Unconfirmed},
-		{name: "no loader", wait: firstReportTimeout + time.Second, want: Confirmed},
-		{name: "loader silent", before: report(listed), wait: firstReportTimeout + time.Second, want: Confirmed},
+		{name: "no loader", wait: firstReportTimeout + time.Second, want: Unreported},
+		{name: "loader silent", before: report(listed), wait: firstReportTimeout + time.Second, want: Unreported},
+		{name: "confirmed, then loader silent", before: report(listed), after: confirm(listed), wait: firstReportTimeout + time.Second, want: Confirmed},
 		{name: "not listed any more", before: func(picker *Picker) { picker.SetUpstreams(nil) }, want: Unconfirmed},
 		{name: "start not listed", before: func(picker *Picker) { picker.SetUpstreams([]fleet.Upstream{{ID: "i-0", Service: "advisor"}}) }, want: Unconfirmed},
 	}
