Bound the time for which a take-up is held at a relay out of step

What callers saw: three take-ups were refused after 513 to 534 ms at relays out of step, 500 ms allowed (TestOutOfStep, stopped 1.3 s, beside a load of 49). The asks of loaders took 150 ms and the read of the store up to 250 ms more, one after the other. Both together now have 300 ms.

--- a/internal/daemon/relay/instep.go
+++ b/internal/daemon/relay/instep.go
@@ -15,8 +15,10 @@
 // store once more.
 
 const (
-	// confirmTimeout bounds the time for that.
+	// confirmTimeout bounds the time for that, and takeUpTimeout that for all that is asked
+	// and read when a stream is taken up: the caller can go on at another instance.
 	confirmTimeout = 250 * time.Millisecond
+	takeUpTimeout  = 300 * time.Millisecond
 	// retryAfterOutOfStep is sent with refusals of an instance that could not confirm what it
 	// knows: another one may.
 	retryAfterOutOfStep = 50 * time.Millisecond
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -57,6 +57,8 @@
 	if !listed() {
 		return &refusal{http.StatusServiceUnavailable, "the instance list is not known yet", retryAfterUnready}
 	}
+	ctx, cancel := context.WithTimeout(ctx, takeUpTimeout)
+	defer cancel()
 	found, source, list := proxyRequest.findOrigin(ctx)
 	relay.metrics.increment("take-ups-" + source)
 	proxyRequest.log("relay: stream taken up", zap.String("resumes", proxyRequest.info.Resumes), zap.String("last-event", proxyRequest.info.LastEventID),
@@ -158,7 +160,7 @@
 		longest = relay.longestStream(services)
 	}
 	if !relay.origins.history.Reaches(longest) {
-		relay.recallSoftware(ctx)
+		relay.recallSoftware(context.WithoutCancel(ctx))
 	}
 	if sole, ok := relay.origins.history.Sole(services, longest); ok {
 		return sole, sourceSole
