Choose the loaders for what a relay knows from a list of their own

Cause: memoryKeepers took plain and draining upstreams out of the slice that fleet.List.Upstreams returns, in place. That slice is shared until the list changes. When the instance watcher had taken it and not yet passed it to the picker, a report of what the relay knows (each second, each 250 ms while it retries) left the picker with engines and zero entries only. A machine with much load makes that window long. memoryKeepers now fills a slice of its own.

Evidence: TestMemoryKeepersListed failed before and passes now.

--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -68,10 +68,13 @@
 		return nil
 	}
 	own := relay.config.DatagramAddress
-	engines := slices.DeleteFunc(relay.store.instances.Upstreams(), func(upstream fleet.Upstream) bool {
-		service, ok := config.Service(upstream.Service)
-		return !ok || service.Engine == nil || upstream.Draining
-	})
+	// The listed upstreams are shared, so the engines need a slice of their own.
+	var engines []fleet.Upstream
+	for _, upstream := range relay.store.instances.Upstreams() {
+		if service, ok := config.Service(upstream.Service); ok && service.Engine != nil && !upstream.Draining {
+			engines = append(engines, upstream)
+		}
+	}
 	slices.SortFunc(engines, func(a, b fleet.Upstream) int {
 		return cmp.Or(relay.domainDistance(a)-relay.domainDistance(b), cmp.Compare(rank.Score(own, b.ID), rank.Score(own, a.ID)))
 	})
