Know a stream's version from the incarnation that was listed, not a later one

A relay could record a stream as begun by the software version that came after the one that wrote it, and its take-up or resumption would go on there: two versions in one stream.

Cause: while the origin of a stream was not known, each further event took over the present entry of its upstream and counted as written by that incarnation once the loader confirmed it. The reason given was that a connection to an earlier incarnation has ended by then. That is a conclusion from what was not read: its last events may be in a buffer, because this relay stood still, its caller reads slowly or the network held them back, and the id may serve at another address by then. Change: only the entry as it was when the request was sent may be confirmed. A stream that begins in the moment between the start of an engine under its id and the first report on that is of unknown version, also later, and is not resumed.

--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -142,7 +142,8 @@
 	case !proxyRequest.headersSent:
 		proxyRequest.recordBegin(proxyRequest.awaitBegin(ctx))
 	default:
-		proxyRequest.followListing()
+		// The connection may lead to the incarnation that was listed when it was opened, also if
+		// that has ended and a later one is listed: its last events may not have been read yet.
 		proxyRequest.recordBegin(proxyRequest.identify())
 	}
 	proxyRequest.active.bound.Store(!proxyRequest.identified)
@@ -153,16 +154,6 @@
 	return nil
 }
 
-// followListing takes over the present entry of the upstream that goes on writing a stream.
-// A connection that was opened to a later incarnation than the listed one is identified once
-// the list shows that; one to an earlier incarnation has ended by then.
-func (proxyRequest *proxyRequest) followListing() {
-	connection := &proxyRequest.connection
-	if listed, ok := proxyRequest.relay.store.instances.Find(connection.upstream.ID); ok && listed.Service == connection.upstream.Service {
-		connection.upstream = listed
-	}
-}
-
 // recordBegin records which software began the stream, if that is known.
 func (proxyRequest *proxyRequest) recordBegin(identity picker.Identity) {
 	if identity == picker.Confirmed {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -128,14 +128,6 @@
 	return ok
 }
 
-// Find returns the upstream with an id.
-func (list *List) Find(id string) (upstream Upstream, found bool) {
-	list.mutex.Lock()
-	defer list.mutex.Unlock()
-	upstream, found = list.upstreams[id]
-	return upstream, found
-}
-
 // Lapsed reports whether the entry of an upstream is lapsed.
 func (list *List) Lapsed(id string) bool {
 	list.mutex.Lock()
