Keep the state when the store answers from a copy that lags

A relay that was served by an older copy of the store, as by a replica that lags by some seconds, went back to it: upstreams that had joined since were gone, those that had left were there again, an engine that was renewed under its id had its earlier software version. And it counted what it knew as confirmed at that moment, so that a withdrawn key was accepted for as long as the copy lagged.

Change: an answer in which the topic ends before the position is stale, as one of an earlier epoch is, unless there is no other for ten seconds. A copy that lags and was never read further still cannot be told from a current one.

--- a/internal/daemon/watch/call.go
+++ b/internal/daemon/watch/call.go
@@ -16,8 +16,8 @@
 	overdueFactor  = 2
 )
 
-// maxAnswerAge is how old an answer may be. If only answers of an earlier epoch come
-// for longer, the store itself is of that epoch.
+// maxAnswerAge is how old an answer may be. If only answers of an earlier epoch or with an
+// earlier end come for longer, the store itself is at that state.
 const maxAnswerAge = 10 * time.Second
 
 // call reads the snapshot, or the records after it.
@@ -34,7 +34,7 @@
 		if next.Epoch == 0 {
 			next.Epoch = watcher.latestEpoch
 		}
-		switch err := watcher.checkEpoch(next.Epoch); {
+		switch err := watcher.checkAge(next); {
 		case errors.Is(err, errStale):
 			return err
 		case err != nil && !watcher.Position().ConfirmedAt.IsZero():
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	if err := watcher.checkEpoch(page.Next.Epoch); err != nil {
+	if err := watcher.checkAge(Cursor{Epoch: page.Next.Epoch, Next: page.End}); err != nil {
 		return err
 	}
 	if page.Next.Next == from && page.End > from {
@@ -96,9 +96,14 @@
 	}
 }
 
-// checkEpoch returns an error if an answer is of another epoch than the position.
-func (watcher *Watcher[Record]) checkEpoch(epoch uint64) error {
-	err := watcher.Position().compareEpoch(epoch)
+// checkAge returns an error if an answer is of another epoch than the position, or if the
+// topic ended before the position when the store answered, which may be a copy that lags.
+func (watcher *Watcher[Record]) checkAge(end Cursor) error {
+	position := watcher.Position()
+	err := position.compareEpoch(end.Epoch)
+	if err == nil && end.Next < position.Next {
+		err = errStale
+	}
 	if errors.Is(err, errStale) {
 		if watcher.staleSince.IsZero() {
 			watcher.staleSince = time.Now()
@@ -108,8 +113,8 @@
 		}
 		err = ErrRestored
 	}
-	if err != nil {
-		watcher.latestEpoch = epoch
+	if err != nil && end.Epoch != 0 {
+		watcher.latestEpoch = end.Epoch
 	}
 	return err
 }
--- a/internal/daemon/watch/watch.go
+++ b/internal/daemon/watch/watch.go
@@ -24,7 +24,7 @@
 // Errors of a call whose response is of another epoch than the position.
 var (
 	ErrRestored = errors.New("the store was restored from an earlier copy")
-	errStale    = errors.New("the response is older than the last restore of the store")
+	errStale    = errors.New("the response is older than what was read before")
 )
 
 // errNoRecords means that a response has none of the records that the store has.
@@ -130,7 +130,7 @@
 	// latestEpoch is the latest epoch that a read named, for a snapshot that names
 	// none.
 	latestEpoch uint64
-	// staleSince is since when all answers are of an earlier epoch, or zero.
+	// staleSince is since when all answers are of an earlier epoch or end, or zero.
 	staleSince time.Time
 	// changed means that the last call changed the local state.
 	changed bool
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -25,6 +25,8 @@
 	pageSize, growth int
 	// epoch is what all answers name.
 	epoch uint64
+	// shortReads means that a read from beyond the end names that end, instead of failing.
+	shortReads bool
 }
 
 var errDown = errors.New("the store is down")
@@ -47,6 +49,10 @@
 	}
 	end := len(topic.records)
 	down, trimmed := topic.down, int(from) < topic.first || int(from) > end
+	if trimmed && topic.shortReads {
+		defer topic.mutex.Unlock()
+		return Page[string]{Next: Cursor{Epoch: topic.epoch, Next: from}, End: uint64(end)}, nil
+	}
 	topic.mutex.Unlock()
 	switch {
 	case down:
@@ -544,3 +550,69 @@
 		})
 	}
 }
+
+// TestLaggingStore guards against a state that goes back, or counts as current, because the
+// store answers from a copy that lags behind what was read before.
+func TestLaggingStore(t *testing.T) {
+	lag := func(topic *topic) { topic.records = topic.records[:2] }
+	tests := []struct {
+		name string
+		// change is applied once three records were read, and undone after lagTime if it is
+		// not for good.
+		change  func(*topic)
+		forGood bool
+		// confirmed means that the state counts as current while the store lags.
+		confirmed bool
+		// lagging is the newest record while the store lags, and want the one in the end.
+		lagging, want string
+	}{
+		{name: "no lag", change: func(*topic) {}, confirmed: true, lagging: "3", want: "3"},
+		{name: "reads and snapshots lag", change: lag, lagging: "3", want: "3"},
+		{name: "reads that name an earlier end", change: func(topic *topic) { lag(topic); topic.shortReads = true }, lagging: "3", want: "3"},
+		{name: "restored without an epoch", change: lag, forGood: true, lagging: "3", want: "2"},
+	}
+	const lagTime = 3 * time.Second
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &topic{records: []string{"1", "2", "3"}}
+				last := ""
+				watcher := New(Config[string]{
+					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: 100 * time.Millisecond,
+					Apply: func(records []string, _ bool) []string {
+						if len(records) > 0 {
+							store.change(func() { last = records[len(records)-1] })
+						}
+						return records
+					},
+				})
+				stop := run(t, watcher)
+				defer stop()
+				time.Sleep(time.Second)
+				store.change(func() { test.change(store) })
+				time.Sleep(lagTime)
+				confirmed := time.Since(watcher.Position().ConfirmedAt) < lagTime/2
+				store.change(func() {
+					if diff := cmp.Diff(test.lagging, last); diff != "" {
+						t.Errorf("newest record while the store lags (-want +got):\n%s", diff)
+					}
+				})
+				if diff := cmp.Diff(test.confirmed, confirmed); diff != "" {
+					t.Errorf("counts as current while the store lags (-want +got):\n%s", diff)
+				}
+				if !test.forGood {
+					store.change(func() { store.records, store.shortReads = []string{"1", "2", "3"}, false })
+				}
+				time.Sleep(2 * maxAnswerAge)
+				store.change(func() {
+					if diff := cmp.Diff(test.want, last); diff != "" {
+						t.Errorf("newest record in the end (-want +got):\n%s", diff)
+					}
+				})
+				if age := time.Since(watcher.Position().ConfirmedAt); age > time.Second {
+					t.Errorf("the state was confirmed %v ago in the end", age)
+				}
+			})
+		})
+	}
+}
