Don't take a store reader's word that there is less than was read

A relay counted its configuration or list as current because the store reader of its failure domain said that there was nothing more, although the reader had read less than this relay: it was served by a copy of the store that lags.

Cause: the time of a position report confirmed the state whatever the position. Change: a report that is later than the last confirmation and ends before it is not used, and the relay calls the store itself. Evidence: the case "reader that lags" of TestLaggingStore failed before.

--- a/internal/daemon/watch/peer.go
+++ b/internal/daemon/watch/peer.go
@@ -27,7 +27,8 @@
 
 // applyPeerUpdate applies what another process has read, and returns for how long that
 // replaces calls. It is not positive if a call is needed: there is no update, it lacks
-// changes that this process has not read, or Refresh asks for a call.
+// changes that this process has not read, it says later that there is less, or Refresh asks
+// for a call.
 func (watcher *Watcher[Record]) applyPeerUpdate() (valid time.Duration) {
 	if watcher.config.PeerUpdate == nil {
 		return 0
@@ -37,6 +38,10 @@
 	if valid <= 0 || update.Epoch != own.Epoch || update.ChangedNext > own.Next && (!update.Complete || update.From > own.Next) {
 		return 0
 	}
+	if update.Next < own.Next && update.ConfirmedAt.After(own.ConfirmedAt) {
+		// The other process is served by a copy of the store that lags.
+		return 0
+	}
 	if update.Next > own.Next {
 		var changes []Record
 		if update.ChangedNext > own.Next {
--- a/internal/daemon/watch/watch_test.go
+++ b/internal/daemon/watch/watch_test.go
@@ -552,7 +552,8 @@
 }
 
 // TestLaggingStore guards against a state that goes back, or counts as current, because the
-// store answers from a copy that lags behind what was read before.
+// store answers from a copy that lags behind what was read before, or because another process
+// reports that it has read less and knows of nothing more.
 func TestLaggingStore(t *testing.T) {
 	lag := func(topic *topic) { topic.records = topic.records[:2] }
 	tests := []struct {
@@ -561,6 +562,8 @@
 		// not for good.
 		change  func(*topic)
 		forGood bool
+		// reported is what the store reader reports meanwhile, nil if it is silent all the time.
+		reported *Update[string]
 		// confirmed means that the state counts as current while the store lags.
 		confirmed bool
 		// lagging is the newest record while the store lags, and want the one in the end.
@@ -570,15 +573,21 @@
 		{name: "reads and snapshots lag", change: lag, lagging: "3", want: "3"},
 		{name: "reads that name an earlier end", change: func(topic *topic) { lag(topic); topic.shortReads = true }, lagging: "3", want: "3"},
 		{name: "restored without an epoch", change: lag, forGood: true, lagging: "3", want: "2"},
+		{name: "reader that lags", change: lag, reported: &Update[string]{Position: Position{Cursor: Cursor{Next: 2}, ChangedNext: 2}}, lagging: "3", want: "3"},
+		{
+			name: "reader that lags, store that does not", change: func(*topic) {}, confirmed: true, lagging: "3", want: "3",
+			reported: &Update[string]{Position: Position{Cursor: Cursor{Next: 2}, ChangedNext: 2}},
+		},
 	}
 	const lagTime = 3 * time.Second
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := &topic{records: []string{"1", "2", "3"}}
+				reader := &peer{given: update(3, 3), silent: test.reported == nil}
 				last := ""
 				watcher := New(Config[string]{
-					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: 100 * time.Millisecond,
+					Name: "config", Source: store, Logger: zap.NewNop(), LongPoll: 100 * time.Millisecond, PeerUpdate: reader.update,
 					Apply: func(records []string, _ bool) []string {
 						if len(records) > 0 {
 							store.change(func() { last = records[len(records)-1] })
@@ -590,6 +599,9 @@
 				defer stop()
 				time.Sleep(time.Second)
 				store.change(func() { test.change(store) })
+				if test.reported != nil {
+					reader.set(*test.reported, false)
+				}
 				time.Sleep(lagTime)
 				confirmed := time.Since(watcher.Position().ConfirmedAt) < lagTime/2
 				store.change(func() {
@@ -603,6 +615,7 @@
 				if !test.forGood {
 					store.change(func() { store.records, store.shortReads = []string{"1", "2", "3"}, false })
 				}
+				reader.set(Update[string]{}, true)
 				time.Sleep(2 * maxAnswerAge)
 				store.change(func() {
 					if diff := cmp.Diff(test.want, last); diff != "" {
