Ignore a store reader's report that a later one has overtaken

A relay could count its configuration or list as current at a time at which the store reader had said that there is more, for up to 250 ms, or until its own call to the store if the next answers are lost.

Cause: an unsolicited position report replaced the kept one also if it was behind, and took over the time of the answer that had overtaken it. The reader makes reports in the goroutines of both topics and of the datagrams, so that they leave in any order when it stands still in between. Change: an unsolicited report that is behind the kept one is ignored. Evidence: TestLateUnsolicitedReport failed for both topics.

--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -84,21 +84,33 @@
 		}
 		switch topic.GetTopic() {
 		case topicConfig:
-			if !answer {
-				position.ConfirmedAt, position.AnsweredAt = readerReport.configUpdate.ConfirmedAt, readerReport.configUpdate.AnsweredAt
+			if position, ok := mergePosition(readerReport.configUpdate.Position, position, answer); ok {
+				readerReport.configUpdate = watch.Update[ConfigChange]{Position: position}
 			}
-			readerReport.configUpdate = watch.Update[ConfigChange]{Position: position}
 		case topicInstances:
-			if !answer {
-				position.ConfirmedAt, position.AnsweredAt = readerReport.listUpdate.ConfirmedAt, readerReport.listUpdate.AnsweredAt
-			}
-			readerReport.listUpdate = watch.Update[Listing]{
-				Position: position, Changes: decodeListings(topic.GetListings()), From: topic.GetFrom(), Complete: topic.GetComplete(),
+			if position, ok := mergePosition(readerReport.listUpdate.Position, position, answer); ok {
+				readerReport.listUpdate = watch.Update[Listing]{
+					Position: position, Changes: decodeListings(topic.GetListings()), From: topic.GetFrom(), Complete: topic.GetComplete(),
+				}
 			}
 		}
 	}
 }
 
+// mergePosition returns the position to keep once the store reader has reported one. It
+// returns false for an unsolicited report that was overtaken by the kept one, which must not
+// be confirmed by what the kept one says of a later place.
+func mergePosition(kept, reported watch.Position, answer bool) (merged watch.Position, ok bool) {
+	if answer {
+		return reported, true
+	}
+	if reported.Epoch < kept.Epoch || reported.Epoch == kept.Epoch && reported.Next < kept.Next {
+		return watch.Position{}, false
+	}
+	reported.ConfirmedAt, reported.AnsweredAt = kept.ConfirmedAt, kept.AnsweredAt
+	return reported, true
+}
+
 // elapsed returns the time since at, by the monotonic or the wall clock, whichever
 // shows more: the first stands still while the process is suspended, the second may
 // be set.
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -154,6 +154,31 @@
 	})
 }
 
+// TestLateUnsolicitedReport guards against a configuration that counts as current although the
+// store reader had said that there is a later one: a report that it sent before that one came
+// after it.
+func TestLateUnsolicitedReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		readerReport := new(readerReport)
+		readerReport.setReader(readerAddress)
+		answer := newStoreWord(readerAddress, readerReport.newQuery(), 0)
+		answer.Topics[0].Next, answer.Topics[0].Changed = 12, 12
+		answer.Topics = append(answer.Topics, &wirepb.TopicPosition{Topic: topicInstances, Next: 20, Changed: 20, From: 18, Complete: true, AgeMs: 1})
+		readerReport.record(answer)
+		config, list := readerReport.configUpdate, readerReport.listUpdate
+		time.Sleep(time.Millisecond)
+		late := newStoreWord(readerAddress, 0, 0)
+		late.Topics = append(late.Topics, &wirepb.TopicPosition{Topic: topicInstances, Next: 19, Changed: 19, From: 18, Complete: true, AgeMs: 1})
+		readerReport.record(late)
+		if diff := cmp.Diff(config, readerReport.configUpdate); diff != "" {
+			t.Errorf("configuration (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(list, readerReport.listUpdate); diff != "" {
+			t.Errorf("list (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestReader guards against a failure domain without a store reader because the
 // elected instance was killed, is paused, or is in another failure domain.
 func TestReader(t *testing.T) {
