Tell answers of a store reader from those to an earlier relay

A relay that was killed and started again within the time of a datagram could take the answer to a query of its earlier incarnation for one to its own, and count its configuration as confirmed after the query, at a time at which the reader had not looked. A withdrawn key would be accepted that much longer.

Cause: each incarnation counted its queries from 1, and an answer names nothing but that number. Change: the first number is random, as that of waiting requests is. Evidence: TestQueryNumbers failed (4 numbers for 12 queries of 3 incarnations).

--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -182,6 +182,7 @@
 		stop:            newPlannedStop(),
 	}
 	relay.requestNumbers.Store(rand.Uint64())
+	relay.readerReport.queryNumber = rand.Uint64()
 	relay.permits = newPermits(&relay.metrics)
 	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -32,7 +32,9 @@
 
 // readerReport is the last position report of the store reader.
 type readerReport struct {
-	mutex       sync.Mutex
+	mutex sync.Mutex
+	// queryNumber is the number of the last query. The first one is random, so that no answer
+	// to an earlier incarnation of this instance is taken for one to it.
 	queryNumber uint64
 	// queriedAt is when the query with queryNumber was sent to reader.
 	queriedAt    time.Time
--- a/internal/daemon/relay/storereader_test.go
+++ b/internal/daemon/relay/storereader_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
@@ -179,6 +180,22 @@
 	})
 }
 
+// TestQueryNumbers guards against an answer to a query of an earlier incarnation of this
+// instance that counts as one to a query that was sent after it, and so as newer than it is.
+func TestQueryNumbers(t *testing.T) {
+	const incarnations, queries = 3, 4
+	numbers := make(map[uint64]bool)
+	for range incarnations {
+		relay := New(Config{DatagramAddress: ownAddress, Bounds: setup.DefaultRelay().Bounds, ReadyPath: "/ready", Logger: zap.NewNop()})
+		for range queries {
+			numbers[relay.readerReport.newQuery()] = true
+		}
+	}
+	if diff := cmp.Diff(incarnations*queries, len(numbers)); diff != "" {
+		t.Errorf("different numbers of queries (-want +got):\n%s", diff)
+	}
+}
+
 // TestReader guards against a failure domain without a store reader because the
 // elected instance was killed, is paused, or is in another failure domain.
 func TestReader(t *testing.T) {
