Load the newest version of an adapter that any relay names

A loader could load an earlier version of an adapter although another relay waited for a later one: the version at the engine went back, and the requests of the relay that had not heard of the later one ran with the earlier one.

Cause: each version that a demand names was weighed by itself, so that of two relays the one with more waiting requests had its version loaded first. Change: the loader orders the newest version that any demand names. It satisfies the relays that named an earlier one. Evidence: the case "two versions" of TestNext failed. While no relay that knows the later version has a request there, the earlier one is still loaded.

--- a/internal/flow/lora/lora_test.go
+++ b/internal/flow/lora/lora_test.go
@@ -72,6 +72,14 @@
 			uses:   []AdapterUse{{Adapter: Adapter{Name: "a1", Version: 2}, Waiting: 1}},
 			want:   Order{Operation: Load, Model: "m", Adapter: Adapter{Name: "a1", Version: 2}},
 		},
+		{
+			name: "two versions", guards: "an earlier version that an entry instance behind the others wants, loaded after the newest one",
+			engine: EngineState{Models: []string{"m"}},
+			uses: []AdapterUse{
+				{Adapter: Adapter{Name: "a1", Version: 1}, Waiting: 3}, {Adapter: Adapter{Name: "a1", Version: 2}, Waiting: 1}, waiting(2, 2),
+			},
+			want: Order{Operation: Load, Model: "m", Adapter: Adapter{Name: "a1", Version: 2}},
+		},
 		{
 			name: "pending", guards: "an adapter ordered twice",
 			engine: EngineState{Models: []string{"m"}, Pending: adapters(1)}, uses: []AdapterUse{waiting(1, 1)}, none: true,
--- a/internal/flow/lora/plan.go
+++ b/internal/flow/lora/plan.go
@@ -127,15 +127,28 @@
 	}), true
 }
 
+// newestVersions returns the newest version of each adapter that a demand names. An entry
+// instance that has not heard of it names an earlier one.
+func (planner *Planner) newestVersions() map[string]uint32 {
+	newest := make(map[string]uint32)
+	for _, demand := range planner.demands {
+		for _, use := range demand.Uses {
+			newest[use.Adapter.Name] = max(newest[use.Adapter.Name], use.Adapter.Version)
+		}
+	}
+	return newest
+}
+
 // missing returns the waiting requests of each adapter that is neither resident
-// nor pending.
+// nor pending, in the newest version that is named.
 func (planner *Planner) missing() map[Adapter]waiters {
-	missing := make(map[Adapter]waiters)
+	missing, newest := make(map[Adapter]waiters), planner.newestVersions()
 	for _, demand := range planner.demands {
 		for _, use := range demand.Uses {
 			if use.Waiting > 0 && !planner.residentOrPending(use.Adapter) {
-				counts := missing[use.Adapter]
-				missing[use.Adapter] = waiters{onTime: counts.onTime + use.Waiting - use.Late, late: counts.late + use.Late}
+				wanted := Adapter{Name: use.Adapter.Name, Version: newest[use.Adapter.Name]}
+				counts := missing[wanted]
+				missing[wanted] = waiters{onTime: counts.onTime + use.Waiting - use.Late, late: counts.late + use.Late}
 			}
 		}
 	}
