Don't take the end of a copy that lags for the end of a topic

A relay whose configuration was read from the store itself, and which is served by a copy that lags since, would have counted it as confirmed before a take-up. TestEnd fails without the check.

--- a/internal/daemon/watch/refresh.go
+++ b/internal/daemon/watch/refresh.go
@@ -45,7 +45,8 @@
 }
 
 // End returns where the topic ends, as the source said in response to a call that began at a
-// time or later. Callers at the same time share calls.
+// time or later. Callers at the same time share calls. An end before what was read already is
+// that of a copy that lags, and an error.
 func (watcher *Watcher[Record]) End(ctx context.Context, since time.Time) (Cursor, error) {
 	watcher.endMutex.Lock()
 	defer watcher.endMutex.Unlock()
@@ -64,6 +65,9 @@
 	if end.Epoch == 0 {
 		end.Epoch = from.Epoch
 	}
+	if end.Before(from) {
+		return Cursor{}, errStale
+	}
 	watcher.lastEnd = topicEnd{end, called}
 	return end, nil
 }
--- a/internal/daemon/watch/refresh_test.go
+++ b/internal/daemon/watch/refresh_test.go
@@ -92,9 +92,14 @@
 		if diff := cmp.Diff(uint64(2), end(time.Now())); diff != "" {
 			t.Errorf("end as of now (-want +got):\n%s", diff)
 		}
+		watcher.advance(3, nil)
+		time.Sleep(time.Millisecond)
+		if _, err := watcher.End(t.Context(), time.Now()); err == nil {
+			t.Error("an end was returned that is before what was read")
+		}
 		store.change(func() {
 			store.down = true
-			if diff := cmp.Diff(2, store.calls); diff != "" {
+			if diff := cmp.Diff(3, store.calls); diff != "" {
 				t.Errorf("calls (-want +got):\n%s", diff)
 			}
 		})
