Admit requests that are bound to a software version first

Cause: after the crash at 26.0 s four engines of the version were left, of which two left at 27.2 s, beside four of another version. Loaders could not tell a stream that has only these two from one that begins anew: the adapter with the most waiting requests came first, and turns went by arrival. From 29 to 32 s most take-ups were refused after 2.5 to 2.9 s of waiting behind 50,000 prompt tokens. Change: a relay says of each waiting request whether it is bound, that is, whether it continues a stream while an engine of another version serves. Loaders admit bound requests first and load their adapters first. One bit in an ask, one number for an adapter.

--- a/internal/daemon/relay/waitingrequest.go
+++ b/internal/daemon/relay/waitingrequest.go
@@ -59,7 +59,7 @@
 		waitingRequest.proxyRequest.relay.picker.AddWaiting(choice.Upstream.ID, admit.Request{
 			ID: waitingRequest.number, Adapter: requirements.Adapter, Priority: waitingRequest.proxyRequest.admissionPriority(),
 			PromptTokens: waitingRequest.proxyRequest.info.PromptTokens, OutputTokens: waitingRequest.proxyRequest.info.MaxOutputTokens,
-			Waited: time.Since(waitingRequest.proxyRequest.started),
+			Waited: time.Since(waitingRequest.proxyRequest.started), Bound: requirements.Resumed,
 		}, waitingRequest.proxyRequest.latestSend())
 		waitingRequest.proxyRequest.relay.reportSoon()
 	}
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -90,6 +90,10 @@
 	// Late means that the request misses its response-time goal. Late requests
 	// get the capacity that those on time leave.
 	Late bool
+	// Bound means that the request continues a stream, and that no engine of
+	// another software version may get it, although some serve. Bound requests
+	// are admitted first, as the others can go to more engines.
+	Bound bool
 }
 
 // Controller admits the requests for one engine. Its methods may be called
@@ -184,7 +188,7 @@
 	kept := make(map[uint64]*waiter, len(requests))
 	for _, request := range requests {
 		if waiter, ok := known.waiters[request.ID]; ok {
-			waiter.Late = request.Late
+			waiter.Late, waiter.Bound = request.Late, request.Bound
 			kept[request.ID] = waiter
 			continue
 		}
@@ -268,11 +272,23 @@
 func (controller *Controller) queue() []*waiter {
 	queue := controller.eligible()
 	slices.SortFunc(queue, func(a, b *waiter) int {
-		return cmp.Or(controller.sortTime(a).Compare(controller.sortTime(b)), cmp.Compare(a.entry, b.entry), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareBound(a, b), controller.sortTime(a).Compare(controller.sortTime(b)), cmp.Compare(a.entry, b.entry), cmp.Compare(a.ID, b.ID))
 	})
 	return queue
 }
 
+// compareBound orders bound requests before the others.
+func compareBound(a, b *waiter) int {
+	switch {
+	case a.Bound == b.Bound:
+		return 0
+	case a.Bound:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // sortTime returns the time by which waiting requests are ordered. Late ones
 // are delayed, so that they do not make those on time late, but are not put
 // last, so that they are served before their callers give up.
--- a/internal/flow/admit/admit_test.go
+++ b/internal/flow/admit/admit_test.go
@@ -143,6 +143,12 @@
 			requests: []Request{{ID: 1, PromptTokens: 4000, Priority: 1}, {ID: 2, PromptTokens: 4000, Priority: 0}},
 			want:     []uint64{2},
 		},
+		{
+			name: "bound first", guards: "streams that only engines of their version can continue wait behind new ones, which others can begin",
+			engineConfig: threeTokens, state: EngineState{TotalTokens: 122_000, HasAdapter: holdsAll},
+			requests: []Request{{ID: 1, PromptTokens: 4000, Waited: 3 * time.Second}, {ID: 2, PromptTokens: 4000, Bound: true}},
+			want:     []uint64{2},
+		},
 		{
 			name: "missing adapter passed over", guards: "a request whose adapter is loading holds up the others",
 			engineConfig: threeTokens,
--- a/internal/flow/lora/lora.go
+++ b/internal/flow/lora/lora.go
@@ -77,6 +77,9 @@
 	// Late is the number of waiting requests that miss their response-time
 	// goal.
 	Late int
+	// Bound is the number of waiting requests that no engine of another
+	// software version may get, although some serve.
+	Bound int
 }
 
 // Demand is what one entry instance needs from the engine.
--- a/internal/flow/lora/lora_test.go
+++ b/internal/flow/lora/lora_test.go
@@ -51,6 +51,12 @@
 			engine: EngineState{Models: []string{"m"}}, uses: []AdapterUse{waiting(1, 1), waiting(2, 3)},
 			want: Order{Operation: Load, Model: "m", Adapter: adapter(2)},
 		},
+		{
+			name: "bound first", guards: "streams that only engines of their version can continue wait behind new ones, which others can begin",
+			engine: EngineState{Models: []string{"m"}},
+			uses:   []AdapterUse{waiting(1, 3), {Adapter: adapter(2), Waiting: 1, Bound: 1}},
+			want:   Order{Operation: Load, Model: "m", Adapter: adapter(2)},
+		},
 		{
 			name: "full", guards: "a load without a free slot, which crashes the engine",
 			engine: EngineState{Models: []string{"m"}, Resident: adapters(1, 2, 3, 4)}, uses: []AdapterUse{waiting(5, 1), running(1, 1), running(2, 1), running(3, 1)},
--- a/internal/flow/lora/plan.go
+++ b/internal/flow/lora/plan.go
@@ -104,13 +104,15 @@
 
 // waiters counts the requests that wait for one adapter.
 type waiters struct {
+	bound  int
 	onTime int
 	late   int
 }
 
-// nextLoad returns the adapter to load next: the one with the most waiting
-// requests that can still meet their response-time goal, then the one with the
-// most late requests, then the one that has been waited for longest.
+// nextLoad returns the adapter to load next: the one with the most bound
+// requests, as others can go to more engines, then the one with the most
+// waiting requests that can still meet their response-time goal, then the one
+// with the most late requests, then the one that has been waited for longest.
 func (planner *Planner) nextLoad() (Adapter, bool) {
 	missing := planner.missing()
 	if len(missing) == 0 {
@@ -118,6 +120,7 @@
 	}
 	return slices.MinFunc(slices.Collect(maps.Keys(missing)), func(a, b Adapter) int {
 		return cmp.Or(
+			cmp.Compare(missing[b].bound, missing[a].bound),
 			cmp.Compare(missing[b].onTime, missing[a].onTime),
 			cmp.Compare(missing[b].late, missing[a].late),
 			planner.waitingSince[a].Compare(planner.waitingSince[b]),
@@ -148,7 +151,7 @@
 			if use.Waiting > 0 && !planner.residentOrPending(use.Adapter) {
 				wanted := Adapter{Name: use.Adapter.Name, Version: newest[use.Adapter.Name]}
 				counts := missing[wanted]
-				missing[wanted] = waiters{onTime: counts.onTime + use.Waiting - use.Late, late: counts.late + use.Late}
+				missing[wanted] = waiters{bound: counts.bound + use.Bound, onTime: counts.onTime + use.Waiting - use.Late, late: counts.late + use.Late}
 			}
 		}
 	}
--- a/internal/flow/picker/usable.go
+++ b/internal/flow/picker/usable.go
@@ -28,6 +28,18 @@
 	return !request.Resumed || spec.SoftwareVersion == request.SoftwareVersion
 }
 
+// othersServe reports whether an engine of the upstream's service with another software
+// version takes requests.
+func (picker *Picker) othersServe(upstream *upstream) bool {
+	for _, other := range picker.services[upstream.spec.Service] {
+		differs := other.spec.SoftwareVersion != upstream.spec.SoftwareVersion
+		if differs && picker.usable(other) && other.report.ModelLoaded && !other.report.Unreachable {
+			return true
+		}
+	}
+	return false
+}
+
 // CanResume reports whether an upstream may continue a stream, now or after a wait: one
 // that fits, was not tried, goes on serving, and is not known to have ended.
 func (picker *Picker) CanResume(request Request) bool {
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -63,7 +63,9 @@
 }
 
 // AddWaiting records that a request waits for admission at an upstream. The
-// request is late from lateAt on, unless that is zero.
+// request is late from lateAt on, unless that is zero. One that continues a
+// stream is added as bound, and counts as such while engines of other software
+// versions serve.
 func (picker *Picker) AddWaiting(id string, request admit.Request, lateAt time.Time) {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
@@ -133,7 +135,7 @@
 	requests := make([]admit.Request, 0, len(upstream.waiting))
 	for _, waiter := range upstream.waiting {
 		request := waiter.Request
-		request.Late = waiter.late(now)
+		request.Late, request.Bound = waiter.late(now), waiter.Bound && picker.othersServe(upstream)
 		requests = append(requests, request)
 	}
 	slices.SortFunc(requests, func(a, b admit.Request) int { return cmp.Compare(a.ID, b.ID) })
@@ -169,7 +171,8 @@
 		return nil
 	}
 	now := time.Now()
-	waiting, late := maps.Clone(upstream.requestedCopies), make(map[lora.Adapter]int)
+	othersServe := picker.othersServe(upstream)
+	waiting, late, bound := maps.Clone(upstream.requestedCopies), make(map[lora.Adapter]int), make(map[lora.Adapter]int)
 	for _, request := range upstream.waiting {
 		if request.Adapter.Name == "" {
 			continue
@@ -178,12 +181,15 @@
 		if request.late(now) {
 			late[request.Adapter]++
 		}
+		if request.Bound && othersServe {
+			bound[request.Adapter]++
+		}
 	}
 	adapters := maps.Clone(upstream.runningByAdapter)
 	maps.Copy(adapters, waiting)
 	uses := make([]lora.AdapterUse, 0, len(adapters))
 	for adapter := range adapters {
-		uses = append(uses, lora.AdapterUse{Adapter: adapter, Running: upstream.runningByAdapter[adapter], Waiting: waiting[adapter], Late: late[adapter]})
+		uses = append(uses, lora.AdapterUse{Adapter: adapter, Running: upstream.runningByAdapter[adapter], Waiting: waiting[adapter], Late: late[adapter], Bound: bound[adapter]})
 	}
 	slices.SortFunc(uses, func(a, b lora.AdapterUse) int { return compareAdapters(a.Adapter, b.Adapter) })
 	return uses
--- a/internal/wire/codec/datagram.go
+++ b/internal/wire/codec/datagram.go
@@ -36,7 +36,7 @@
 	for _, use := range uses {
 		encoded = append(encoded, &wirepb.AdapterUse{
 			Adapter: use.Adapter.Name, Version: use.Adapter.Version,
-			Running: uint32(use.Running), Waiting: uint32(use.Waiting), Late: uint32(use.Late),
+			Running: uint32(use.Running), Waiting: uint32(use.Waiting), Late: uint32(use.Late), Bound: uint32(use.Bound),
 		})
 	}
 	return encoded
@@ -48,7 +48,7 @@
 	for _, use := range encoded {
 		uses = append(uses, lora.AdapterUse{
 			Adapter: lora.Adapter{Name: use.GetAdapter(), Version: use.GetVersion()},
-			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()), Late: int(use.GetLate()),
+			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()), Late: int(use.GetLate()), Bound: int(use.GetBound()),
 		})
 	}
 	return uses
@@ -61,7 +61,7 @@
 		encoded = append(encoded, &wirepb.Ask{
 			Id: request.ID, Adapter: request.Adapter.Name, Version: request.Adapter.Version,
 			PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Priority: uint32(max(request.Priority, 0)), Late: request.Late,
-			WaitedMs: uint32(request.Waited.Milliseconds()),
+			WaitedMs: uint32(request.Waited.Milliseconds()), Bound: request.Bound,
 		})
 	}
 	return encoded
@@ -74,7 +74,7 @@
 		requests = append(requests, admit.Request{
 			ID: request.GetId(), Adapter: lora.Adapter{Name: request.GetAdapter(), Version: request.GetVersion()},
 			PromptTokens: request.GetPromptTokens(), OutputTokens: request.GetOutputTokens(), Priority: int(request.GetPriority()), Late: request.GetLate(),
-			Waited: time.Duration(request.GetWaitedMs()) * time.Millisecond,
+			Waited: time.Duration(request.GetWaitedMs()) * time.Millisecond, Bound: request.GetBound(),
 		})
 	}
 	return requests
--- a/internal/wire/codec/datagram_test.go
+++ b/internal/wire/codec/datagram_test.go
@@ -15,8 +15,8 @@
 func TestDatagramFields(t *testing.T) {
 	adapter := lora.Adapter{Name: "a1", Version: 3}
 	adapters := []lora.Adapter{adapter}
-	uses := []lora.AdapterUse{{Adapter: adapter, Running: 2, Waiting: 1}}
-	requests := []admit.Request{{ID: 7, Adapter: adapter, PromptTokens: 1460, OutputTokens: 170, Priority: 1}}
+	uses := []lora.AdapterUse{{Adapter: adapter, Running: 2, Waiting: 3, Late: 1, Bound: 2}}
+	requests := []admit.Request{{ID: 7, Adapter: adapter, PromptTokens: 1460, OutputTokens: 170, Priority: 1, Bound: true}}
 	speed := admit.Speed{PrefillRate: 38.4, EventInterval: 31 * time.Millisecond}
 	measurements := []admit.Measurement{{RequestID: 7, FirstEvent: 17 * time.Millisecond, EventInterval: 30 * time.Millisecond}}
 	tests := []struct {
