Never count a stream that is taken up as late

Cause: a take-up got the goal of a stream that begins anew. While it could meet it, the holder of its adapter counted as full because of its backlog, and the take-up waited at another engine; after 0.5 s it moved to the holder as a late request, which is admitted 1.5 s later. That left no time before its caller gave up. Only a stream interrupted within one answer had no goal. Change: whatever continues a stream has no goal. Measured: TestContinuedStreamNotLate fails without either half of the change.

--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -141,7 +141,7 @@
 		Resumed:         proxyRequest.resumes(),
 		SoftwareVersion: proxyRequest.origin.Version,
 	}
-	if !proxyRequest.headersSent && !requirements.Late {
+	if !requirements.Resumed && !requirements.Late {
 		requirements.MaxWait = proxyRequest.route.ResponseGoal
 	}
 	if requirements.Engine && proxyRequest.info.Adapter != "" {
--- a/internal/daemon/relay/waitlimits.go
+++ b/internal/daemon/relay/waitlimits.go
@@ -37,10 +37,10 @@
 }
 
 // latestSend returns when the request must be sent to meet its response-time
-// goal, or zero if it has none. An interrupted stream has none, since it is
-// resumed before other requests.
+// goal, or zero if it has none. A request that continues a stream has none, since
+// it goes before other requests.
 func (proxyRequest *proxyRequest) latestSend() time.Time {
-	if proxyRequest.headersSent || proxyRequest.route.ResponseGoal <= 0 {
+	if proxyRequest.resumes() || proxyRequest.route.ResponseGoal <= 0 {
 		return time.Time{}
 	}
 	return proxyRequest.started.Add(proxyRequest.route.ResponseGoal - min(proxyRequest.typicalFirstEvent, proxyRequest.route.ResponseGoal/2))
--- a/internal/daemon/relay/waitlimits_test.go
+++ b/internal/daemon/relay/waitlimits_test.go
@@ -51,6 +51,46 @@
 	}
 }
 
+// TestContinuedStreamNotLate guards against streams that callers take up and that count as
+// late once their response-time goal is missed, so that new streams are admitted before
+// them and adapters loaded first, and against waits for other engines because of that goal.
+func TestContinuedStreamNotLate(t *testing.T) {
+	type limits struct {
+		Late    bool
+		MaxWait time.Duration
+	}
+	tests := []struct {
+		name        string
+		lastEvent   string
+		headersSent bool
+		waited      time.Duration
+		want        limits
+	}{
+		{name: "new", want: limits{MaxWait: 600 * time.Millisecond}},
+		{name: "new, after its goal", waited: time.Second, want: limits{Late: true}},
+		{name: "taken up", lastEvent: "7"},
+		{name: "taken up, after its goal", lastEvent: "7", waited: time.Second},
+		{name: "interrupted, after its goal", headersSent: true, waited: time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := routes.Route{Name: "r", Streaming: true, ResponseGoal: 600 * time.Millisecond}
+				proxyRequest := &proxyRequest{
+					relay: &Relay{latencies: newLatencies()}, route: &route, service: &routes.Service{}, info: RequestInfo{LastEventID: test.lastEvent},
+					headersSent: test.headersSent, started: time.Now(), deadline: time.Now().Add(10 * time.Second),
+				}
+				time.Sleep(test.waited)
+				requirements := proxyRequest.requirements()
+				got := limits{requirements.Late, requirements.MaxWait}
+				if diff := cmp.Diff(test.want, got); diff != "" {
+					t.Errorf("limits (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestRateLimitRefusal guards against requests that wait although a rate limit is
 // known not to admit them in time, and against refusals of those that it admits.
 func TestRateLimitRefusal(t *testing.T) {
