Send new streams past engines at which bound streams wait

New streams went on taking the adapters of the two engines of the old version in use, so that one of them had no slot to free from 26.0 to 31.6 s, though four engines of another version had room. Change: loaders report how many bound requests wait, and at once when the first comes and the last is gone. Relays leave such engines out for requests that begin anew, if another one has the adapter or a slot for it and is not full.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -160,7 +160,7 @@
 // nothing to report yet. With full set it counts as a full state.
 func (loader *Loader) newState(full bool, entries []string) *wirepb.EngineState {
 	backlog, late := loader.admission.Backlog()
-	freeSlots := loader.planner.FreeSlots()
+	freeSlots, boundWaiting := loader.planner.FreeSlots(), loader.admission.BoundWaiting()
 	speed, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
 	cacheCapacity := loader.planner.CacheCapacity()
 	loader.mutex.Lock()
@@ -179,7 +179,7 @@
 		Silent:        loader.missedReports >= unreachableAfter && loader.unresponsive,
 		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(freeSlots), LoadsQueued: uint32(loader.planner.QueuedLoads()),
 		Brief: true, Pace: codec.EncodeSpeed(speed), Intake: codec.EncodeTokenRate(admissionRate),
-		RecallReach: uint32(cacheCapacity),
+		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting),
 	}
 	loader.lastStateAt = time.Now()
 	if full {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -206,6 +206,7 @@
 	timer := time.NewTimer(idlePeriod)
 	defer timer.Stop()
 	var sentBacklog int64
+	var sentBound bool
 	for {
 		select {
 		case <-ctx.Done():
@@ -214,8 +215,10 @@
 		case <-timer.C:
 		}
 		granted, changed := loader.admission.Grant()
-		if backlog, _ := loader.admission.Backlog(); len(changed) > 0 || backlog != sentBacklog {
-			sentBacklog = backlog
+		backlog, _ := loader.admission.Backlog()
+		bound := loader.admission.BoundWaiting() > 0
+		if len(changed) > 0 || backlog != sentBacklog || bound != sentBound {
+			sentBacklog, sentBound = backlog, bound
 			loader.sendState(granted, false)
 		}
 		timer.Reset(cmp.Or(loader.admission.NextGrant(), idlePeriod))
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -238,6 +238,7 @@
 		Evicted:          codec.DecodeAdapters(state.GetDropped()),
 		FreeAdapterSlots: int(state.GetFreePlaces()),
 		QueuedLoads:      int(state.GetLoadsQueued()),
+		BoundWaiting:     int(state.GetBoundWaiting()),
 		OmitsAdapters:    state.GetBrief(),
 		FullSerial:       state.GetFullSerial(),
 		StartedAt:        state.GetBorn(),
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -289,6 +289,22 @@
 	}
 }
 
+// BoundWaiting returns the number of bound requests that were not admitted, whether or
+// not their adapter is loaded.
+func (controller *Controller) BoundWaiting() int {
+	controller.mutex.Lock()
+	defer controller.mutex.Unlock()
+	count := 0
+	for _, entry := range controller.entries {
+		for _, waiter := range entry.waiters {
+			if waiter.Bound && !waiter.granted {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // sortTime returns the time by which waiting requests are ordered. Late ones
 // are delayed, so that they do not make those on time late, but are not put
 // last, so that they are served before their callers give up.
--- a/internal/flow/picker/bound_test.go
+++ b/internal/flow/picker/bound_test.go
@@ -70,3 +70,46 @@
 		})
 	}
 }
+
+// TestLeaveToBound guards against new streams that take adapter slots and turns at engines
+// where streams wait that have no others, while other engines have room, and against new
+// streams that are not served because of these.
+func TestLeaveToBound(t *testing.T) {
+	awaited := report(1, 0, wanted)
+	awaited.BoundWaiting = 1
+	noSlot := report(1, 0)
+	noSlot.FreeAdapterSlots = 0
+	full := report(1, 0, wanted)
+	full.UsedTokens = full.TotalTokens
+	tests := []struct {
+		name    string
+		other   Report
+		resumed bool
+		plain   bool
+		want    string
+	}{
+		{name: "slow but free", other: report(1, 9000, wanted), want: "i-1"},
+		{name: "room for the adapter", other: report(1, 0), want: "i-1"},
+		{name: "no slot", other: noSlot, want: "i-0"},
+		{name: "no slot, no adapter needed", other: noSlot, plain: true, want: "i-1"},
+		{name: "full", other: full, want: "i-0"},
+		{name: "continues a stream", other: report(1, 9000, wanted), resumed: true, want: "i-0"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				picker, request := newVersionPicker(awaited, test.other), newRequest()
+				if test.resumed {
+					picker.upstreams["i-1"].spec.SoftwareVersion = "v1"
+					request.Resumed, request.SoftwareVersion = true, "v1"
+				}
+				if test.plain {
+					request.Adapter = lora.Adapter{}
+				}
+				if got := picker.Choose(request).Upstream.ID; got != test.want {
+					t.Errorf("chose %q, want %q", got, test.want)
+				}
+			})
+		})
+	}
+}
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -88,6 +88,9 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	candidates, withoutPermit := picker.candidates(request)
+	if !request.Resumed {
+		candidates = leaveToBound(candidates, request)
+	}
 	if len(candidates) == 0 {
 		return picker.chooseNone(withoutPermit, request)
 	}
@@ -109,6 +112,20 @@
 	return choice
 }
 
+// leaveToBound leaves out engines at which bound requests wait, if another one can
+// serve a request that may go to any: bound requests have no others, and each request
+// there keeps an adapter in its slot and adds to the prompts ahead.
+func leaveToBound(candidates []candidate, request Request) []candidate {
+	others := slices.DeleteFunc(slices.Clone(candidates), func(candidate candidate) bool { return candidate.report.BoundWaiting > 0 })
+	serves := func(candidate candidate) bool {
+		return !candidate.full && (request.Adapter.Name == "" || candidate.hasAdapter || candidate.hasSlotFor(request.Adapter))
+	}
+	if !slices.ContainsFunc(others, serves) {
+		return candidates
+	}
+	return others
+}
+
 // chooseNone returns the choice if no upstream can get the request. All those whose
 // rate limit is used up are asked for a permit.
 func (picker *Picker) chooseNone(withoutPermit []candidate, request Request) Choice {
--- a/internal/flow/picker/report.go
+++ b/internal/flow/picker/report.go
@@ -46,6 +46,8 @@
 	// QueuedLoads is the number of adapters that are pending at the engine or
 	// still to be ordered.
 	QueuedLoads int
+	// BoundWaiting is the number of bound requests that wait at the engine.
+	BoundWaiting int
 	// OmitsAdapters means that the report names no adapters; those of the
 	// report with the serial FullSerial still hold.
 	OmitsAdapters bool
