Don't take a stream for whole whose engine has ended with it

A stream ended as complete (200, no error) before its last event, when an engine that writes neither a length nor chunks ended between two events.

Cause: such a stream ends with its connection, and a process that ends closes its connections as one that has finished does. The end of an event was all that was asked for. Change: at the end of such a stream the loader is asked which incarnation runs, as for a new connection. Streams with a length or chunks, and those of plain upstreams and of routes that are not resumable, are as before; so are those at engines whose loader is silent, where the list alone tells.

--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -95,7 +95,11 @@
 // identify returns which incarnation of an upstream is at the other end of the connection
 // of the last response, and asks its loader if that is not known.
 func (proxyRequest *proxyRequest) identify() picker.Identity {
-	connection := proxyRequest.connection
+	return proxyRequest.identifyAt(proxyRequest.connection)
+}
+
+// identifyAt is identify for a connection.
+func (proxyRequest *proxyRequest) identifyAt(connection connection) picker.Identity {
 	if proxyRequest.service.Engine == nil {
 		return picker.Confirmed
 	}
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -58,7 +58,7 @@
 		proxyRequest.identify()
 	}
 	for {
-		event, err := readEvent(reader, memory.Grow)
+		event, err := proxyRequest.nextEvent(ctx, response, reader, memory.Grow)
 		if errors.Is(err, io.EOF) {
 			proxyRequest.recordHealth(upstream, true)
 			proxyRequest.sendHeaders(response)
@@ -94,6 +94,18 @@
 	}
 }
 
+// nextEvent returns the next event of a response. Its errors are those of readEvent and
+// checkEnd, and io.EOF only if the stream is whole.
+func (proxyRequest *proxyRequest) nextEvent(ctx context.Context, response *http1.Response, reader *bufio.Reader, grow func(size int64) bool) ([]byte, error) {
+	event, err := readEvent(reader, grow)
+	if errors.Is(err, io.EOF) && response.Unframed {
+		if err := proxyRequest.checkEnd(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return event, err
+}
+
 // checkResumes returns an error if a response cannot continue the stream of which a part
 // was forwarded: an error of the upstream, or something else than the first one was.
 func (proxyRequest *proxyRequest) checkResumes(response *http1.Response) error {
