Check that the first set-up resumes no stream at an engine that restarted

It cannot: an engine resumes a request only from the progress that it holds, which ends with its process, and the client breaks a stream off whose first token is not the one that it asked for.

--- a/internal/link/engine/engine_test.go
+++ b/internal/link/engine/engine_test.go
@@ -181,6 +181,33 @@
 	}
 }
 
+// TestResumeAfterRestart guards against a stream that goes on at an engine that has started
+// again since, which may have other software (postmortem of issue 50, first set-up).
+func TestResumeAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		serveEngine(t, nil, func(client *Client, engine *engsim.Engine) {
+			setControl(t, engine, engsim.ControlRequest{CompletionFault: &infra.Fault{Mode: engsim.ModeCutStream, AfterTokens: 5, Count: 1}})
+			first := request()
+			stream, err := client.Generate(t.Context(), first)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err = readAll(stream); errors.Is(err, io.EOF) {
+				t.Fatal("the stream did not break")
+			}
+			setControl(t, engine, engsim.ControlRequest{Restart: &engsim.Restart{}})
+			if err := client.Load(t.Context(), first.Adapter, first.Version); err != nil {
+				t.Fatal(err)
+			}
+			first.ResumeFrom = 5
+			_, err = client.Generate(t.Context(), first)
+			if diff := cmp.Diff(faultOutcome{fault.UnknownRequest, fault.NotRun}, outcomeOf(t, err)); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	})
+}
+
 // TestGenerateFaults guards against faults that report wrongly whether the
 // request ran.
 func TestGenerateFaults(t *testing.T) {
