Ask other relays too how far the list goes when a stream is taken up

What callers would see: a stream goes on at another version at a relay whose store answers by an old state, if the datagrams on its origin were lost. Change: the ask goes to up to four relays as well, which answer with what they forward and how far they have read. The wait stays bounded by 150 ms, and loaders alone count as those that must be heard.

--- a/internal/daemon/loader/origins.go
+++ b/internal/daemon/loader/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
-	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -20,17 +19,8 @@
 // answerOrigins tells an entry instance which software began the streams that it asks for.
 func (loader *Loader) answerOrigins(ask *wirepb.OriginAsk) {
 	list := loader.latestList()
-	answer := &wirepb.OriginAnswer{List: &wirepb.ListPosition{Epoch: list.Epoch, Next: list.Next}}
-	var known []origin.Record
-	for _, key := range ask.GetKeys() {
-		if record, found := loader.origins.Find(origin.Key(key)); found {
-			known = append(known, record)
-		} else {
-			answer.Unknown = append(answer.Unknown, key)
-		}
-	}
-	answer.Known = codec.EncodeOrigins(known)
-	loader.config.Datagrams.Send(&wirepb.Datagram{Body: &wirepb.Datagram_OriginAnswer{OriginAnswer: answer}}, []string{ask.GetEntry()}, loader.logUnsent)
+	answer := codec.AnswerOrigins(ask, loader.origins, &wirepb.ListPosition{Epoch: list.Epoch, Next: list.Next})
+	loader.config.Datagrams.Send(answer, []string{ask.GetEntry()}, loader.logUnsent)
 }
 
 // recordList records how far an entry instance has read the instance list.
--- a/internal/daemon/relay/originlookup.go
+++ b/internal/daemon/relay/originlookup.go
@@ -7,29 +7,34 @@
 
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
+	"jacinthfront.dev/jacinthfront/internal/flow/rank"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
 const (
-	// askTimeout is how long the answers of loaders are awaited, and askRepeat when those
+	// askTimeout is how long the answers are awaited, and askRepeat when those
 	// that have not answered are asked once more, as datagrams may be lost.
 	askTimeout = 150 * time.Millisecond
 	askRepeat  = 50 * time.Millisecond
+	// maxAskedPeers is the number of other entry instances that are asked.
+	maxAskedPeers = 4
 )
 
 // originLookup is a lookup of the origin of a stream.
 type originLookup struct {
-	// answers receives the answers of loaders.
+	// answers receives the answers.
 	answers chan originAnswer
 }
 
-// originAnswer is the answer of a loader to a lookup.
+// originAnswer is the answer of a loader or another instance to a lookup.
 type originAnswer struct {
-	loader string
+	// source is the address that the answer came from.
+	source string
 	record origin.Record
 	found  bool
-	// list is how far those had read the instance list that told the loader of streams.
+	// list is how far the instance had read the instance list, or those that told the loader
+	// of streams.
 	list watch.Cursor
 }
 
@@ -62,14 +67,14 @@
 	}
 }
 
-// handleOriginAnswer records which streams a loader knows.
+// handleOriginAnswer records which streams a loader or another instance knows.
 func (relay *Relay) handleOriginAnswer(source string, answer *wirepb.OriginAnswer) {
 	list := watch.Cursor{Epoch: answer.GetList().GetEpoch(), Next: answer.GetList().GetNext()}
 	for _, record := range codec.DecodeOrigins(answer.GetKnown()) {
-		relay.origins.deliver(record.Key, originAnswer{loader: source, record: record, found: true, list: list})
+		relay.origins.deliver(record.Key, originAnswer{source: source, record: record, found: true, list: list})
 	}
 	for _, key := range answer.GetUnknown() {
-		relay.origins.deliver(origin.Key(key), originAnswer{loader: source, list: list})
+		relay.origins.deliver(origin.Key(key), originAnswer{source: source, list: list})
 	}
 }
 
@@ -78,7 +83,7 @@
 	record origin.Record
 	found  bool
 	// asked is the number of loaders that were asked, and silent that of those that had not
-	// answered when the lookup ended.
+	// answered when the lookup ended. Other instances do not count.
 	asked, silent int
 	// list is how far others had read the instance list when they began streams.
 	list watch.Cursor
@@ -87,9 +92,8 @@
 // unheard reports whether loaders were asked and none of them answered.
 func (result lookupResult) unheard() bool { return result.asked > 0 && result.silent == result.asked }
 
-// add adds the answer of a loader that had not answered before.
+// add adds the answer of a loader or another instance that had not answered before.
 func (result *lookupResult) add(answer originAnswer) {
-	result.silent--
 	if result.list.Before(answer.list) {
 		result.list = answer.list
 	}
@@ -98,19 +102,22 @@
 	}
 }
 
-// askOrigin asks the loaders that may hold the origin of a stream.
+// askOrigin asks the loaders that may hold the origin of a stream, and some other instances:
+// these may forward it, and know how far the instance list goes.
 func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) lookupResult {
 	asked := relay.askedLoaders(key, services)
 	if key == 0 || len(asked) == 0 {
 		return lookupResult{}
 	}
+	loaders := len(asked)
+	asked = append(asked, rank.Top(key.String(), relay.peers.liveOthers(), maxAskedPeers)...)
 	lookup := &originLookup{answers: make(chan originAnswer, 2*len(asked))}
 	defer relay.origins.begin(key, lookup)()
 	silent := make(map[string]bool, len(asked))
-	for _, loader := range asked {
-		silent[loader] = true
+	for _, address := range asked {
+		silent[address] = true
 	}
-	result := lookupResult{asked: len(asked), silent: len(asked)}
+	result := lookupResult{asked: loaders, silent: loaders}
 	ask := &wirepb.Datagram{Body: &wirepb.Datagram_OriginAsk{OriginAsk: &wirepb.OriginAsk{Entry: relay.config.DatagramAddress, Keys: []uint64{uint64(key)}}}}
 	relay.sendDatagram(ask, asked...)
 	timeout, repeat := time.NewTimer(askTimeout), time.NewTimer(askRepeat)
@@ -119,13 +126,17 @@
 	for len(silent) > 0 && !result.found {
 		select {
 		case answer := <-lookup.answers:
-			if silent[answer.loader] {
-				delete(silent, answer.loader)
-				result.add(answer)
+			if !silent[answer.source] {
+				continue
+			}
+			delete(silent, answer.source)
+			result.add(answer)
+			if slices.Contains(asked[:loaders], answer.source) {
+				result.silent--
 			}
 		case <-repeat.C:
-			for loader := range silent {
-				relay.sendDatagram(ask, loader)
+			for address := range silent {
+				relay.sendDatagram(ask, address)
 			}
 		case <-timeout.C:
 			return result
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -97,8 +97,7 @@
 
 // sendOrigins sends records to loaders.
 func (relay *Relay) sendOrigins(records []origin.Record, holders ...string) {
-	position := relay.instanceWatcher.Position()
-	list := &wirepb.ListPosition{Epoch: position.Epoch, Next: position.Next}
+	list := relay.listPosition()
 	for part := range slices.Chunk(records, maxOriginsPerDatagram) {
 		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_StreamOrigins{
 			StreamOrigins: &wirepb.StreamOrigins{Streams: codec.EncodeOrigins(part), List: list},
@@ -106,6 +105,18 @@
 	}
 }
 
+// listPosition returns how far this instance has read the instance list.
+func (relay *Relay) listPosition() *wirepb.ListPosition {
+	position := relay.instanceWatcher.Position()
+	return &wirepb.ListPosition{Epoch: position.Epoch, Next: position.Next}
+}
+
+// handleOriginAsk tells another entry instance which software began the streams that it asks
+// for, as far as this one forwards them, and how far this one has read the instance list.
+func (relay *Relay) handleOriginAsk(ask *wirepb.OriginAsk) {
+	relay.sendDatagram(codec.AnswerOrigins(ask, relay.origins.ledger, relay.listPosition()), ask.GetEntry())
+}
+
 // loaderGroup holds the addresses of the loaders beside the engines of one software version.
 type loaderGroup struct {
 	// serving are those of upstreams that are not draining.
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -166,13 +166,26 @@
 func (peers *peers) live() []string {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
-	live := []string{peers.own}
+	return append([]string{peers.own}, peers.heard()...)
+}
+
+// liveOthers is live without this instance.
+func (peers *peers) liveOthers() []string {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return peers.heard()
+}
+
+// heard returns the other entry instances that were heard within readerTimeout. Its caller
+// holds the mutex.
+func (peers *peers) heard() []string {
+	var heard []string
 	for address, peer := range peers.byAddress {
 		if peer.live() {
-			live = append(live, address)
+			heard = append(heard, address)
 		}
 	}
-	return live
+	return heard
 }
 
 // live reports whether the entry instance was heard within readerTimeout.
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -214,6 +214,8 @@
 		relay.handlePermitGrants(body.PermitGrants)
 	case *wirepb.Datagram_Memory:
 		relay.handleMemory(body.Memory)
+	case *wirepb.Datagram_OriginAsk:
+		relay.handleOriginAsk(body.OriginAsk)
 	case *wirepb.Datagram_OriginAnswer:
 		relay.handleOriginAnswer(source, body.OriginAnswer)
 	case *wirepb.Datagram_IncarnationAnswer:
--- a/internal/wire/codec/origin.go
+++ b/internal/wire/codec/origin.go
@@ -30,3 +30,19 @@
 	}
 	return records
 }
+
+// AnswerOrigins returns the answer to an ask for the origins of streams from what a ledger
+// holds, with a place in the instance list.
+func AnswerOrigins(ask *wirepb.OriginAsk, ledger *origin.Ledger, list *wirepb.ListPosition) *wirepb.Datagram {
+	answer := &wirepb.OriginAnswer{List: list}
+	var known []origin.Record
+	for _, key := range ask.GetKeys() {
+		if record, found := ledger.Find(origin.Key(key)); found {
+			known = append(known, record)
+		} else {
+			answer.Unknown = append(answer.Unknown, key)
+		}
+	}
+	answer.Known = EncodeOrigins(known)
+	return &wirepb.Datagram{Body: &wirepb.Datagram_OriginAnswer{OriginAnswer: answer}}
+}
