Tell relays at once that an engine answers again

After an engine had not answered three times in a row, relays passed it over for up to half a second longer than that lasted. A request with a short goal was refused as "no upstream is ready", and a stream that broke off meanwhile was not resumed.

Cause: a loader told at once that its engine was unreachable, but that it was reachable again only with the next regular state: the adapters had not changed. It now sends a state whenever the last one says otherwise.

Evidence: TestCutHeads, four stream cases beside three busy processes and a load of 29: three cases failed at the same moment, 0.2 s after the whole test process had stood still for 0.8 s. The picker had an engine that was neither tried, ejected, draining nor in backoff.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -103,7 +103,7 @@
 func (loader *Loader) sendChanges() {
 	loader.mutex.Lock()
 	sinceFull, sinceLast := time.Since(loader.fullStateAt), time.Since(loader.lastStateAt)
-	urgent := !sameAdapters(loader.sentReport, loader.report) || loader.missedReports == unreachableAfter || loader.newEntry
+	urgent := !sameAdapters(loader.sentReport, loader.report) || loader.unreachable() != loader.sentUnreachable || loader.newEntry
 	loadChanged := loader.report.Running != loader.sentReport.Running || loader.report.Queued != loader.sentReport.Queued
 	loader.mutex.Unlock()
 	if urgent || loadChanged && sinceLast >= loadPeriod || sinceLast >= idlePeriod {
@@ -112,6 +112,9 @@
 	}
 }
 
+// unreachable reports whether the engine counts as unreachable. Its caller holds the mutex.
+func (loader *Loader) unreachable() bool { return loader.missedReports >= unreachableAfter }
+
 // sameAdapters reports whether two reports have the same incarnation, models,
 // adapters and draining flag.
 func sameAdapters(a, b Report) bool {
@@ -176,13 +179,13 @@
 		Running: uint32(report.Running), Queued: uint32(report.Queued),
 		UsedTokens: report.UsedTokens, TotalTokens: report.TotalTokens,
 		ModelLoaded: len(report.Models) > 0, Draining: report.Draining,
-		Unreachable:   loader.missedReports >= unreachableAfter,
-		Silent:        loader.missedReports >= unreachableAfter && loader.unresponsive,
+		Unreachable:   loader.unreachable(),
+		Silent:        loader.unreachable() && loader.unresponsive,
 		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(freeSlots), LoadsQueued: uint32(loader.planner.QueuedLoads()),
 		Brief: true, Pace: codec.EncodeSpeed(speed), Intake: codec.EncodeTokenRate(admissionRate),
 		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting), PlacesMissing: uint32(missingSlots),
 	}
-	loader.lastStateAt = time.Now()
+	loader.lastStateAt, loader.sentUnreachable = time.Now(), state.GetUnreachable()
 	if full {
 		loader.fullStateAt, loader.sentReport, loader.fullSerial = time.Now(), report, loader.serial
 		loader.newEntry = false
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -103,6 +103,8 @@
 	named       int
 	// sentReport is the report that the last full state was made from.
 	sentReport Report
+	// sentUnreachable means that the last state said that the engine is unreachable.
+	sentUnreachable bool
 	// entryStarts holds the start of each entry instance. newEntry means that
 	// one has started since the last full state was made.
 	entryStarts map[string]int64
