Look for other versions from the begin of a stream, not from the moment of the question

What callers would see: a stream goes on at another version at a relay that stood still between the arrival of the take-up and the conclusion. Cause: the time within which the stream can have begun was counted back from now, so that a version counted as gone for long enough which had been listed when the stream began. Found by reading. Change: it is counted back from the moment by which the stream had begun. Evidence: TestSole (asked late): with the time counted from now, the version that stayed counts as the only one.

--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -52,12 +52,12 @@
 	storeView.steadySince = steadySince
 }
 
-// steadyFor reports whether a route has had its services for a time.
-func (storeView *storeView) steadyFor(route *routes.Route, length time.Duration) bool {
+// steadyFrom reports whether a route has had its services since a time.
+func (storeView *storeView) steadyFrom(route *routes.Route, at time.Time) bool {
 	storeView.mutex.Lock()
 	defer storeView.mutex.Unlock()
 	since, ok := storeView.steadySince[route.Name]
-	return ok && time.Since(since) >= length
+	return ok && !since.After(at)
 }
 
 // config returns the configuration in force, or nil if none is known.
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -153,16 +153,16 @@
 		return origin.Origin{}, sourceOutOfStep
 	}
 	services := proxyRequest.route.ServiceNames()
-	longest := relay.longestStream(services)
-	if !relay.store.steadyFor(proxyRequest.route, longest) {
+	since := begunBy.Add(-relay.longestStream(services))
+	if !relay.store.steadyFrom(proxyRequest.route, since) {
 		// The stream may have begun at another service.
 		services = relay.engineServices()
-		longest = relay.longestStream(services)
+		since = begunBy.Add(-relay.longestStream(services))
 	}
-	if !relay.origins.history.Reaches(longest) {
+	if !relay.origins.history.Reaches(since) {
 		relay.recallSoftware(context.WithoutCancel(ctx))
 	}
-	if sole, ok := relay.origins.history.Sole(services, longest); ok {
+	if sole, ok := relay.origins.history.Sole(services, since); ok {
 		return sole, sourceSole
 	}
 	return origin.Origin{}, sourceNowhere
@@ -178,8 +178,8 @@
 	})
 }
 
-// longestStream returns the time within which a stream of some services can have begun that
-// is taken up now.
+// longestStream returns how long before it is taken up a stream of some services can have
+// begun.
 func (relay *Relay) longestStream(services []string) time.Duration {
 	longest := time.Duration(0)
 	for _, service := range services {
--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -81,16 +81,16 @@
 	}
 }
 
-// Reaches reports whether the list is followed now, and was all the time.
-func (history *History) Reaches(within time.Duration) bool {
+// Reaches reports whether the list is followed now, and was all the time since another one.
+func (history *History) Reaches(since time.Time) bool {
 	history.mutex.Lock()
 	defer history.mutex.Unlock()
-	return history.reaches(time.Now(), within)
+	return history.reaches(time.Now(), since)
 }
 
-func (history *History) reaches(now time.Time, within time.Duration) bool {
+func (history *History) reaches(now, since time.Time) bool {
 	followed := !history.since.IsZero() && now.Sub(history.confirmedAt) <= maxConfirmGap && !now.Before(history.incompleteUntil)
-	return followed && now.Sub(history.since) >= within && within <= HistoryRetention
+	return followed && !history.since.After(since) && now.Sub(since) <= HistoryRetention
 }
 
 // Services returns the services that are kept, ordered by name.
@@ -119,14 +119,13 @@
 	}
 }
 
-// Sole returns the only origin that a stream of the given services can have which began
-// within a time: the only one that was listed all that time. It returns false if there
+// Sole returns the only origin that a stream of the given services can have which began at a
+// time or later: the only one that was listed at any time since. It returns false if there
 // were several, or if the history does not reach back so far.
-func (history *History) Sole(services []string, within time.Duration) (Origin, bool) {
-	now := time.Now()
+func (history *History) Sole(services []string, since time.Time) (Origin, bool) {
 	history.mutex.Lock()
 	defer history.mutex.Unlock()
-	if !history.reaches(now, within) {
+	if !history.reaches(time.Now(), since) {
 		return Origin{}, false
 	}
 	wanted := make(map[string]bool, len(services))
@@ -135,7 +134,7 @@
 	}
 	var sole Origin
 	for origin, at := range history.seenAt {
-		if !wanted[origin.Service] || !history.listed[origin] && now.Sub(at) > within {
+		if !wanted[origin.Service] || !history.listed[origin] && at.Before(since) {
 			continue
 		}
 		if sole.Known() {
--- a/internal/flow/origin/origin_test.go
+++ b/internal/flow/origin/origin_test.go
@@ -116,9 +116,12 @@
 	tests := []struct {
 		name  string
 		steps []step
-		want  Origin
+		// late is how long after the take-up the question is asked, as the process stood still.
+		late time.Duration
+		want Origin
 	}{
 		{name: "nothing listed"},
+		{name: "the other one had just left, asked late", steps: []step{{listed: both, confirmed: 30 * time.Second}, {listed: only, confirmed: 19 * time.Second}}, late: 2 * time.Second},
 		{name: "always the only one", steps: []step{{listed: only, confirmed: 30 * time.Second}}, want: first},
 		{name: "followed too short", steps: []step{{listed: only, confirmed: 10 * time.Second}}},
 		{name: "two versions", steps: []step{{listed: both, confirmed: 30 * time.Second}}},
@@ -152,7 +155,9 @@
 					}
 					time.Sleep(step.silent)
 				}
-				sole, ok := history.Sole([]string{"advisor"}, within)
+				takenUp := time.Now()
+				time.Sleep(test.late)
+				sole, ok := history.Sole([]string{"advisor"}, takenUp.Add(-within))
 				if diff := cmp.Diff(test.want, sole); diff != "" || ok != test.want.Known() {
 					t.Errorf("found %v, only version (-want +got):\n%s", ok, diff)
 				}
@@ -185,7 +190,7 @@
 					named[origin] = true
 				}
 				history.Recall(time.Now().Add(-test.covered), named)
-				sole, _ := history.Sole([]string{"advisor"}, 20*time.Second)
+				sole, _ := history.Sole([]string{"advisor"}, time.Now().Add(-20*time.Second))
 				if diff := cmp.Diff(test.want, sole); diff != "" {
 					t.Errorf("only version (-want +got):\n%s", diff)
 				}
