Revert "Leave engines that are out of adapter slots"

What it was for stays open: a request that waits at an engine with all adapter slots in use does not move to one that has become free.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -163,8 +163,7 @@
 // nothing to report yet. With full set it counts as a full state.
 func (loader *Loader) newState(full bool, entries []string) *wirepb.EngineState {
 	backlog, late := loader.admission.Backlog()
-	freeSlots, missingSlots := loader.planner.FreeSlots()
-	boundWaiting := loader.admission.BoundWaiting()
+	freeSlots, boundWaiting := loader.planner.FreeSlots(), loader.admission.BoundWaiting()
 	speed, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
 	cacheCapacity := loader.planner.CacheCapacity()
 	loader.mutex.Lock()
@@ -183,7 +182,7 @@
 		Silent:        loader.unreachable() && loader.unresponsive,
 		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(freeSlots), LoadsQueued: uint32(loader.planner.QueuedLoads()),
 		Brief: true, Pace: codec.EncodeSpeed(speed), Intake: codec.EncodeTokenRate(admissionRate),
-		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting), PlacesMissing: uint32(missingSlots),
+		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting),
 	}
 	loader.lastStateAt, loader.sentUnreachable = time.Now(), state.GetUnreachable()
 	if full {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -198,9 +198,7 @@
 	backlog, late := loader.admission.Backlog()
 	metric.SetGauge("loader", "backlog-tokens", backlog)
 	metric.SetGauge("loader", "late-tokens", late)
-	freeSlots, missingSlots := loader.planner.FreeSlots()
-	metric.SetGauge("loader", "free-places", int64(freeSlots))
-	metric.SetGauge("loader", "missing-places", int64(missingSlots))
+	metric.SetGauge("loader", "free-places", int64(loader.planner.FreeSlots()))
 	metric.SetGauge("loader", "reports-missed", int64(loader.missedReports))
 	metric.SetGauge("loader", "intake-tokens", int64(codec.EncodeTokenRate(loader.admission.AdmissionRate())))
 }
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -239,7 +239,6 @@
 		CacheCapacity:    int(state.GetRecallReach()),
 		Evicted:          codec.DecodeAdapters(state.GetDropped()),
 		FreeAdapterSlots: int(state.GetFreePlaces()),
-		MissingSlots:     int(state.GetPlacesMissing()),
 		QueuedLoads:      int(state.GetLoadsQueued()),
 		BoundWaiting:     int(state.GetBoundWaiting()),
 		OmitsAdapters:    state.GetBrief(),
--- a/internal/flow/lora/lora.go
+++ b/internal/flow/lora/lora.go
@@ -213,8 +213,8 @@
 }
 
 // FreeSlots returns the number of adapter slots that no running or waiting
-// request needs, and how many more than there are they need.
-func (planner *Planner) FreeSlots() (free, missing int) {
+// request needs.
+func (planner *Planner) FreeSlots() int {
 	planner.mutex.Lock()
 	defer planner.mutex.Unlock()
 	_, slots := planner.target()
@@ -224,7 +224,7 @@
 			used[use.Adapter.Name] = true
 		}
 	}
-	return max(slots-len(used), 0), max(len(used)-slots, 0)
+	return max(slots-len(used), 0)
 }
 
 // expireDemands removes the demands that were received more than DemandTimeout
--- a/internal/flow/lora/lora_test.go
+++ b/internal/flow/lora/lora_test.go
@@ -239,36 +239,3 @@
 		})
 	}
 }
-
-// TestFreeSlots guards against requests that stay where more adapters are awaited than there
-// are slots, because the loader does not say so, and against an adapter that is counted for
-// each entry instance.
-func TestFreeSlots(t *testing.T) {
-	type count struct{ Free, Missing int }
-	tests := []struct {
-		name   string
-		first  []AdapterUse
-		second []AdapterUse
-		want   count
-	}{
-		{name: "unused", want: count{Free: 4}},
-		{name: "running and waiting", first: []AdapterUse{running(1, 2)}, second: []AdapterUse{waiting(2, 1)}, want: count{Free: 2}},
-		{name: "one adapter", first: []AdapterUse{running(1, 2)}, second: []AdapterUse{waiting(1, 1)}, want: count{Free: 3}},
-		{name: "all", first: []AdapterUse{running(1, 1), running(2, 1)}, second: []AdapterUse{waiting(3, 1), waiting(4, 1)}},
-		{name: "too many", first: []AdapterUse{running(1, 1), running(2, 1), running(3, 1)}, second: []AdapterUse{waiting(4, 1), waiting(5, 1), waiting(6, 1)}, want: count{Missing: 2}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				planner := New(Config{})
-				planner.SetDemand(Demand{Entry: "first", Model: "m", Slots: slots, Uses: test.first})
-				planner.SetDemand(Demand{Entry: "second", Model: "m", Slots: slots, Uses: test.second})
-				var got count
-				got.Free, got.Missing = planner.FreeSlots()
-				if diff := cmp.Diff(test.want, got); diff != "" {
-					t.Errorf("slots (-want +got):\n%s", diff)
-				}
-			})
-		})
-	}
-}
--- a/internal/flow/picker/picker_test.go
+++ b/internal/flow/picker/picker_test.go
@@ -79,12 +79,6 @@
 	return Request{Service: "advisor", Engine: true, Adapter: wanted, KVTokens: 1600}
 }
 
-// waitAtFirst makes a request for the adapter wait at the first engine.
-func waitAtFirst(picker *Picker, request *Request) {
-	picker.AddWaiting("i-0", admit.Request{ID: 1, Adapter: request.Adapter}, time.Time{})
-	request.Number, request.WaitingAt = 1, "i-0"
-}
-
 // TestChoose checks which upstream is chosen; each case names the failure that
 // it guards against.
 func TestChoose(t *testing.T) {
@@ -136,38 +130,6 @@
 			},
 			result: AdapterMissing, id: "i-1",
 		},
-		{
-			name: "more awaited than slots", guards: "a request stays where it waits for a slot that others get, while another engine has one",
-			reports: []Report{
-				{StartedAt: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000, MissingSlots: 2},
-				report(1, 9000),
-			},
-			change: waitAtFirst, result: AdapterMissing, id: "i-1",
-		},
-		{
-			name: "slot for each awaited", guards: "a request leaves an engine that is about to load its adapter",
-			reports: []Report{
-				{StartedAt: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000},
-				report(1, 0),
-			},
-			change: waitAtFirst, result: AdapterMissing, id: "i-0",
-		},
-		{
-			name: "pending although more are awaited", guards: "a request leaves an engine that loads its adapter",
-			reports: []Report{
-				{StartedAt: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000, MissingSlots: 2, Pending: []lora.Adapter{wanted}},
-				report(1, 0),
-			},
-			change: waitAtFirst, result: AdapterMissing, id: "i-0",
-		},
-		{
-			name: "more awaited than slots everywhere", guards: "requests for one adapter spread over engines that are out of slots",
-			reports: []Report{
-				{StartedAt: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000, MissingSlots: 2, Backlog: 3000},
-				{StartedAt: 1000, Serial: 1, ModelLoaded: true, TotalTokens: 122_000, MissingSlots: 2},
-			},
-			change: waitAtFirst, result: AdapterMissing, id: "i-0",
-		},
 		{
 			name: "starting", guards: "requests are refused while engines load their model after a power failure",
 			reports: []Report{{StartedAt: 1000, Serial: 1}}, result: Starting,
--- a/internal/flow/picker/report.go
+++ b/internal/flow/picker/report.go
@@ -43,9 +43,6 @@
 	Evicted       []lora.Adapter
 	// FreeAdapterSlots is the number of adapter slots that no request uses.
 	FreeAdapterSlots int
-	// MissingSlots is the number of adapters in use or waited for beyond the
-	// adapter slots.
-	MissingSlots int
 	// QueuedLoads is the number of adapters that are pending at the engine or
 	// still to be ordered.
 	QueuedLoads int
--- a/internal/flow/picker/target.go
+++ b/internal/flow/picker/target.go
@@ -51,17 +51,10 @@
 	return slices.MinFunc(reloaders, compareWait), true
 }
 
-// hasSlotFor reports whether the upstream has a free adapter slot or one for the
-// adapter, which is pending or awaited. Where more adapters are awaited than there
-// are slots, none is counted on for this one. Without a report the upstream is
-// assumed to have one.
+// hasSlotFor reports whether the upstream has a free adapter slot or already
+// awaits the adapter. Without a report it is assumed to have one.
 func (upstream *upstream) hasSlotFor(adapter lora.Adapter) bool {
-	switch {
-	case upstream.reportedAt.IsZero(), upstream.report.FreeAdapterSlots > 0, lora.AnySatisfies(upstream.report.Pending, adapter):
-		return true
-	default:
-		return upstream.report.MissingSlots == 0 && upstream.awaits(adapter)
-	}
+	return upstream.reportedAt.IsZero() || upstream.report.FreeAdapterSlots > 0 || upstream.awaits(adapter)
 }
 
 // canReload reports whether the engine is expected to have the adapter in its
