Ask for the end of an unframed stream of each engine, listed or not

What callers would see: a stream without a length or chunks ends as complete before its last event, if its engine crashed and its entry had expired before the relay read the end of the connection, or if the route is not resumable. Cause: "not listed" counted as "left after its requests had ended", and streams that could not be resumed were left out. Change: only an engine that was draining, by its entry or its own word, counts as having ended its requests.

--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -67,6 +67,7 @@
 // removal is the removal of an upstream's incarnation.
 type removal struct {
 	startedAt int64
+	draining  bool
 	at        time.Time
 }
 
@@ -128,6 +129,15 @@
 	return ok
 }
 
+// LeftDraining reports whether the incarnation of an upstream was draining when it was removed
+// lately.
+func (list *List) LeftDraining(upstream Upstream) bool {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	removed, ok := list.removed[upstream.ID]
+	return ok && removed.draining && removed.startedAt == upstream.StartedAt
+}
+
 // Lapsed reports whether the entry of an upstream is lapsed.
 func (list *List) Lapsed(id string) bool {
 	list.mutex.Lock()
@@ -138,7 +148,7 @@
 func (list *List) remove(id string) {
 	now := time.Now()
 	maps.DeleteFunc(list.removed, func(_ string, removed removal) bool { return now.Sub(removed.at) > removedRetention })
-	list.removed[id] = removal{startedAt: list.upstreams[id].StartedAt, at: now}
+	list.removed[id] = removal{startedAt: list.upstreams[id].StartedAt, draining: list.upstreams[id].Draining, at: now}
 	delete(list.upstreams, id)
 	delete(list.lapsed, id)
 	list.generation++
