Conclude nothing from the list while an engine runs a later incarnation

What callers would see: a stream that began at an engine which had started again under its id at another version goes on at the only version that the list still names, at relays in touch too. Cause: the loader says that a later incarnation runs before the store has its entry. A list that is current then lacks its version. Change: while that is so no version counts as the only one. Evidence: TestSoleBesideReplaced failed before.

--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -162,6 +162,9 @@
 	if !relay.origins.history.Reaches(since) {
 		relay.recallSoftware(context.WithoutCancel(ctx))
 	}
+	if relay.picker.Renewed(services) {
+		return origin.Origin{}, sourceOutOfStep
+	}
 	if sole, ok := relay.origins.history.Sole(services, since); ok {
 		return sole, sourceSole
 	}
--- a/internal/flow/picker/identity.go
+++ b/internal/flow/picker/identity.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// Renewed reports whether an engine of some services runs a later incarnation than the listed
+// one, whose software version is not known yet.
+func (picker *Picker) Renewed(services []string) bool {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	for _, service := range services {
+		for _, upstream := range picker.services[service] {
+			if upstream.spec.StartedAt > 0 && max(upstream.report.StartedAt, upstream.confirmed) > upstream.spec.StartedAt {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // silent reports whether the loader of a listed engine does not report.
 func (picker *Picker) silent(upstream *upstream, now time.Time) bool {
 	return !picker.reportIsRecent(upstream, now) && now.Sub(upstream.listedAt) > firstReportTimeout
