Compare what others had read in each case in which a version may be the only one

Cause: loaders were not told how far the list had been read when a stream began whose origin was not known, nobody was asked for a take-up without the id of the first request, and the configuration was not compared with that of other relays. Change: all three are done.

--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -163,8 +163,11 @@
 
 // recordBegin records which software began the stream, if that is known.
 func (proxyRequest *proxyRequest) recordBegin(identity picker.Identity) {
-	if identity == picker.Confirmed {
+	switch {
+	case identity == picker.Confirmed:
 		proxyRequest.recordOrigin(proxyRequest.relay.originOf(proxyRequest.connection.upstream))
+	case !proxyRequest.headersSent:
+		proxyRequest.relay.announceList(origin.Record{Key: proxyRequest.streamKey(), Origin: softwareOf(proxyRequest.connection.upstream)})
 	}
 }
 
--- a/internal/daemon/relay/instep.go
+++ b/internal/daemon/relay/instep.go
@@ -44,7 +44,8 @@
 	return relay.awaitList(ctx, since, others)
 }
 
-// confirmStore is confirmList for the configuration too.
+// confirmStore is confirmList for the configuration too, which must not be earlier than those
+// that other instances report.
 func (relay *Relay) confirmStore(ctx context.Context, since time.Time, others watch.Cursor) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -57,6 +58,9 @@
 	if err := relay.awaitConfirmed(ctx, func() bool { return !relay.configWatcher.Position().Before(end) }); err != nil {
 		return err
 	}
+	if latest, _ := relay.peers.latestConfig(); relay.store.config().Version() < latest {
+		return errOutOfStep
+	}
 	return relay.awaitList(ctx, since, others)
 }
 
--- a/internal/daemon/relay/originlookup.go
+++ b/internal/daemon/relay/originlookup.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// lookupResult is what loaders say of the origin of a stream.
+// lookupResult is what loaders and other instances say of the origin of a stream.
 type lookupResult struct {
 	record origin.Record
 	found  bool
@@ -103,10 +103,11 @@
 }
 
 // askOrigin asks the loaders that may hold the origin of a stream, and some other instances:
-// these may forward it, and know how far the instance list goes.
+// these may forward it, and know how far the instance list goes. All are asked for that also
+// if the stream has no key.
 func (relay *Relay) askOrigin(ctx context.Context, key origin.Key, services []string) lookupResult {
 	asked := relay.askedLoaders(key, services)
-	if key == 0 || len(asked) == 0 {
+	if len(asked) == 0 {
 		return lookupResult{}
 	}
 	loaders := len(asked)
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// announceList tells the loaders that would hold the origin of a stream, if it were known, how
+// far this instance has read the instance list.
+func (relay *Relay) announceList(record origin.Record) {
+	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_StreamOrigins{
+		StreamOrigins: &wirepb.StreamOrigins{List: relay.listPosition()},
+	}}, relay.originHolders(record)...)
+}
+
 // listPosition returns how far this instance has read the instance list.
 func (relay *Relay) listPosition() *wirepb.ListPosition {
 	position := relay.instanceWatcher.Position()
