Break a stream off at a relay that hears no loader of its version

What callers would see: a stream that broke at a relay which is cut off from the loaders stood until its deadline, and its caller did not take it up elsewhere. Cause: streams do not go on at engines whose loader is not heard, but these counted as ones that may continue it, so that the relay waited for them. A take-up is refused as out of step then.

--- a/internal/daemon/relay/solefleet_test.go
+++ b/internal/daemon/relay/solefleet_test.go
@@ -30,7 +30,7 @@
 	return source.records, watch.Cursor{Next: source.end}, nil
 }
 
-func (source staleSource[Record]) Read(ctx context.Context, from uint64, wait time.Duration) (watch.Page[Record], error) {
+func (source staleSource[Record]) Read(ctx context.Context, _ uint64, wait time.Duration) (watch.Page[Record], error) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -83,7 +83,7 @@
 	if refused := proxyRequest.resumeRefusal(); refused == nil || !proxyRequest.origin.Known() {
 		return refused
 	}
-	if proxyRequest.relay.confirmList(ctx, proxyRequest.started, others) != nil {
+	if proxyRequest.relay.picker.Unheard(proxyRequest.requirements()) || proxyRequest.relay.confirmList(ctx, proxyRequest.started, others) != nil {
 		return outOfStepRefusal()
 	}
 	return proxyRequest.resumeRefusal()
--- a/internal/flow/picker/usable.go
+++ b/internal/flow/picker/usable.go
@@ -41,17 +41,36 @@
 }
 
 // CanResume reports whether an upstream may continue a stream, now or after a wait: one
-// that fits, was not tried, goes on serving, and is not known to have ended.
+// that fits, was not tried, goes on serving, is not known to have ended, and whose loader, if
+// it is an engine, was heard lately.
 func (picker *Picker) CanResume(request Request) bool {
+	now := time.Now()
+	return picker.resumable(request, func(upstream *upstream) bool { return !request.Engine || !upstream.unheard(now) })
+}
+
+// Unheard reports whether a stream cannot go on only because no loader is heard of the
+// upstreams that may continue it.
+func (picker *Picker) Unheard(request Request) bool {
+	now := time.Now()
+	return !picker.CanResume(request) && picker.resumable(request, func(upstream *upstream) bool { return upstream.unheard(now) })
+}
+
+// resumable reports whether one of the upstreams that a function selects may continue a stream.
+func (picker *Picker) resumable(request Request, selected func(upstream *upstream) bool) bool {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	return slices.ContainsFunc(picker.services[request.Service], func(upstream *upstream) bool {
 		until, cordoned := picker.cordoned(upstream)
 		leaving := cordoned && until.IsZero() || upstream.draining()
-		return request.fits(upstream.spec) && !leaving && !upstream.report.Unreachable && !slices.Contains(request.Exclude, upstream.spec.ID)
+		return request.fits(upstream.spec) && !leaving && !upstream.report.Unreachable && !slices.Contains(request.Exclude, upstream.spec.ID) && selected(upstream)
 	})
 }
 
+// unheard reports whether the loader of an engine has not been heard for firstReportTimeout.
+func (upstream *upstream) unheard(now time.Time) bool {
+	return now.Sub(upstream.listedAt) > firstReportTimeout && now.Sub(upstream.reportedAt) > firstReportTimeout
+}
+
 // Usable reports whether an upstream is known and requests may be sent to it.
 func (picker *Picker) Usable(id string) bool {
 	picker.mutex.Lock()
