--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -237,6 +237,7 @@
 		}
 	}
 	if complete {
+		relay.origins.history.Restart()
 		present := make([]fleet.Upstream, 0, len(listings))
 		for _, listing := range listings {
 			if listing.Upstream != nil {
--- a/internal/flow/origin/history.go
+++ b/internal/flow/origin/history.go
@@ -68,6 +68,13 @@
 	history.incompleteUntil = time.Now().Add(length)
 }
 
+// Restart begins the history anew, as records of the list may have been missed.
+func (history *History) Restart() {
+	history.mutex.Lock()
+	defer history.mutex.Unlock()
+	history.since, history.confirmedAt = time.Time{}, time.Time{}
+}
+
 // Confirm records a time at which the list was current. After a gap, the history begins
 // anew.
 func (history *History) Confirm(at time.Time) {
