--- a/internal/daemon/relay/listchange_test.go
+++ b/internal/daemon/relay/listchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,21 +17,37 @@
 )
 
 // listTopic is an instance list in memory.
-type listTopic struct{ records []Listing }
+type listTopic struct {
+	mutex   sync.Mutex
+	records []Listing
+}
+
+func (topic *listTopic) add(record Listing) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.records = append(topic.records, record)
+}
 
-func (topic *listTopic) end() watch.Cursor { return watch.Cursor{Next: uint64(len(topic.records))} }
+// read returns the records from an offset on, and the end.
+func (topic *listTopic) read(from uint64) ([]Listing, watch.Cursor) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return slices.Clone(topic.records[from:]), watch.Cursor{Next: uint64(len(topic.records))}
+}
 
 // Snapshot implements watch.Source. All records must be of one entry.
 func (topic *listTopic) Snapshot(context.Context) ([]Listing, watch.Cursor, error) {
-	if count := len(topic.records); count > 0 && topic.records[count-1].Upstream != nil {
-		return topic.records[count-1:], topic.end(), nil
+	records, end := topic.read(0)
+	if count := len(records); count > 0 && records[count-1].Upstream != nil {
+		return records[count-1:], end, nil
 	}
-	return nil, topic.end(), nil
+	return nil, end, nil
 }
 
 // Read implements watch.Source.
 func (topic *listTopic) Read(_ context.Context, from uint64, _ time.Duration) (watch.Page[Listing], error) {
-	return watch.Page[Listing]{Records: topic.records[from:], Next: topic.end(), End: topic.end().Next}, nil
+	records, end := topic.read(from)
+	return watch.Page[Listing]{Records: records, Next: end, End: end.Next}, nil
 }
 
 // follow returns an entry instance that reads an instance list until the test ends.
@@ -70,10 +88,10 @@
 				topic := &listTopic{records: test.before}
 				reader := topic.follow(t, readerAddress)
 				synctest.Wait()
-				topic.records = append(topic.records, test.first)
+				topic.add(test.first)
 				started := topic.follow(t, ownAddress)
 				synctest.Wait()
-				topic.records = append(topic.records, test.second)
+				topic.add(test.second)
 				time.Sleep(defaultTiming.listInterval)
 				synctest.Wait()
 				word := reader.positionReport(started.readerReport.newQuery(), reader.instanceWatcher.Since(started.instanceWatcher.Position().Cursor))
