--- a/internal/daemon/relay/originlookup.go
+++ b/internal/daemon/relay/originlookup.go
@@ -38,8 +38,8 @@
 	list watch.Cursor
 }
 
-// begin registers a lookup. The caller calls end when it is over.
-func (origins *origins) begin(key origin.Key, lookup *originLookup) (end func()) {
+// beginLookup registers a lookup. The caller calls end when it is over.
+func (origins *origins) beginLookup(key origin.Key, lookup *originLookup) (end func()) {
 	origins.mutex.Lock()
 	defer origins.mutex.Unlock()
 	origins.lookups[key] = append(origins.lookups[key], lookup)
@@ -113,7 +113,7 @@
 	loaders := len(asked)
 	asked = append(asked, rank.Top(key.String(), relay.peers.liveOthers(), maxAskedPeers)...)
 	lookup := &originLookup{answers: make(chan originAnswer, 2*len(asked))}
-	defer relay.origins.begin(key, lookup)()
+	defer relay.origins.beginLookup(key, lookup)()
 	silent := make(map[string]bool, len(asked))
 	for _, address := range asked {
 		silent[address] = true
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -59,13 +59,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeUpTimeout)
 	defer cancel()
-	found, source, list := proxyRequest.findOrigin(ctx)
-	relay.metrics.increment("take-ups-" + source)
+	found, knownFrom, list := proxyRequest.findOrigin(ctx)
+	relay.metrics.increment("take-ups-" + knownFrom)
 	proxyRequest.log("relay: stream taken up", zap.String("resumes", proxyRequest.info.Resumes), zap.String("last-event", proxyRequest.info.LastEventID),
-		zap.String("software-version", found.Version), zap.String("known-from", source))
+		zap.String("software-version", found.Version), zap.String("known-from", knownFrom))
 	proxyRequest.origin, proxyRequest.lastEventID = found, proxyRequest.info.LastEventID
 	switch {
-	case source == sourceOutOfStep:
+	case knownFrom == knownOutOfStep:
 		return outOfStepRefusal()
 	case !found.Known():
 		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, 0}
@@ -91,39 +91,39 @@
 
 // How the origin of a stream is known, or why not.
 const (
-	sourceOwn       = "own"
-	sourceLoader    = "loader"
-	sourceSole      = "sole-version"
-	sourceNowhere   = "nowhere"
-	sourceOutOfStep = "out-of-step"
+	knownOwn       = "own"
+	knownLoader    = "loader"
+	knownSole      = "sole-version"
+	knownNowhere   = "nowhere"
+	knownOutOfStep = "out-of-step"
 )
 
 // findOrigin returns which software began the stream that the caller takes up, and how that
 // is known: from this instance, from a loader, or because no other version was listed while
 // the stream can have begun. list is how far others had read the instance list.
-func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, source string, list watch.Cursor) {
+func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, knownFrom string, list watch.Cursor) {
 	relay, key := proxyRequest.relay, proxyRequest.streamKey()
 	if record, ok := relay.origins.ledger.Find(key); ok {
-		return record.Origin, sourceOwn, list
+		return record.Origin, knownOwn, list
 	}
 	return proxyRequest.lookUpOrigin(ctx, proxyRequest.started)
 }
 
 // lookUpOrigin is findOrigin for a stream that had begun by a time and of which this instance
 // has no record.
-func (proxyRequest *proxyRequest) lookUpOrigin(ctx context.Context, begunBy time.Time) (found origin.Origin, source string, list watch.Cursor) {
+func (proxyRequest *proxyRequest) lookUpOrigin(ctx context.Context, begunBy time.Time) (found origin.Origin, knownFrom string, list watch.Cursor) {
 	relay := proxyRequest.relay
 	lookup := relay.askOrigin(ctx, proxyRequest.streamKey(), proxyRequest.route.ServiceNames())
 	proxyRequest.log("relay: loaders asked for the origin of a stream", zap.Bool("found", lookup.found), zap.Int("asked", lookup.asked), zap.Int("silent", lookup.silent),
 		zap.Duration("list-age", elapsed(relay.instanceWatcher.Position().ConfirmedAt)))
 	switch {
 	case lookup.found:
-		return lookup.record.Origin, sourceLoader, lookup.list
+		return lookup.record.Origin, knownLoader, lookup.list
 	case lookup.unheard():
-		return origin.Origin{}, sourceOutOfStep, lookup.list
+		return origin.Origin{}, knownOutOfStep, lookup.list
 	}
-	found, source = proxyRequest.soleOrigin(ctx, begunBy, lookup.list)
-	return found, source, lookup.list
+	found, knownFrom = proxyRequest.soleOrigin(ctx, begunBy, lookup.list)
+	return found, knownFrom, lookup.list
 }
 
 // prepareResume finds out, after a break of a stream of which the caller has a part, what its
@@ -147,10 +147,10 @@
 // time, if there is only one. The store is read once more, as other instances may have begun
 // the stream at an upstream that this one does not know yet. others is how far they had read
 // the instance list.
-func (proxyRequest *proxyRequest) soleOrigin(ctx context.Context, begunBy time.Time, others watch.Cursor) (sole origin.Origin, source string) {
+func (proxyRequest *proxyRequest) soleOrigin(ctx context.Context, begunBy time.Time, others watch.Cursor) (sole origin.Origin, knownFrom string) {
 	relay := proxyRequest.relay
 	if relay.confirmStore(ctx, begunBy, others) != nil {
-		return origin.Origin{}, sourceOutOfStep
+		return origin.Origin{}, knownOutOfStep
 	}
 	services := proxyRequest.route.ServiceNames()
 	since := begunBy.Add(-relay.longestStream(services))
@@ -163,12 +163,12 @@
 		relay.recallSoftware(context.WithoutCancel(ctx))
 	}
 	if relay.picker.Renewed(services) {
-		return origin.Origin{}, sourceOutOfStep
+		return origin.Origin{}, knownOutOfStep
 	}
 	if sole, ok := relay.origins.history.Sole(services, since); ok {
-		return sole, sourceSole
+		return sole, knownSole
 	}
-	return origin.Origin{}, sourceNowhere
+	return origin.Origin{}, knownNowhere
 }
 
 // engineServices returns the services that were listed lately, without those that have no
