Evacuate failure domains by a key in the operators' topic

Operators had no way to take all upstreams of a failure domain out of use: draining is what an upstream says of itself, and its entry is its own.

Relays now follow the keys evacuate/DOMAIN of the operators' topic. While one is there, picker.usable excludes the upstreams of the domain, so that choosing, grants, copies of adapters, retries and resumed streams obey; waiting requests wake and move with the time that they have waited, running ones go on. If only evacuated upstreams could serve a request, it is refused at once with 503 and that reason.

Without the decision in the picker, the two cases of TestEvacuation that were run fail: engine and plain runner got 28 and 21, and 20 and 22 requests in a second.

--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -70,6 +70,8 @@
 	metric.SetGauge("relay", "connections-reused", int64(reused))
 	metric.SetGauge("relay", "config-age-ms", relay.configAge().Milliseconds())
 	metric.SetGauge("relay", "upstreams", int64(len(relay.store.instances.Upstreams())))
+	metric.SetGauge("relay", "evacuated-domains", int64(len(relay.evacuations.inForce.List())))
+	metric.SetGauge("relay", "evacuated-running", int64(relay.picker.CountEvacuatedRunning()))
 	metric.SetGauge("relay", "upstreams-limited", int64(relay.permits.limits.Count()))
 	metric.SetGauge("relay", "buffered-bytes", relay.buffers.Held())
 	metric.SetGauge("relay", "poison-parts", int64(relay.poison.CountBlocked()))
--- a/internal/daemon/relay/poison.go
+++ b/internal/daemon/relay/poison.go
@@ -171,7 +171,7 @@
 // upstream that refuses connections. An upstream without a loader shows its crash
 // only in this way.
 func (relay *Relay) recordRefusedConnection(upstream fleet.Upstream, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) && relay.picker.Usable(upstream.ID) {
+	if errors.Is(err, syscall.ECONNREFUSED) && relay.picker.TakesRequests(upstream.ID) {
 		relay.recordCrash(upstream.ID)
 	}
 }
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -11,13 +11,16 @@
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
 
-// ConfigChange is a change by the operators: a configuration, or a new version of
-// an adapter.
+// ConfigChange is a change by the operators: a configuration, a new version of an
+// adapter, or the begin or end of the evacuation of a failure domain.
 type ConfigChange struct {
-	// Table is nil for a new version of an adapter.
+	// Table is nil for other changes than a configuration.
 	Table   *routes.Table
 	Model   string
 	Adapter lora.Adapter
+	// FailureDomain is empty for other changes than the begin or end of an evacuation.
+	FailureDomain string
+	Evacuated     bool
 }
 
 // Listing is an entry of the instance list. Upstream is nil if the entry was
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -107,6 +107,8 @@
 	// keeps the sends to others within the rate limits that they name.
 	cordon  *cordon.Set
 	permits *permits
+	// evacuations holds the failure domains that the operators have evacuated.
+	evacuations *evacuations
 	// poison tracks the parts of prompts that crash upstreams.
 	poison          *poison.Tracker
 	brokenResponses *brokenResponses
@@ -170,6 +172,7 @@
 		storeConfirmed:  newBroadcast(),
 		usageChanges:    newUsageChanges(),
 		cordon:          cordon.New(cordon.Config{}),
+		evacuations:     newEvacuations(),
 		poison:          poison.New(poison.Config{}),
 		brokenResponses: newBrokenResponses(),
 		latencies:       newLatencies(),
@@ -184,7 +187,9 @@
 	relay.requestNumbers.Store(rand.Uint64())
 	relay.readerReport.queryNumber = rand.Uint64()
 	relay.permits = newPermits(&relay.metrics)
-	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits})
+	relay.picker = picker.New(picker.Config{
+		FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits, Evacuation: &relay.evacuations.inForce,
+	})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
 	relay.timing.Store(newTiming(config.Bounds))
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -75,7 +75,10 @@
 // not newer than the known ones.
 func (storeView *storeView) apply(changes []ConfigChange) {
 	for _, change := range changes {
-		if change.Table == nil {
+		switch {
+		case change.FailureDomain != "":
+			continue
+		case change.Table == nil:
 			storeView.recordVersion(change)
 			continue
 		}
@@ -100,7 +103,7 @@
 		case change.Table != nil && change.Table.Version() < current.Version():
 			storeView.logger.Info("config: later version than the store's stays in force",
 				zap.Uint64("version", current.Version()), zap.Uint64("stored", change.Table.Version()))
-		case change.Table == nil && change.Adapter.Version < storeView.adapterVersion(change.Model, change.Adapter.Name):
+		case change.Table == nil && change.FailureDomain == "" && change.Adapter.Version < storeView.adapterVersion(change.Model, change.Adapter.Name):
 			storeView.logger.Info("config: later adapter version than the store's stays in force",
 				zap.String("adapter", change.Adapter.Name), zap.Uint32("stored", change.Adapter.Version))
 		}
@@ -161,17 +164,22 @@
 			if complete {
 				relay.store.logKept(changes)
 			}
+			// No request may be served by a configuration before its evacuations are known.
+			relay.applyEvacuations(changes, complete)
 			relay.store.apply(changes)
 			if len(changes) > 0 {
 				relay.stateChanged.notify()
 			}
 			return changes
 		},
-		PeerUpdate:  relay.configUpdate,
-		OnConfirmed: func(time.Time) { relay.storeConfirmed.notify() },
-		OnChange:    relay.announceChange,
-		OnOverdue:   func() { relay.recordStoreState(topicConfig, true) },
-		OnCall:      func(err error) { relay.recordStoreCall(topicConfig, err) },
+		PeerUpdate: relay.configUpdate,
+		OnConfirmed: func(at time.Time) {
+			relay.confirmEvacuations(at)
+			relay.storeConfirmed.notify()
+		},
+		OnChange:  relay.announceChange,
+		OnOverdue: func() { relay.recordStoreState(topicConfig, true) },
+		OnCall:    func(err error) { relay.recordStoreCall(topicConfig, err) },
 	})
 }
 
@@ -292,6 +300,7 @@
 	relay.observeOrigins(upstreams)
 	relay.incarnationAsks.keep(relay.store.instances.Contains)
 	relay.health.setUpstreams(upstreams)
+	relay.checkEvacuations()
 	relay.stateChanged.notify()
 	relay.reportSoon()
 }
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -204,7 +204,11 @@
 	if !proxyRequest.origin.Known() {
 		return &refusal{http.StatusServiceUnavailable, reasonOriginUnknown, 0}
 	}
-	if proxyRequest.service.Name != proxyRequest.origin.Service || !proxyRequest.relay.picker.CanResume(proxyRequest.requirements()) {
+	requirements := proxyRequest.requirements()
+	if proxyRequest.service.Name != proxyRequest.origin.Service || !proxyRequest.relay.picker.CanResume(requirements) {
+		if proxyRequest.service.Name == proxyRequest.origin.Service && proxyRequest.relay.picker.AllEvacuated(requirements) {
+			return proxyRequest.relay.evacuatedRefusal(0)
+		}
 		return &refusal{http.StatusServiceUnavailable, reasonOriginGone, 0}
 	}
 	return nil
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -77,6 +77,7 @@
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(full),
 		Poison: relay.encodePoison(full), Retries: relay.retryBudget.encodeUse(kind),
 		StoreFailing: relay.peers.ownStoreFails(), PastWanted: !relay.retryBudget.settled(),
+		Evacuation: relay.evacuations.encode(),
 	}
 	if config := relay.store.config(); config != nil {
 		encoded.ConfigVersion = config.Version()
@@ -105,6 +106,7 @@
 			usage.Levels[organisation.GetOrganisation()] = organisation.GetLevel()
 		}
 	}
+	relay.recordPeerEvacuations(report)
 	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion())
 	relay.peers.recordPastWanted(report.GetEntry(), report.GetPastWanted())
 	if relay.peers.recordStoreState(report.GetEntry(), report.GetStoreFailing()) {
--- a/internal/daemon/relay/waitlimits.go
+++ b/internal/daemon/relay/waitlimits.go
@@ -79,6 +79,8 @@
 		return &refusal{http.StatusServiceUnavailable, "the time ran out before an upstream took the request", retryAfterFull}
 	}
 	switch {
+	case choice.Result == picker.Evacuated:
+		return proxyRequest.relay.evacuatedRefusal(maxRetryAfter)
 	case choice.Result == picker.NoUpstream && choice.RetryAfter > proxyRequest.backoffLimit():
 		// Another instance may serve the request sooner.
 		return &refusal{http.StatusServiceUnavailable, "the upstreams take nothing for a time", min(choice.RetryAfter, maxRetryAfter)}
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -59,6 +59,9 @@
 	// RateLimited means that all usable upstreams have a rate limit that is used
 	// up.
 	RateLimited
+	// Evacuated means that all upstreams of the service are in evacuated failure
+	// domains.
+	Evacuated
 	// PermitPending means that a permit to send the request to the upstream was
 	// asked for and may be received at once.
 	PermitPending
--- a/internal/flow/picker/picker.go
+++ b/internal/flow/picker/picker.go
@@ -71,6 +71,12 @@
 	Cordoned(incarnation cordon.Incarnation) (until time.Time, cordoned bool)
 }
 
+// Evacuation tells which failure domains are evacuated.
+type Evacuation interface {
+	// Evacuated reports whether the upstreams of a failure domain must get no requests.
+	Evacuated(failureDomain string) bool
+}
+
 // Limits tells how many requests the rate limits of upstreams admit.
 type Limits interface {
 	// Admission returns whether the request with the given number may be sent to an
@@ -85,6 +91,7 @@
 	FailureDomain  string
 	Health         Health
 	Cordon         Cordon
+	Evacuation     Evacuation
 	Limits         Limits
 	ReportTTL      time.Duration
 	ReportLag      time.Duration
--- a/internal/flow/picker/usable.go
+++ b/internal/flow/picker/usable.go
@@ -19,10 +19,57 @@
 
 // usable reports whether requests may be sent to an upstream.
 func (picker *Picker) usable(upstream *upstream) bool {
+	return picker.takesRequests(upstream) && !picker.evacuated(upstream)
+}
+
+// takesRequests reports whether an upstream takes requests, by what it said of itself.
+func (picker *Picker) takesRequests(upstream *upstream) bool {
 	_, cordoned := picker.cordoned(upstream)
 	return !cordoned && !upstream.draining()
 }
 
+// evacuated reports whether the failure domain of an upstream is evacuated.
+func (picker *Picker) evacuated(upstream *upstream) bool {
+	return picker.config.Evacuation != nil && picker.config.Evacuation.Evacuated(upstream.spec.FailureDomain)
+}
+
+// allEvacuated reports whether the upstreams that fit a request are all in evacuated failure
+// domains, and there are any.
+func (picker *Picker) allEvacuated(request Request) bool {
+	found := false
+	for _, upstream := range picker.services[request.Service] {
+		if !request.fits(upstream.spec) {
+			continue
+		}
+		if !picker.evacuated(upstream) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// AllEvacuated reports whether only upstreams in evacuated failure domains fit a request.
+func (picker *Picker) AllEvacuated(request Request) bool {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	return picker.allEvacuated(request)
+}
+
+// CountEvacuatedRunning returns how many of this instance's requests still run at upstreams in
+// evacuated failure domains.
+func (picker *Picker) CountEvacuatedRunning() int {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	running := 0
+	for _, upstream := range picker.upstreams {
+		if picker.evacuated(upstream) {
+			running += upstream.running
+		}
+	}
+	return running
+}
+
 // fits reports whether an upstream has the software version that the request needs.
 func (request Request) fits(spec fleet.Upstream) bool {
 	return !request.Resumed || spec.SoftwareVersion == request.SoftwareVersion
@@ -61,7 +108,7 @@
 	defer picker.mutex.Unlock()
 	return slices.ContainsFunc(picker.services[request.Service], func(upstream *upstream) bool {
 		until, cordoned := picker.cordoned(upstream)
-		leaving := cordoned && until.IsZero() || upstream.draining()
+		leaving := cordoned && until.IsZero() || upstream.draining() || picker.evacuated(upstream)
 		return request.fits(upstream.spec) && !leaving && !upstream.report.Unreachable && !slices.Contains(request.Exclude, upstream.spec.ID) && selected(upstream)
 	})
 }
@@ -71,12 +118,13 @@
 	return now.Sub(upstream.listedAt) > firstReportTimeout && now.Sub(upstream.reportedAt) > firstReportTimeout
 }
 
-// Usable reports whether an upstream is known and requests may be sent to it.
-func (picker *Picker) Usable(id string) bool {
+// TakesRequests reports whether an upstream is known and takes requests, by what it said of
+// itself. Its failure domain may be evacuated.
+func (picker *Picker) TakesRequests(id string) bool {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	upstream, ok := picker.upstreams[id]
-	return ok && picker.usable(upstream)
+	return ok && picker.takesRequests(upstream)
 }
 
 // Crashed reports whether an upstream has ended without having announced that it is
@@ -100,7 +148,7 @@
 	var shortest time.Duration
 	for _, upstream := range picker.services[request.Service] {
 		until, _ := picker.cordoned(upstream)
-		if until.IsZero() || upstream.draining() || !request.fits(upstream.spec) {
+		if until.IsZero() || upstream.draining() || picker.evacuated(upstream) || !request.fits(upstream.spec) {
 			continue
 		}
 		if left := time.Until(until); shortest == 0 || left < shortest {
@@ -110,9 +158,13 @@
 	return shortest
 }
 
-// unavailableResult returns Starting if an engine of the service is loading its
-// model, else NoUpstream.
+// unavailableResult returns Evacuated if all upstreams of the service are in evacuated
+// failure domains, Starting if an engine of the service is loading its model, else
+// NoUpstream.
 func (picker *Picker) unavailableResult(request Request) Result {
+	if picker.allEvacuated(request) {
+		return Evacuated
+	}
 	for _, upstream := range picker.services[request.Service] {
 		if request.Engine && request.fits(upstream.spec) && picker.usable(upstream) && !upstream.report.Unreachable && !upstream.reportedAt.IsZero() && !upstream.report.ModelLoaded {
 			return Starting
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -128,7 +128,7 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	upstream, ok := picker.upstreams[id]
-	if !ok || len(upstream.waiting) == 0 {
+	if !ok || len(upstream.waiting) == 0 || picker.evacuated(upstream) {
 		return nil
 	}
 	now := time.Now()
@@ -173,8 +173,12 @@
 	now := time.Now()
 	othersServe := picker.othersServe(upstream)
 	waiting, late, bound := maps.Clone(upstream.requestedCopies), make(map[lora.Adapter]int), make(map[lora.Adapter]int)
+	evacuated := picker.evacuated(upstream)
+	if evacuated {
+		clear(waiting)
+	}
 	for _, request := range upstream.waiting {
-		if request.Adapter.Name == "" {
+		if request.Adapter.Name == "" || evacuated {
 			continue
 		}
 		waiting[request.Adapter]++
