Keep requests to cold upstreams within their bound

An upstream that has just started, or becomes cold at any moment, crashes when all relays together send it more than it tolerates: after a whole failure domain returns, all its upstreams are idle and each relay finds them the least loaded ones.

A loader admits no more requests in a second than a cold engine tolerates, whether or not it is known to be cold, and only the cold rate while it is. Grants count until the relay no longer names the request, and relays use none that answers a demand from long ago, so that those of a stopped relay or an ended loader do not add up. Other requests to a cold upstream need permits, at a rate at which all unused ones may be used at once; a relay that was stopped discards them, and one that does not hear most of the others sends nothing. The expected wait at a cold engine counts its cold rate. Services without cold_per_s behave as before.

--- a/internal/base/setup/relay.go
+++ b/internal/base/setup/relay.go
@@ -54,6 +54,11 @@
 	RetryRatio  Number `toml:"retry-ratio"`
 	RetryExtra  Number `toml:"retry-extra"`
 	RetryWindow Period `toml:"retry-window"`
+	// ColdOverage and ColdTolerance bound the requests that a cold upstream gets in a
+	// second from all instances together: to ColdOverage times its service's cold rate,
+	// plus ColdTolerance.
+	ColdOverage   Number `toml:"cold-overage"`
+	ColdTolerance Number `toml:"cold-tolerance"`
 }
 
 // Relay holds the settings of a relay.
@@ -106,6 +111,7 @@
 	defaultGrace       = 8 * time.Second
 	defaultRetryRatio  = 0.2
 	defaultRetryWindow = 10 * time.Second
+	defaultColdOverage = 1
 	defaultMemory      = 256
 	minMemory          = 1
 	maxMemory          = 1e9
@@ -117,7 +123,7 @@
 		Bounds: RelayBounds{
 			RevocationDelay: Period{defaultRevoke}, GracePeriod: Period{defaultGrace},
 			ConfigDelay: Period{defaultConfigDelay}, VersionDelay: Period{defaultVersion}, DrainDelay: Period{defaultDrain},
-			RetryRatio: defaultRetryRatio, RetryWindow: Period{defaultRetryWindow},
+			RetryRatio: defaultRetryRatio, RetryWindow: Period{defaultRetryWindow}, ColdOverage: defaultColdOverage,
 		},
 		Memory: defaultMemory,
 		Log:    Log{Level: "info", Format: "json"},
@@ -156,6 +162,8 @@
 	checks.positive("bounds.retry-window", relay.Bounds.RetryWindow.Duration)
 	checks.notNegative("bounds.retry-ratio", relay.Bounds.RetryRatio)
 	checks.notNegative("bounds.retry-extra", relay.Bounds.RetryExtra)
+	checks.notNegative("bounds.cold-overage", relay.Bounds.ColdOverage)
+	checks.notNegative("bounds.cold-tolerance", relay.Bounds.ColdTolerance)
 	checks.between("memory-mb", relay.Memory, minMemory, maxMemory)
 	checks.log(relay.Log)
 	return checks.err()
--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -40,12 +40,15 @@
 		loader.sendMemories(demand.GetEntry())
 	}
 	loader.planner.SetDemand(decodeDemand(demand))
+	before := loader.admission.ColdState()
 	loader.admission.SetRequests(demand.GetEntry(), admit.EngineConfig{
 		Slots:        int(demand.GetSlots()),
 		EventTokens:  int(demand.GetEventTokens()),
 		MaxEventGap:  time.Duration(demand.GetGapMs()) * time.Millisecond,
 		TypicalSpeed: codec.DecodeSpeed(demand.GetTypical()),
+		Cold:         codec.DecodeColdLimit(demand),
 	}, codec.DecodeRequests(demand.GetAsks()))
+	loader.logCold(before, demand.GetEntry())
 	loader.admission.RecordMeasurements(demand.GetEntry(), codec.DecodeMeasurements(demand.GetReadings()))
 	wake(loader.wakeGrants)
 	for _, use := range demand.GetUses() {
@@ -149,7 +152,7 @@
 			state = proto.CloneOf(withAdapters)
 			state.Dropped = codec.EncodeAdapters(loader.planner.Evicted())
 		}
-		state.Granted = granted[address]
+		state.Granted, state.AnsweredUs = granted[address], loader.admission.Answered(address)
 		datagram := &wirepb.Datagram{Body: &wirepb.Datagram_EngineState{EngineState: state}}
 		loader.config.Datagrams.Send(datagram, []string{address}, loader.logUnsent)
 	}
@@ -165,6 +168,10 @@
 	backlog, late := loader.admission.Backlog()
 	freeSlots, boundWaiting := loader.planner.FreeSlots(), loader.admission.BoundWaiting()
 	speed, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
+	waiting := 0
+	if cold := loader.admission.ColdState(); cold.Limit.PerSecond > 0 {
+		waiting = cold.Waiting
+	}
 	cacheCapacity := loader.planner.CacheCapacity()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
@@ -182,7 +189,7 @@
 		Silent:        loader.unreachable() && loader.unresponsive,
 		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(freeSlots), LoadsQueued: uint32(loader.planner.QueuedLoads()),
 		Brief: true, Pace: codec.EncodeSpeed(speed), Intake: codec.EncodeTokenRate(admissionRate),
-		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting),
+		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting), Waiting: uint32(waiting),
 	}
 	loader.lastStateAt, loader.sentUnreachable = time.Now(), state.GetUnreachable()
 	if full {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -200,6 +200,10 @@
 	metric.SetGauge("loader", "late-tokens", late)
 	metric.SetGauge("loader", "free-places", int64(loader.planner.FreeSlots()))
 	metric.SetGauge("loader", "reports-missed", int64(loader.missedReports))
+	cold := loader.admission.ColdState()
+	metric.SetGauge("loader", "cold-limit", int64(cold.Limit.PerSecond))
+	metric.SetGauge("loader", "cold-counted", int64(cold.Counted))
+	metric.SetGauge("loader", "cold-remaining-ms", cold.Remaining.Milliseconds())
 	metric.SetGauge("loader", "intake-tokens", int64(codec.EncodeTokenRate(loader.admission.AdmissionRate())))
 }
 
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -71,6 +71,7 @@
 	metric.SetGauge("relay", "config-age-ms", relay.configAge().Milliseconds())
 	metric.SetGauge("relay", "upstreams", int64(len(relay.store.instances.Upstreams())))
 	metric.SetGauge("relay", "upstreams-limited", int64(relay.permits.limits.Count()))
+	metric.SetGauge("relay", "upstreams-cold", int64(relay.permits.cold.Count()))
 	metric.SetGauge("relay", "buffered-bytes", relay.buffers.Held())
 	metric.SetGauge("relay", "poison-parts", int64(relay.poison.CountBlocked()))
 	if config := relay.store.config(); config != nil {
--- a/internal/daemon/relay/notices.go
+++ b/internal/daemon/relay/notices.go
@@ -29,14 +29,16 @@
 		proxyRequest.relay.recordDraining(incarnation, "")
 	}
 	proxyRequest.recordRateLimit(incarnation, info)
+	proxyRequest.relay.recordCold(upstream, info)
 }
 
 // staleNotices returns what is still believed of a response that belongs to another
 // request. It may be a copy of one that was written at any time before. A process that was
 // draining stays so, and a limit is at worst too low for a time. A backoff may be over,
-// and the load is another one by now.
+// the load is another one by now, and the upstream may no longer be cold.
 func (info ResponseInfo) staleNotices() ResponseInfo {
 	info.RetryAfter, info.Load = 0, -1
+	info.Cold, info.MalformedCold = 0, ""
 	return info
 }
 
--- a/internal/daemon/relay/permits.go
+++ b/internal/daemon/relay/permits.go
@@ -24,7 +24,11 @@
 // permits that it was issued. It implements picker.Limits.
 type permits struct {
 	limits *permit.Limits
-	client *permit.Client
+	// cold limits the upstreams that are cold. mayUseCold reports whether this instance
+	// may send anything to them.
+	cold       *permit.Cold
+	mayUseCold func() bool
+	client     *permit.Client
 	// allocator issues the permits of the upstreams for which this instance ranks
 	// first.
 	allocator *permit.Allocator
@@ -35,19 +39,23 @@
 	nextLimit int
 }
 
-func newPermits(metrics *metrics) *permits {
+func newPermits(metrics *metrics, mayUseCold func() bool) *permits {
 	return &permits{
-		limits: permit.NewLimits(permit.LimitsConfig{}), client: permit.NewClient(permit.ClientConfig{}), allocator: permit.NewAllocator(permit.AllocatorConfig{}),
+		limits: permit.NewLimits(permit.LimitsConfig{}), cold: permit.NewCold(), mayUseCold: mayUseCold,
+		client: permit.NewClient(permit.ClientConfig{}), allocator: permit.NewAllocator(permit.AllocatorConfig{}),
 		queue: newPermitQueue(), metrics: metrics,
 	}
 }
 
 // Admission implements picker.Limits.
-func (permits *permits) Admission(upstream fleet.Upstream, request uint64) permit.Admission {
+func (permits *permits) Admission(upstream fleet.Upstream, request uint64, byGrant bool) permit.Admission {
 	incarnation := incarnationOf(upstream)
-	rate := permits.limits.Rate(incarnation)
-	if rate == permit.Unlimited {
+	rate := permits.rateFor(incarnation, byGrant)
+	switch {
+	case rate == permit.Unlimited:
 		return permit.Admission{Held: math.MaxInt}
+	case permits.coldHeld(incarnation, byGrant):
+		return permit.Admission{Wait: permits.cold.Remaining(incarnation)}
 	}
 	admission := permits.client.Admission(incarnation, rate, request)
 	admission.Held = max(admission.Held-permits.queue.countBefore(upstream.Service, request), 0)
@@ -60,16 +68,20 @@
 }
 
 // take uses a permit for an upstream, if its rate is limited, and reports whether
-// a request may be sent there.
-func (permits *permits) take(upstream fleet.Upstream) bool {
+// a request may be sent there. byGrant means that the upstream's loader has admitted
+// the request.
+func (permits *permits) take(upstream fleet.Upstream, byGrant bool) bool {
 	incarnation := incarnationOf(upstream)
-	if permits.limits.Rate(incarnation) == permit.Unlimited {
+	if permits.rateFor(incarnation, byGrant) == permit.Unlimited {
 		return true
 	}
-	if !permits.client.Take(incarnation) {
+	if permits.coldHeld(incarnation, byGrant) || !permits.client.Take(incarnation) {
 		return false
 	}
 	permits.metrics.increment("permits-taken")
+	if !byGrant && permits.cold.Rate(incarnation) != permit.Unlimited {
+		permits.metrics.increment("cold-permits-taken")
+	}
 	return true
 }
 
@@ -124,11 +136,12 @@
 		budget := relay.retryBudget
 		return permitExchange{client: budget.client, allocator: budget.allocator, rate: budget.rate, task: retryTask, retries: true}
 	}
-	return permitExchange{client: relay.permits.client, allocator: relay.permits.allocator, rate: relay.permits.limits.Rate}
+	return permitExchange{client: relay.permits.client, allocator: relay.permits.allocator, rate: relay.permits.rate}
 }
 
 // exchangePermits asks for permits that are wanted, and issues those that are due.
 func (relay *Relay) exchangePermits() {
+	relay.permits.renewAfterPause()
 	relay.updateRetryPools()
 	live := sync.OnceValue(relay.peers.live)
 	for _, retries := range []bool{false, true} {
@@ -197,6 +210,7 @@
 
 // handlePermitGrants processes the grants of an allocator.
 func (relay *Relay) handlePermitGrants(grants *wirepb.PermitGrants) {
+	relay.permits.renewAfterPause()
 	exchange := relay.permitExchange(grants.GetRetries())
 	for _, encoded := range grants.GetGrants() {
 		relay.acceptPermits(exchange, codec.DecodePermitGrant(encoded))
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -15,7 +15,9 @@
 // an adapter.
 type ConfigChange struct {
 	// Table is nil for a new version of an adapter.
-	Table   *routes.Table
+	Table *routes.Table
+	// Ignored names values of the configuration that are ignored, and why.
+	Ignored []string
 	Model   string
 	Adapter lora.Adapter
 }
@@ -27,6 +29,8 @@
 	Upstream *fleet.Upstream
 	// Fault says why the entry names no upstream, if it was not removed.
 	Fault string
+	// Ignored names a value of the entry that is ignored, and why. The rest holds.
+	Ignored string
 }
 
 // ListingHistory holds the records of the instance list that the store retains, in their
@@ -99,6 +103,10 @@
 	RateLimit permit.Rate
 	// MalformedRateLimit is the text of a rate limit that cannot be read, or empty.
 	MalformedRateLimit string
+	// Cold is how long the upstream says it stays cold, 0 if it says nothing.
+	Cold time.Duration
+	// MalformedCold is the text of a cold time that cannot be read, or empty.
+	MalformedCold string
 }
 
 // Protocol converts between HTTP headers and typed values.
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -183,8 +183,8 @@
 	}
 	relay.requestNumbers.Store(rand.Uint64())
 	relay.readerReport.queryNumber = rand.Uint64()
-	relay.permits = newPermits(&relay.metrics)
-	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits})
+	relay.permits = newPermits(&relay.metrics, relay.hearsMajority)
+	relay.picker = picker.New(picker.Config{FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits, Cold: relay})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
 	relay.timing.Store(newTiming(config.Bounds))
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -153,6 +153,7 @@
 		if typicalSpeeds[upstream.Service] == nil {
 			typicalSpeeds[upstream.Service] = codec.EncodeSpeed(relay.picker.TypicalSpeed(upstream.Service))
 		}
+		coldLimit, sentMicroseconds := relay.encodeColdLimit(upstream)
 		lastSent[upstream.ID] = sentDemand{adapters: adapters, requests: requests, generation: generation, at: time.Now()}
 		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.DatagramAddress,
@@ -170,6 +171,8 @@
 			PendingElsewhere: uint32(relay.picker.PendingElsewhere(upstream.Service, upstream.ID)),
 			Readings:         codec.EncodeMeasurements(relay.picker.TakeMeasurements(upstream.ID)),
 			Typical:          typicalSpeeds[upstream.Service],
+			Cold:             coldLimit,
+			SentUs:           sentMicroseconds,
 		}}}, relay.loaderAddress(upstream))
 	}
 }
@@ -241,6 +244,7 @@
 		FreeAdapterSlots: int(state.GetFreePlaces()),
 		QueuedLoads:      int(state.GetLoadsQueued()),
 		BoundWaiting:     int(state.GetBoundWaiting()),
+		Waiting:          int(state.GetWaiting()),
 		OmitsAdapters:    state.GetBrief(),
 		FullSerial:       state.GetFullSerial(),
 		StartedAt:        state.GetBorn(),
@@ -255,7 +259,7 @@
 		Pending:          codec.DecodeAdapters(state.GetPending()),
 	})
 	relay.confirmCrash(state.GetUpstream())
-	relay.picker.RecordGrants(state.GetUpstream(), state.GetGranted())
+	relay.recordGrants(state)
 	if relay.picker.Gone(state.GetUpstream()) {
 		relay.cancelSends(state.GetUpstream())
 		relay.readInstancesSoon()
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -180,7 +180,7 @@
 		choice := waitingRequest.choose()
 		proxyRequest.recordWait(choice)
 		if grant, ok := waitingRequest.admitted(choice); ok {
-			if !proxyRequest.relay.permits.take(choice.Upstream) {
+			if !proxyRequest.relay.permits.take(choice.Upstream, grant != 0) {
 				// Another request has used the permit since the choice.
 				continue
 			}
--- a/internal/daemon/relay/storereader.go
+++ b/internal/daemon/relay/storereader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -220,6 +221,9 @@
 		encoded.Service, encoded.Address, encoded.FailureDomain = upstream.Service, upstream.Address, upstream.FailureDomain
 		encoded.Slots, encoded.Draining, encoded.Born = uint32(max(upstream.Slots, 0)), upstream.Draining, upstream.StartedAt
 		encoded.RemainingMs, encoded.SoftwareVersion = uint32(max(upstream.Remaining, 0).Milliseconds()), upstream.SoftwareVersion
+		if upstream.ColdSaid {
+			encoded.ColdMs = proto.Uint32(uint32(max(upstream.ColdRemaining, 0).Milliseconds()))
+		}
 	}
 	return encoded
 }
@@ -233,6 +237,7 @@
 				ID: entry.GetId(), Service: entry.GetService(), Address: entry.GetAddress(), FailureDomain: entry.GetFailureDomain(),
 				Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), StartedAt: entry.GetBorn(),
 				Remaining: milliseconds(entry.GetRemainingMs()), SoftwareVersion: entry.GetSoftwareVersion(),
+				ColdSaid: entry.ColdMs != nil, ColdRemaining: milliseconds(entry.GetColdMs()),
 			}
 		}
 		listings = append(listings, listing)
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -86,6 +86,9 @@
 		storeView.recordServices(current, change.Table)
 		storeView.table.Store(change.Table)
 		storeView.logger.Info("config: version in force", zap.Uint64("version", change.Table.Version()))
+		if len(change.Ignored) > 0 {
+			storeView.logger.Warn("config: values ignored", zap.Uint64("version", change.Table.Version()), zap.Strings("values", change.Ignored))
+		}
 	}
 }
 
@@ -163,6 +166,7 @@
 			}
 			relay.store.apply(changes)
 			if len(changes) > 0 {
+				relay.updateCold()
 				relay.stateChanged.notify()
 			}
 			return changes
@@ -270,17 +274,21 @@
 	return changes
 }
 
-// logFaults logs why entries name no upstream, each distinct fault of an entry once.
+// logFaults logs why entries name no upstream, and which values are ignored, each distinct fault of an entry once.
 func (relay *Relay) logFaults(listings []Listing) {
 	for _, listing := range listings {
-		if listing.Fault == "" || relay.listingFaults[listing.ID] == listing.Fault {
+		fault, message := listing.Fault, "fleet: entry names no upstream"
+		if fault == "" {
+			fault, message = listing.Ignored, "fleet: value of an entry ignored"
+		}
+		if fault == "" || relay.listingFaults[listing.ID] == fault {
 			continue
 		}
 		if len(relay.listingFaults) >= maxListingFaults {
 			clear(relay.listingFaults)
 		}
-		relay.listingFaults[listing.ID] = listing.Fault
-		relay.config.Logger.Warn("fleet: entry names no upstream", zap.String("entry", listing.ID), zap.String("fault", listing.Fault))
+		relay.listingFaults[listing.ID] = fault
+		relay.config.Logger.Warn(message, zap.String("entry", listing.ID), zap.String("fault", fault))
 	}
 }
 
@@ -288,6 +296,7 @@
 // tracker, and wakes the waiting requests.
 func (relay *Relay) updateUpstreams() {
 	upstreams := relay.store.instances.Upstreams()
+	relay.updateCold()
 	relay.picker.SetUpstreams(upstreams)
 	relay.observeOrigins(upstreams)
 	relay.incarnationAsks.keep(relay.store.instances.Contains)
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -63,6 +63,8 @@
 	MaxEventGap time.Duration
 	// TypicalSpeed is the speed of the service's other engines.
 	TypicalSpeed Speed
+	// Cold bounds the requests to an engine that may be cold.
+	Cold ColdLimit
 }
 
 // EngineState is what the engine reports of itself.
@@ -117,12 +119,15 @@
 	// solo holds the grants that had no prompt ahead of them. Only their first
 	// events are measured.
 	solo []soloGrant
+	cold coldControl
 }
 
 // entry holds the waiting requests of one entry instance.
 type entry struct {
 	waiters map[uint64]*waiter
 	heardAt time.Time
+	// sentAt is ColdLimit.SentAt of its last message.
+	sentAt uint64
 }
 
 type waiter struct {
@@ -147,7 +152,7 @@
 	config.PriorityDelay = cmp.Or(config.PriorityDelay, DefaultPriorityDelay)
 	config.LateDelay = cmp.Or(config.LateDelay, DefaultLateDelay)
 	config.EntryTimeout = cmp.Or(config.EntryTimeout, DefaultEntryTimeout)
-	return &Controller{config: config, entries: make(map[string]*entry)}
+	return &Controller{config: config, entries: make(map[string]*entry), cold: newColdControl()}
 }
 
 // Observe records the engine's state.
@@ -179,8 +184,11 @@
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	now := time.Now()
-	controller.engineConfig = engineConfig
 	known, ok := controller.entries[name]
+	if ok && known.stale(engineConfig.Cold, now, controller.config.EntryTimeout) {
+		return
+	}
+	controller.engineConfig = engineConfig
 	if !ok {
 		known = &entry{}
 		controller.entries[name] = known
@@ -194,7 +202,8 @@
 		}
 		kept[request.ID] = &waiter{Request: request, entry: name, arrivedAt: now.Add(-request.Waited)}
 	}
-	known.waiters, known.heardAt = kept, now
+	controller.cold.observe(name, engineConfig.Cold, kept, now)
+	known.waiters, known.heardAt, known.sentAt = kept, now, engineConfig.Cold.SentAt
 }
 
 // Grant admits the next requests in line as long as they fit. It returns the
@@ -319,6 +328,9 @@
 // fits reports whether a request may be admitted now. One with more prompt
 // tokens than the limit fits when no tokens are ahead of it.
 func (controller *Controller) fits(waiter *waiter) bool {
+	if controller.cold.wait(time.Now()) > 0 {
+		return false
+	}
 	if controller.engineConfig.Slots > 0 && controller.engineState.Running+len(controller.unreported) >= controller.engineConfig.Slots {
 		return false
 	}
@@ -340,6 +352,7 @@
 // admit grants a waiting request.
 func (controller *Controller) admit(waiter *waiter, now time.Time) {
 	waiter.granted = true
+	controller.cold.admit(waiter, now)
 	granted := grant{at: now, promptTokens: waiter.PromptTokens, kvTokens: waiter.PromptTokens + waiter.OutputTokens}
 	controller.advance(now)
 	if controller.pendingPrefill == 0 {
--- a/internal/flow/admit/prefill.go
+++ b/internal/flow/admit/prefill.go
@@ -82,6 +82,9 @@
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	queue := controller.queue()
+	if wait := controller.cold.wait(time.Now()); wait > 0 && len(queue) > 0 {
+		return wait
+	}
 	if len(queue) == 0 || len(controller.recent) == 0 {
 		return 0
 	}
--- a/internal/flow/permit/client.go
+++ b/internal/flow/permit/client.go
@@ -46,6 +46,8 @@
 
 	mutex    sync.Mutex
 	accounts map[string]*account
+	// exchangedAt is when permits were last exchanged.
+	exchangedAt time.Time
 }
 
 // account holds the permits for one incarnation of an upstream.
--- a/internal/flow/permit/fleet_test.go
+++ b/internal/flow/permit/fleet_test.go
@@ -52,10 +52,16 @@
 	arrivals  []time.Time
 	// namedAt is when the limit was first named.
 	namedAt time.Time
+	// coldRate is the rate of permits for the upstream if it is cold all the time.
+	coldRate Rate
+	// stopped is the number of instances, the first ones, that are stopped while others
+	// would be cut.
+	stopped int
 }
 
 type fleetInstance struct {
 	limits    *Limits
+	cold      *Cold
 	client    *Client
 	allocator *Allocator
 }
@@ -69,16 +75,45 @@
 // message is a function that runs when the message arrives.
 type message struct {
 	at     time.Time
+	to     int
 	arrive func()
 }
 
 // restart makes an instance forget everything.
 func (fleet *fleet) restart(instances ...int) {
 	for _, number := range instances {
-		fleet.instances[number] = &fleetInstance{limits: NewLimits(LimitsConfig{}), client: NewClient(ClientConfig{}), allocator: NewAllocator(AllocatorConfig{})}
+		fleet.instances[number] = &fleetInstance{limits: NewLimits(LimitsConfig{}), cold: NewCold(), client: NewClient(ClientConfig{}), allocator: NewAllocator(AllocatorConfig{})}
+		if fleet.coldRate > 0 {
+			fleet.instances[number].cold.SetEntry(fleet.upstream, ColdEntry{Said: true, Remaining: time.Hour}, fleet.coldRate)
+		}
 	}
 }
 
+// rate returns the lower one of the named limit and that of a cold upstream.
+func (instance *fleetInstance) rate(incarnation cordon.Incarnation) Rate {
+	return min(instance.limits.Rate(incarnation), instance.cold.Rate(incarnation))
+}
+
+// renew discards the permits for a cold upstream after a pause.
+func (instance *fleetInstance) renew() {
+	instance.client.RenewAfterPause(func(incarnation cordon.Incarnation) bool { return instance.cold.Rate(incarnation) != Unlimited })
+}
+
+// isStopped reports whether an instance is stopped.
+func (fleet *fleet) isStopped(number int) bool {
+	return number < fleet.stopped && fleet.since() >= cutFrom && fleet.since() < cutTo
+}
+
+// hears returns the numbers of the instances that an instance hears, itself included.
+func (fleet *fleet) hears(number int) (heard []int) {
+	for other := range fleet.instances {
+		if other == number || fleet.reaches(number, other) && !fleet.isStopped(other) {
+			heard = append(heard, other)
+		}
+	}
+	return heard
+}
+
 func (fleet *fleet) since() time.Duration { return time.Since(fleet.start) }
 
 // reaches reports whether two instances reach each other. A cut parts those with
@@ -92,7 +127,7 @@
 	if from == to {
 		arrive()
 	} else if fleet.reaches(from, to) && fleet.random.Float64() >= fleet.loss {
-		fleet.messages = append(fleet.messages, message{at: time.Now().Add(messageDelay), arrive: arrive})
+		fleet.messages = append(fleet.messages, message{at: time.Now().Add(messageDelay), to: to, arrive: arrive})
 	}
 }
 
@@ -100,7 +135,10 @@
 // reports whether it still waits for a permit.
 func (fleet *fleet) request(request waitingRequest) (waits bool) {
 	instance, sentAt := fleet.instances[request.instance], time.Now()
-	if rate := instance.limits.Rate(fleet.upstream); rate != Unlimited && !instance.client.Take(fleet.upstream) {
+	if fleet.coldRate > 0 && 2*len(fleet.hears(request.instance)) <= len(fleet.instances) {
+		return false
+	}
+	if rate := instance.rate(fleet.upstream); rate != Unlimited && !instance.client.Take(fleet.upstream) {
 		if !instance.client.Admission(fleet.upstream, rate, request.number).Pending {
 			instance.client.Forget(request.number)
 			return false
@@ -111,7 +149,7 @@
 	instance.client.Forget(request.number)
 	fleet.arrivals = append(fleet.arrivals, sentAt)
 	rate := fleet.named(fleet.since(), request.instance)
-	fleet.messages = append(fleet.messages, message{at: sentAt.Add(100 * time.Millisecond), arrive: func() {
+	fleet.messages = append(fleet.messages, message{at: sentAt.Add(100 * time.Millisecond), to: request.instance, arrive: func() {
 		if fleet.namedAt.IsZero() {
 			fleet.namedAt = time.Now()
 		}
@@ -123,16 +161,15 @@
 // exchange lets an instance ask for permits and issue them.
 func (fleet *fleet) exchange(number int) {
 	instance := fleet.instances[number]
+	instance.renew()
 	if instance.allocator.Idle() && len(instance.client.accounts) == 0 {
 		return
 	}
 	var live []string
-	for other := range fleet.instances {
-		if fleet.reaches(number, other) {
-			live = append(live, strconv.Itoa(other))
-		}
+	for _, other := range fleet.hears(number) {
+		live = append(live, strconv.Itoa(other))
 	}
-	for _, addressed := range instance.client.Asks(instance.limits.Rate, func(id string) string { return rank.First(id, live) }) {
+	for _, addressed := range instance.client.Asks(instance.rate, func(id string) string { return rank.First(id, live) }) {
 		to, _ := strconv.Atoi(addressed.Allocator)
 		fleet.send(number, to, func() {
 			fleet.instances[to].allocator.SetAsk(strconv.Itoa(number), addressed.Ask)
@@ -146,7 +183,10 @@
 func (fleet *fleet) issue(number, live int) {
 	for _, addressed := range fleet.instances[number].allocator.Issue(float64(live) / float64(len(fleet.instances))) {
 		to, _ := strconv.Atoi(addressed.Client)
-		fleet.send(number, to, func() { fleet.instances[to].client.Accept(addressed.Grant) })
+		fleet.send(number, to, func() {
+			fleet.instances[to].renew()
+			fleet.instances[to].client.Accept(addressed.Grant)
+		})
 	}
 }
 
@@ -173,7 +213,7 @@
 	pending, now := fleet.messages, time.Now()
 	fleet.messages = nil
 	for _, message := range pending {
-		if message.at.After(now) {
+		if message.at.After(now) || fleet.isStopped(message.to) {
 			fleet.messages = append(fleet.messages, message)
 		} else {
 			message.arrive()
@@ -189,12 +229,15 @@
 	}
 	fleet.waiting = nil
 	for _, request := range waiting {
-		if fleet.request(request) {
+		if fleet.isStopped(request.instance) || fleet.request(request) {
 			woken[request.instance] = true
 			fleet.waiting = append(fleet.waiting, request)
 		}
 	}
 	for number := range fleet.instances {
+		if fleet.isStopped(number) {
+			continue
+		}
 		phase := fleet.since() + time.Duration(number)*fleetStep
 		if phase%exchangePeriod == 0 || woken[number] {
 			fleet.exchange(number)
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -52,7 +52,7 @@
 		}
 		load := picker.load(upstream, now)
 		backlog := picker.backlog(upstream, load, request, now)
-		wait := picker.wait(upstream, backlog)
+		wait := max(picker.wait(upstream, backlog), picker.coldWait(upstream, request, now))
 		if request.WaitingAt == upstream.spec.ID {
 			wait -= picker.config.MoveThreshold
 		}
@@ -89,7 +89,7 @@
 	if picker.config.Limits == nil {
 		return permit.Admission{}, true
 	}
-	admission = picker.config.Limits.Admission(upstream.spec, request.Number)
+	admission = picker.config.Limits.Admission(upstream.spec, request.Number, request.Engine && picker.reportIsRecent(upstream, time.Now()))
 	waiting := len(upstream.waiting)
 	if _, ok := upstream.waiting[request.Number]; ok {
 		waiting--
@@ -98,8 +98,8 @@
 }
 
 // admitsAny reports whether an upstream's rate limit admits any request now.
-func (picker *Picker) admitsAny(upstream *upstream, number uint64) bool {
-	return picker.config.Limits == nil || picker.config.Limits.Admission(upstream.spec, number).Held > 0
+func (picker *Picker) admitsAny(upstream *upstream, number uint64, byGrant bool) bool {
+	return picker.config.Limits == nil || picker.config.Limits.Admission(upstream.spec, number, byGrant).Held > 0
 }
 
 // backlog returns how many prompt tokens are ahead of a request at an upstream.
--- a/internal/flow/picker/limit_test.go
+++ b/internal/flow/picker/limit_test.go
@@ -14,7 +14,7 @@
 // fakeLimits holds the permits of upstreams with a rate limit.
 type fakeLimits map[string]permit.Admission
 
-func (limits fakeLimits) Admission(upstream fleet.Upstream, _ uint64) permit.Admission {
+func (limits fakeLimits) Admission(upstream fleet.Upstream, _ uint64, _ bool) permit.Admission {
 	admission, limited := limits[upstream.ID]
 	if !limited {
 		return permit.Admission{Held: 100}
--- a/internal/flow/picker/picker.go
+++ b/internal/flow/picker/picker.go
@@ -74,8 +74,8 @@
 // Limits tells how many requests the rate limits of upstreams admit.
 type Limits interface {
 	// Admission returns whether the request with the given number may be sent to an
-	// upstream.
-	Admission(upstream fleet.Upstream, request uint64) permit.Admission
+	// upstream. byGrant means that the upstream's loader admits the request.
+	Admission(upstream fleet.Upstream, request uint64, byGrant bool) permit.Admission
 	// Want records that the request wants to be sent to an upstream and may not yet.
 	Want(upstream fleet.Upstream, request uint64)
 }
@@ -86,6 +86,7 @@
 	Health         Health
 	Cordon         Cordon
 	Limits         Limits
+	Cold           Cold
 	ReportTTL      time.Duration
 	ReportLag      time.Duration
 	Overcommit     int
--- a/internal/flow/picker/report.go
+++ b/internal/flow/picker/report.go
@@ -48,6 +48,9 @@
 	QueuedLoads int
 	// BoundWaiting is the number of bound requests that wait at the engine.
 	BoundWaiting int
+	// Waiting is the number of requests that wait for admission at an engine whose
+	// service has a cold rate.
+	Waiting int
 	// OmitsAdapters means that the report names no adapters; those of the
 	// report with the serial FullSerial still hold.
 	OmitsAdapters bool
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -18,6 +18,9 @@
 	// never.
 	lateAt  time.Time
 	granted bool
+	// usableUntil is how long the grant may be used, or zero for as long as the request
+	// waits.
+	usableUntil time.Time
 }
 
 // late reports whether the request has missed its response-time goal.
@@ -109,13 +112,14 @@
 	if !ok || !picker.usable(upstream) || upstream.report.Unreachable {
 		return Unusable
 	}
+	now := time.Now()
 	waiter, ok := upstream.waiting[number]
 	switch {
-	case !ok, !picker.admitsAny(upstream, number):
+	case !ok, !picker.admitsAny(upstream, number, waiter.granted || picker.reportIsRecent(upstream, now)):
 		return Unusable
-	case waiter.granted:
+	case waiter.mayStart(now):
 		return Granted
-	case picker.reportIsRecent(upstream, time.Now()):
+	case picker.reportIsRecent(upstream, now):
 		return Waiting
 	default:
 		return NoLoader
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -33,6 +33,10 @@
 	StartedAt int64
 	// SoftwareVersion is the version of its software, empty if it names none.
 	SoftwareVersion string
+	// ColdSaid means that the entry says how long the upstream stays cold, which is
+	// ColdRemaining.
+	ColdSaid      bool
+	ColdRemaining time.Duration
 }
 
 // Config configures a List. Zero values mean the defaults.
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -90,6 +90,10 @@
 	// MaxConnections is the largest number of connections that an upstream
 	// accepts from all its clients together.
 	MaxConnections int
+	// ColdRate is how many requests per second an upstream takes while it is cold, 0 if
+	// it takes all. ColdStart is how long one is cold after its start.
+	ColdRate  float64
+	ColdStart time.Duration
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
