Count the bound of an engine that may be cold in its expected wait

With four relays and streams for one adapter, an engine that admitted six requests a second got all of them and the other one none, as the expected wait counted the cold rate only while the engine was known to be cold. The wait now counts what the loader admits. TestColdRunners failed before and passes (one run each).

--- a/internal/base/setup/relay_test.go
+++ b/internal/base/setup/relay_test.go
@@ -56,6 +56,8 @@
 		{"no memory", relay, "memory-mb = 0\n" + goodRelay, []string{"memory-mb", "between 1 and 1e+09"}},
 		{"peers reach it elsewhere", relay, strings.Replace(goodRelay, "[peers]", "[peers]\naddress = \"10.9.0.25:7600\"", 1), nil},
 		{"no port for peers", relay, strings.Replace(goodRelay, "[peers]", "[peers]\naddress = \"10.9.0.25\"", 1), []string{"peers.address", "10.9.0.25", "IP:port"}},
+		{"cold bounds", relay, goodRelay + "cold-overage = \"1.5\"\ncold-tolerance = 5\n", nil},
+		{"negative cold tolerance", relay, goodRelay + "cold-tolerance = -1\n", []string{"bounds.cold-tolerance", "-1", "at least 0"}},
 		{"no engine", loader, strings.Replace(goodLoader, `engine = "10.1.0.27:8228"`, "", 1), []string{"engine", "IP:port"}},
 	}
 	for _, test := range tests {
--- a/internal/daemon/relay/cold.go
+++ b/internal/daemon/relay/cold.go
@@ -93,13 +93,19 @@
 		zap.String("source", source))
 }
 
-// ColdRate implements picker.Cold.
-func (relay *Relay) ColdRate(upstream fleet.Upstream) float64 {
+// RequestRate implements picker.Cold.
+func (relay *Relay) RequestRate(upstream fleet.Upstream) float64 {
 	service, ok := relay.coldService(upstream.Service)
-	if !ok || relay.permits.cold.Remaining(incarnationOf(upstream)) == 0 {
+	switch {
+	case !ok:
+		return 0
+	case relay.permits.cold.Remaining(incarnationOf(upstream)) > 0:
+		return service.ColdRate
+	case service.Engine != nil:
+		return float64(coldGrants(coldBound(service, *relay.bounds.Load())))
+	default:
 		return 0
 	}
-	return service.ColdRate
 }
 
 // encodeColdLimit encodes the bound on the requests to an engine, nil if its service has
--- a/internal/flow/picker/cold.go
+++ b/internal/flow/picker/cold.go
@@ -6,19 +6,20 @@
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
-// Cold tells which upstreams are cold.
+// Cold tells how many requests upstreams take that are or may be cold.
 type Cold interface {
-	// ColdRate returns how many requests per second an upstream takes while it is cold,
-	// 0 if it is not cold.
-	ColdRate(upstream fleet.Upstream) float64
+	// RequestRate returns how many requests per second are admitted to an upstream, 0 if
+	// their number is not bounded.
+	RequestRate(upstream fleet.Upstream) float64
 }
 
-// coldWait returns how long a cold upstream takes to admit the requests that wait there.
+// coldWait returns how long it takes until the requests that wait at an upstream are
+// admitted, if it is or may be cold.
 func (picker *Picker) coldWait(upstream *upstream, request Request, now time.Time) time.Duration {
 	if picker.config.Cold == nil {
 		return 0
 	}
-	rate := picker.config.Cold.ColdRate(upstream.spec)
+	rate := picker.config.Cold.RequestRate(upstream.spec)
 	if rate <= 0 {
 		return 0
 	}
--- a/internal/flow/picker/cold_test.go
+++ b/internal/flow/picker/cold_test.go
@@ -11,7 +11,7 @@
 
 type fakeCold map[string]float64
 
-func (cold fakeCold) ColdRate(upstream fleet.Upstream) float64 { return cold[upstream.ID] }
+func (cold fakeCold) RequestRate(upstream fleet.Upstream) float64 { return cold[upstream.ID] }
 
 // TestColdWait guards against requests that are promised to a cold engine, which looks idle,
 // and wait there longer than at one that is busy.
