--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -255,6 +255,7 @@
 		case bounds := <-relay.config.BoundsUpdates:
 			before := relay.bounds.Swap(&bounds)
 			relay.updateTiming(bounds)
+			relay.updateCold()
 			relay.config.Logger.Info("settings: bounds in force", zap.Any("bounds", bounds), zap.Bool("changed", *before != bounds))
 		}
 	}
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -115,7 +115,7 @@
 	now := time.Now()
 	waiter, ok := upstream.waiting[number]
 	switch {
-	case !ok, !picker.admitsAny(upstream, number, waiter.granted || picker.reportIsRecent(upstream, now)):
+	case !ok, !picker.admitsAny(upstream, number, waiter.mayStart(now) || picker.reportIsRecent(upstream, now)):
 		return Unusable
 	case waiter.mayStart(now):
 		return Granted
