--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -73,6 +73,7 @@
 	metric.SetGauge("relay", "evacuated-domains", int64(len(relay.evacuations.inForce.List())))
 	metric.SetGauge("relay", "evacuated-running", int64(relay.picker.CountEvacuatedRunning()))
 	metric.SetGauge("relay", "upstreams-limited", int64(relay.permits.limits.Count()))
+	metric.SetGauge("relay", "upstreams-cold", int64(relay.permits.cold.Count()))
 	metric.SetGauge("relay", "buffered-bytes", relay.buffers.Held())
 	metric.SetGauge("relay", "poison-parts", int64(relay.poison.CountBlocked()))
 	if config := relay.store.config(); config != nil {
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -186,9 +186,10 @@
 	}
 	relay.requestNumbers.Store(rand.Uint64())
 	relay.readerReport.queryNumber = rand.Uint64()
-	relay.permits = newPermits(&relay.metrics)
+	relay.permits = newPermits(&relay.metrics, relay.hearsMajority)
 	relay.picker = picker.New(picker.Config{
-		FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Limits: relay.permits, Evacuation: &relay.evacuations.inForce,
+		FailureDomain: config.FailureDomain, Health: relay.health, Cordon: relay.cordon, Evacuation: &relay.evacuations.inForce,
+		Limits: relay.permits, Cold: relay,
 	})
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
@@ -260,6 +261,7 @@
 		case bounds := <-relay.config.BoundsUpdates:
 			before := relay.bounds.Swap(&bounds)
 			relay.updateTiming(bounds)
+			relay.updateCold()
 			relay.config.Logger.Info("settings: bounds in force", zap.Any("bounds", bounds), zap.Bool("changed", *before != bounds))
 		}
 	}
