Bound the waits that very low cold rates imply

A cold rate near zero overflowed the expected wait and the interval between two grants (TestColdWait has the case).

Tested: internal/flow/admit, permit and picker, internal/daemon/relay and loader, TestColdRunners three times; all passed.

--- a/internal/daemon/relay/cold.go
+++ b/internal/daemon/relay/cold.go
@@ -20,8 +20,6 @@
 	// coldPermitWindow is the window of the bound for cold upstreams, and by how much
 	// longer some requests are underway than others.
 	coldPermitWindow = 1100 * time.Millisecond
-	// maxColdTime bounds how long an upstream counts as cold at most.
-	maxColdTime = 5 * time.Minute
 	// maxColdBound keeps the bound within the range of the messages.
 	maxColdBound = 1e9
 )
@@ -62,7 +60,7 @@
 		if !ok {
 			continue
 		}
-		entry := permit.ColdEntry{Said: upstream.ColdSaid, Remaining: min(upstream.ColdRemaining, maxColdTime), SinceStart: min(service.ColdStart, maxColdTime)}
+		entry := permit.ColdEntry{Said: upstream.ColdSaid, Remaining: upstream.ColdRemaining, SinceStart: service.ColdStart}
 		if cold.SetEntry(incarnationOf(upstream), entry, coldPermitRate(service, *relay.bounds.Load())) {
 			relay.logCold(upstream, "list")
 		}
@@ -79,7 +77,7 @@
 	if !ok || info.Cold <= 0 {
 		return
 	}
-	if relay.permits.cold.Extend(incarnationOf(upstream), min(info.Cold, maxColdTime), coldPermitRate(service, *relay.bounds.Load())) {
+	if relay.permits.cold.Extend(incarnationOf(upstream), info.Cold, coldPermitRate(service, *relay.bounds.Load())) {
 		relay.logCold(upstream, "response")
 		relay.stateChanged.notify()
 	}
--- a/internal/flow/admit/cold.go
+++ b/internal/flow/admit/cold.go
@@ -16,6 +16,8 @@
 	coldWindow = 1100 * time.Millisecond
 	// coldBurst is the number of requests that an engine known to be cold gets at once.
 	coldBurst = 2
+	// maxInterval is the longest time between two requests to an engine known to be cold.
+	maxInterval = time.Minute
 	// limitRetention is how long a limit holds that some entry instances do not know yet.
 	limitRetention = 5 * time.Second
 )
@@ -108,7 +110,7 @@
 
 // interval returns the mean time between two requests to a cold engine.
 func (control *coldControl) interval() time.Duration {
-	return time.Duration(float64(time.Second) / control.limit.Rate)
+	return time.Duration(min(1/control.limit.Rate, maxInterval.Seconds()) * float64(time.Second))
 }
 
 // wait returns how long the limit admits no request.
--- a/internal/flow/picker/cold.go
+++ b/internal/flow/picker/cold.go
@@ -6,6 +6,9 @@
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
+// maxColdWait bounds the expected wait at an upstream with a very low cold rate.
+const maxColdWait = time.Hour
+
 // Cold tells how many requests upstreams take that are or may be cold.
 type Cold interface {
 	// RequestRate returns how many requests per second are admitted to an upstream, 0 if
@@ -32,7 +35,7 @@
 			waiting++
 		}
 	}
-	return time.Duration(float64(waiting) / rate * float64(time.Second))
+	return time.Duration(min(float64(waiting)/rate, maxColdWait.Seconds()) * float64(time.Second))
 }
 
 // RecordGrantsUntil is RecordGrants for grants that answer what this instance asked at
--- a/internal/flow/picker/cold_test.go
+++ b/internal/flow/picker/cold_test.go
@@ -26,6 +26,7 @@
 		{name: "none cold", waiting: 20, want: "i-cold"},
 		{name: "cold, few wait", cold: fakeCold{"i-cold": 10}, waiting: 1, want: "i-cold"},
 		{name: "cold, many wait", cold: fakeCold{"i-cold": 10}, waiting: 20, want: "i-busy"},
+		{name: "hardly takes any", cold: fakeCold{"i-cold": 1e-300}, waiting: 1, want: "i-busy"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
