Scale admission by the work factor that engines state

Cause: engines of one service differ in speed, and an engine that shares its instance becomes slow for some hundred milliseconds at a time. The admission controller bounded prompts by a rate measured over seconds, so prompts that were admitted in such a moment made all streams of the engine pause.

Change: relays read the work factor from the load header of response heads and tell it to the engine's loader, with the streams that paused for longer than their goal. The loader tells all relays the last factor with its age, the lasting factor and the pause risk. flow/speed holds the trackers. Admission scales event interval and prefill rate from the lasting to the present factor, counts what is pending at the present speed, and holds a prompt that alone exceeds the gap goal in a slow moment until it has waited for that goal in all. Where no factor is stated nothing changes.

Tested: flow/speed, flow/admit, flow/picker, wire/codec, daemon/loader, the header in platform; lint.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -11,6 +11,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -47,6 +48,7 @@
 		TypicalSpeed: codec.DecodeSpeed(demand.GetTypical()),
 	}, codec.DecodeRequests(demand.GetAsks()))
 	loader.admission.RecordMeasurements(demand.GetEntry(), codec.DecodeMeasurements(demand.GetReadings()))
+	loader.admission.RecordPauses(speed.StreamCounts{Streams: int(demand.GetStreams()), Paused: int(demand.GetPausedStreams())})
 	wake(loader.wakeGrants)
 	for _, use := range demand.GetUses() {
 		if use.GetWaiting() > 0 {
@@ -98,15 +100,16 @@
 }
 
 // sendChanges sends a state to the entry instances if it is due: at once after
-// a change of the adapters or of the engine's availability, otherwise at
-// intervals.
+// a change of the adapters, of the engine's availability or of its work factor,
+// otherwise at intervals.
 func (loader *Loader) sendChanges() {
+	workChanged := loader.updateWork()
 	loader.mutex.Lock()
 	sinceFull, sinceLast := time.Since(loader.fullStateAt), time.Since(loader.lastStateAt)
 	urgent := !sameAdapters(loader.sentReport, loader.report) || loader.unreachable() != loader.sentUnreachable || loader.newEntry
 	loadChanged := loader.report.Running != loader.sentReport.Running || loader.report.Queued != loader.sentReport.Queued
 	loader.mutex.Unlock()
-	if urgent || loadChanged && sinceLast >= loadPeriod || sinceLast >= idlePeriod {
+	if urgent || workChanged || loadChanged && sinceLast >= loadPeriod || sinceLast >= idlePeriod {
 		granted, _ := loader.admission.Grant()
 		loader.sendState(granted, urgent || sinceFull >= fullStatePeriod)
 	}
@@ -164,8 +167,10 @@
 func (loader *Loader) newState(full bool, entries []string) *wirepb.EngineState {
 	backlog, late := loader.admission.Backlog()
 	freeSlots, boundWaiting := loader.planner.FreeSlots(), loader.admission.BoundWaiting()
-	speed, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
+	pace, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
 	cacheCapacity := loader.planner.CacheCapacity()
+	work := codec.EncodeWork(loader.admission.Work())
+	pauseRisk, lastingPauseRisk := loader.admission.PauseRisk()
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	report := loader.report
@@ -181,8 +186,9 @@
 		Unreachable:   loader.unreachable(),
 		Silent:        loader.unreachable() && loader.unresponsive,
 		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(freeSlots), LoadsQueued: uint32(loader.planner.QueuedLoads()),
-		Brief: true, Pace: codec.EncodeSpeed(speed), Intake: codec.EncodeTokenRate(admissionRate),
+		Brief: true, Pace: codec.EncodeSpeed(pace), Intake: codec.EncodeTokenRate(admissionRate),
 		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting),
+		Work: work, PauseRiskPermille: codec.EncodePerMille(pauseRisk), LastingPauseRiskPermille: codec.EncodePerMille(lastingPauseRisk),
 	}
 	loader.lastStateAt, loader.sentUnreachable = time.Now(), state.GetUnreachable()
 	if full {
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -23,6 +23,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/flow/retry"
+	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 )
@@ -105,6 +106,10 @@
 	sentReport Report
 	// sentUnreachable means that the last state said that the engine is unreachable.
 	sentUnreachable bool
+	// toldWork holds the work factors that the entry instances were last told of at once,
+	// at workChangedAt.
+	toldWork      speed.Work
+	workChangedAt time.Time
 	// entryStarts holds the start of each entry instance. newEntry means that
 	// one has started since the last full state was made.
 	entryStarts map[string]int64
@@ -200,6 +205,7 @@
 	metric.SetGauge("loader", "late-tokens", late)
 	metric.SetGauge("loader", "free-places", int64(loader.planner.FreeSlots()))
 	metric.SetGauge("loader", "reports-missed", int64(loader.missedReports))
+	loader.setWorkGauges()
 	metric.SetGauge("loader", "intake-tokens", int64(codec.EncodeTokenRate(loader.admission.AdmissionRate())))
 }
 
--- a/internal/daemon/loader/sending.go
+++ b/internal/daemon/loader/sending.go
@@ -24,7 +24,8 @@
 
 // due reports whether a state is due to an entry instance, and which full state
 // it was sent before. If one is due, it counts as sent with the full state of
-// the given serial. An instance with waiting requests or grants is always due.
+// the given serial. An instance with waiting requests or grants is always due,
+// and so is each one after a change of the engine's work factor.
 func (loader *Loader) due(entry string, entries int, granted bool, full uint64) (sent lastSent, due bool) {
 	delay := min(time.Duration(max(entries-promptEntries, 0))*delayPerEntry, maxDelay)
 	waiting := granted || loader.admission.HasWaiting(entry)
@@ -32,7 +33,8 @@
 	defer loader.mutex.Unlock()
 	state := loader.entryStates[entry]
 	now := time.Now()
-	if !waiting && now.Sub(state.sentAt) < delay {
+	workTold := !state.sentAt.Before(loader.workChangedAt)
+	if !waiting && workTold && now.Sub(state.sentAt) < delay {
 		return sentNothing, false
 	}
 	hasLatest := state.fullSerial == full && (state.acknowledged == full || now.Sub(state.fullSentAt) < acknowledgeTimeout)
--- a/internal/daemon/relay/notices.go
+++ b/internal/daemon/relay/notices.go
@@ -18,6 +18,7 @@
 	if info.Load >= 0 {
 		proxyRequest.relay.picker.RecordLoad(upstream.ID, info.Load)
 	}
+	proxyRequest.recordWorkFactor(upstream, info)
 	incarnation := incarnationOf(upstream)
 	if info.RetryAfter > 0 {
 		proxyRequest.relay.cordon.SetBackoff(incarnation, info.RetryAfter)
@@ -34,12 +35,26 @@
 // staleNotices returns what is still believed of a response that belongs to another
 // request. It may be a copy of one that was written at any time before. A process that was
 // draining stays so, and a limit is at worst too low for a time. A backoff may be over,
-// and the load is another one by now.
+// and the load and the work factor are others by now.
 func (info ResponseInfo) staleNotices() ResponseInfo {
 	info.RetryAfter, info.Load = 0, -1
+	info.WorkFactor, info.InvalidWorkFactor = 0, false
 	return info
 }
 
+// recordWorkFactor records the work factor that an upstream stated. One that has changed is
+// passed on to its loader at once.
+func (proxyRequest *proxyRequest) recordWorkFactor(upstream fleet.Upstream, info ResponseInfo) {
+	relay := proxyRequest.relay
+	if info.InvalidWorkFactor {
+		relay.metrics.increment("work-factors-invalid")
+	}
+	if info.WorkFactor > 0 && relay.picker.RecordFactor(upstream.ID, info.WorkFactor) {
+		relay.metrics.increment("work-factors-changed")
+		relay.reportSoon()
+	}
+}
+
 // recordRateLimit records the rate limit that an upstream names in a response. Only
 // a response to this request can end or raise a limit.
 func (proxyRequest *proxyRequest) recordRateLimit(incarnation cordon.Incarnation, info ResponseInfo) {
--- a/internal/daemon/relay/notices_test.go
+++ b/internal/daemon/relay/notices_test.go
@@ -27,3 +27,11 @@
 		t.Error("a restarted upstream is cordoned")
 	}
 }
+
+// TestStaleWorkFactor guards against the work factor of an earlier response that is taken for
+// the present one.
+func TestStaleWorkFactor(t *testing.T) {
+	if got := (ResponseInfo{WorkFactor: 2.5, InvalidWorkFactor: true}).staleNotices(); got.WorkFactor != 0 || got.InvalidWorkFactor {
+		t.Errorf("%v is believed of an earlier response", got.WorkFactor)
+	}
+}
--- a/internal/daemon/relay/ports.go
+++ b/internal/daemon/relay/ports.go
@@ -90,6 +90,10 @@
 	Sealed bool
 	// Load is the number of running and queued requests, or -1 if it is unknown.
 	Load int
+	// WorkFactor is how long work takes at the upstream now, 1 for the usual time, or 0
+	// if it does not say. InvalidWorkFactor means that it names one that is not believed.
+	WorkFactor        float64
+	InvalidWorkFactor bool
 	// Draining means that the upstream announces that it is draining.
 	Draining bool
 	// RetryAfter is how long the upstream asks this instance to send no requests.
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -99,6 +99,8 @@
 	moves   int
 	load    int
 	backlog int64
+	// workFactor is that of the chosen upstream when the request was sent, 0 if unknown.
+	workFactor float64
 
 	// failure is the response of an upstream that ran the request and failed. It is
 	// kept with its body, as another upstream may succeed.
@@ -109,9 +111,11 @@
 	lastEventID string
 	// firstEvent is the time to the first event, longestGap the longest time between
 	// two events, and lastEventAt when the last event was forwarded.
-	firstEvent  time.Duration
-	longestGap  time.Duration
-	lastEventAt time.Time
+	firstEvent time.Duration
+	longestGap time.Duration
+	// streamCounted means that the last send was recorded as a stream of its upstream.
+	streamCounted bool
+	lastEventAt   time.Time
 	// grant is the number of the grant for the last send, 0 if there was none.
 	grant uint64
 	// sentAt is when the request was last sent, and eventIntervals holds the first
@@ -350,6 +354,9 @@
 	if proxyRequest.adapter.Name != "" {
 		fields = append(fields, zap.String("adapter", proxyRequest.adapter.Name), zap.Uint32("adapter-version", proxyRequest.adapter.Version))
 	}
+	if proxyRequest.workFactor > 0 {
+		fields = append(fields, zap.Float64("work-factor", proxyRequest.workFactor))
+	}
 	if proxyRequest.headersSent {
 		fields = append(fields, zap.Duration("first-event", proxyRequest.firstEvent), zap.Duration("longest-gap", proxyRequest.longestGap))
 	}
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -142,7 +142,7 @@
 		switch {
 		case !slices.Equal(requests, sent.requests):
 			period = 0
-		case len(requests) > 0 || !slices.Equal(adapters, sent.adapters):
+		case len(requests) > 0 || !slices.Equal(adapters, sent.adapters) || relay.picker.FactorChanged(upstream.ID):
 			period = reportInterval
 		case len(adapters) == 0:
 			period = idleInterval(len(upstreams))
@@ -153,6 +153,7 @@
 		if typicalSpeeds[upstream.Service] == nil {
 			typicalSpeeds[upstream.Service] = codec.EncodeSpeed(relay.picker.TypicalSpeed(upstream.Service))
 		}
+		streams := relay.picker.TakeStreams(upstream.ID)
 		lastSent[upstream.ID] = sentDemand{adapters: adapters, requests: requests, generation: generation, at: time.Now()}
 		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.DatagramAddress,
@@ -170,6 +171,8 @@
 			PendingElsewhere: uint32(relay.picker.PendingElsewhere(upstream.Service, upstream.ID)),
 			Readings:         codec.EncodeMeasurements(relay.picker.TakeMeasurements(upstream.ID)),
 			Typical:          typicalSpeeds[upstream.Service],
+			Streams:          uint32(streams.Streams),
+			PausedStreams:    uint32(streams.Paused),
 		}}}, relay.loaderAddress(upstream))
 	}
 }
@@ -236,6 +239,9 @@
 		Late:             state.GetLateTokens(),
 		AdmissionRate:    codec.DecodeTokenRate(state.GetIntake()),
 		Speed:            codec.DecodeSpeed(state.GetPace()),
+		Work:             codec.DecodeWork(state.GetWork()),
+		PauseRisk:        codec.DecodePerMille(state.GetPauseRiskPermille()),
+		LastingPauseRisk: codec.DecodePerMille(state.GetLastingPauseRiskPermille()),
 		CacheCapacity:    int(state.GetRecallReach()),
 		Evicted:          codec.DecodeAdapters(state.GetDropped()),
 		FreeAdapterSlots: int(state.GetFreePlaces()),
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -31,6 +31,7 @@
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.stage = time.Now(), nil, stageUnsent
+	proxyRequest.streamCounted = false
 	proxyRequest.continues, proxyRequest.identified = proxyRequest.resumes(), false
 	if !proxyRequest.continues {
 		// No event of an earlier send was forwarded.
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -147,6 +147,9 @@
 func (proxyRequest *proxyRequest) recordArrival(upstream fleet.Upstream, last *time.Time) {
 	now := time.Now()
 	proxyRequest.stage = stageEvent
+	if goal := proxyRequest.route.EventGapGoal; goal > 0 && !last.IsZero() && now.Sub(*last) > goal {
+		proxyRequest.countStream(upstream, true)
+	}
 	if last.IsZero() {
 		proxyRequest.relay.latencies.recordFirstEvent(proxyRequest.route.Name, now.Sub(proxyRequest.sentAt))
 	}
@@ -164,13 +167,25 @@
 }
 
 // recordStreamEnd reports the median event interval of a stream that ended before
-// maxMeasuredIntervals were measured.
+// maxMeasuredIntervals were measured, and counts a stream without a long pause.
 func (proxyRequest *proxyRequest) recordStreamEnd(upstream fleet.Upstream) {
+	if proxyRequest.route.EventGapGoal > 0 {
+		proxyRequest.countStream(upstream, false)
+	}
 	if len(proxyRequest.eventIntervals) >= minMeasuredIntervals && len(proxyRequest.eventIntervals) < maxMeasuredIntervals {
 		proxyRequest.reportMedianInterval(upstream)
 	}
 }
 
+// countStream counts a stream of an upstream once, at its first pause longer than the goal
+// or at its end, so that its loader learns the share of streams with such a pause.
+func (proxyRequest *proxyRequest) countStream(upstream fleet.Upstream, paused bool) {
+	if !proxyRequest.streamCounted {
+		proxyRequest.streamCounted = true
+		proxyRequest.relay.picker.RecordStream(upstream.ID, paused)
+	}
+}
+
 // reportMedianInterval reports the median event interval of a stream.
 func (proxyRequest *proxyRequest) reportMedianInterval(upstream fleet.Upstream) {
 	proxyRequest.relay.picker.RecordMeasurement(upstream.ID, admit.Measurement{RequestID: proxyRequest.grant, EventInterval: speed.Median(proxyRequest.eventIntervals)})
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -117,6 +117,13 @@
 	// solo holds the grants that had no prompt ahead of them. Only their first
 	// events are measured.
 	solo []soloGrant
+	// factors and pauses hold what the engine states of its work factor and what entry
+	// instances observed of its streams.
+	factors speed.Factors
+	pauses  speed.Pauses
+	// meanPrompt is the mean number of prompt tokens of admitted requests.
+	meanPrompt   float64
+	heldForPause int64
 }
 
 // entry holds the waiting requests of one entry instance.
@@ -130,6 +137,8 @@
 	entry     string
 	arrivedAt time.Time
 	granted   bool
+	// held means that a slow moment of the engine has delayed the request.
+	held bool
 }
 
 type grant struct {
@@ -333,13 +342,13 @@
 	if limit == 0 {
 		return true
 	}
-	ahead := controller.tokensAhead()
-	return ahead == 0 || ahead+waiter.PromptTokens <= limit
+	return controller.withinPause(waiter, limit)
 }
 
 // admit grants a waiting request.
 func (controller *Controller) admit(waiter *waiter, now time.Time) {
 	waiter.granted = true
+	controller.recordPrompt(waiter.PromptTokens)
 	granted := grant{at: now, promptTokens: waiter.PromptTokens, kvTokens: waiter.PromptTokens + waiter.OutputTokens}
 	controller.advance(now)
 	if controller.pendingPrefill == 0 {
--- a/internal/flow/admit/prefill.go
+++ b/internal/flow/admit/prefill.go
@@ -22,15 +22,47 @@
 	return controller.eventInterval()+controller.prefillTime(int64(controller.engineConfig.EventTokens)*controller.config.PrefillChunk) > controller.engineConfig.MaxEventGap
 }
 
-// eventInterval returns how long an engine takes for one event without prefill.
+// eventInterval returns how long an engine takes now for one event without prefill.
 func (controller *Controller) eventInterval() time.Duration {
-	return cmp.Or(controller.estimator.EventInterval(), controller.engineConfig.TypicalSpeed.EventInterval, time.Duration(controller.engineConfig.EventTokens)*controller.config.DecodeStep)
+	return controller.eventIntervalAt(controller.work().Present(time.Now()))
+}
+
+// eventIntervalAt returns the event interval at a work factor, 0 for an unknown one.
+func (controller *Controller) eventIntervalAt(factor float64) time.Duration {
+	if measured := controller.estimator.EventInterval(); measured > 0 {
+		return scale(measured, controller.relative(factor))
+	}
+	usual := cmp.Or(controller.engineConfig.TypicalSpeed.EventInterval, time.Duration(controller.engineConfig.EventTokens)*controller.config.DecodeStep)
+	return scale(usual, cmp.Or(factor, 1))
 }
 
 // prefillRate returns how many prompt tokens the engine prefills per
-// millisecond.
+// millisecond now.
 func (controller *Controller) prefillRate() float64 {
-	return cmp.Or(controller.estimator.PrefillRate(), max(controller.fasterPrefillRate(), controller.engineConfig.TypicalSpeed.PrefillRate), controller.config.PrefillRate)
+	return controller.prefillRateAt(controller.work().Present(time.Now()))
+}
+
+// prefillRateAt returns the prefill rate at a work factor, 0 for an unknown one.
+func (controller *Controller) prefillRateAt(factor float64) float64 {
+	if measured := controller.estimator.PrefillRate(); measured > 0 {
+		return measured / controller.relative(factor)
+	}
+	usual := cmp.Or(controller.engineConfig.TypicalSpeed.PrefillRate, controller.config.PrefillRate) / cmp.Or(factor, 1)
+	return max(controller.fasterPrefillRate()/controller.relative(factor), usual)
+}
+
+// relative returns a work factor relative to the lasting one, at which the engine's speed
+// was measured, 1 if either is unknown.
+func (controller *Controller) relative(factor float64) float64 {
+	lasting := controller.work().Lasting
+	if factor == 0 || lasting == 0 {
+		return 1
+	}
+	return factor / lasting
+}
+
+func scale(duration time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(duration) * factor)
 }
 
 // tokenLimit returns how many prompt tokens may be ahead of the next request,
@@ -38,8 +70,11 @@
 // even without prefill.
 func (controller *Controller) tokenLimit() int64 {
 	switch {
-	case controller.engineConfig.MaxEventGap <= controller.eventInterval():
+	case controller.engineConfig.MaxEventGap <= controller.eventIntervalAt(controller.work().Lasting):
 		return 0
+	case controller.engineConfig.MaxEventGap <= controller.eventInterval():
+		// A slow moment alone exceeds it.
+		return 1
 	case controller.gapLimited():
 		return controller.admissibleTokens(controller.engineConfig.MaxEventGap - controller.eventInterval())
 	default:
@@ -49,12 +84,18 @@
 
 // tokensAhead returns how many prompt tokens are ahead of the next request:
 // those admitted within the last window if the engine is gap limited, else
-// those not prefilled yet.
+// those not prefilled yet. The larger number counts if it is gap limited and
+// states its work factor.
 func (controller *Controller) tokensAhead() int64 {
-	if controller.gapLimited() {
+	switch {
+	case !controller.gapLimited():
+		return int64(controller.pendingPrefill)
+	case controller.work().Lasting > 0:
+		// After a slow moment began, tokens may be pending that were admitted earlier.
+		return max(controller.recentTokens(), int64(controller.pendingPrefill))
+	default:
 		return controller.recentTokens()
 	}
-	return int64(controller.pendingPrefill)
 }
 
 // admissibleTokens returns how many prompt tokens are admitted in a window.
@@ -64,7 +105,12 @@
 
 // prefillTime returns how long an engine takes to prefill tokens.
 func (controller *Controller) prefillTime(tokens int64) time.Duration {
-	return time.Duration(float64(tokens) / controller.prefillRate() * float64(time.Millisecond))
+	return prefillTimeAt(float64(tokens), controller.prefillRate())
+}
+
+// prefillTimeAt returns how long it takes to prefill tokens at a rate.
+func prefillTimeAt(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / rate * float64(time.Millisecond))
 }
 
 // recentTokens returns the prompt tokens admitted within the last window.
@@ -82,6 +128,9 @@
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	queue := controller.queue()
+	if len(queue) > 0 && controller.work().Present(time.Now()) > 0 {
+		return recheckInterval
+	}
 	if len(queue) == 0 || len(controller.recent) == 0 {
 		return 0
 	}
--- a/internal/flow/admit/speed.go
+++ b/internal/flow/admit/speed.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 )
 
 // Speed is how fast an engine works. A zero value means unknown.
@@ -23,6 +25,8 @@
 	// EventInterval the usual time between two events; 0 means not measured.
 	FirstEvent    time.Duration
 	EventInterval time.Duration
+	// Stated is the work factor that the engine stated in a response, if any.
+	Stated speed.Statement
 }
 
 // soloGrant is a grant that had no prompt ahead of it.
@@ -42,6 +46,7 @@
 	defer controller.mutex.Unlock()
 	for _, measurement := range measurements {
 		controller.estimator.RecordInterval(measurement.EventInterval)
+		controller.factors.Record(measurement.Stated)
 		if measurement.FirstEvent <= 0 {
 			continue
 		}
@@ -59,6 +64,8 @@
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	controller.estimator.Reset()
+	controller.factors.Reset()
+	controller.pauses.Reset()
 	controller.solo = nil
 }
 
@@ -79,9 +86,9 @@
 }
 
 // AdmissionRate returns how many prompt tokens per millisecond the controller
-// admits.
+// admits when the engine is not in a slow moment.
 func (controller *Controller) AdmissionRate() float64 {
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
-	return controller.prefillRate() * controller.config.Utilisation
+	return controller.prefillRateAt(controller.work().Lasting) * controller.config.Utilisation
 }
--- a/internal/flow/picker/picker.go
+++ b/internal/flow/picker/picker.go
@@ -15,6 +15,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/cordon"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/permit"
+	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 )
 
@@ -134,6 +135,14 @@
 	generation uint64
 	// measurements holds what TakeMeasurements has not returned yet.
 	measurements []admit.Measurement
+	// factors holds the work factors that the upstream stated to this instance.
+	// factorUntold means that TakeMeasurements has not returned the last one yet, and
+	// factorChanged that it differs from what was known.
+	factors       speed.Factors
+	factorUntold  bool
+	factorChanged bool
+	// streams holds what TakeStreams has not returned yet.
+	streams speed.StreamCounts
 	// evicted tracks the adapters that the engine has evicted.
 	evicted lora.EvictionHistory
 }
@@ -171,6 +180,9 @@
 		if spec.StartedAt > upstream.report.StartedAt {
 			upstream.report, upstream.reportedAt, upstream.listedAt = Report{}, time.Time{}, time.Now()
 		}
+		if spec.StartedAt > upstream.spec.StartedAt {
+			upstream.factors.Reset()
+		}
 		upstream.spec = spec
 		picker.upstreams[spec.ID] = upstream
 		picker.services[spec.Service] = append(picker.services[spec.Service], upstream)
--- a/internal/flow/picker/report.go
+++ b/internal/flow/picker/report.go
@@ -6,6 +6,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 )
 
 // Report is a loader's report of its engine.
@@ -36,6 +37,12 @@
 	AdmissionRate float64
 	// Speed is the measured speed of the engine.
 	Speed admit.Speed
+	// Work is what the loader knows of the engine's work factor.
+	Work speed.Work
+	// PauseRisk is the expected share of the engine's streams that pause for longer than
+	// their goal, and LastingPauseRisk the part that follows from its work factors alone.
+	PauseRisk        float64
+	LastingPauseRisk float64
 	// CacheCapacity is how many of the adapters evicted last the engine can
 	// reload from its local cache. Evicted names the evicted adapters, the
 	// latest last; a loader sends it once.
--- a/internal/flow/picker/speed.go
+++ b/internal/flow/picker/speed.go
@@ -1,6 +1,7 @@
 package picker
 
 import (
+	"slices"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
@@ -27,7 +28,7 @@
 	if !ok {
 		return nil
 	}
-	measurements := upstream.measurements
+	measurements := slices.Concat(upstream.measurements, upstream.takeStatement(time.Now()))
 	upstream.measurements = nil
 	return measurements
 }
--- a/internal/wire/codec/datagram.go
+++ b/internal/wire/codec/datagram.go
@@ -103,8 +103,10 @@
 func EncodeMeasurements(measurements []admit.Measurement) []*wirepb.Reading {
 	encoded := make([]*wirepb.Reading, 0, len(measurements))
 	for _, measurement := range measurements {
+		factor, age := encodeStatement(measurement.Stated)
 		encoded = append(encoded, &wirepb.Reading{
 			Ask: measurement.RequestID, FirstUs: uint32(measurement.FirstEvent.Microseconds()), PauseUs: uint32(measurement.EventInterval.Microseconds()),
+			WorkPermille: factor, WorkAgeMs: age,
 		})
 	}
 	return encoded
@@ -118,6 +120,7 @@
 			RequestID:     measurement.GetAsk(),
 			FirstEvent:    time.Duration(measurement.GetFirstUs()) * time.Microsecond,
 			EventInterval: time.Duration(measurement.GetPauseUs()) * time.Microsecond,
+			Stated:        decodeStatement(measurement.GetWorkPermille(), measurement.GetWorkAgeMs()),
 		})
 	}
 	return measurements
