Choose engines by their speed and the risk of pauses

Cause: the router compared waits alone, so an idle slow engine counted as much as an idle fast one, and adapters were placed without regard to speed.

Change: where an upstream of the service states its work factor, engines with the adapter are compared by wait, time for the prompt at the present speed and pause risk times the response-time goal, plain upstreams by load at their speed. Decisions that load adapters use the lasting speed.

Tested: flow/..., daemon/relay, daemon/loader, platform tests by name; lint.

--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -131,12 +131,15 @@
 // waited.
 func (proxyRequest *proxyRequest) requirements() picker.Request {
 	requirements := picker.Request{
-		Service:  proxyRequest.service.Name,
-		Engine:   proxyRequest.service.Engine != nil,
-		KVTokens: proxyRequest.info.PromptTokens + proxyRequest.info.MaxOutputTokens,
-		Exclude:  proxyRequest.tried,
-		Urgent:   proxyRequest.resumes() || proxyRequest.priority() == 0,
-		Late:     proxyRequest.late(),
+		Service:      proxyRequest.service.Name,
+		Engine:       proxyRequest.service.Engine != nil,
+		PromptTokens: proxyRequest.info.PromptTokens,
+		ResponseGoal: proxyRequest.route.ResponseGoal,
+		EventGapGoal: proxyRequest.route.EventGapGoal,
+		KVTokens:     proxyRequest.info.PromptTokens + proxyRequest.info.MaxOutputTokens,
+		Exclude:      proxyRequest.tried,
+		Urgent:       proxyRequest.resumes() || proxyRequest.priority() == 0,
+		Late:         proxyRequest.late(),
 
 		Resumed:         proxyRequest.resumes(),
 		SoftwareVersion: proxyRequest.origin.Version,
@@ -213,6 +216,7 @@
 // adapter if the choice names an upstream for it.
 func (proxyRequest *proxyRequest) recordChoice(choice picker.Choice) {
 	proxyRequest.upstream, proxyRequest.load, proxyRequest.backlog = choice.Upstream.ID, choice.Load, choice.Backlog
+	proxyRequest.workFactor = proxyRequest.relay.picker.WorkFactor(choice.Upstream.ID)
 	if choice.CopyTo.ID != "" {
 		proxyRequest.relay.requestCopy(choice.CopyTo, proxyRequest)
 	}
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/permit"
+	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 )
 
 // minPermitWait is the least expected time until a rate limit that is used up
@@ -17,12 +18,18 @@
 // is compared.
 type candidate struct {
 	*upstream
-	load       int
-	backlog    int64
-	wait       time.Duration
-	full       bool
-	hasAdapter bool
-	sameDomain bool
+	load    int
+	backlog int64
+	wait    time.Duration
+	// cost is what an upstream is chosen by: the wait, and where upstreams state their
+	// work factor also the time for the prompt and the risk of pauses. lastingCost is the
+	// one without slow moments, for decisions that load adapters.
+	cost        time.Duration
+	lastingCost time.Duration
+	work        speed.Work
+	full        bool
+	hasAdapter  bool
+	sameDomain  bool
 	// permitPending means that a permit for the upstream may be received at once,
 	// and permitWait is the expected time until one is.
 	permitPending bool
@@ -61,6 +68,7 @@
 			load:       load,
 			backlog:    backlog,
 			wait:       wait,
+			work:       upstream.work(now),
 			full:       picker.isFull(upstream, load, request) || request.MaxWait > 0 && wait > request.MaxWait,
 			hasAdapter: upstream.hasAdapter(request.Adapter),
 			sameDomain: upstream.spec.FailureDomain == picker.config.FailureDomain,
@@ -79,6 +87,7 @@
 	if len(candidates) == 0 {
 		candidates = unreported
 	}
+	picker.setCosts(request, now, candidates, withoutPermit)
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates, withoutPermit
 }
@@ -161,8 +170,13 @@
 	return request.Engine && upstream.report.TotalTokens > 0 && free < request.KVTokens*int64(1+len(upstream.unreported))
 }
 
-// compareWait orders candidates by wait. Of equal ones, those in this
+// compareCost orders candidates by cost. Of equal ones, those in this
 // instance's failure domain come first.
-func compareWait(a, b candidate) int {
-	return cmp.Or(cmp.Compare(a.wait, b.wait), compareBool(b.sameDomain, a.sameDomain))
+func compareCost(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.cost, b.cost), compareBool(b.sameDomain, a.sameDomain))
+}
+
+// compareLastingCost orders candidates for decisions that load adapters.
+func compareLastingCost(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.lastingCost, b.lastingCost), compareBool(b.sameDomain, a.sameDomain))
 }
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -16,6 +16,12 @@
 	Adapter lora.Adapter
 	// Engine is false for plain services.
 	Engine bool
+	// PromptTokens is the length of the prompt.
+	PromptTokens int64
+	// ResponseGoal is the response-time goal, and EventGapGoal the longest time between
+	// two events of the stream that meets its goal. 0 means none.
+	ResponseGoal time.Duration
+	EventGapGoal time.Duration
 	// KVTokens is the KV-cache memory that the request takes up at an engine,
 	// in tokens.
 	KVTokens int64
@@ -144,7 +150,7 @@
 // chooseAmong chooses among upstreams.
 func (picker *Picker) chooseAmong(candidates []candidate, request Request) Choice {
 	if request.Adapter.Name == "" {
-		return shortestWait(candidates)
+		return leastCost(candidates)
 	}
 	return picker.chooseForAdapter(candidates, request)
 }
@@ -157,19 +163,19 @@
 }
 
 // compareWaits prefers upstreams that have the adapter, unless one that can
-// reload it from its local cache has a wait shorter by more than the time of
-// the reload. A fetch from the weight store is the last choice, unless it would
+// reload it from its local cache has a lasting cost lower by more than the time
+// of the reload. A fetch from the weight store is the last choice, unless it would
 // be ready before the reload.
 func (picker *Picker) compareWaits(holders, others []candidate, request Request) Choice {
-	best := shortestWait(holders)
+	best, held := leastCost(holders), leastLastingCost(holders)
 	if reloader, ok := reloadTarget(others, request.Adapter); ok {
-		if best.Result != Found || reloader.wait+reloadTime < best.Wait {
+		if best.Result != Found || reloader.lastingCost+reloadTime < held {
 			return picker.reloadOrFetch(reloader, others, request)
 		}
 	}
 	target, ok := picker.loadTarget(others, request.Adapter)
 	if best.Result == Found {
-		if ok && best.Wait > target.wait+picker.config.CopyThreshold && !target.awaits(request.Adapter) {
+		if ok && held > target.lastingCost+picker.config.CopyThreshold && !target.awaits(request.Adapter) {
 			best.CopyTo = target.spec
 		}
 		return best
@@ -185,7 +191,7 @@
 // store.
 func (picker *Picker) reloadOrFetch(reloader candidate, others []candidate, request Request) Choice {
 	target, ok := picker.loadTarget(others, request.Adapter)
-	if ok && target.wait+fetchTime < reloader.wait+reloadTime {
+	if ok && target.lastingCost+fetchTime < reloader.lastingCost+reloadTime {
 		return adapterMissing(target)
 	}
 	return adapterMissing(reloader)
@@ -197,16 +203,31 @@
 	return Choice{Result: AdapterMissing, Upstream: target.spec, Load: target.load, Backlog: target.backlog, Wait: target.loadWait() + fetchTime}
 }
 
-// shortestWait returns the candidate with the shortest wait that is not full.
-func shortestWait(candidates []candidate) Choice {
-	available := slices.DeleteFunc(slices.Clone(candidates), func(candidate candidate) bool { return candidate.full })
+// withoutFull returns the candidates that are not full.
+func withoutFull(candidates []candidate) []candidate {
+	return slices.DeleteFunc(slices.Clone(candidates), func(candidate candidate) bool { return candidate.full })
+}
+
+// leastCost returns the candidate with the least cost that is not full.
+func leastCost(candidates []candidate) Choice {
+	available := withoutFull(candidates)
 	if len(available) == 0 {
 		return Choice{Result: Full}
 	}
-	best := slices.MinFunc(available, compareWait)
+	best := slices.MinFunc(available, compareCost)
 	return Choice{Result: Found, Upstream: best.spec, Load: best.load, Backlog: best.backlog, Wait: best.wait}
 }
 
+// leastLastingCost returns the least lasting cost of the candidates that are not full, 0
+// if all are.
+func leastLastingCost(candidates []candidate) time.Duration {
+	available := withoutFull(candidates)
+	if len(available) == 0 {
+		return 0
+	}
+	return slices.MinFunc(available, compareLastingCost).lastingCost
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/flow/rank/rank.go
+++ b/internal/flow/rank/rank.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/zeebo/xxh3"
@@ -63,3 +64,22 @@
 
 // Score returns a member's score for a task. The highest score ranks first.
 func Score(task, member string) uint64 { return xxh3.HashString(member + "\x00" + task) }
+
+// Member is a member of a group with a weight above 0.
+type Member struct {
+	Name   string
+	Weight float64
+}
+
+// CompareWeighted orders members so that each one ranks first for a share of the tasks in
+// proportion to its weight. With equal weights the order is that of Score. When a weight
+// changes, only tasks from or to that member move.
+func CompareWeighted(task string, a, b Member) int {
+	scoreA, scoreB := Score(task, a.Name), Score(task, b.Name)
+	return cmp.Or(cmp.Compare(weigh(scoreB, b.Weight), weigh(scoreA, a.Weight)), cmp.Compare(scoreB, scoreA))
+}
+
+// weigh returns a score with a weight (Schindelhauer and Schomaker 2005).
+func weigh(score uint64, weight float64) float64 {
+	return -weight / math.Log((float64(score)+1)/(math.MaxUint64+2.0))
+}
