Refuse responses with a status that is none of HTTP

readResponse took every head with a status below 200 for an interim response. After HTTP/1.1 000 or 099 the bytes that follow, which are that response's body, were read as the next head, so an answer written in a body reached the caller as a 200, and a loader believed a report and an accepted order there. A status of 600 or more was forwarded as an answer.

Only 100 to 199 but 101 are interim now. Any other status below 200 or above 599 breaks the connection off with an error of class Broken, as 101 did, so that the request counts as one that may have run and the upstream as failed. A head that is cut and begins with such a status does not count as the begin of an answer. The client of the first set-up (link/engine) uses http.Transport, which returns these statuses as responses; it refuses them with the fault of a request that may have run, and closes the connection. The store's client refused them already.

--- a/internal/link/engine/exchange.go
+++ b/internal/link/engine/exchange.go
@@ -20,6 +20,10 @@
 // message.
 const maxErrorBody = 4 << 10
 
+// maxStatus is the highest status of a response. http.Transport returns those with a higher
+// one too, and those below 100 and with 101.
+const maxStatus = 599
+
 const (
 	// fencingHeader carries the fencing token of a request.
 	fencingHeader = "X-Fencing-Token"
@@ -88,6 +92,11 @@
 		}
 		return nil, transportFault(ctx, err, executionAfterFailure(&waitingForConn))
 	}
+	if status := response.StatusCode; status < http.StatusOK || status > maxStatus {
+		use.closeAfter(response)
+		_ = response.Body.Close()
+		return nil, fault.New(fault.UpstreamFailed, fault.RunUnknown, "the answer has the status %03d, which is none of HTTP; send it again only if it may run twice", status)
+	}
 	named := response.Header.Get(requestIDHeader)
 	foreign := named != "" && named != headers.Get(requestIDHeader)
 	if _, execution := classifyStatus(response.StatusCode); foreign || execution == fault.NotRun {
--- a/internal/link/http1/cuthead.go
+++ b/internal/link/http1/cuthead.go
@@ -63,7 +63,7 @@
 	cut := &CutHeadError{BeganAt: headPrefix.beganAt, err: err}
 	statusLine, lines, complete := bytes.Cut(headPrefix.bytes[min(start, len(headPrefix.bytes)):], []byte("\n"))
 	switch status, ok := parseStatus(string(statusLine)); {
-	case !ok || strings.HasPrefix(status, "1"):
+	case !ok || status != "" && (status[0] < '2' || status[0] > '5'):
 		return err
 	case complete:
 		cut.Status, _ = strconv.Atoi(status)
--- a/internal/link/http1/cuthead_test.go
+++ b/internal/link/http1/cuthead_test.go
@@ -33,6 +33,8 @@
 		{name: "within an interim response", sent: "HTTP/1.1 103 Early"},
 		{name: "after an interim response", sent: "HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\n"},
 		{name: "interim response and one byte", sent: "HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nH", want: cutHead{Begun: true, Header: none}},
+		{name: "status below the interim ones", sent: "HTTP/1.1 000 Odd\r\nA: 1"},
+		{name: "status above all", sent: "HTTP/1.1 60"},
 		{name: "no response", sent: "garbage"},
 		{name: "other protocol", sent: "SMTP/1.1 200 OK\r\n"},
 	}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -42,6 +42,8 @@
 	// maxHeadSize bounds the status line and header of a response together with
 	// the interim (1xx) responses before it, in bytes.
 	maxHeadSize = 64 << 10
+	// maxStatus is the highest status of a response.
+	maxStatus = 599
 )
 
 // errHeadTooLarge means that a response head exceeds maxHeadSize.
@@ -170,10 +172,13 @@
 		if isJoinedHead(response) {
 			return nil, errJoinedHead
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		switch status := response.StatusCode; {
+		case status == http.StatusSwitchingProtocols:
 			return nil, errors.New("unexpected status 101 Switching Protocols")
-		}
-		if response.StatusCode >= http.StatusOK {
+		case status < http.StatusContinue, status > maxStatus:
+			// What follows may be its body, which must not be read as the next head.
+			return nil, fmt.Errorf("unexpected status %03d", status)
+		case status >= http.StatusOK:
 			return response, nil
 		}
 	}
--- a/internal/link/http1/http1_test.go
+++ b/internal/link/http1/http1_test.go
@@ -91,6 +91,18 @@
 			name: "interim response", guards: "taking an interim response for the final one",
 			responses: []string{"HTTP/1.1 100 Continue\r\n\r\n" + okResponse, okResponse}, want: []string{"200 ok", "200 ok"}, opened: 1,
 		},
+		{
+			name: "statuses below the interim ones", guards: "taking the body of a response for the next head",
+			responses: []string{"HTTP/1.1 000 Odd\r\nContent-Length: 38\r\n\r\n" + okResponse}, want: []string{"broken"}, opened: 1,
+		},
+		{
+			name: "just below", guards: "taking the body of a response for the next head",
+			responses: []string{"HTTP/1.1 099 Odd\r\n\r\n" + okResponse}, want: []string{"broken"}, opened: 1,
+		},
+		{
+			name: "just above", guards: "passing on a response with no status of HTTP",
+			responses: []string{"HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok"}, want: []string{"broken"}, opened: 1,
+		},
 		{
 			name: "invalid response", guards: "passing on an invalid response",
 			responses: []string{"garbage\r\n\r\n"}, want: []string{"broken"}, opened: 1,
