Keep a part of an organisation's rate for requests whose callers cannot wait

Cause: an organisation over its rate had orders refused whose callers wait less than a second, since its drafts had used up the bucket.

Change: requests have a class by how long the callers of their route can wait. While the bucket is not ample, a class leaves in it what more urgent classes are expected to spend, known over all relays from two new fields of the usage reports (OrganisationUse 4 and 5). Cheaper requests of a class pass first only so far that larger ones are served at least half as often. Retry-After of refused requests is the time until the bucket lets them through, spread at random. A relay that was stopped gets back what its copies of such buckets lacked because the others counted as silent. Where the callers of all routes wait equally long nothing changes.

--- a/internal/daemon/relay/charge.go
+++ b/internal/daemon/relay/charge.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
+	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
 
 // charge takes the request's cost from the organisation's token bucket, or returns
@@ -16,27 +18,62 @@
 		return nil
 	}
 	proxyRequest.awaitStartup(proxyRequest.relay.limiter.Initialised)
+	proxyRequest.class = proxyRequest.relay.classOf(proxyRequest.route)
 	// If the bucket holds enough soon, waiting takes less time than a retry by the
 	// caller.
 	until := time.Now().Add(proxyRequest.route.ResponseGoal / admissionWaitDivisor)
-	wait, ok := proxyRequest.relay.limiter.Take(proxyRequest.organisation.Name, proxyRequest.limit(), proxyRequest.cost())
-	for !ok && time.Now().Add(wait).Before(until) && proxyRequest.request.Context().Err() == nil {
-		proxyRequest.sleep(wait)
-		wait, ok = proxyRequest.relay.limiter.Take(proxyRequest.organisation.Name, proxyRequest.limit(), proxyRequest.cost())
+	denial, ok := proxyRequest.take()
+	for !ok && time.Now().Add(denial.Wait).Before(until) && proxyRequest.request.Context().Err() == nil {
+		proxyRequest.sleep(denial.Wait)
+		denial, ok = proxyRequest.take()
 	}
 	if ok {
+		proxyRequest.relay.metrics.recordCharged(proxyRequest.class, proxyRequest.cost())
 		return nil
 	}
-	proxyRequest.logRateExceeded()
-	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", min(wait, maxRetryAfter)}
+	proxyRequest.relay.metrics.recordDenied(proxyRequest.class)
+	proxyRequest.logRateExceeded(denial)
+	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", proxyRequest.chargeRetryAfter(denial)}
+}
+
+// classOf returns how long the callers of a route can wait, or bucket.Unclassified if
+// those of all routes can wait equally long.
+func (relay *Relay) classOf(route *routes.Route) bucket.Class {
+	if config := relay.store.config(); config == nil || !config.CallerWaitsDiffer() {
+		return bucket.Unclassified
+	}
+	return bucket.Class(route.CallerWait())
+}
+
+// take asks the organisation's token bucket for the request's cost.
+func (proxyRequest *proxyRequest) take() (bucket.Denial, bool) {
+	return proxyRequest.relay.limiter.TakeRequest(proxyRequest.organisation.Name, proxyRequest.limit(),
+		bucket.Request{Cost: proxyRequest.cost(), Class: proxyRequest.class, Identity: proxyRequest.identity})
+}
+
+// chargeRetryAfter returns when the caller of a denied request may retry. Where classes
+// differ, it is not before the bucket may let the request through, and spread over the
+// time that the rate needs for all that was denied, so that not all callers retry at
+// once. It is spread within the caller's remaining time if that suffices for the wait.
+func (proxyRequest *proxyRequest) chargeRetryAfter(denial bucket.Denial) time.Duration {
+	if proxyRequest.class == bucket.Unclassified {
+		return min(denial.Wait, maxRetryAfter)
+	}
+	spread := min(denial.Spread, maxRetryAfter)
+	if remaining := time.Until(proxyRequest.deadline) - denial.Wait; remaining > 0 {
+		spread = min(spread, remaining)
+	}
+	// The header gives milliseconds.
+	return denial.Wait.Truncate(time.Millisecond) + time.Millisecond + rand.N(spread+1)
 }
 
 // logRateExceeded logs why the organisation's share of its rate did not suffice.
-func (proxyRequest *proxyRequest) logRateExceeded() {
+func (proxyRequest *proxyRequest) logRateExceeded(denial bucket.Denial) {
 	limit := proxyRequest.limit()
 	status := proxyRequest.relay.limiter.Status(proxyRequest.organisation.Name, limit)
 	proxyRequest.log("relay: organisation's rate limit exceeded", zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
-		zap.Float64("level", status.Level), zap.Float64("part", status.Fraction), zap.Int("instances-silent", status.SilentPeers))
+		zap.Float64("level", status.Level), zap.Float64("part", status.Fraction), zap.Int("instances-silent", status.SilentPeers),
+		zap.Duration("class", time.Duration(proxyRequest.class)), zap.Float64("reserve", denial.Reserve), zap.Duration("wait", denial.Wait))
 }
 
 func (proxyRequest *proxyRequest) limit() bucket.Limit {
@@ -54,6 +91,6 @@
 // run.
 func (proxyRequest *proxyRequest) refund() {
 	if proxyRequest.organisation != nil && proxyRequest.organisation.Rate > 0 && proxyRequest.runs == 0 {
-		proxyRequest.relay.limiter.Refund(proxyRequest.organisation.Name, proxyRequest.cost())
+		proxyRequest.relay.limiter.RefundClass(proxyRequest.organisation.Name, proxyRequest.cost(), proxyRequest.class)
 	}
 }
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -8,6 +8,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/metric"
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
+	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 )
 
 // metrics updates the metrics of the instance, in the expvar map "relay".
@@ -49,6 +50,20 @@
 
 func (*metrics) recordFirstEvent(took time.Duration) { firstEvent.Observe(took) }
 
+// recordCharged adds what a request of a class was charged.
+func (*metrics) recordCharged(class bucket.Class, cost float64) {
+	if class != bucket.Unclassified {
+		counters.AddFloat("rate-charged-class-"+time.Duration(class).String(), cost)
+	}
+}
+
+// recordDenied counts a request of a class that its organisation's rate denied.
+func (*metrics) recordDenied(class bucket.Class) {
+	if class != bucket.Unclassified {
+		counters.Add("rate-denied-class-"+time.Duration(class).String(), 1)
+	}
+}
+
 // readsStore returns 1 if this instance reads the store for its failure domain,
 // else 0.
 func (relay *Relay) readsStore() int64 {
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
+	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
@@ -67,6 +68,8 @@
 	route        *routes.Route
 	organisation *routes.Organisation
 	service      *routes.Service
+	// class is how long the route's callers can wait, if that matters for the charge.
+	class bucket.Class
 	// body is the body of the request.
 	body *buffer.Buffer
 	// identity is equal for two requests that differ in nothing but their ids.
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
+	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
@@ -85,9 +86,9 @@
 		if !full && !recent[organisation] {
 			continue
 		}
-		encoded.Organisations = append(encoded.Organisations, &wirepb.OrganisationUse{
-			Organisation: organisation, Spent: spent, Level: usage.Levels[organisation],
-		})
+		use := &wirepb.OrganisationUse{Organisation: organisation, Spent: spent, Level: usage.Levels[organisation]}
+		use.ClassWaitMs, use.ClassSpent = codec.EncodeClasses(usage.ClassSpent[organisation])
+		encoded.Organisations = append(encoded.Organisations, use)
 	}
 	return encoded
 }
@@ -97,10 +98,13 @@
 	usage := bucket.Usage{
 		Partial: report.GetPartial(),
 		Start:   report.GetStart(), Uptime: time.Duration(report.GetUptimeMs()) * time.Millisecond, Initialised: report.GetSettled(),
-		Spent: make(map[string]float64), Levels: make(map[string]float64),
+		Spent: make(map[string]float64), Levels: make(map[string]float64), ClassSpent: make(map[string]map[bucket.Class]float64),
 	}
 	for _, organisation := range report.GetOrganisations() {
 		usage.Spent[organisation.GetOrganisation()] = organisation.GetSpent()
+		if classes := codec.DecodeClasses(organisation.GetClassWaitMs(), organisation.GetClassSpent()); len(classes) > 0 {
+			usage.ClassSpent[organisation.GetOrganisation()] = classes
+		}
 		if usage.Initialised {
 			usage.Levels[organisation.GetOrganisation()] = organisation.GetLevel()
 		}
--- a/internal/flow/bucket/bucket.go
+++ b/internal/flow/bucket/bucket.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -52,6 +53,8 @@
 	PeerTimeout     time.Duration
 	InitialFraction float64
 	UsableFraction  float64
+	// Seed seeds the random numbers. 0 means a random seed.
+	Seed uint64
 }
 
 // Limit is the rate limit of one organisation, in the units that it is charged
@@ -80,10 +83,16 @@
 	// cappedSince is since when the levels are limited to those that others report, for
 	// capTime, or zero.
 	cappedSince time.Time
+	// creditAt is from when the buckets get what was withheld from them while this instance
+	// was stopped, or zero.
+	creditAt time.Time
 	// recalled holds levels that ended instances told.
 	recalled *Keeper
 	buckets  map[string]*bucket
 	peers    map[string]*peer
+	// refused holds the requests of classes that were denied of late.
+	refused *recentSet
+	random  *rand.Rand
 }
 
 // bucket is this instance's copy of an organisation's token bucket.
@@ -95,6 +104,14 @@
 	spent    float64
 	rate     spendingRate
 	filledAt time.Time
+	// classes holds what this instance has spent on requests that have a class.
+	classes map[Class]*classUse
+	// stagger is by which part of its range this instance's next request of a class that
+	// can wait is staggered.
+	stagger float64
+	// withheld is what the bucket did not get of its rate since a part of it is reserved
+	// for silent instances.
+	withheld float64
 }
 
 // New returns a Limiter without buckets.
@@ -103,27 +120,15 @@
 	config.InitialFraction = cmp.Or(config.InitialFraction, DefaultInitialFraction)
 	config.UsableFraction = cmp.Or(config.UsableFraction, DefaultUsableFraction)
 	now := time.Now()
-	return &Limiter{config: config, start: now, fillStart: now, recalled: NewKeeper(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Limiter{config: config, start: now, fillStart: now, recalled: NewKeeper(), buckets: make(map[string]*bucket), peers: make(map[string]*peer), refused: newRecentSet(), random: rand.New(rand.NewPCG(cmp.Or(config.Seed, rand.Uint64()), 0))}
 }
 
 // Take spends cost from an organisation's bucket. If the level does not
 // suffice, it spends nothing and returns false and the time after which it
 // would. A cost above the burst needs a full bucket.
 func (limiter *Limiter) Take(organisation string, limit Limit, cost float64) (time.Duration, bool) {
-	if limit.Rate <= 0 {
-		return 0, true
-	}
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	bucket := limiter.currentBucket(organisation, limit)
-	if missing := math.Min(cost, limit.Burst*limiter.config.UsableFraction) - bucket.level; missing > 0 {
-		rate := limit.Rate * limiter.config.UsableFraction * limiter.fraction(organisation, limit)
-		return time.Duration(missing / rate * float64(time.Second)), false
-	}
-	bucket.level -= cost
-	bucket.spent += cost
-	bucket.rate.add(cost)
-	return 0, true
+	denial, ok := limiter.TakeRequest(organisation, limit, Request{Cost: cost})
+	return denial.Wait, ok
 }
 
 // Status describes an organisation's bucket as this instance sees it.
@@ -154,11 +159,17 @@
 // Refund returns the cost of a request that did not run to its organisation's
 // bucket.
 func (limiter *Limiter) Refund(organisation string, cost float64) {
+	limiter.RefundClass(organisation, cost, Unclassified)
+}
+
+// RefundClass is Refund for a request of a class.
+func (limiter *Limiter) RefundClass(organisation string, cost float64, class Class) {
 	limiter.mutex.Lock()
 	defer limiter.mutex.Unlock()
 	if bucket, ok := limiter.buckets[organisation]; ok {
 		bucket.level = math.Min(bucket.level+cost, bucket.limit.Burst*limiter.config.UsableFraction)
 		bucket.spent -= cost
+		bucket.spend(class, -cost)
 	}
 }
 
@@ -184,5 +195,7 @@
 	elapsed := now.Sub(bucket.filledAt).Seconds()
 	bucket.filledAt = now
 	usable, limit := limiter.config.UsableFraction, bucket.limit
-	bucket.level = math.Min(bucket.level+elapsed*limit.Rate*usable*limiter.fraction(organisation, limit), limit.Burst*usable)
+	fraction, refill := limiter.fraction(organisation, limit), elapsed*limit.Rate*usable
+	bucket.level = math.Min(bucket.level+refill*fraction, limit.Burst*usable)
+	bucket.withhold(refill*(1-fraction), limiter.creditAt.IsZero())
 }
--- a/internal/flow/bucket/keeper.go
+++ b/internal/flow/bucket/keeper.go
@@ -99,11 +99,3 @@
 	}
 	return level
 }
-
-// Stall records that the instance was stopped: others may have spent what it still counts,
-// and have ended. For a while its levels are limited to those that others report.
-func (limiter *Limiter) Stall() {
-	limiter.mutex.Lock()
-	defer limiter.mutex.Unlock()
-	limiter.cappedSince = time.Now()
-}
--- a/internal/flow/bucket/peers.go
+++ b/internal/flow/bucket/peers.go
@@ -20,6 +20,8 @@
 	// level of each bucket, by organisation.
 	Spent  map[string]float64
 	Levels map[string]float64
+	// ClassSpent is the part of Spent that is known by class.
+	ClassSpent map[string]map[Class]float64
 }
 
 // peer is another entry instance.
@@ -31,6 +33,8 @@
 	heardAt time.Time
 	silent  bool
 	rates   map[string]*spendingRate
+	// classRates holds how fast the peer spends, by organisation and class.
+	classRates map[string]map[Class]*spendingRate
 	// reserved is the fraction of each organisation's rate that is reserved for
 	// the peer while it is silent.
 	reserved map[string]float64
@@ -45,9 +49,13 @@
 		Initialised: limiter.initialised,
 		Spent:       make(map[string]float64, len(limiter.buckets)),
 		Levels:      make(map[string]float64, len(limiter.buckets)),
+		ClassSpent:  make(map[string]map[Class]float64),
 	}
 	for organisation, bucket := range limiter.buckets {
 		usage.Spent[organisation] = bucket.spent
+		if spent := bucket.classSpent(); len(spent) > 0 {
+			usage.ClassSpent[organisation] = spent
+		}
 		if limiter.initialised {
 			limiter.refill(bucket, organisation)
 			usage.Levels[organisation] = bucket.level
@@ -76,9 +84,11 @@
 			bucket.level -= added
 		}
 	}
+	known.addClasses(usage.ClassSpent)
 	if !limiter.initialised && usage.Initialised {
 		limiter.adoptLevels(usage)
 	}
+	limiter.creditWithheld()
 	limiter.capLevels(usage)
 	known.heardAt, known.silent = time.Now(), false
 	known.update(usage)
@@ -89,13 +99,14 @@
 	if usage.Partial {
 		usage.Spent = merged(peer.Spent, usage.Spent)
 		usage.Levels = merged(peer.Levels, usage.Levels)
+		usage.ClassSpent = merged(peer.ClassSpent, usage.ClassSpent)
 	}
 	peer.Usage = usage
 }
 
 // merged returns the union of two maps; newer values replace older ones.
-func merged(older, newer map[string]float64) map[string]float64 {
-	all := make(map[string]float64, len(older)+len(newer))
+func merged[V any](older, newer map[string]V) map[string]V {
+	all := make(map[string]V, len(older)+len(newer))
 	maps.Copy(all, older)
 	maps.Copy(all, newer)
 	return all
--- a/internal/flow/bucket/startup.go
+++ b/internal/flow/bucket/startup.go
@@ -77,7 +77,7 @@
 func (limiter *Limiter) addPeer(name string, usage Usage) *peer {
 	known, restarted := limiter.peers[name]
 	if !restarted {
-		known = &peer{rates: make(map[string]*spendingRate)}
+		known = &peer{rates: make(map[string]*spendingRate), classRates: make(map[string]map[Class]*spendingRate)}
 		limiter.peers[name] = known
 	}
 	known.Usage = Usage{Start: usage.Start}
@@ -89,7 +89,7 @@
 			bucket.level = limiter.bounded(organisation, bucket.level+limiter.grant(bucket.limit))
 		}
 	case !restarted && usage.Uptime >= startupTime:
-		known.Spent = usage.Spent
+		known.Spent, known.ClassSpent = usage.Spent, usage.ClassSpent
 	}
 	return known
 }
--- a/internal/state/routes/routes.go
+++ b/internal/state/routes/routes.go
@@ -130,6 +130,8 @@
 	routesByHost  map[string][]*Route
 	services      map[string]*Service
 	organisations map[keyDigest]*Organisation
+	// callerWaitsDiffer is the result of CallerWaitsDiffer.
+	callerWaitsDiffer bool
 }
 
 // New returns the Table of a configuration.
@@ -139,6 +141,8 @@
 		routesByHost:  make(map[string][]*Route),
 		services:      make(map[string]*Service, len(config.Services)),
 		organisations: make(map[keyDigest]*Organisation),
+
+		callerWaitsDiffer: callerWaitsDiffer(config.Routes),
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
--- a/internal/wire/codec/memory_test.go
+++ b/internal/wire/codec/memory_test.go
@@ -55,3 +55,11 @@
 		t.Errorf("levels (-sent +received):\n%s", diff)
 	}
 }
+
+// TestClasses guards against classes of an organisation's spending that change on the wire.
+func TestClasses(t *testing.T) {
+	spent := map[bucket.Class]float64{bucket.Class(256 * time.Millisecond): 1.5, bucket.Class(8192 * time.Millisecond): 7}
+	if diff := cmp.Diff(spent, DecodeClasses(EncodeClasses(spent))); diff != "" {
+		t.Errorf("classes (-sent +received):\n%s", diff)
+	}
+}
