End responses whose callers do not read

Cause: a caller that reads nothing kept its response, its request's body and up to several megabytes of the kernel's for as long as it liked, also after its deadline, since nothing interrupts a write. The upstream's response remained unread meanwhile; once the upstream broke it off, that counted against its health.

A relay checks the writes that take longer than 0.1 s. It resets the connection of a caller that has read nothing for 1.5 s, or sooner if much is held for it, and, while more than half of the memory for bodies is held for slow callers, those that do not read and then those that hold most. The send is cancelled, nothing is sent again and no upstream is blamed. An upstream that breaks off a response which the caller kept the relay from reading keeps its health.

Tested: internal/flow/stall without a network; TestBrokeOffUnread with small fakes; TestCallerReadsNothing with six callers that read nothing, one that reads slowly and others at one relay: 11.0, 1.1 and 0.7 MB held at most (whole, passed on, stream), all six reset, each request run once, the others served. With -race: TestCallerReadsNothing, internal/flow/bucket and internal/flow/stall pass.

--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -87,6 +87,9 @@
 	metric.SetGauge("relay", "upstreams", int64(len(relay.store.instances.Upstreams())))
 	metric.SetGauge("relay", "upstreams-limited", int64(relay.permits.limits.Count()))
 	metric.SetGauge("relay", "buffered-bytes", relay.buffers.Held())
+	slowBytes, slow := relay.callerWrites.held()
+	metric.SetGauge("relay", "slow-callers", int64(slow))
+	metric.SetGauge("relay", "slow-callers-bytes", slowBytes)
 	metric.SetGauge("relay", "poison-parts", int64(relay.poison.CountBlocked()))
 	if config := relay.store.config(); config != nil {
 		metric.SetGauge("relay", "config-version", int64(config.Version()))
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -10,6 +10,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,6 +143,11 @@
 	// media type that they name.
 	headersSent bool
 	mediaType   string
+	// behind means that a write to the caller took so long that the upstream may have ended
+	// the response, which was not read meanwhile.
+	behind bool
+	// stalled means that the response was ended as the caller does not read.
+	stalled atomic.Bool
 	// passedOn means that a part of a response was forwarded that no other one can
 	// continue.
 	passedOn bool
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -26,6 +27,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/health"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
+	"jacinthfront.dev/jacinthfront/internal/flow/stall"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -86,6 +88,9 @@
 	// expireInterval is the time between two checks for expired connections and
 	// upstreams.
 	expireInterval = 100 * time.Millisecond
+	// slowCallersPart is the part of the memory for bodies, as a divisor, that may be held
+	// for slow callers.
+	slowCallersPart = 2
 	// probeTimeout is the time allowed for reading the headers of a readiness probe.
 	probeTimeout = 2 * time.Second
 )
@@ -120,6 +125,8 @@
 	// storeConfirmed is notified when what was read of the store is confirmed as current.
 	storeConfirmed *broadcast
 	activeSends    *activeSends
+	// callerWrites holds the writes to callers, to end those to callers that do not read.
+	callerWrites *callerWrites
 	// origins holds which software began streams.
 	origins         *origins
 	incarnationAsks *incarnationAsks
@@ -175,6 +182,7 @@
 		latencies:       newLatencies(),
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
+		callerWrites:    newCallerWrites(stall.Config{Limit: cmp.Or(config.BodyMemory, buffer.DefaultLimit) / slowCallersPart}),
 		origins:         newOrigins(),
 		incarnationAsks: &incarnationAsks{askedAt: make(map[string]time.Time)},
 		buffers:         buffer.New(buffer.Config{Limit: config.BodyMemory}),
@@ -197,6 +205,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         relay.idleConnections.trackState,
+		ConnContext:       withCallerConn,
 		ErrorLog:          zap.NewStdLog(config.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	probes := http.NewServeMux()
@@ -273,7 +282,7 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// expire closes expired connections to upstreams, and removes the upstreams that
+// expire ends responses whose callers do not read, closes expired connections to upstreams, and removes the upstreams that
 // were not listed again after an outage of the instance list.
 func (relay *Relay) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
@@ -283,6 +292,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			relay.endStalled()
 			relay.config.Pool.CloseExpired()
 			if removed := relay.store.instances.RemoveExpired(); len(removed) > 0 {
 				relay.config.Logger.Info("relay: upstreams removed, not listed again after an outage", zap.Strings("upstreams", removed))
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -101,6 +101,9 @@
 func (proxyRequest *proxyRequest) giveUp(ctx context.Context, refused *refusal) {
 	proxyRequest.refund()
 	switch {
+	case proxyRequest.stalled.Load():
+		proxyRequest.log("relay: response ended for its caller")
+		panic(http.ErrAbortHandler)
 	case proxyRequest.request.Context().Err() != nil:
 		proxyRequest.relay.metrics.increment("caller-left")
 		proxyRequest.log("relay: caller disconnected")
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -31,7 +31,7 @@
 	proxyRequest.countLimitedSend(upstream)
 	relay.picker.RecordSent(upstream.ID, proxyRequest.adapter)
 	proxyRequest.sentAt, proxyRequest.eventIntervals, proxyRequest.stage = time.Now(), nil, stageUnsent
-	proxyRequest.continues, proxyRequest.identified = proxyRequest.resumes(), false
+	proxyRequest.continues, proxyRequest.identified, proxyRequest.behind = proxyRequest.resumes(), false, false
 	if !proxyRequest.continues {
 		// No event of an earlier send was forwarded.
 		proxyRequest.origin = origin.Origin{}
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -48,7 +48,7 @@
 // forwardStream forwards the events of a response, each one as soon as it is
 // complete.
 func (proxyRequest *proxyRequest) forwardStream(ctx context.Context, upstream fleet.Upstream, response *http1.Response) outcome {
-	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
+	reader := bufio.NewReaderSize(&watchedReader{proxyRequest, response.Body}, streamBufferBytes)
 	memory := proxyRequest.relay.buffers.Reserve(upstreamOwner(upstream))
 	defer memory.Release()
 	var lastArrival time.Time
@@ -70,6 +70,9 @@
 			if proxyRequest.request.Context().Err() != nil || time.Now().After(proxyRequest.deadline) {
 				return outcomeUnknown
 			}
+			if proxyRequest.brokeOffUnread(err) {
+				return proxyRequest.recordUnread(err)
+			}
 			return proxyRequest.recordBroken(upstream, err)
 		}
 		if _, ok := eventID(event); ok {
@@ -85,15 +88,25 @@
 			continue
 		}
 		proxyRequest.sendHeaders(response)
-		if _, err := proxyRequest.writer.Write(event); err != nil {
+		if err := proxyRequest.writeEvent(event); err != nil {
 			return outcomeUnknown
 		}
-		proxyRequest.flush()
 		memory.Release()
 		proxyRequest.recordForwarded()
 	}
 }
 
+// writeEvent sends an event to the caller.
+func (proxyRequest *proxyRequest) writeEvent(event []byte) error {
+	return proxyRequest.writeCaller(int64(len(event)), func() error {
+		_, err := proxyRequest.writer.Write(event)
+		if err == nil {
+			proxyRequest.flush()
+		}
+		return err
+	})
+}
+
 // nextEvent returns the next event of a response. Its errors are those of readEvent and
 // checkEnd, and io.EOF only if the stream is whole.
 func (proxyRequest *proxyRequest) nextEvent(ctx context.Context, response *http1.Response, reader *bufio.Reader, grow func(size int64) bool) ([]byte, error) {
--- a/internal/daemon/relay/whole.go
+++ b/internal/daemon/relay/whole.go
@@ -68,10 +68,11 @@
 	proxyRequest.copyHeaders(response)
 	proxyRequest.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	proxyRequest.writer.WriteHeader(response.Status)
-	_, err := begun.WriteTo(proxyRequest.writer)
+	writer := &callerWriter{request: proxyRequest, held: begun.Size()}
+	_, err := begun.WriteTo(writer)
 	begun.Release()
-	if err == nil {
-		_, err = io.Copy(proxyRequest.writer, response.Body)
+	if writer.held = 0; err == nil {
+		_, err = io.Copy(writer, &watchedReader{proxyRequest, response.Body})
 	}
 	switch {
 	case err == nil:
@@ -80,6 +81,8 @@
 		return outcomeAnswered
 	case proxyRequest.request.Context().Err() != nil:
 		return outcomeUnknown
+	case proxyRequest.brokeOffUnread(err):
+		return proxyRequest.recordUnread(err)
 	default:
 		return proxyRequest.recordBroken(upstream, err)
 	}
@@ -92,8 +95,15 @@
 		proxyRequest.writer.Header().Set("Content-Length", strconv.FormatInt(body.Size(), 10))
 	}
 	proxyRequest.writer.WriteHeader(response.Status)
-	_, _ = body.WriteTo(proxyRequest.writer)
-	proxyRequest.recordDone(response.Status)
+	// The end is flushed here, as the server does not watch how long that takes.
+	_ = proxyRequest.writeCaller(body.Size(), func() error {
+		_, err := body.WriteTo(proxyRequest.writer)
+		proxyRequest.flush()
+		return err
+	})
+	if !proxyRequest.stalled.Load() {
+		proxyRequest.recordDone(response.Status)
+	}
 }
 
 // keepFailure keeps a failure of an upstream, to be forwarded if no other upstream
