--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -10,11 +10,13 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
+	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
@@ -67,6 +69,8 @@
 	route        *routes.Route
 	organisation *routes.Organisation
 	service      *routes.Service
+	// class is how long the route's callers can wait, if that matters for the charge.
+	class bucket.Class
 	// body is the body of the request.
 	body *buffer.Buffer
 	// identity is equal for two requests that differ in nothing but their ids.
@@ -143,6 +147,11 @@
 	// media type that they name.
 	headersSent bool
 	mediaType   string
+	// behind means that a write to the caller took so long that the upstream may have ended
+	// the response, which was not read meanwhile.
+	behind bool
+	// stalled means that the response was ended as the caller does not read.
+	stalled atomic.Bool
 	// passedOn means that a part of a response was forwarded that no other one can
 	// continue.
 	passedOn bool
