Rank the requests that wait for an engine's turn

Admission ordered requests by arrival, 0.3 s later for each level of priority and 1.5 s later if late. In a burst all waited until the last moment, and urgent requests, which have the shorter goal, were late more often than less urgent ones.

Package order ranks them by the time at which they must start, puts those that cannot all be in time among the late ones, the least urgent first, and leaves late ones a share. Organisations far above their even share come later. Requests that differ in neither priority, organisation nor goal are ordered as before; the existing tests of admit are unchanged.

--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/order"
 	"jacinthfront.dev/jacinthfront/internal/flow/speed"
 )
 
@@ -31,11 +32,6 @@
 	// DefaultUtilisation is the part of the prefill rate that is admitted. The
 	// rest covers the time between a grant and the request's arrival.
 	DefaultUtilisation = 0.94
-	// DefaultPriorityDelay is by how much later a request is admitted for each
-	// level of Priority; 0 is the most urgent level.
-	DefaultPriorityDelay = 300 * time.Millisecond
-	// DefaultLateDelay is by how much later a late request is admitted.
-	DefaultLateDelay = 1500 * time.Millisecond
 	// DefaultEntryTimeout is how long an entry instance's requests are kept
 	// after its last message.
 	DefaultEntryTimeout = 500 * time.Millisecond
@@ -43,13 +39,13 @@
 
 // Config configures a Controller. Zero values mean the defaults.
 type Config struct {
-	PrefillRate   float64
-	DecodeStep    time.Duration
-	PrefillChunk  int64
-	Utilisation   float64
-	PriorityDelay time.Duration
-	LateDelay     time.Duration
-	EntryTimeout  time.Duration
+	PrefillRate  float64
+	DecodeStep   time.Duration
+	PrefillChunk int64
+	Utilisation  float64
+	EntryTimeout time.Duration
+	// Order configures the order of the waiting requests.
+	Order order.Config
 }
 
 // EngineConfig holds what the settings say of the engine and its streams.
@@ -94,6 +90,14 @@
 	// another software version may get it, although some serve. Bound requests
 	// are admitted first, as the others can go to more engines.
 	Bound bool
+	// Organisation is a hash of the organisation's name, 0 if it is not known.
+	Organisation uint32
+	// AddedAt is when the request began to wait for this engine, StartBy when it
+	// must start to meet its response-time goal, and GiveUpBy when its caller gives
+	// up. Each is zero if it is not known.
+	AddedAt  time.Time
+	StartBy  time.Time
+	GiveUpBy time.Time
 }
 
 // Controller admits the requests for one engine. Its methods may be called
@@ -114,6 +118,9 @@
 	pendingPrefill float64
 	updatedAt      time.Time
 	estimator      speed.Estimator
+	ranker         *order.Ranker
+	// grants counts the admitted requests.
+	grants map[GrantKind]int64
 	// solo holds the grants that had no prompt ahead of them. Only their first
 	// events are measured.
 	solo []soloGrant
@@ -129,7 +136,9 @@
 	Request
 	entry     string
 	arrivedAt time.Time
-	granted   bool
+	// class is that of the request in the last order.
+	class   order.Class
+	granted bool
 }
 
 type grant struct {
@@ -144,10 +153,8 @@
 	config.DecodeStep = cmp.Or(config.DecodeStep, DefaultDecodeStep)
 	config.PrefillChunk = cmp.Or(config.PrefillChunk, DefaultPrefillChunk)
 	config.Utilisation = cmp.Or(config.Utilisation, DefaultUtilisation)
-	config.PriorityDelay = cmp.Or(config.PriorityDelay, DefaultPriorityDelay)
-	config.LateDelay = cmp.Or(config.LateDelay, DefaultLateDelay)
 	config.EntryTimeout = cmp.Or(config.EntryTimeout, DefaultEntryTimeout)
-	return &Controller{config: config, entries: make(map[string]*entry)}
+	return &Controller{config: config, entries: make(map[string]*entry), ranker: order.New(config.Order), grants: make(map[GrantKind]int64)}
 }
 
 // Observe records the engine's state.
@@ -192,7 +199,7 @@
 			kept[request.ID] = waiter
 			continue
 		}
-		kept[request.ID] = &waiter{Request: request, entry: name, arrivedAt: now.Add(-request.Waited)}
+		kept[request.ID] = &waiter{Request: request, entry: name, arrivedAt: request.addedAt(now).Add(-request.Waited)}
 	}
 	known.waiters, known.heardAt = kept, now
 }
@@ -267,28 +274,6 @@
 	return eligible
 }
 
-// queue returns the waiting requests whose adapter is loaded, in the order of
-// their admission.
-func (controller *Controller) queue() []*waiter {
-	queue := controller.eligible()
-	slices.SortFunc(queue, func(a, b *waiter) int {
-		return cmp.Or(compareBound(a, b), controller.sortTime(a).Compare(controller.sortTime(b)), cmp.Compare(a.entry, b.entry), cmp.Compare(a.ID, b.ID))
-	})
-	return queue
-}
-
-// compareBound orders bound requests before the others.
-func compareBound(a, b *waiter) int {
-	switch {
-	case a.Bound == b.Bound:
-		return 0
-	case a.Bound:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // BoundWaiting returns the number of bound requests that were not admitted, whether or
 // not their adapter is loaded.
 func (controller *Controller) BoundWaiting() int {
@@ -305,17 +290,6 @@
 	return count
 }
 
-// sortTime returns the time by which waiting requests are ordered. Late ones
-// are delayed, so that they do not make those on time late, but are not put
-// last, so that they are served before their callers give up.
-func (controller *Controller) sortTime(waiter *waiter) time.Time {
-	at := waiter.arrivedAt.Add(time.Duration(waiter.Priority) * controller.config.PriorityDelay)
-	if waiter.Late {
-		at = at.Add(controller.config.LateDelay)
-	}
-	return at
-}
-
 // fits reports whether a request may be admitted now. One with more prompt
 // tokens than the limit fits when no tokens are ahead of it.
 func (controller *Controller) fits(waiter *waiter) bool {
@@ -340,6 +314,7 @@
 // admit grants a waiting request.
 func (controller *Controller) admit(waiter *waiter, now time.Time) {
 	waiter.granted = true
+	controller.recordGrant(waiter, now)
 	granted := grant{at: now, promptTokens: waiter.PromptTokens, kvTokens: waiter.PromptTokens + waiter.OutputTokens}
 	controller.advance(now)
 	if controller.pendingPrefill == 0 {
--- /dev/null
+++ b/internal/flow/order/order_test.go
@@ -0,0 +1,111 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var start = time.Unix(1_000, 0)
+
+// after returns the time that lies seconds after start.
+func after(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestRank checks the order of requests; each case says which failure it guards
+// against. The requests are given in the wanted order.
+func TestRank(t *testing.T) {
+	due := func(arrived, goal float64) Request {
+		return Request{ArrivedAt: after(arrived), StartBy: after(arrived + goal), GiveUpBy: after(arrived + 12), Tokens: 1000}
+	}
+	with := func(request Request, change func(*Request)) Request {
+		change(&request)
+		return request
+	}
+	urgent := func(level int) func(*Request) { return func(request *Request) { request.Priority = level } }
+	late := func(request *Request) { request.Late = true }
+	tests := []struct {
+		name, guards string
+		requests     []Request
+		capacity     Capacity
+		admitted     map[uint32]int64
+		want         []Class
+	}{
+		{
+			name: "nothing competes", guards: "another order than by arrival where all are equal",
+			requests: []Request{due(-1.9, 0.5), with(due(-3, 0.5), late), due(-1, 0.5)}, want: []Class{OnTime, Late, OnTime},
+		},
+		{
+			name: "shorter goal", guards: "a request with much time before one with little",
+			requests: []Request{due(0, 0.5), due(-0.4, 1.7)}, want: []Class{OnTime, OnTime},
+		},
+		{
+			name: "little time left", guards: "a less urgent request that is late because fresh urgent ones go first",
+			requests: []Request{with(due(-1.6, 1.7), urgent(1)), due(0, 0.5)}, want: []Class{OnTime, OnTime},
+		},
+		{
+			name: "on time before late", guards: "requests that are late already and make others late",
+			requests: []Request{with(due(0, 1.7), urgent(2)), with(due(-5, 0.5), late)}, want: []Class{OnTime, Late},
+		},
+		{
+			name: "late and urgent", guards: "a late request served after a less urgent one that has waited as long",
+			requests: []Request{with(due(-2, 0.5), late), with(with(due(-2, 0.5), late), urgent(2))}, want: []Class{Late, Late},
+		},
+		{
+			name: "at the end of its patience", guards: "a less urgent late request that is never served",
+			requests: []Request{with(with(due(-11.9, 0.5), late), urgent(2)), with(due(-9, 0.5), late)}, want: []Class{Late, Late},
+		},
+		{
+			name: "not all in time", guards: "urgent requests that miss their goal behind less urgent ones",
+			requests: []Request{due(-0.1, 0.5), due(0, 0.5), with(due(-0.5, 0.5), urgent(1))},
+			capacity: Capacity{Rate: 4}, want: []Class{OnTime, OnTime, Late},
+		},
+		{
+			name: "above its share", guards: "an organisation that delays a small one of the same priority",
+			requests: []Request{
+				with(due(0, 0.5), func(request *Request) { request.Organisation = 2 }),
+				with(due(-0.3, 0.5), func(request *Request) { request.Organisation = 1 }),
+			},
+			admitted: map[uint32]int64{1: 9000, 2: 1000}, want: []Class{OnTime, OnTime},
+		},
+		{
+			name: "share of the late", guards: "late requests that wait as long as others come",
+			requests: []Request{with(due(-2, 0.5), late), with(due(0, 0.5), urgent(1))},
+			admitted: map[uint32]int64{1: 9000}, want: []Class{Late, OnTime},
+		},
+		{
+			name: "stream that goes on", guards: "a stream that waits although its caller has a part of it",
+			requests: []Request{with(due(0, 0), func(request *Request) { request.StartBy = request.ArrivedAt }), due(-0.3, 0.5)},
+			want:     []Class{OnTime, OnTime},
+		},
+	}
+	for _, test := range tests {
+		for _, reversed := range []bool{false, true} {
+			ranker := New(Config{})
+			for organisation, tokens := range test.admitted {
+				ranker.RecordAdmitted(Request{Organisation: organisation, Tokens: tokens}, OnTime, start)
+			}
+			var want, got []int
+			var classes []Class
+			requests := make([]Request, len(test.requests))
+			for i, request := range test.requests {
+				index := i
+				if reversed {
+					index = len(requests) - 1 - i
+				}
+				requests[index], want = request, append(want, index)
+			}
+			for _, place := range ranker.Rank(requests, test.capacity, start) {
+				got, classes = append(got, place.Index), append(classes, place.Class)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("%s: guards against %s: order (-want +got):\n%s", test.name, test.guards, diff)
+			}
+			if diff := cmp.Diff(test.want, classes); diff != "" {
+				t.Errorf("%s: classes (-want +got):\n%s", test.name, diff)
+			}
+		}
+	}
+}
