Weigh waiting requests by priority in the choice of the next adapter

The next adapter was the one with the most waiting requests on time, whoever they were. Now their weights count, half as much for each level of priority. So that the adapters of few or less urgent requests do not starve, each fourth load goes to the one that has been waited for longest, if that is for more than 3 s.

--- a/internal/flow/lora/lora.go
+++ b/internal/flow/lora/lora.go
@@ -80,6 +80,11 @@
 	// Bound is the number of waiting requests that no engine of another
 	// software version may get, although some serve.
 	Bound int
+	// Weight and LateWeight are the sums of the weights, by order.Weight, of the
+	// waiting requests on time and of the late ones. Both are 0 if all are among
+	// the most urgent ones, or their weights are not known.
+	Weight     int
+	LateWeight int
 }
 
 // Demand is what one entry instance needs from the engine.
@@ -128,6 +133,9 @@
 	lastUsed     map[string]time.Time
 	waitingSince map[Adapter]time.Time
 	cache        *localCache
+	// loadsSinceOldest counts the loads since one went to the adapter that had
+	// been waited for longest.
+	loadsSinceOldest int
 }
 
 // demand is a Demand and the time at which it was received.
@@ -186,6 +194,7 @@
 	planner.mutex.Lock()
 	defer planner.mutex.Unlock()
 	if order.Operation == Load && order.Adapter.Name != "" {
+		planner.countLoad(order.Adapter)
 		planner.cache.recordLoad(order.Adapter)
 	}
 }
--- a/internal/flow/lora/plan.go
+++ b/internal/flow/lora/plan.go
@@ -1,8 +1,6 @@
 package lora
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -102,34 +100,6 @@
 	return latest
 }
 
-// waiters counts the requests that wait for one adapter.
-type waiters struct {
-	bound  int
-	onTime int
-	late   int
-}
-
-// nextLoad returns the adapter to load next: the one with the most bound
-// requests, as others can go to more engines, then the one with the most
-// waiting requests that can still meet their response-time goal, then the one
-// with the most late requests, then the one that has been waited for longest.
-func (planner *Planner) nextLoad() (Adapter, bool) {
-	missing := planner.missing()
-	if len(missing) == 0 {
-		return Adapter{}, false
-	}
-	return slices.MinFunc(slices.Collect(maps.Keys(missing)), func(a, b Adapter) int {
-		return cmp.Or(
-			cmp.Compare(missing[b].bound, missing[a].bound),
-			cmp.Compare(missing[b].onTime, missing[a].onTime),
-			cmp.Compare(missing[b].late, missing[a].late),
-			planner.waitingSince[a].Compare(planner.waitingSince[b]),
-			cmp.Compare(a.Name, b.Name),
-			cmp.Compare(b.Version, a.Version),
-		)
-	}), true
-}
-
 // newestVersions returns the newest version of each adapter that a demand names. An entry
 // instance that has not heard of it names an earlier one.
 func (planner *Planner) newestVersions() map[string]uint32 {
@@ -150,8 +120,7 @@
 		for _, use := range demand.Uses {
 			if use.Waiting > 0 && !planner.residentOrPending(use.Adapter) {
 				wanted := Adapter{Name: use.Adapter.Name, Version: newest[use.Adapter.Name]}
-				counts := missing[wanted]
-				missing[wanted] = waiters{bound: counts.bound + use.Bound, onTime: counts.onTime + use.Waiting - use.Late, late: counts.late + use.Late}
+				missing[wanted] = missing[wanted].plus(use)
 			}
 		}
 	}
