Tell loaders when requests must start, and relays what waits by priority

Relays name for each waiting request the time until it must start and until its caller gives up, its organisation's hash and how long it has waited, so that a loader that starts again restores the order from the next Demand. Loaders report what waits by priority; a relay counts as ahead of a request only what is not less urgent.

A new request for which more waits at every engine than can be admitted before its caller gives up is refused at once, with a Retry-After of the time that the excess takes, spread by half.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -163,6 +163,7 @@
 // nothing to report yet. With full set it counts as a full state.
 func (loader *Loader) newState(full bool, entries []string) *wirepb.EngineState {
 	backlog, late := loader.admission.Backlog()
+	waiting := loader.admission.Waiting()
 	freeSlots, boundWaiting := loader.planner.FreeSlots(), loader.admission.BoundWaiting()
 	speed, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
 	cacheCapacity := loader.planner.CacheCapacity()
@@ -184,6 +185,7 @@
 		Brief: true, Pace: codec.EncodeSpeed(speed), Intake: codec.EncodeTokenRate(admissionRate),
 		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting),
 	}
+	codec.EncodeWaiting(waiting, state)
 	loader.lastStateAt, loader.sentUnreachable = time.Now(), state.GetUnreachable()
 	if full {
 		loader.fullStateAt, loader.sentReport, loader.fullSerial = time.Now(), report, loader.serial
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -200,6 +200,10 @@
 	metric.SetGauge("loader", "late-tokens", late)
 	metric.SetGauge("loader", "free-places", int64(loader.planner.FreeSlots()))
 	metric.SetGauge("loader", "reports-missed", int64(loader.missedReports))
+	for kind, count := range loader.admission.Grants() {
+		metric.SetGauge("loader", "grants-"+kind.String(), count)
+	}
+	metric.SetGauge("loader", "longest-wait-ms", loader.admission.Waiting().Longest.Milliseconds())
 	metric.SetGauge("loader", "intake-tokens", int64(codec.EncodeTokenRate(loader.admission.AdmissionRate())))
 }
 
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -17,6 +17,7 @@
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/order"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
@@ -99,6 +100,8 @@
 	moves   int
 	load    int
 	backlog int64
+	// class is the class of the request in the order at engines when it was last sent.
+	class order.Class
 
 	// failure is the response of an upstream that ran the request and failed. It is
 	// kept with its body, as another upstream may succeed.
@@ -347,6 +350,9 @@
 		zap.Int64("backlog", proxyRequest.backlog),
 		zap.Duration("took", time.Since(proxyRequest.started)),
 	)
+	if proxyRequest.service != nil && proxyRequest.service.Engine != nil {
+		fields = append(fields, zap.Stringer("class", proxyRequest.loggedClass()), zap.Int("priority", proxyRequest.admissionPriority()))
+	}
 	if proxyRequest.adapter.Name != "" {
 		fields = append(fields, zap.String("adapter", proxyRequest.adapter.Name), zap.Uint32("adapter-version", proxyRequest.adapter.Version))
 	}
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -234,6 +234,7 @@
 		Unresponsive:     state.GetSilent(),
 		Backlog:          state.GetBacklogTokens(),
 		Late:             state.GetLateTokens(),
+		Waiting:          codec.DecodeWaiting(state),
 		AdmissionRate:    codec.DecodeTokenRate(state.GetIntake()),
 		Speed:            codec.DecodeSpeed(state.GetPace()),
 		CacheCapacity:    int(state.GetRecallReach()),
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -49,6 +49,10 @@
 		proxyRequest.giveUp(ctx, refused)
 		return
 	}
+	if refused := proxyRequest.backlogRefusal(); refused != nil {
+		proxyRequest.giveUp(ctx, refused)
+		return
+	}
 	for {
 		choice, refused := proxyRequest.awaitUpstream(ctx)
 		if refused != nil {
@@ -137,6 +141,7 @@
 		Exclude:  proxyRequest.tried,
 		Urgent:   proxyRequest.resumes() || proxyRequest.priority() == 0,
 		Late:     proxyRequest.late(),
+		Priority: proxyRequest.admissionPriority(),
 
 		Resumed:         proxyRequest.resumes(),
 		SoftwareVersion: proxyRequest.origin.Version,
@@ -213,6 +218,7 @@
 // adapter if the choice names an upstream for it.
 func (proxyRequest *proxyRequest) recordChoice(choice picker.Choice) {
 	proxyRequest.upstream, proxyRequest.load, proxyRequest.backlog = choice.Upstream.ID, choice.Load, choice.Backlog
+	proxyRequest.class = proxyRequest.presentClass()
 	if choice.CopyTo.ID != "" {
 		proxyRequest.relay.requestCopy(choice.CopyTo, proxyRequest)
 	}
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -108,14 +108,11 @@
 func (picker *Picker) backlog(upstream *upstream, load int, request Request, now time.Time) int64 {
 	backlog := int64(load * tokensPerRunning)
 	if picker.reportIsRecent(upstream, now) {
-		backlog += upstream.report.Backlog
-		if request.Late {
-			backlog += upstream.report.Late
-		}
+		backlog += upstream.report.ahead(request)
 	}
 	covered := upstream.reportedAt.Add(-picker.config.ReportLag)
 	for _, waiter := range upstream.waiting {
-		if waiter.addedAt.After(covered) && upstream.hasAdapter(waiter.Adapter) && (request.Late || !waiter.late(now)) {
+		if waiter.addedAt.After(covered) && upstream.hasAdapter(waiter.Adapter) && request.comesAfter(waiter, now) {
 			backlog += waiter.PromptTokens
 		}
 	}
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -30,6 +30,8 @@
 	// Late requests have missed their response-time goal and come after those
 	// on time.
 	Late bool
+	// Priority is the request's priority at an engine; 0 is the most urgent level.
+	Priority int
 	// Resumed means that the request continues a stream that the software version
 	// SoftwareVersion began. Only upstreams of that version may get it.
 	Resumed         bool
--- a/internal/flow/picker/report.go
+++ b/internal/flow/picker/report.go
@@ -31,6 +31,8 @@
 	// such requests that are late.
 	Backlog int64
 	Late    int64
+	// Waiting names the parts of Backlog and Late that wait, by priority.
+	Waiting admit.Waiting
 	// AdmissionRate is how many prompt tokens per millisecond the loader
 	// admits, 0 if unknown.
 	AdmissionRate float64
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -8,6 +8,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/order"
 )
 
 // waiter is a request that waits for admission at an upstream.
@@ -70,7 +71,8 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	if upstream, ok := picker.upstreams[id]; ok {
-		upstream.waiting[request.ID] = &waiter{Request: request, addedAt: time.Now(), lateAt: lateAt}
+		request.AddedAt = time.Now()
+		upstream.waiting[request.ID] = &waiter{Request: request, addedAt: request.AddedAt, lateAt: lateAt}
 		upstream.generation++
 	}
 }
@@ -161,6 +163,22 @@
 	return 0
 }
 
+// copyWeights returns the weights of the requested copies, by adapter. Each weighs
+// as little as the least urgent request that waits for an adapter.
+func (upstream *upstream) copyWeights() map[lora.Adapter]int {
+	least := order.MaxWeight
+	for _, request := range upstream.waiting {
+		if request.Adapter.Name != "" {
+			least = min(least, order.Weight(request.Priority))
+		}
+	}
+	weights := make(map[lora.Adapter]int, len(upstream.requestedCopies))
+	for adapter, copies := range upstream.requestedCopies {
+		weights[adapter] = copies * least
+	}
+	return weights
+}
+
 // AdapterDemand returns this instance's demand at an upstream by adapter,
 // ordered by the adapters' names and versions.
 func (picker *Picker) AdapterDemand(id string) []lora.AdapterUse {
@@ -173,6 +191,7 @@
 	now := time.Now()
 	othersServe := picker.othersServe(upstream)
 	waiting, late, bound := maps.Clone(upstream.requestedCopies), make(map[lora.Adapter]int), make(map[lora.Adapter]int)
+	weights, lateWeights := upstream.copyWeights(), make(map[lora.Adapter]int)
 	for _, request := range upstream.waiting {
 		if request.Adapter.Name == "" {
 			continue
@@ -180,6 +199,9 @@
 		waiting[request.Adapter]++
 		if request.late(now) {
 			late[request.Adapter]++
+			lateWeights[request.Adapter] += order.Weight(request.Priority)
+		} else {
+			weights[request.Adapter] += order.Weight(request.Priority)
 		}
 		if request.Bound && othersServe {
 			bound[request.Adapter]++
@@ -189,7 +211,11 @@
 	maps.Copy(adapters, waiting)
 	uses := make([]lora.AdapterUse, 0, len(adapters))
 	for adapter := range adapters {
-		uses = append(uses, lora.AdapterUse{Adapter: adapter, Running: upstream.runningByAdapter[adapter], Waiting: waiting[adapter], Late: late[adapter], Bound: bound[adapter]})
+		use := lora.AdapterUse{Adapter: adapter, Running: upstream.runningByAdapter[adapter], Waiting: waiting[adapter], Late: late[adapter], Bound: bound[adapter]}
+		if weights[adapter]+lateWeights[adapter] != order.MaxWeight*use.Waiting {
+			use.Weight, use.LateWeight = weights[adapter], lateWeights[adapter]
+		}
+		uses = append(uses, use)
 	}
 	slices.SortFunc(uses, func(a, b lora.AdapterUse) int { return compareAdapters(a.Adapter, b.Adapter) })
 	return uses
--- a/internal/wire/codec/datagram.go
+++ b/internal/wire/codec/datagram.go
@@ -37,6 +37,7 @@
 		encoded = append(encoded, &wirepb.AdapterUse{
 			Adapter: use.Adapter.Name, Version: use.Adapter.Version,
 			Running: uint32(use.Running), Waiting: uint32(use.Waiting), Late: uint32(use.Late), Bound: uint32(use.Bound),
+			Weight: uint32(use.Weight), LateWeight: uint32(use.LateWeight),
 		})
 	}
 	return encoded
@@ -49,6 +50,7 @@
 		uses = append(uses, lora.AdapterUse{
 			Adapter: lora.Adapter{Name: use.GetAdapter(), Version: use.GetVersion()},
 			Running: int(use.GetRunning()), Waiting: int(use.GetWaiting()), Late: int(use.GetLate()), Bound: int(use.GetBound()),
+			Weight: int(use.GetWeight()), LateWeight: int(use.GetLateWeight()),
 		})
 	}
 	return uses
@@ -61,7 +63,8 @@
 		encoded = append(encoded, &wirepb.Ask{
 			Id: request.ID, Adapter: request.Adapter.Name, Version: request.Adapter.Version,
 			PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Priority: uint32(max(request.Priority, 0)), Late: request.Late,
-			WaitedMs: uint32(request.Waited.Milliseconds()), Bound: request.Bound,
+			WaitedMs: uint32(request.Waited.Milliseconds()), Bound: request.Bound, Organisation: request.Organisation,
+			StartWithinMs: encodeTimeUntil(request.StartBy), GiveUpWithinMs: encodeTimeUntil(request.GiveUpBy), WaitingMs: encodeTimeSince(request.AddedAt),
 		})
 	}
 	return encoded
@@ -74,12 +77,54 @@
 		requests = append(requests, admit.Request{
 			ID: request.GetId(), Adapter: lora.Adapter{Name: request.GetAdapter(), Version: request.GetVersion()},
 			PromptTokens: request.GetPromptTokens(), OutputTokens: request.GetOutputTokens(), Priority: int(request.GetPriority()), Late: request.GetLate(),
-			Waited: time.Duration(request.GetWaitedMs()) * time.Millisecond, Bound: request.GetBound(),
+			Waited: time.Duration(request.GetWaitedMs()) * time.Millisecond, Bound: request.GetBound(), Organisation: request.GetOrganisation(),
+			StartBy: decodeTime(request.GetStartWithinMs(), 1), GiveUpBy: decodeTime(request.GetGiveUpWithinMs(), 1), AddedAt: decodeTime(request.GetWaitingMs(), -1),
 		})
 	}
 	return requests
 }
 
+// encodeTimeUntil encodes a time to come as the milliseconds until then, at least 1,
+// and the zero time as 0.
+func encodeTimeUntil(at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(max(time.Until(at).Milliseconds(), 1))
+}
+
+// encodeTimeSince encodes a past time as the milliseconds since then, rounded up, and
+// the zero time as 0.
+func encodeTimeSince(at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(max(time.Since(at).Milliseconds()+1, 1))
+}
+
+// decodeTime decodes what encodeTimeUntil encoded, with a direction of 1, or
+// encodeTimeSince, with one of -1.
+func decodeTime(milliseconds uint32, direction time.Duration) time.Time {
+	if milliseconds == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(direction * time.Duration(milliseconds) * time.Millisecond)
+}
+
+// EncodeWaiting encodes what waits for admission.
+func EncodeWaiting(waiting admit.Waiting, state *wirepb.EngineState) {
+	state.WaitingTokens, state.WaitingLateTokens = waiting.OnTime[:], waiting.Late[:]
+	state.LongestWaitMs = uint32(waiting.Longest.Milliseconds())
+}
+
+// DecodeWaiting decodes what EncodeWaiting encoded.
+func DecodeWaiting(state *wirepb.EngineState) admit.Waiting {
+	waiting := admit.Waiting{Longest: time.Duration(state.GetLongestWaitMs()) * time.Millisecond}
+	copy(waiting.OnTime[:], state.GetWaitingTokens())
+	copy(waiting.Late[:], state.GetWaitingLateTokens())
+	return waiting
+}
+
 // EncodeSpeed encodes the speed of an engine.
 func EncodeSpeed(speed admit.Speed) *wirepb.Pace {
 	return &wirepb.Pace{ReadRate: EncodeTokenRate(speed.PrefillRate), EventUs: uint32(speed.EventInterval.Microseconds())}
