--- /dev/null
+++ b/internal/flow/admit/queue_test.go
@@ -0,0 +1,44 @@
+package admit
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"jacinthfront.dev/jacinthfront/internal/flow/order"
+)
+
+// TestRestoredOrder guards against requests that lose their place because the loader
+// has started again, and its first demand names a later request first.
+func TestRestoredOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		waiting := []Request{{ID: 1, PromptTokens: 3000, Waited: 200 * time.Millisecond}, {ID: 2, PromptTokens: 3000, AddedAt: now.Add(-time.Second)}}
+		if diff := cmp.Diff([]uint64{2, 1}, grantOrder(newController(), threeTokens, waiting)); diff != "" {
+			t.Errorf("order (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestWaiting guards against a report that hides what waits before a request of a
+// priority, or counts what was admitted or cannot be yet, and against grants that are
+// counted as of another kind.
+func TestWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := newController()
+		controller.SetRequests("entry", threeTokens, []Request{
+			{ID: 1, PromptTokens: 4000}, {ID: 2, PromptTokens: 3000, Priority: 1},
+			{ID: 3, PromptTokens: 2000, Priority: 9, Late: true, Waited: 3 * time.Second},
+		})
+		controller.Grant()
+		want := Waiting{OnTime: [4]int64{1: 3000}, Late: [4]int64{3: 2000}, Longest: 3 * time.Second}
+		if diff := cmp.Diff(want, controller.Waiting()); diff != "" {
+			t.Errorf("waiting (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(map[GrantKind]int64{{Class: order.OnTime}: 1}, controller.Grants()); diff != "" {
+			t.Errorf("grants (-want +got):\n%s", diff)
+		}
+	})
+}
