--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -351,7 +351,7 @@
 		zap.Duration("took", time.Since(proxyRequest.started)),
 	)
 	if proxyRequest.service != nil && proxyRequest.service.Engine != nil {
-		fields = append(fields, zap.Stringer("class", proxyRequest.loggedClass()), zap.Int("priority", proxyRequest.admissionPriority()))
+		fields = append(fields, zap.Stringer("class", proxyRequest.loggedClass()), zap.Int("priority", proxyRequest.priority()))
 	}
 	if proxyRequest.adapter.Name != "" {
 		fields = append(fields, zap.String("adapter", proxyRequest.adapter.Name), zap.Uint32("adapter-version", proxyRequest.adapter.Version))
