Let the route's priority decide where the organisations' are equal

An organisation's priority takes the place of the route's. Now the route's priority counts as a quarter of a level each, up to three, in the order, and accordingly in the weights for the next adapter. A demand's waited time goes on while a request waits, so that a loader that starts again restores the place in line without a field of its own.

TestRank has a case for each direction.

--- a/internal/daemon/relay/urgency.go
+++ b/internal/daemon/relay/urgency.go
@@ -22,6 +22,14 @@
 	return proxyRequest.latestSend()
 }
 
+// routePriority returns the priority of the route if the organisation's takes its place.
+func (proxyRequest *proxyRequest) routePriority() int {
+	if proxyRequest.resumes() || proxyRequest.organisation == nil || proxyRequest.organisation.Priority == nil {
+		return 0
+	}
+	return proxyRequest.route.Priority
+}
+
 // organisationHash returns a hash of the organisation's name, 0 if there is none.
 func (proxyRequest *proxyRequest) organisationHash() uint32 {
 	if proxyRequest.organisation == nil {
--- a/internal/daemon/relay/waitingrequest.go
+++ b/internal/daemon/relay/waitingrequest.go
@@ -60,8 +60,8 @@
 			ID: waitingRequest.number, Adapter: requirements.Adapter, Priority: waitingRequest.proxyRequest.admissionPriority(),
 			PromptTokens: waitingRequest.proxyRequest.info.PromptTokens, OutputTokens: waitingRequest.proxyRequest.info.MaxOutputTokens,
 			Waited: time.Since(waitingRequest.proxyRequest.started), Bound: requirements.Resumed,
-			Organisation: waitingRequest.proxyRequest.organisationHash(),
-			StartBy:      waitingRequest.proxyRequest.startBy(), GiveUpBy: time.Now().Add(waitingRequest.proxyRequest.remainingWait()),
+			Organisation: waitingRequest.proxyRequest.organisationHash(), RoutePriority: waitingRequest.proxyRequest.routePriority(),
+			StartBy: waitingRequest.proxyRequest.startBy(), GiveUpBy: time.Now().Add(waitingRequest.proxyRequest.remainingWait()),
 		}, waitingRequest.proxyRequest.latestSend())
 		waitingRequest.proxyRequest.relay.reportSoon()
 	}
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -80,8 +80,12 @@
 	PromptTokens int64
 	OutputTokens int64
 	Priority     int
-	// Waited is how long the request had waited elsewhere before, so that a
-	// request that moves keeps its place in line.
+	// RoutePriority is the priority of the route, which decides where those of
+	// organisations are equal; 0 if Priority is that of the route.
+	RoutePriority int
+	// Waited is how long the request had waited before AddedAt, or until now if
+	// that is zero, so that a request that moves, or whose loader has started
+	// again, keeps its place in line.
 	Waited time.Duration
 	// Late means that the request misses its response-time goal. Late requests
 	// get the capacity that those on time leave.
@@ -92,10 +96,11 @@
 	Bound bool
 	// Organisation is a hash of the organisation's name, 0 if it is not known.
 	Organisation uint32
-	// AddedAt is when the request began to wait for this engine, StartBy when it
-	// must start to meet its response-time goal, and GiveUpBy when its caller gives
-	// up. Each is zero if it is not known.
-	AddedAt  time.Time
+	// AddedAt is when the entry instance began to wait for this engine with the
+	// request; zero at the loader.
+	AddedAt time.Time
+	// StartBy is when the request must start to meet its response-time goal, and
+	// GiveUpBy when its caller gives up. Each is zero if it is not known.
 	StartBy  time.Time
 	GiveUpBy time.Time
 }
@@ -199,7 +204,7 @@
 			kept[request.ID] = waiter
 			continue
 		}
-		kept[request.ID] = &waiter{Request: request, entry: name, arrivedAt: request.addedAt(now).Add(-request.Waited)}
+		kept[request.ID] = &waiter{Request: request, entry: name, arrivedAt: now.Add(-request.Waited)}
 	}
 	known.waiters, known.heardAt = kept, now
 }
--- a/internal/flow/admit/queue.go
+++ b/internal/flow/admit/queue.go
@@ -36,14 +36,6 @@
 // level returns the index of a priority in Waiting.
 func level(priority int) int { return min(max(priority, 0), MaxPriority) }
 
-// addedAt returns when the request began to wait.
-func (request Request) addedAt(now time.Time) time.Time {
-	if request.AddedAt.IsZero() {
-		return now
-	}
-	return request.AddedAt
-}
-
 // queue returns the waiting requests whose adapter is loaded, in the order of
 // their admission.
 func (controller *Controller) queue() []*waiter {
@@ -67,7 +59,7 @@
 // orderRequest returns what the order of the request depends on.
 func (waiter *waiter) orderRequest() order.Request {
 	return order.Request{
-		Priority: waiter.Priority, Organisation: waiter.Organisation, Tokens: waiter.PromptTokens,
+		Priority: waiter.Priority, RoutePriority: waiter.RoutePriority, Organisation: waiter.Organisation, Tokens: waiter.PromptTokens,
 		ArrivedAt: waiter.arrivedAt, StartBy: waiter.StartBy, GiveUpBy: waiter.GiveUpBy, Late: waiter.Late, Bound: waiter.Bound,
 	}
 }
--- a/internal/flow/admit/queue_test.go
+++ b/internal/flow/admit/queue_test.go
@@ -14,8 +14,7 @@
 // has started again, and its first demand names a later request first.
 func TestRestoredOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		now := time.Now()
-		waiting := []Request{{ID: 1, PromptTokens: 3000, Waited: 200 * time.Millisecond}, {ID: 2, PromptTokens: 3000, AddedAt: now.Add(-time.Second)}}
+		waiting := []Request{{ID: 1, PromptTokens: 3000, Waited: 200 * time.Millisecond}, {ID: 2, PromptTokens: 3000, Waited: time.Second}}
 		if diff := cmp.Diff([]uint64{2, 1}, grantOrder(newController(), threeTokens, waiting)); diff != "" {
 			t.Errorf("order (-want +got):\n%s", diff)
 		}
--- a/internal/flow/lora/weight_test.go
+++ b/internal/flow/lora/weight_test.go
@@ -12,7 +12,7 @@
 
 // weighing returns the use of an adapter that requests of one priority wait for.
 func weighing(number, count, late, priority int) AdapterUse {
-	weight := order.Weight(priority)
+	weight := order.Weight(priority, 0)
 	return AdapterUse{Adapter: adapter(number), Waiting: count, Late: late, Weight: (count - late) * weight, LateWeight: late * weight}
 }
 
--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -56,6 +56,9 @@
 // Request is what the order of a waiting request depends on.
 type Request struct {
 	Priority int
+	// RoutePriority is the priority of the request's route if the organisation's
+	// takes its place as Priority. It decides where those are equal.
+	RoutePriority int
 	// Organisation is a hash of the organisation's name, 0 if it is not known.
 	Organisation uint32
 	// Tokens is the work that the request is for the engine, in prompt tokens.
@@ -173,7 +176,7 @@
 func competing(requests []Request) bool {
 	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, request := range requests {
-		if request.Priority != requests[0].Priority || request.Organisation != requests[0].Organisation {
+		if request.level() != requests[0].level() || request.Organisation != requests[0].Organisation {
 			return true
 		}
 		slack := time.Duration(0)
@@ -185,6 +188,15 @@
 	return longest-shortest > slackTolerance
 }
 
+// routeLevels is the number of route priorities that together make a level of
+// Priority.
+const routeLevels = 4
+
+// level returns Priority with the route's priority as a fraction.
+func (request Request) level() float64 {
+	return float64(request.Priority) + float64(min(max(request.RoutePriority, 0), routeLevels-1))/routeLevels
+}
+
 // class returns the class of a request by itself.
 func (request Request) class() Class {
 	switch {
@@ -200,7 +212,7 @@
 // sortTime returns the time by which the requests of one class are ordered.
 // Those on time are ordered by the time at which they must start.
 func (ranker *Ranker) sortTime(request Request, place Place, now time.Time) time.Time {
-	at := request.startBy(ranker.config.Slack).Add(time.Duration(request.Priority) * ranker.config.PriorityDelay)
+	at := request.startBy(ranker.config.Slack).Add(time.Duration(request.level() * float64(ranker.config.PriorityDelay)))
 	if place.Class == Late {
 		at = ranker.lateSortTime(request, now)
 	}
@@ -219,7 +231,7 @@
 		patience = request.GiveUpBy.Sub(request.ArrivedAt)
 	}
 	passed := min(now.Sub(request.ArrivedAt).Seconds()/patience.Seconds(), 1)
-	passed -= float64(request.Priority) * ranker.config.LatePriorityPart * (1 - passed)
+	passed -= request.level() * ranker.config.LatePriorityPart * (1 - passed)
 	return now.Add(-time.Duration(passed * float64(ranker.config.Patience)))
 }
 
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -58,6 +58,16 @@
 			requests: []Request{due(-0.1, 0.5), due(0, 0.5), with(due(-0.5, 0.5), urgent(1))},
 			capacity: Capacity{Rate: 4}, want: []Class{OnTime, OnTime, Late},
 		},
+		{
+			name: "route's priority", guards: "a less urgent route before a more urgent one where the organisations' priorities are equal",
+			requests: []Request{due(0, 0.5), with(due(-0.05, 0.5), func(request *Request) { request.RoutePriority = 1 })},
+			want:     []Class{OnTime, OnTime},
+		},
+		{
+			name: "organisation's priority", guards: "a route's priority that outweighs an organisation's",
+			requests: []Request{with(due(0, 0.5), func(request *Request) { request.RoutePriority = 9 }), with(due(0, 0.5), urgent(1))},
+			want:     []Class{OnTime, OnTime},
+		},
 		{
 			name: "above its share", guards: "an organisation that delays a small one of the same priority",
 			requests: []Request{
--- a/internal/flow/order/pass.go
+++ b/internal/flow/order/pass.go
@@ -91,7 +91,7 @@
 // compareUrgency orders requests by priority and by their organisations' shares.
 func (passing *passing) compareUrgency(a, b int) int {
 	return cmp.Or(
-		cmp.Compare(passing.request(a).Priority, passing.request(b).Priority),
+		cmp.Compare(passing.request(a).level(), passing.request(b).level()),
 		compareBool(passing.places[a].aboveShare, passing.places[b].aboveShare),
 	)
 }
--- a/internal/flow/picker/waiting.go
+++ b/internal/flow/picker/waiting.go
@@ -169,7 +169,7 @@
 	least := order.MaxWeight
 	for _, request := range upstream.waiting {
 		if request.Adapter.Name != "" {
-			least = min(least, order.Weight(request.Priority))
+			least = min(least, order.Weight(request.Priority, request.RoutePriority))
 		}
 	}
 	weights := make(map[lora.Adapter]int, len(upstream.requestedCopies))
@@ -199,9 +199,9 @@
 		waiting[request.Adapter]++
 		if request.late(now) {
 			late[request.Adapter]++
-			lateWeights[request.Adapter] += order.Weight(request.Priority)
+			lateWeights[request.Adapter] += order.Weight(request.Priority, request.RoutePriority)
 		} else {
-			weights[request.Adapter] += order.Weight(request.Priority)
+			weights[request.Adapter] += order.Weight(request.Priority, request.RoutePriority)
 		}
 		if request.Bound && othersServe {
 			bound[request.Adapter]++
--- a/internal/wire/codec/datagram.go
+++ b/internal/wire/codec/datagram.go
@@ -63,8 +63,9 @@
 		encoded = append(encoded, &wirepb.Ask{
 			Id: request.ID, Adapter: request.Adapter.Name, Version: request.Adapter.Version,
 			PromptTokens: request.PromptTokens, OutputTokens: request.OutputTokens, Priority: uint32(max(request.Priority, 0)), Late: request.Late,
-			WaitedMs: uint32(request.Waited.Milliseconds()), Bound: request.Bound, Organisation: request.Organisation,
-			StartWithinMs: encodeTimeUntil(request.StartBy), GiveUpWithinMs: encodeTimeUntil(request.GiveUpBy), WaitingMs: encodeTimeSince(request.AddedAt),
+			WaitedMs: uint32((request.Waited + timeSince(request.AddedAt)).Milliseconds()), Bound: request.Bound, Organisation: request.Organisation,
+			StartWithinMs: encodeTimeUntil(request.StartBy), GiveUpWithinMs: encodeTimeUntil(request.GiveUpBy),
+			RoutePriority: uint32(max(request.RoutePriority, 0)),
 		})
 	}
 	return encoded
@@ -78,7 +79,8 @@
 			ID: request.GetId(), Adapter: lora.Adapter{Name: request.GetAdapter(), Version: request.GetVersion()},
 			PromptTokens: request.GetPromptTokens(), OutputTokens: request.GetOutputTokens(), Priority: int(request.GetPriority()), Late: request.GetLate(),
 			Waited: time.Duration(request.GetWaitedMs()) * time.Millisecond, Bound: request.GetBound(), Organisation: request.GetOrganisation(),
-			StartBy: decodeTime(request.GetStartWithinMs(), 1), GiveUpBy: decodeTime(request.GetGiveUpWithinMs(), 1), AddedAt: decodeTime(request.GetWaitingMs(), -1),
+			StartBy: decodeTimeUntil(request.GetStartWithinMs()), GiveUpBy: decodeTimeUntil(request.GetGiveUpWithinMs()),
+			RoutePriority: int(request.GetRoutePriority()),
 		})
 	}
 	return requests
@@ -93,22 +95,20 @@
 	return uint32(max(time.Until(at).Milliseconds(), 1))
 }
 
-// encodeTimeSince encodes a past time as the milliseconds since then, rounded up, and
-// the zero time as 0.
-func encodeTimeSince(at time.Time) uint32 {
-	if at.IsZero() {
-		return 0
+// decodeTimeUntil decodes what encodeTimeUntil encoded.
+func decodeTimeUntil(milliseconds uint32) time.Time {
+	if milliseconds == 0 {
+		return time.Time{}
 	}
-	return uint32(max(time.Since(at).Milliseconds()+1, 1))
+	return time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
 }
 
-// decodeTime decodes what encodeTimeUntil encoded, with a direction of 1, or
-// encodeTimeSince, with one of -1.
-func decodeTime(milliseconds uint32, direction time.Duration) time.Time {
-	if milliseconds == 0 {
-		return time.Time{}
+// timeSince returns the time since a past time, and 0 for the zero time.
+func timeSince(at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
 	}
-	return time.Now().Add(direction * time.Duration(milliseconds) * time.Millisecond)
+	return time.Since(at)
 }
 
 // EncodeWaiting encodes what waits for admission.
--- a/internal/wire/codec/order_test.go
+++ b/internal/wire/codec/order_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		now := time.Now()
 		requests := []admit.Request{{
-			ID: 7, Waited: time.Second, Organisation: 0xfedcba98, AddedAt: now.Add(-2 * time.Second),
+			ID: 7, Waited: 3 * time.Second, Organisation: 0xfedcba98, RoutePriority: 2,
 			StartBy: now.Add(300 * time.Millisecond), GiveUpBy: now.Add(9 * time.Second),
 		}}
 		uses := []lora.AdapterUse{{Adapter: lora.Adapter{Name: "a1"}, Waiting: 3, Late: 1, Weight: 96, LateWeight: 16}}
@@ -27,13 +27,13 @@
 		state := &wirepb.EngineState{}
 		EncodeWaiting(waiting, state)
 		late := DecodeRequests(EncodeRequests([]admit.Request{{StartBy: now.Add(-time.Second)}}))
-		decoded := DecodeRequests(EncodeRequests(requests))
-		decoded[0].AddedAt = decoded[0].AddedAt.Add(time.Millisecond) // rounded up
+		added := requests[0]
+		added.Waited, added.AddedAt = time.Second, now.Add(-2*time.Second)
 		tests := []struct {
 			name      string
 			want, got any
 		}{
-			{"asks", requests, decoded},
+			{"asks", requests, DecodeRequests(EncodeRequests([]admit.Request{added}))},
 			{"start that has passed", now.Add(time.Millisecond), late[0].StartBy},
 			{"uses", uses, DecodeAdapterUses(EncodeAdapterUses(uses))},
 			{"waiting", waiting, DecodeWaiting(state)},
