--- a/internal/flow/admit/contention_test.go
+++ b/internal/flow/admit/contention_test.go
@@ -174,6 +174,9 @@
 		factor func(at time.Duration, kind, organisation int) float64
 		// retries is how often callers that wait for twice their goal try again at once.
 		retries int
+		// equal means that all organisations have the same priority, which takes the
+		// place of their routes'.
+		equal bool
 	}{
 		{name: "burst of the least urgent kind", factor: func(at time.Duration, kind, _ int) float64 {
 			if kind == 2 && during(at) {
@@ -190,12 +193,18 @@
 		{name: "retries at once and often", retries: 3, factor: func(time.Duration, int, int) float64 { return 1.7 }},
 		{name: "1.2 times the engine's rate", factor: func(time.Duration, int, int) float64 { return 1.2 / 0.7 }},
 		{name: "2 times the engine's rate", factor: func(time.Duration, int, int) float64 { return 2 / 0.7 }},
+		{name: "2 times, equal organisations", equal: true, factor: func(time.Duration, int, int) float64 { return 2 / 0.7 }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				before := play(newCalls(test.factor), presentOrder, test.retries)
-				after := play(newCalls(test.factor), func(request Request) Request { return request }, test.retries)
+				after := play(newCalls(test.factor), func(request Request) Request {
+					if test.equal {
+						request.RoutePriority, request.Priority = request.Priority, 1
+					}
+					return request
+				}, test.retries)
 				compare := func(group string, selected func(*call) bool) (old, ranked result) {
 					old, ranked = sum(before, selected), sum(after, selected)
 					t.Logf("%s: in time %.2f before, %.2f after; answered %.2f, %.2f; worth %.0f, %.0f",
