--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -169,11 +169,12 @@
 // nothing to report yet. With full set it counts as a full state.
 func (loader *Loader) newState(full bool, entries []string) *wirepb.EngineState {
 	backlog, late := loader.admission.Backlog()
+	waiting := loader.admission.Waiting()
 	freeSlots, boundWaiting := loader.planner.FreeSlots(), loader.admission.BoundWaiting()
 	pace, admissionRate := loader.admission.Speed(), loader.admission.AdmissionRate()
-	waiting := 0
+	waitingRequests := 0
 	if cold := loader.admission.ColdState(); cold.Limit.PerSecond > 0 {
-		waiting = cold.Waiting
+		waitingRequests = cold.Waiting
 	}
 	cacheCapacity := loader.planner.CacheCapacity()
 	work := codec.EncodeWork(loader.admission.Work())
@@ -194,9 +195,10 @@
 		Silent:        loader.unreachable() && loader.unresponsive,
 		BacklogTokens: backlog, LateTokens: late, FreePlaces: uint32(freeSlots), LoadsQueued: uint32(loader.planner.QueuedLoads()),
 		Brief: true, Pace: codec.EncodeSpeed(pace), Intake: codec.EncodeTokenRate(admissionRate),
-		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting), Waiting: uint32(waiting),
+		RecallReach: uint32(cacheCapacity), BoundWaiting: uint32(boundWaiting), Waiting: uint32(waitingRequests),
 		Work: work, PauseRiskPermille: codec.EncodePerMille(pauseRisk), LastingPauseRiskPermille: codec.EncodePerMille(lastingPauseRisk),
 	}
+	codec.EncodeWaiting(waiting, state)
 	loader.lastStateAt, loader.sentUnreachable = time.Now(), state.GetUnreachable()
 	if full {
 		loader.fullStateAt, loader.sentReport, loader.fullSerial = time.Now(), report, loader.serial
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -210,6 +210,10 @@
 	metric.SetGauge("loader", "cold-counted", int64(cold.Counted))
 	metric.SetGauge("loader", "cold-remaining-ms", cold.Remaining.Milliseconds())
 	loader.setWorkGauges()
+	for kind, count := range loader.admission.Grants() {
+		metric.SetGauge("loader", "grants-"+kind.String(), count)
+	}
+	metric.SetGauge("loader", "longest-wait-ms", loader.admission.Waiting().Longest.Milliseconds())
 	metric.SetGauge("loader", "intake-tokens", int64(codec.EncodeTokenRate(loader.admission.AdmissionRate())))
 }
 
--- a/internal/daemon/relay/charge.go
+++ b/internal/daemon/relay/charge.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	proxyRequest.awaitStartup(proxyRequest.relay.limiter.Initialised)
-	proxyRequest.class = proxyRequest.relay.classOf(proxyRequest.route)
+	proxyRequest.waitClass = proxyRequest.relay.classOf(proxyRequest.route)
 	// If the bucket holds enough soon, waiting takes less time than a retry by the
 	// caller.
 	until := time.Now().Add(proxyRequest.route.ResponseGoal / admissionWaitDivisor)
@@ -28,10 +28,10 @@
 		denial, ok = proxyRequest.take()
 	}
 	if ok {
-		proxyRequest.relay.metrics.recordCharged(proxyRequest.class, proxyRequest.cost())
+		proxyRequest.relay.metrics.recordCharged(proxyRequest.waitClass, proxyRequest.cost())
 		return nil
 	}
-	proxyRequest.relay.metrics.recordDenied(proxyRequest.class)
+	proxyRequest.relay.metrics.recordDenied(proxyRequest.waitClass)
 	proxyRequest.logRateExceeded(denial)
 	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", proxyRequest.chargeRetryAfter(denial)}
 }
@@ -48,7 +48,7 @@
 // take asks the organisation's token bucket for the request's cost.
 func (proxyRequest *proxyRequest) take() (bucket.Denial, bool) {
 	return proxyRequest.relay.limiter.TakeRequest(proxyRequest.organisation.Name, proxyRequest.limit(),
-		bucket.Request{Cost: proxyRequest.cost(), Class: proxyRequest.class, Identity: proxyRequest.identity})
+		bucket.Request{Cost: proxyRequest.cost(), Class: proxyRequest.waitClass, Identity: proxyRequest.identity})
 }
 
 // chargeRetryAfter returns when the caller of a denied request may retry. Where classes
@@ -56,7 +56,7 @@
 // time that the rate needs for all that was denied, so that not all callers retry at
 // once. It is spread within the caller's remaining time if that suffices for the wait.
 func (proxyRequest *proxyRequest) chargeRetryAfter(denial bucket.Denial) time.Duration {
-	if proxyRequest.class == bucket.Unclassified {
+	if proxyRequest.waitClass == bucket.Unclassified {
 		return min(denial.Wait, maxRetryAfter)
 	}
 	spread := min(denial.Spread, maxRetryAfter)
@@ -73,7 +73,7 @@
 	status := proxyRequest.relay.limiter.Status(proxyRequest.organisation.Name, limit)
 	proxyRequest.log("relay: organisation's rate limit exceeded", zap.Float64("rate", limit.Rate), zap.Float64("burst", limit.Burst),
 		zap.Float64("level", status.Level), zap.Float64("part", status.Fraction), zap.Int("instances-silent", status.SilentPeers),
-		zap.Duration("class", time.Duration(proxyRequest.class)), zap.Float64("reserve", denial.Reserve), zap.Duration("wait", denial.Wait))
+		zap.Duration("caller-wait", time.Duration(proxyRequest.waitClass)), zap.Float64("reserve", denial.Reserve), zap.Duration("wait", denial.Wait))
 }
 
 func (proxyRequest *proxyRequest) limit() bucket.Limit {
@@ -91,6 +91,6 @@
 // run.
 func (proxyRequest *proxyRequest) refund() {
 	if proxyRequest.organisation != nil && proxyRequest.organisation.Rate > 0 && proxyRequest.runs == 0 {
-		proxyRequest.relay.limiter.RefundClass(proxyRequest.organisation.Name, proxyRequest.cost(), proxyRequest.class)
+		proxyRequest.relay.limiter.RefundClass(proxyRequest.organisation.Name, proxyRequest.cost(), proxyRequest.waitClass)
 	}
 }
--- a/internal/daemon/relay/charge_test.go
+++ b/internal/daemon/relay/charge_test.go
@@ -29,7 +29,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				proxyRequest := &proxyRequest{class: test.class, deadline: time.Now().Add(test.remaining)}
+				proxyRequest := &proxyRequest{waitClass: test.class, deadline: time.Now().Add(test.remaining)}
 				soonest, latest := time.Hour, time.Duration(0)
 				for range 100 {
 					got := proxyRequest.chargeRetryAfter(test.denial)
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -19,6 +19,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
+	"jacinthfront.dev/jacinthfront/internal/flow/order"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
@@ -69,8 +70,8 @@
 	route        *routes.Route
 	organisation *routes.Organisation
 	service      *routes.Service
-	// class is how long the route's callers can wait, if that matters for the charge.
-	class bucket.Class
+	// waitClass is how long the route's callers can wait, if that matters for the charge.
+	waitClass bucket.Class
 	// body is the body of the request.
 	body *buffer.Buffer
 	// identity is equal for two requests that differ in nothing but their ids.
@@ -105,6 +106,8 @@
 	backlog int64
 	// workFactor is that of the chosen upstream when the request was sent, 0 if unknown.
 	workFactor float64
+	// orderClass is the class of the request in the order at engines when it was last sent.
+	orderClass order.Class
 
 	// failure is the response of an upstream that ran the request and failed. It is
 	// kept with its body, as another upstream may succeed.
@@ -360,6 +363,9 @@
 		zap.Int64("backlog", proxyRequest.backlog),
 		zap.Duration("took", time.Since(proxyRequest.started)),
 	)
+	if proxyRequest.service != nil && proxyRequest.service.Engine != nil {
+		fields = append(fields, zap.Stringer("class", proxyRequest.loggedClass()), zap.Int("priority", proxyRequest.priority()))
+	}
 	if proxyRequest.adapter.Name != "" {
 		fields = append(fields, zap.String("adapter", proxyRequest.adapter.Name), zap.Uint32("adapter-version", proxyRequest.adapter.Version))
 	}
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -49,6 +49,10 @@
 		proxyRequest.giveUp(ctx, refused)
 		return
 	}
+	if refused := proxyRequest.backlogRefusal(); refused != nil {
+		proxyRequest.giveUp(ctx, refused)
+		return
+	}
 	for {
 		choice, refused := proxyRequest.awaitUpstream(ctx)
 		if refused != nil {
@@ -143,6 +147,7 @@
 		Exclude:      proxyRequest.tried,
 		Urgent:       proxyRequest.resumes() || proxyRequest.priority() == 0,
 		Late:         proxyRequest.late(),
+		Priority:     proxyRequest.admissionPriority(),
 
 		Resumed:         proxyRequest.resumes(),
 		SoftwareVersion: proxyRequest.origin.Version,
@@ -220,6 +225,7 @@
 func (proxyRequest *proxyRequest) recordChoice(choice picker.Choice) {
 	proxyRequest.upstream, proxyRequest.load, proxyRequest.backlog = choice.Upstream.ID, choice.Load, choice.Backlog
 	proxyRequest.workFactor = proxyRequest.relay.picker.WorkFactor(choice.Upstream.ID)
+	proxyRequest.orderClass = proxyRequest.presentClass()
 	if choice.CopyTo.ID != "" {
 		proxyRequest.relay.requestCopy(choice.CopyTo, proxyRequest)
 	}
--- a/internal/flow/picker/cold.go
+++ b/internal/flow/picker/cold.go
@@ -28,7 +28,7 @@
 	}
 	waiting, covered := 0, time.Time{}
 	if picker.reportIsRecent(upstream, now) {
-		waiting, covered = upstream.report.Waiting, upstream.reportedAt.Add(-picker.config.ReportLag)
+		waiting, covered = upstream.report.WaitingRequests, upstream.reportedAt.Add(-picker.config.ReportLag)
 	}
 	for number, waiter := range upstream.waiting {
 		if number != request.Number && waiter.addedAt.After(covered) {
--- a/internal/flow/picker/cold_test.go
+++ b/internal/flow/picker/cold_test.go
@@ -32,7 +32,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			picker := New(Config{Cold: test.cold})
 			picker.SetUpstreams([]fleet.Upstream{{ID: "i-cold", Service: "s", Address: "a:1", Slots: 64}, {ID: "i-busy", Service: "s", Address: "b:1", Slots: 64}})
-			picker.RecordReport("i-cold", Report{Serial: 1, ModelLoaded: true, Waiting: test.waiting})
+			picker.RecordReport("i-cold", Report{Serial: 1, ModelLoaded: true, WaitingRequests: test.waiting})
 			picker.RecordReport("i-busy", Report{Serial: 1, ModelLoaded: true, Backlog: 9000})
 			if choice := picker.Choose(Request{Service: "s", Engine: true}); choice.Result != Found || choice.Upstream.ID != test.want {
 				t.Errorf("chose %q (result %d), want %q", choice.Upstream.ID, choice.Result, test.want)
--- a/internal/flow/picker/report.go
+++ b/internal/flow/picker/report.go
@@ -32,6 +32,8 @@
 	// such requests that are late.
 	Backlog int64
 	Late    int64
+	// Waiting names the parts of Backlog and Late that wait, by priority.
+	Waiting admit.Waiting
 	// AdmissionRate is how many prompt tokens per millisecond the loader
 	// admits, 0 if unknown.
 	AdmissionRate float64
@@ -55,9 +57,9 @@
 	QueuedLoads int
 	// BoundWaiting is the number of bound requests that wait at the engine.
 	BoundWaiting int
-	// Waiting is the number of requests that wait for admission at an engine whose
+	// WaitingRequests is the number of requests that wait for admission at an engine whose
 	// service has a cold rate.
-	Waiting int
+	WaitingRequests int
 	// OmitsAdapters means that the report names no adapters; those of the
 	// report with the serial FullSerial still hold.
 	OmitsAdapters bool
