Give the oldest adapter its turn while others have waited long too

Any load of an adapter that had been waited for longer than oldestAfter counted as the turn of the oldest one. While several adapters were waited for that long, each load by weight reset the count, so an adapter of less urgent requests was never loaded. Now only a load of the oldest one counts as its turn. An adapter without a known wait, of a version that only running requests name, is no longer taken for the oldest.

TestOldestTurn fails before the change (the fourth load goes to another urgent adapter). go test ./internal/flow/lora passes.

--- a/internal/flow/lora/waiters.go
+++ b/internal/flow/lora/waiters.go
@@ -77,7 +77,10 @@
 // oldestInTurn returns the adapter that has been waited for longest if its turn
 // has come and no bound request waits.
 func (planner *Planner) oldestInTurn(missing map[Adapter]waiters) (Adapter, bool) {
-	oldest := slices.MinFunc(slices.Collect(maps.Keys(missing)), planner.compareWaits)
+	oldest, ok := planner.oldest(missing)
+	if !ok || planner.loadsSinceOldest < oldestTurn-1 {
+		return Adapter{}, false
+	}
 	uneven := false
 	for _, waiters := range missing {
 		if waiters.bound > 0 {
@@ -85,7 +88,17 @@
 		}
 		uneven = uneven || !waiters.weighLike(missing[oldest])
 	}
-	return oldest, uneven && planner.loadsSinceOldest >= oldestTurn-1 && planner.waitedLong(oldest)
+	return oldest, uneven
+}
+
+// oldest returns the adapter that has been waited for longest, if that is for longer
+// than oldestAfter.
+func (planner *Planner) oldest(missing map[Adapter]waiters) (Adapter, bool) {
+	old := slices.DeleteFunc(slices.Collect(maps.Keys(missing)), func(adapter Adapter) bool { return !planner.waitedLong(adapter) })
+	if len(old) == 0 {
+		return Adapter{}, false
+	}
+	return slices.MinFunc(old, planner.compareWaits), true
 }
 
 // weighLike reports whether a request weighs as much as one of the others on
@@ -101,10 +114,12 @@
 	return ok && time.Since(since) >= oldestAfter
 }
 
-// countLoad counts an ordered load.
+// countLoad counts an ordered load. One of an adapter that has been waited for long is a
+// turn of the oldest only if none has been waited for longer.
 func (planner *Planner) countLoad(adapter Adapter) {
 	planner.loadsSinceOldest++
-	if planner.waitedLong(adapter) {
+	oldest, ok := planner.oldest(planner.missing())
+	if planner.waitedLong(adapter) && (!ok || planner.compareWaits(adapter, oldest) <= 0) {
 		planner.loadsSinceOldest = 0
 	}
 }
--- a/internal/flow/lora/weight_test.go
+++ b/internal/flow/lora/weight_test.go
@@ -1,6 +1,7 @@
 package lora
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,3 +61,33 @@
 		})
 	}
 }
+
+// TestOldestTurn guards against an adapter of less urgent requests that is never loaded
+// while those of urgent ones are waited for as long as well.
+func TestOldestTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		planner := New(Config{})
+		planner.Observe(EngineState{Models: []string{"m"}})
+		uses := []AdapterUse{weighing(1, 1, 1, 2)}
+		demand := func() { planner.SetDemand(Demand{Entry: "entry", Model: "m", Slots: slots, Uses: uses}) }
+		demand()
+		time.Sleep(time.Millisecond)
+		for number := 2; number <= 2+oldestTurn; number++ {
+			uses = append(uses, weighing(number, 1, 1, 0))
+		}
+		demand()
+		time.Sleep(oldestAfter)
+		demand()
+		var loaded []Adapter
+		for range oldestTurn {
+			order, _ := planner.Next()
+			planner.RecordOrder(order)
+			loaded = append(loaded, order.Adapter)
+			uses = slices.DeleteFunc(slices.Clone(uses), func(use AdapterUse) bool { return use.Adapter == order.Adapter })
+			demand()
+		}
+		if diff := cmp.Diff([]Adapter{adapter(2), adapter(3), adapter(4), adapter(1)}, loaded); diff != "" {
+			t.Errorf("loaded (-want +got):\n%s", diff)
+		}
+	})
+}
