Choose what is passed over from a heap

A loader ranks its waiting requests several times for each datagram. Each request that was passed over scanned all that were kept, so the time grew with the square of their number where requests without a goal wait beside others that cannot be in time. A heap with the same order, and the place as last criterion, gives the same choice.

--- a/internal/flow/order/pass.go
+++ b/internal/flow/order/pass.go
@@ -2,19 +2,23 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
-	"slices"
 	"time"
 )
 
-// passing decides which requests on time are passed over.
+// passing decides which requests on time are passed over. It is a heap.Interface whose
+// first element is the request to be passed over next.
 type passing struct {
 	requests []Request
 	places   []Place
 	capacity Capacity
-	// kept holds the indices in places of the requests that can all be in time,
-	// and ahead is the sum of their tokens.
-	kept  []int
+	// heap holds the indices in places of the requests that were added, except those
+	// that cheapest returned. Those that are Late are no longer kept.
+	heap []int
+	// kept is the number of requests that can all be in time, and ahead the sum of
+	// their tokens.
+	kept  int
 	ahead int64
 }
 
@@ -36,8 +40,7 @@
 			if slack > ranker.config.Margin {
 				passed = passing.cheapest()
 			}
-			passing.remove(passed)
-			places[passed].Class = Late
+			passing.pass(passed)
 			places[passed].at = ranker.sortTime(requests[places[passed].Index], places[passed], now)
 		}
 	}
@@ -45,12 +48,13 @@
 
 // add keeps one more request, the last one in the order so far.
 func (passing *passing) add(index int) {
-	passing.kept = append(passing.kept, index)
+	heap.Push(passing, index)
+	passing.kept++
 	passing.ahead += passing.request(index).Tokens
 }
 
-func (passing *passing) request(index int) Request {
-	return passing.requests[passing.places[index].Index]
+func (passing *passing) request(index int) *Request {
+	return &passing.requests[passing.places[index].Index]
 }
 
 // slack returns the time until the request must start. One without a goal, or due
@@ -67,15 +71,16 @@
 // count, so that large requests are not passed over more often.
 func (passing *passing) misses(index int, slack time.Duration) bool {
 	excess := passing.ahead - passing.request(index).Tokens - passing.capacity.Free
-	if excess <= 0 || len(passing.kept) == 1 {
+	if excess <= 0 || passing.kept == 1 {
 		return false
 	}
 	return time.Duration(float64(excess)/passing.capacity.Rate*float64(time.Millisecond)) > slack
 }
 
-// remove keeps a request no longer.
-func (passing *passing) remove(index int) {
-	passing.kept = slices.DeleteFunc(passing.kept, func(kept int) bool { return kept == index })
+// pass puts a request among the late ones and keeps it no longer.
+func (passing *passing) pass(index int) {
+	passing.places[index].Class = Late
+	passing.kept--
 	passing.ahead -= passing.request(index).Tokens
 }
 
@@ -83,9 +88,40 @@
 // ones, of an organisation above its share if there is one, the last that arrived.
 // Its size does not matter, since large requests would starve.
 func (passing *passing) cheapest() int {
-	return slices.MaxFunc(passing.kept, func(a, b int) int {
-		return cmp.Or(passing.compareUrgency(a, b), passing.request(a).ArrivedAt.Compare(passing.request(b).ArrivedAt))
-	})
+	for {
+		index, _ := heap.Pop(passing).(int)
+		if passing.places[index].Class == OnTime {
+			return index
+		}
+	}
+}
+
+// Len implements heap.Interface.
+func (passing *passing) Len() int { return len(passing.heap) }
+
+// Less implements heap.Interface.
+func (passing *passing) Less(i, j int) bool {
+	a, b := passing.heap[i], passing.heap[j]
+	return cmp.Or(passing.compareUrgency(b, a), passing.request(b).ArrivedAt.Compare(passing.request(a).ArrivedAt), cmp.Compare(a, b)) < 0
+}
+
+// Swap implements heap.Interface.
+func (passing *passing) Swap(i, j int) {
+	passing.heap[i], passing.heap[j] = passing.heap[j], passing.heap[i]
+}
+
+// Push implements heap.Interface.
+func (passing *passing) Push(index any) {
+	added, _ := index.(int)
+	passing.heap = append(passing.heap, added)
+}
+
+// Pop implements heap.Interface.
+func (passing *passing) Pop() any {
+	last := len(passing.heap) - 1
+	index := passing.heap[last]
+	passing.heap = passing.heap[:last]
+	return index
 }
 
 // compareUrgency orders requests by priority and by their organisations' shares.
