Treat a start that has passed as due at the request's arrival

A stream that goes on was due at its arrival and is not passed over for that. A demand names its start as a millisecond ahead, the least it can name, so loaders took it for a goal of that length: of several such streams behind each other, as after the end of an engine, those that did not fit at once were put among the late requests. Bound ones were not concerned.

TestGoingOn fails before the change (two of four are late). Tests of internal/flow/admit pass.

--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -201,6 +201,9 @@
 // state.
 const reportDelay = 60 * time.Millisecond
 
+// startRounding is the least time until the start of a request that a demand can name.
+const startRounding = time.Millisecond
+
 // SetRequests replaces the waiting requests of an entry instance. Requests that
 // it names again keep their place in line, those that it no longer names are
 // dropped.
@@ -224,12 +227,23 @@
 			kept[request.ID] = waiter
 			continue
 		}
-		kept[request.ID] = &waiter{Request: request, entry: name, arrivedAt: now.Add(-request.Waited)}
+		kept[request.ID] = newWaiter(name, request, now)
 	}
 	controller.cold.observe(name, engineConfig.Cold, kept, now)
 	known.waiters, known.heardAt, known.sentAt = kept, now, engineConfig.Cold.SentAt
 }
 
+// newWaiter returns a waiter for a request that an entry instance names first. Demands name
+// a start that has passed as startRounding ahead, as for a stream that goes on, which was
+// due at its arrival.
+func newWaiter(entry string, request Request, now time.Time) *waiter {
+	waiter := &waiter{Request: request, entry: entry, arrivedAt: now.Add(-request.Waited)}
+	if !request.StartBy.IsZero() && request.StartBy.Sub(now) <= startRounding {
+		waiter.StartBy = waiter.arrivedAt
+	}
+	return waiter
+}
+
 // Grant admits the next requests in line as long as they fit. It returns the
 // ids of all requests that are admitted and still named by their entry
 // instance, by entry instance. changed names the entry instances with newly
--- a/internal/flow/admit/queue_test.go
+++ b/internal/flow/admit/queue_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,27 @@
 	})
 }
 
+// TestGoingOn guards against streams that go on, which were due at their arrival, among the
+// late requests, since a demand names their start as a millisecond ahead.
+func TestGoingOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := newController()
+		var waiting []Request
+		for id := range uint64(4) {
+			waiting = append(waiting, Request{ID: 1 + id, PromptTokens: 4000, Waited: time.Second, StartBy: time.Now().Add(time.Millisecond)})
+		}
+		waiting = append(waiting, Request{ID: 9, PromptTokens: 10, StartBy: time.Now().Add(time.Minute)})
+		controller.SetRequests("entry", threeTokens, waiting)
+		var classes []order.Class
+		for _, waiter := range controller.queue() {
+			classes = append(classes, waiter.class)
+		}
+		if diff := cmp.Diff(slices.Repeat([]order.Class{order.OnTime}, 5), classes); diff != "" {
+			t.Errorf("classes (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestWaiting guards against a report that hides what waits before a request of a
 // priority, or counts what was admitted or cannot be yet, and against grants that are
 // counted as of another kind.
