Admit no unlimited prompts just before a slow moment exceeds the goal

Where the events alone took less than a millisecond under the longest gap, no whole millisecond was left for prompts, and a limit of no tokens stands for no limit: all that waited was admitted at once. Such a gap now counts as too short, as one that the events exceed.

The new case of TestPauseBound fails before the change (12 prompts admitted at once instead of none). Tests of internal/flow/admit pass.

--- a/internal/flow/admit/factor_test.go
+++ b/internal/flow/admit/factor_test.go
@@ -54,6 +54,7 @@
 		{"usual, slow moment", 1, 2.5, 1},
 		{"slow", 1.6, 1.6, 2},
 		{"slow, slow moment", 1.6, 4, 0},
+		{"events alone almost exceed the goal", 1, 9.08, 0},
 		{"events alone exceed the goal", 1, 10, 0},
 	}
 	for _, test := range tests {
--- a/internal/flow/admit/prefill.go
+++ b/internal/flow/admit/prefill.go
@@ -9,6 +9,10 @@
 // is not gap limited.
 const queuedWindows = 2
 
+// minWindow is the shortest window in which tokens are admitted, as admissibleTokens
+// counts whole milliseconds.
+const minWindow = time.Millisecond
+
 // advance updates pendingPrefill to the present.
 func (controller *Controller) advance(now time.Time) {
 	elapsed := now.Sub(controller.updatedAt)
@@ -70,9 +74,9 @@
 // even without prefill.
 func (controller *Controller) tokenLimit() int64 {
 	switch {
-	case controller.engineConfig.MaxEventGap <= controller.eventIntervalAt(controller.work().Lasting):
+	case controller.engineConfig.MaxEventGap < controller.eventIntervalAt(controller.work().Lasting)+minWindow:
 		return 0
-	case controller.engineConfig.MaxEventGap <= controller.eventInterval():
+	case controller.engineConfig.MaxEventGap < controller.eventInterval()+minWindow:
 		// A slow moment alone exceeds it.
 		return 1
 	case controller.gapLimited():
