Rank the waiting requests for the next grant only where their order matters

NextGrant is asked after each datagram and needs the order only for the first request at an engine that is not gap limited; else it needs to know whether any waits.

--- a/internal/flow/admit/prefill.go
+++ b/internal/flow/admit/prefill.go
@@ -131,20 +131,22 @@
 func (controller *Controller) NextGrant() time.Duration {
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
-	queue := controller.queue()
-	if wait := controller.cold.wait(time.Now()); wait > 0 && len(queue) > 0 {
+	if len(controller.eligible()) == 0 {
+		return 0
+	}
+	if wait := controller.cold.wait(time.Now()); wait > 0 {
 		return wait
 	}
-	if len(queue) > 0 && controller.work().Present(time.Now()) > 0 {
+	if controller.work().Present(time.Now()) > 0 {
 		return recheckInterval
 	}
-	if len(queue) == 0 || len(controller.recent) == 0 {
+	if len(controller.recent) == 0 {
 		return 0
 	}
 	controller.advance(time.Now())
 	next := controller.engineConfig.MaxEventGap - time.Since(controller.recent[0].at)
 	if !controller.gapLimited() {
-		next = controller.prefillTime(controller.tokensAhead() + queue[0].PromptTokens - controller.tokenLimit())
+		next = controller.prefillTime(controller.tokensAhead() + controller.queue()[0].PromptTokens - controller.tokenLimit())
 	}
 	return max(next, time.Millisecond)
 }
