Count no instance as a negative spender

A refund of what was spent some seconds ago makes an instance's average negative. Beside another instance that spends, the estimated number of spenders fell below one, so the stagger was negative and a request that can wait could use up the reserve. Such an instance no longer counts.

TestSpenders fails before the change (0.0008 spenders) and passes after it.

--- a/internal/flow/bucket/class.go
+++ b/internal/flow/bucket/class.go
@@ -110,14 +110,15 @@
 }
 
 // spenders returns how many instances spend on a class, as the inverse of the sum of
-// their squared fractions of what is spent.
+// their squared fractions of what is spent. One that lately got back more than it spent
+// does not count.
 func (limiter *Limiter) spenders(organisation string, bucket *bucket, class Class) float64 {
 	now := time.Now()
-	own := bucket.class(class).rate.at(now)
+	own := max(bucket.class(class).rate.at(now), 0)
 	sum, squares := own, own*own
 	for _, peer := range limiter.peers {
 		if rate := peer.classRates[organisation][class]; rate != nil && !peer.silent {
-			value := rate.at(now)
+			value := max(rate.at(now), 0)
 			sum, squares = sum+value, squares+value*value
 		}
 	}
--- a/internal/flow/bucket/reserve_test.go
+++ b/internal/flow/bucket/reserve_test.go
@@ -218,3 +218,24 @@
 		})
 	}
 }
+
+// TestSpenders guards against a request that may use up the reserve, as a refund of what
+// was spent long ago makes the number of instances that spend fall below one.
+func TestSpenders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := seededFleet(2)
+		fleet.initialise()
+		limiter := fleet.limiters[0]
+		limiter.TakeRequest(organisation, reserveLimit, Request{Cost: 1000, Class: draftClass})
+		time.Sleep(2 * averagingTime)
+		limiter.RefundClass(organisation, 1000, draftClass)
+		limiter.MergeUsage("other", Usage{Start: 7, Uptime: time.Hour, Initialised: true})
+		limiter.MergeUsage("other", Usage{
+			Start: 7, Uptime: time.Hour, Initialised: true, Spent: map[string]float64{organisation: 900},
+			ClassSpent: map[string]map[Class]float64{organisation: {draftClass: 900}},
+		})
+		if got := limiter.spenders(organisation, limiter.buckets[organisation], draftClass); got < 1 {
+			t.Errorf("%v instances spend, want at least 1", got)
+		}
+	})
+}
