Count the instances that are heard without copying their list

Each choice asks, under the picker's lock, for each cold upstream without a loader whether this instance hears most of the others.

TestHearsMajority checks the count and that nothing is allocated.

--- a/internal/daemon/relay/cold.go
+++ b/internal/daemon/relay/cold.go
@@ -137,7 +137,7 @@
 // hearsMajority reports whether this instance knows of the others and hears most of
 // them. Others may issue the permits of a cold upstream if it does not.
 func (relay *Relay) hearsMajority() bool {
-	return relay.peersKnown.Load() && 2*len(relay.peers.live()) > relay.peers.count()
+	return relay.peersKnown.Load() && relay.peers.hearsMajority()
 }
 
 // rateFor returns the rate of the permits for requests to an upstream: that of its
--- a/internal/daemon/relay/cold_test.go
+++ b/internal/daemon/relay/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,3 +84,26 @@
 		})
 	}
 }
+
+// TestHearsMajority guards against sends to cold upstreams while others may issue permits for
+// them, and against a copy of the list of instances for each cold upstream in a choice.
+func TestHearsMajority(t *testing.T) {
+	for _, test := range []struct {
+		heard, silent int
+		want          bool
+	}{{0, 0, true}, {1, 1, true}, {0, 1, false}, {1, 2, false}, {50, 50, true}} {
+		peers := newPeers("own", "domain")
+		for number := range test.heard + test.silent {
+			peers.byAddress[strconv.Itoa(number)] = &peer{}
+			if number < test.heard {
+				peers.byAddress[strconv.Itoa(number)].lastHeard = time.Now()
+			}
+		}
+		if got := peers.hearsMajority(); got != test.want {
+			t.Errorf("%d heard, %d silent: %v, want %v", test.heard, test.silent, got, test.want)
+		}
+		if allocations := testing.AllocsPerRun(10, func() { peers.hearsMajority() }); allocations > 0 {
+			t.Errorf("%d heard, %d silent: %v allocations", test.heard, test.silent, allocations)
+		}
+	}
+}
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -169,6 +169,20 @@
 	return append([]string{peers.own}, peers.heard()...)
 }
 
+// hearsMajority reports whether more than half of the entry instances, this one included,
+// were heard within readerTimeout. It is asked for each cold upstream in a choice.
+func (peers *peers) hearsMajority() bool {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	heard, now := 1, time.Now()
+	for _, peer := range peers.byAddress {
+		if peer.liveAt(now) {
+			heard++
+		}
+	}
+	return 2*heard > 1+len(peers.byAddress)
+}
+
 // liveOthers is live without this instance.
 func (peers *peers) liveOthers() []string {
 	peers.mutex.Lock()
@@ -189,8 +203,11 @@
 }
 
 // live reports whether the entry instance was heard within readerTimeout.
-func (peer *peer) live() bool {
-	return !peer.lastHeard.IsZero() && time.Since(peer.lastHeard) < readerTimeout
+func (peer *peer) live() bool { return peer.liveAt(time.Now()) }
+
+// liveAt is live at a time.
+func (peer *peer) liveAt(now time.Time) bool {
+	return !peer.lastHeard.IsZero() && now.Sub(peer.lastHeard) < readerTimeout
 }
 
 // latestConfig returns the latest configuration that another entry instance reported,
