--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -289,8 +289,8 @@
 	writer.WriteHeader(http.StatusOK)
 }
 
-// expire ends responses whose callers do not read, closes expired connections to upstreams, and removes the upstreams that
-// were not listed again after an outage of the instance list.
+// expire ends responses whose callers do not read, closes expired connections to upstreams,
+// and removes the upstreams that were not listed again after an outage of the instance list.
 func (relay *Relay) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -282,7 +282,8 @@
 	return changes
 }
 
-// logFaults logs why entries name no upstream, and which values are ignored, each distinct fault of an entry once.
+// logFaults logs why entries name no upstream, and which values are ignored, each distinct
+// fault of an entry once.
 func (relay *Relay) logFaults(listings []Listing) {
 	for _, listing := range listings {
 		fault, message := listing.Fault, "fleet: entry names no upstream"
--- a/internal/flow/bucket/stall.go
+++ b/internal/flow/bucket/stall.go
@@ -27,10 +27,11 @@
 	bucket.withheld += units
 }
 
-// creditWithheld gives the buckets of organisations with classes what was withheld from them while this instance was
-// stopped. The others were not silent then, and what they spent is taken off, so that
-// otherwise its levels would stay below theirs. It waits until all have reported, and is
-// called before the levels are limited to those that another instance reports.
+// creditWithheld gives the buckets of organisations with classes what was withheld from
+// them while this instance was stopped. The others were not silent then, and what they
+// spent is taken off, so its levels would otherwise stay below theirs. It waits until all
+// have reported, and is called before the levels are limited to those that another
+// instance reports.
 func (limiter *Limiter) creditWithheld() {
 	if limiter.creditAt.IsZero() || time.Now().Before(limiter.creditAt) {
 		return
--- a/internal/flow/picker/ahead.go
+++ b/internal/flow/picker/ahead.go
@@ -24,7 +24,7 @@
 	return sum
 }
 
-// comesAfter reports whether a waiting request comes before the request.
+// comesAfter reports whether the request comes after one that waits already.
 func (request Request) comesAfter(waiter *waiter, now time.Time) bool {
 	late := waiter.late(now)
 	if late == request.Late {
