Bound what is pending at a fast engine when a slow moment begins

Streams of engines that work fast paused as often as those of the usual ones: an engine that is not gap limited is sent two windows of prompts ahead, which take more than the longest gap once it turns slow. Where an engine states its work factor and has slow moments, no more is pending now than it prefills within the longest gap in one of them; the rest waits for admission as long as before.

TestPendingBeforeOnset fails before.

--- a/internal/flow/admit/factor_test.go
+++ b/internal/flow/admit/factor_test.go
@@ -92,6 +92,27 @@
 	})
 }
 
+// TestPendingBeforeOnset guards against a queue of prompts at a fast engine that lasts for
+// more than MaxEventGap once a slow moment begins. Without slow moments it takes the queue.
+func TestPendingBeforeOnset(t *testing.T) {
+	for slow, want := range map[float64]int{0.6: 12, 1.5: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			controller := newStating(0.6, 0.6)
+			for number := range 40 {
+				time.Sleep(100 * time.Millisecond)
+				factor := 0.6
+				if number%8 == 0 {
+					factor = slow
+				}
+				controller.RecordMeasurements("entry", []Measurement{{Stated: speed.Statement{Factor: factor, At: time.Now()}}})
+			}
+			if got := granted(controller, 12); got != want {
+				t.Errorf("slow moments of %v: %d prompts are admitted, want %d", slow, got, want)
+			}
+		})
+	}
+}
+
 // TestSlowMomentEnds guards against a request that starves at an engine which stays slow:
 // each of eight prompts that alone exceed the bound must be admitted, and at once if no
 // stream runs.
--- a/internal/flow/admit/prefill.go
+++ b/internal/flow/admit/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -82,10 +83,23 @@
 	case controller.gapLimited():
 		return controller.admissibleTokens(controller.engineConfig.MaxEventGap - controller.eventInterval())
 	default:
-		return queuedWindows * controller.admissibleTokens(controller.engineConfig.MaxEventGap)
+		return min(queuedWindows*controller.admissibleTokens(controller.engineConfig.MaxEventGap), controller.slowMomentTokens())
 	}
 }
 
+// slowMomentTokens returns how many pending prompt tokens the engine prefills within
+// MaxEventGap if one of its slow moments begins, and no limit if it has none. The running
+// streams would pause for all that is pending, and nothing is gained by sending it earlier.
+func (controller *Controller) slowMomentTokens() int64 {
+	factor := controller.factors.SlowMoment()
+	if factor == 0 {
+		return math.MaxInt64
+	}
+	window := controller.engineConfig.MaxEventGap - controller.eventIntervalAt(factor)
+	tokens := float64(window.Milliseconds()) * controller.prefillRateAt(factor) * controller.config.Utilisation
+	return max(int64(tokens), controller.config.PrefillChunk)
+}
+
 // tokensAhead returns how many prompt tokens are ahead of the next request:
 // those admitted within the last window if the engine is gap limited, else
 // those not prefilled yet. The larger number counts if it is gap limited and
--- a/internal/flow/speed/factor.go
+++ b/internal/flow/speed/factor.go
@@ -147,6 +147,15 @@
 	return float64(above) / float64(len(factors.samples))
 }
 
+// SlowMoment returns the typical factor of the upstream's slow moments, 0 if none is known.
+func (factors *Factors) SlowMoment() float64 {
+	if factors.lasting == 0 {
+		return 0
+	}
+	slow := slices.DeleteFunc(factorsOf(factors.samples), func(factor float64) bool { return factor <= factors.lasting*momentRatio })
+	return Median(slow)
+}
+
 // Reset forgets all, for use after a restart of the upstream.
 func (factors *Factors) Reset() { *factors = Factors{} }
 
