Forget cold upstreams of services without a cold rate

Where the operators remove a service's cold rate, its upstreams that were cold stayed limited by the former rate until their cold time ended, up to five minutes. They are now forgotten with the configuration that names no rate. If a later one names a rate again, the entry of the list counts anew.

TestColdRateRemoved fails before the change.

--- a/internal/daemon/relay/cold.go
+++ b/internal/daemon/relay/cold.go
@@ -51,13 +51,16 @@
 	return service, ok && service.ColdRate > 0
 }
 
-// updateCold records what the instance list says of cold upstreams.
+// updateCold records what the instance list says of cold upstreams. It forgets those of
+// services that have no cold rate any longer.
 func (relay *Relay) updateCold() {
 	cold, list := relay.permits.cold, relay.store.instances
-	cold.Keep(list.Contains)
+	unbounded := make(map[string]bool)
+	defer cold.Keep(func(id string) bool { return list.Contains(id) && !unbounded[id] })
 	for _, upstream := range list.Upstreams() {
 		service, ok := relay.coldService(upstream.Service)
 		if !ok {
+			unbounded[upstream.ID] = true
 			continue
 		}
 		entry := permit.ColdEntry{Said: upstream.ColdSaid, Remaining: upstream.ColdRemaining, SinceStart: service.ColdStart}
--- a/internal/daemon/relay/cold_test.go
+++ b/internal/daemon/relay/cold_test.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// TestColdRateRemoved guards against an upstream that stays limited after the operators have
+// removed the cold rate of its service.
+func TestColdRateRemoved(t *testing.T) {
+	upstream := fleet.Upstream{ID: "i-1", Service: "lookup", Address: "10.0.0.5:80", StartedAt: 1, ColdSaid: true, ColdRemaining: time.Minute}
+	relay := newListedRelay(upstream)
+	for version, coldRate := range []float64{11, 0, 11} {
+		relay.store.table.Store(routes.New(routes.Config{Version: uint64(1 + version), Services: []routes.Service{{Name: "lookup", ColdRate: coldRate}}}))
+		relay.updateCold()
+		if limited := relay.permits.rate(incarnationOf(upstream)) != permit.Unlimited; limited != (coldRate > 0) {
+			t.Errorf("configuration %d: the upstream is limited: %v", 1+version, limited)
+		}
+	}
+}
+
 // TestHearsMajority guards against sends to cold upstreams while others may issue permits for
 // them, and against a copy of the list of instances for each cold upstream in a choice.
 func TestHearsMajority(t *testing.T) {
