Ignore what a class has spent if it is no number

A sum that is no number makes an average of it none for good, and then the reserve and the wait of the organisation's denied requests, for which a relay would wait in a loop without pause. Such sums are ignored.

TestDecodeClasses fails before the change.

--- a/internal/wire/codec/class.go
+++ b/internal/wire/codec/class.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,13 +18,17 @@
 	return waits, sums
 }
 
-// DecodeClasses decodes what EncodeClasses encoded.
+// DecodeClasses decodes what EncodeClasses encoded. It ignores sums that are no numbers,
+// as averages that include one stay so.
 func DecodeClasses(waits []uint32, sums []float64) map[bucket.Class]float64 {
 	if len(waits) != len(sums) {
 		return nil
 	}
 	spent := make(map[bucket.Class]float64, len(waits))
 	for i, wait := range waits {
+		if math.IsNaN(sums[i]) || math.IsInf(sums[i], 0) {
+			continue
+		}
 		spent[bucket.Class(time.Duration(wait)*time.Millisecond)] = sums[i]
 	}
 	return spent
