Order equal requests by arrival after a restart of the loader

A demand cannot name a start that has passed, so after a restart, or a move to another engine, the goal of a late request is unknown. It was compared with the goals of the others, so requests that differ in nothing counted as competing and were not ordered by arrival. It is now left out.

The new case of TestRank fails before the change.

--- a/internal/flow/order/order.go
+++ b/internal/flow/order/order.go
@@ -172,13 +172,17 @@
 }
 
 // competing reports whether the requests differ in priority, organisation or
-// goal.
+// goal. The goal of a late request is unknown if its start has passed before its
+// arrival here.
 func competing(requests []Request) bool {
 	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
 	for _, request := range requests {
 		if request.level() != requests[0].level() || request.Organisation != requests[0].Organisation {
 			return true
 		}
+		if request.Late && request.StartBy.Equal(request.ArrivedAt) {
+			continue
+		}
 		slack := time.Duration(0)
 		if !request.StartBy.IsZero() {
 			slack = request.StartBy.Sub(request.ArrivedAt)
--- a/internal/flow/order/order_test.go
+++ b/internal/flow/order/order_test.go
@@ -33,6 +33,10 @@
 			name: "nothing competes", guards: "another order than by arrival where all are equal",
 			requests: []Request{due(-1.9, 0.5), with(due(-3, 0.5), late), due(-1, 0.5)}, want: []Class{OnTime, Late, OnTime},
 		},
+		{
+			name: "goal of a late one unknown", guards: "another order than by arrival after a restart of the loader",
+			requests: []Request{due(-1.9, 0.5), with(due(-3, 0), late), due(-1, 0.5)}, want: []Class{OnTime, Late, OnTime},
+		},
 		{
 			name: "shorter goal", guards: "a request with much time before one with little",
 			requests: []Request{due(0, 0.5), due(-0.4, 1.7)}, want: []Class{OnTime, OnTime},
