Pass over requests for which an engine's memory never suffices

An engine may be sent a request before its loader has reported its memory. If the request needs more than all of it, it never fitted, and as first in line it held up all others until its caller gave up.

TestExceedsMemory fails before the change. Tests of internal/flow/admit pass.

--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -301,12 +301,13 @@
 	})
 }
 
-// eligible returns the waiting requests whose adapter is loaded.
+// eligible returns the waiting requests whose adapter is loaded, without those for which
+// the engine's memory never suffices, as they would hold up all others.
 func (controller *Controller) eligible() []*waiter {
 	var eligible []*waiter
 	for _, entry := range controller.entries {
 		for _, waiter := range entry.waiters {
-			if !waiter.granted && controller.engineState.HasAdapter != nil && controller.engineState.HasAdapter(waiter.Adapter) {
+			if !waiter.granted && !controller.exceedsMemory(waiter) && controller.engineState.HasAdapter != nil && controller.engineState.HasAdapter(waiter.Adapter) {
 				eligible = append(eligible, waiter)
 			}
 		}
@@ -314,6 +315,11 @@
 	return eligible
 }
 
+// exceedsMemory reports whether a request needs more memory than the engine has.
+func (controller *Controller) exceedsMemory(waiter *waiter) bool {
+	return controller.engineState.TotalTokens > 0 && waiter.PromptTokens+waiter.OutputTokens > controller.engineState.TotalTokens
+}
+
 // BoundWaiting returns the number of bound requests that were not admitted, whether or
 // not their adapter is loaded.
 func (controller *Controller) BoundWaiting() int {
--- a/internal/flow/admit/queue_test.go
+++ b/internal/flow/admit/queue_test.go
@@ -43,6 +43,20 @@
 	})
 }
 
+// TestExceedsMemory guards against a request that an engine can never hold, as it was sent
+// there before the engine named its memory, and that holds up all behind it.
+func TestExceedsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := newController()
+		controller.Observe(EngineState{TotalTokens: 5000, HasAdapter: holdsAll})
+		controller.SetRequests("entry", threeTokens, []Request{{ID: 1, PromptTokens: 4000, OutputTokens: 1001, Waited: time.Second}, {ID: 2, PromptTokens: 100}})
+		granted, _ := controller.Grant()
+		if diff := cmp.Diff(map[string][]uint64{"entry": {2}}, granted); diff != "" {
+			t.Errorf("grants (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestWaiting guards against a report that hides what waits before a request of a
 // priority, or counts what was admitted or cannot be yet, and against grants that are
 // counted as of another kind.
