Count no negative backlog before a request

A loader counts what waits by priority after the whole backlog, so what came in between is in the former only. For a more urgent request the backlog, and so its wait at the engine, could be negative.

The new case of TestLeastWait fails before the change (-2 s). Tests of internal/flow/picker pass.

--- a/internal/flow/picker/ahead.go
+++ b/internal/flow/picker/ahead.go
@@ -7,12 +7,13 @@
 
 // ahead returns the prompt tokens of a report that come before a request: for one
 // on time, all but those that wait and are less urgent; for a late one, those on
-// time, and the late ones that are not less urgent.
+// time, and the late ones that are not less urgent. It is not negative, although the
+// loader counts what waits after the rest.
 func (report Report) ahead(request Request) int64 {
 	if request.Late {
-		return report.Backlog + report.Late - lessUrgent(report.Waiting.Late[:], request.Priority)
+		return max(report.Backlog+report.Late-lessUrgent(report.Waiting.Late[:], request.Priority), 0)
 	}
-	return report.Backlog - lessUrgent(report.Waiting.OnTime[:], request.Priority)
+	return max(report.Backlog-lessUrgent(report.Waiting.OnTime[:], request.Priority), 0)
 }
 
 // lessUrgent sums the tokens of the priorities that are less urgent than one.
--- a/internal/flow/picker/ahead_test.go
+++ b/internal/flow/picker/ahead_test.go
@@ -23,6 +23,8 @@
 	}
 	type tokens = [admit.MaxPriority + 1]int64
 	full := loaded(tokens{18_000, 0, 36_000}, tokens{18_000, 0, 90_000})
+	later := full
+	later.Backlog = 0
 	tests := []struct {
 		name    string
 		request Request
@@ -33,6 +35,7 @@
 		{name: "urgent, before its goal", request: Request{MaxWait: 2 * time.Second}, reports: []Report{full}, want: time.Second},
 		{name: "urgent, misses its goal", request: Request{MaxWait: 800 * time.Millisecond}, reports: []Report{full}, want: 4 * time.Second},
 		{name: "less urgent", request: Request{MaxWait: time.Second, Priority: 2}, reports: []Report{full}, want: 9 * time.Second},
+		{name: "waits since the backlog was counted", request: Request{MaxWait: time.Second}, reports: []Report{later}},
 		{name: "another engine is free", request: Request{MaxWait: time.Second, Priority: 2}, reports: []Report{full, report(1, 0)}},
 		{name: "another engine is not heard", request: Request{MaxWait: time.Second}, reports: []Report{full}, unknown: true},
 	}
