--- a/internal/flow/permit/client.go
+++ b/internal/flow/permit/client.go
@@ -106,7 +106,7 @@
 func (client *Client) Admission(incarnation cordon.Incarnation, rate Rate, request uint64) Admission {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	account, now := client.accountFor(incarnation), time.Now()
+	account, now := client.find(incarnation), time.Now()
 	rate = max(rate, MinRate)
 	queued := max(account.queued, account.asked.Wanted, 1)
 	return Admission{
@@ -198,14 +198,19 @@
 
 // accountFor returns the account of an incarnation, which it creates if needed.
 func (client *Client) accountFor(incarnation cordon.Incarnation) *account {
-	found, ok := client.accounts[incarnation.ID]
-	if !ok || found.startedAt != incarnation.StartedAt {
-		found = &account{startedAt: incarnation.StartedAt, wants: make(map[uint64]want), usedAt: time.Now()}
-		client.accounts[incarnation.ID] = found
-	}
+	found := client.find(incarnation)
+	client.accounts[incarnation.ID] = found
 	return found
 }
 
+// find returns the account of an incarnation, or a new one that is not kept.
+func (client *Client) find(incarnation cordon.Incarnation) *account {
+	if found, ok := client.accounts[incarnation.ID]; ok && found.startedAt == incarnation.StartedAt {
+		return found
+	}
+	return &account{startedAt: incarnation.StartedAt, wants: make(map[uint64]want), usedAt: time.Now()}
+}
+
 // held returns the number of permits that have not expired.
 func (account *account) held(now time.Time) int {
 	for len(account.batches) > 0 {
--- a/internal/flow/permit/limits_test.go
+++ b/internal/flow/permit/limits_test.go
@@ -70,3 +70,13 @@
 		})
 	}
 }
+
+// TestAdmissionChangesNothing guards against a look at an upstream's permits that opens an
+// account for it.
+func TestAdmissionChangesNothing(t *testing.T) {
+	client := NewClient(ClientConfig{})
+	client.Admission(cordon.Incarnation{ID: "i-0", StartedAt: 1}, 5, 1)
+	if len(client.accounts) != 0 {
+		t.Errorf("%d accounts, want none", len(client.accounts))
+	}
+}
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -30,10 +30,87 @@
 	full        bool
 	hasAdapter  bool
 	sameDomain  bool
-	// permitPending means that a permit for the upstream may be received at once,
-	// and permitWait is the expected time until one is.
-	permitPending bool
-	permitWait    time.Duration
+	// admission is what the upstream's rate limit says, and admitted whether it admits
+	// the request.
+	admission permit.Admission
+	admitted  bool
+}
+
+// Obstacle says why an upstream gets a request neither now nor after a wait for a permit.
+type Obstacle string
+
+// The obstacles. NoObstacle means that the upstream may be a candidate.
+const (
+	NoObstacle   Obstacle = ""
+	Draining     Obstacle = "draining"
+	Backoff      Obstacle = "backoff"
+	InEvacuation Obstacle = "evacuated"
+	Tried        Obstacle = "tried"
+	OtherVersion Obstacle = "other-software-version"
+	Unreachable  Obstacle = "unreachable"
+	LoadingModel Obstacle = "loading-model"
+	Silent       Obstacle = "silent"
+	Ejected      Obstacle = "ejected"
+	// NotReported means that the loader has not reported since the engine was listed lately,
+	// and that there are others.
+	NotReported Obstacle = "not-reported"
+)
+
+// obstacle returns why an upstream gets no request.
+func (picker *Picker) obstacle(upstream *upstream, request Request, now time.Time) Obstacle {
+	until, cordoned := picker.cordoned(upstream)
+	switch {
+	case upstream.draining() || cordoned && until.IsZero():
+		return Draining
+	case cordoned:
+		return Backoff
+	case picker.evacuated(upstream):
+		return InEvacuation
+	case slices.Contains(request.Exclude, upstream.spec.ID):
+		return Tried
+	case !request.fits(upstream.spec):
+		return OtherVersion
+	case request.Engine && !upstream.reportedAt.IsZero() && upstream.report.Unreachable:
+		return Unreachable
+	case request.Engine && !upstream.reportedAt.IsZero() && !upstream.report.ModelLoaded:
+		return LoadingModel
+	case request.Engine && request.Resumed && picker.silent(upstream, now):
+		// It may have started again at another software version.
+		return Silent
+	case picker.config.Health != nil && !picker.config.Health.Usable(request.Service, upstream.spec.ID):
+		return Ejected
+	default:
+		return NoObstacle
+	}
+}
+
+// awaitsReport reports whether the loader of an engine has not reported since it was listed
+// lately.
+func (upstream *upstream) awaitsReport(request Request, now time.Time) bool {
+	return request.Engine && upstream.reportedAt.IsZero() && now.Sub(upstream.listedAt) < firstReportTimeout
+}
+
+// newCandidate returns an upstream with the values by which it is compared, except the
+// costs.
+func (picker *Picker) newCandidate(upstream *upstream, request Request, now time.Time) candidate {
+	load := picker.load(upstream, now)
+	backlog := picker.backlog(upstream, load, request, now)
+	wait := max(picker.wait(upstream, backlog), picker.coldWait(upstream, request, now))
+	if request.WaitingAt == upstream.spec.ID {
+		wait -= picker.config.MoveThreshold
+	}
+	candidate := candidate{
+		upstream:   upstream,
+		load:       load,
+		backlog:    backlog,
+		wait:       wait,
+		work:       upstream.work(now),
+		full:       picker.isFull(upstream, load, request) || request.MaxWait > 0 && wait > request.MaxWait,
+		hasAdapter: upstream.hasAdapter(request.Adapter),
+		sameDomain: upstream.spec.FailureDomain == picker.config.FailureDomain,
+	}
+	candidate.admission, candidate.admitted = picker.admits(upstream, request)
+	return candidate
 }
 
 // candidates returns the upstreams that may get the request, in random order.
@@ -44,45 +121,18 @@
 	now := time.Now()
 	var unreported []candidate
 	for _, upstream := range picker.services[request.Service] {
-		if !picker.usable(upstream) || slices.Contains(request.Exclude, upstream.spec.ID) || !request.fits(upstream.spec) {
+		if picker.obstacle(upstream, request, now) != NoObstacle {
 			continue
 		}
-		if request.Engine && !upstream.reportedAt.IsZero() && (!upstream.report.ModelLoaded || upstream.report.Unreachable) {
-			continue
-		}
-		if request.Engine && request.Resumed && picker.silent(upstream, now) {
-			// It may have started again at another software version.
-			continue
-		}
-		if picker.config.Health != nil && !picker.config.Health.Usable(request.Service, upstream.spec.ID) {
-			continue
-		}
-		load := picker.load(upstream, now)
-		backlog := picker.backlog(upstream, load, request, now)
-		wait := max(picker.wait(upstream, backlog), picker.coldWait(upstream, request, now))
-		if request.WaitingAt == upstream.spec.ID {
-			wait -= picker.config.MoveThreshold
-		}
-		candidate := candidate{
-			upstream:   upstream,
-			load:       load,
-			backlog:    backlog,
-			wait:       wait,
-			work:       upstream.work(now),
-			full:       picker.isFull(upstream, load, request) || request.MaxWait > 0 && wait > request.MaxWait,
-			hasAdapter: upstream.hasAdapter(request.Adapter),
-			sameDomain: upstream.spec.FailureDomain == picker.config.FailureDomain,
-		}
-		if admission, admitted := picker.admits(upstream, request); !admitted {
-			candidate.permitPending, candidate.permitWait = admission.Pending, admission.Wait
+		candidate := picker.newCandidate(upstream, request, now)
+		switch {
+		case !candidate.admitted:
 			withoutPermit = append(withoutPermit, candidate)
-			continue
-		}
-		if request.Engine && upstream.reportedAt.IsZero() && now.Sub(upstream.listedAt) < firstReportTimeout {
+		case upstream.awaitsReport(request, now):
 			unreported = append(unreported, candidate)
-			continue
+		default:
+			candidates = append(candidates, candidate)
 		}
-		candidates = append(candidates, candidate)
 	}
 	if len(candidates) == 0 {
 		candidates = unreported
--- a/internal/flow/picker/choose.go
+++ b/internal/flow/picker/choose.go
@@ -75,6 +75,11 @@
 	PermitPending
 )
 
+// String returns the name of the result, as in explanations.
+func (result Result) String() string {
+	return [...]string{"found", "adapter-missing", "full", "starting", "no-upstream", "rate-limited", "evacuated", "permit-pending"}[result]
+}
+
 // Choice is the outcome of Choose.
 type Choice struct {
 	Result   Result
@@ -99,28 +104,37 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	candidates, withoutPermit := picker.candidates(request)
+	choice, wanted := picker.decide(candidates, withoutPermit, request)
+	for _, spec := range wanted {
+		picker.config.Limits.Want(spec, request.Number)
+	}
+	return choice
+}
+
+// decide returns the choice among upstreams, and those of which a permit is wanted. It
+// changes nothing.
+func (picker *Picker) decide(candidates, withoutPermit []candidate, request Request) (choice Choice, wanted []fleet.Upstream) {
 	if !request.Resumed {
 		candidates = leaveToBound(candidates, request)
 	}
 	if len(candidates) == 0 {
 		return picker.chooseNone(withoutPermit, request)
 	}
-	pending := slices.DeleteFunc(slices.Clone(withoutPermit), func(candidate candidate) bool { return !candidate.permitPending })
+	pending := slices.DeleteFunc(slices.Clone(withoutPermit), func(candidate candidate) bool { return !candidate.admission.Pending })
 	if len(pending) > 0 {
 		choice := picker.chooseAmong(append(pending, candidates...), request)
 		for _, candidate := range pending {
 			if candidate.spec.ID == choice.Upstream.ID {
-				picker.config.Limits.Want(candidate.spec, request.Number)
 				choice.Result = PermitPending
-				return choice
+				return choice, []fleet.Upstream{candidate.spec}
 			}
 		}
 	}
-	choice := picker.chooseAmong(candidates, request)
+	choice = picker.chooseAmong(candidates, request)
 	if choice.Result == Full && picker.unavailableResult(request) == Starting {
 		choice.Result = Starting
 	}
-	return choice
+	return choice, nil
 }
 
 // leaveToBound leaves out engines at which bound requests wait, if another one can
@@ -137,19 +151,19 @@
 	return others
 }
 
-// chooseNone returns the choice if no upstream can get the request. All those whose
-// rate limit is used up are asked for a permit.
-func (picker *Picker) chooseNone(withoutPermit []candidate, request Request) Choice {
-	choice := Choice{Result: picker.unavailableResult(request), RetryAfter: picker.retryAfter(request)}
+// chooseNone returns the choice if no upstream can get the request. A permit is wanted of
+// all those whose rate limit is used up.
+func (picker *Picker) chooseNone(withoutPermit []candidate, request Request) (choice Choice, wanted []fleet.Upstream) {
+	choice = Choice{Result: picker.unavailableResult(request), RetryAfter: picker.retryAfter(request)}
 	if choice.Result != NoUpstream || len(withoutPermit) == 0 {
-		return choice
+		return choice, nil
 	}
 	var rate float64
 	for _, candidate := range withoutPermit {
-		picker.config.Limits.Want(candidate.spec, request.Number)
-		rate += 1 / max(candidate.permitWait, minPermitWait).Seconds()
+		wanted = append(wanted, candidate.spec)
+		rate += 1 / max(candidate.admission.Wait, minPermitWait).Seconds()
 	}
-	return Choice{Result: RateLimited, RetryAfter: time.Duration(float64(time.Second) / rate)}
+	return Choice{Result: RateLimited, RetryAfter: time.Duration(float64(time.Second) / rate)}, wanted
 }
 
 // chooseAmong chooses among upstreams.
