Add jacinthfront explain

Operators want to know where a given request would go now, and why. GET /explain on a relay's metrics listener answers that in JSON for a request described by the query string: route and service, the organisation's rate, the candidates in the order of preference, the choice, its class and priority, and what would refuse the request. The command prints it as text or JSON. All other paths of the listener serve the metrics as before.

The answer uses the checks of real requests. Their refusals are split from their metrics, which are counted where they were.

--- a/cmd/jacinthfront/main.go
+++ b/cmd/jacinthfront/main.go
@@ -57,6 +57,7 @@
 		{"side", "Run a side process", "Runs the side process of one upstream until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront side --settings side.toml", &sideCommand{}},
 		{"relay", "Run an entry instance on the platform", "Runs an entry instance that reaches upstreams directly, until SIGTERM or SIGINT, then drains it.\n\nExample: jacinthfront relay --settings relay.toml", &relayCommand{}},
 		{"loader", "Run a loader on the platform", "Runs the loader of one engine, which tells the engine to load and unload adapters.\n\nExample: jacinthfront loader --settings loader.toml", &loaderCommand{}},
+		{"explain", "Explain where a request would go", "Asks a relay where a described request would go now, and why, without sending it. The candidates come in the order of preference.\n\nExample: jacinthfront explain --relay 10.0.0.1:9464 --host api.example.org --path /chat --organisation acme --model m --adapter a --prompt-tokens 900", &explainCommand{}},
 		{"check", "Check a settings file", "Checks a settings file and prints the settings in effect, defaults included.\n\nExample: jacinthfront check --role side --settings side.toml", &checkCommand{}},
 		{"config", "Show and change the configuration", "Reads the configuration and publishes patches through the operator interface of any instance.", &configCommand{}},
 		{"key", "Issue, withdraw and list keys", "Manages callers' keys through the operator interface of any instance.", &keyCommand{}},
--- a/internal/daemon/relay/charge.go
+++ b/internal/daemon/relay/charge.go
@@ -21,7 +21,7 @@
 	proxyRequest.waitClass = proxyRequest.relay.classOf(proxyRequest.route)
 	// If the bucket holds enough soon, waiting takes less time than a retry by the
 	// caller.
-	until := time.Now().Add(proxyRequest.route.ResponseGoal / admissionWaitDivisor)
+	until := time.Now().Add(proxyRequest.chargeWait())
 	denial, ok := proxyRequest.take()
 	for !ok && time.Now().Add(denial.Wait).Before(until) && proxyRequest.request.Context().Err() == nil {
 		proxyRequest.sleep(denial.Wait)
@@ -33,6 +33,15 @@
 	}
 	proxyRequest.relay.metrics.recordDenied(proxyRequest.waitClass)
 	proxyRequest.logRateExceeded(denial)
+	return proxyRequest.rateRefusal(denial)
+}
+
+// chargeWait returns how long the request may wait for its organisation's token bucket.
+func (proxyRequest *proxyRequest) chargeWait() time.Duration {
+	return proxyRequest.route.ResponseGoal / admissionWaitDivisor
+}
+
+func (proxyRequest *proxyRequest) rateRefusal(denial bucket.Denial) *refusal {
 	return &refusal{http.StatusTooManyRequests, "the organisation's rate is used up", proxyRequest.chargeRetryAfter(denial)}
 }
 
@@ -47,8 +56,12 @@
 
 // take asks the organisation's token bucket for the request's cost.
 func (proxyRequest *proxyRequest) take() (bucket.Denial, bool) {
-	return proxyRequest.relay.limiter.TakeRequest(proxyRequest.organisation.Name, proxyRequest.limit(),
-		bucket.Request{Cost: proxyRequest.cost(), Class: proxyRequest.waitClass, Identity: proxyRequest.identity})
+	return proxyRequest.relay.limiter.TakeRequest(proxyRequest.organisation.Name, proxyRequest.limit(), proxyRequest.bucketRequest())
+}
+
+// bucketRequest returns what is asked of the organisation's token bucket.
+func (proxyRequest *proxyRequest) bucketRequest() bucket.Request {
+	return bucket.Request{Cost: proxyRequest.cost(), Class: proxyRequest.waitClass, Identity: proxyRequest.identity}
 }
 
 // chargeRetryAfter returns when the caller of a denied request may retry. Where classes
--- a/internal/daemon/relay/evacuation.go
+++ b/internal/daemon/relay/evacuation.go
@@ -219,7 +219,14 @@
 
 // evacuatedRefusal returns the refusal of a request that only upstreams in evacuated failure
 // domains could serve.
-func (relay *Relay) evacuatedRefusal(retryAfter time.Duration) *refusal {
-	relay.metrics.increment("refused-evacuated")
+func evacuatedRefusal(retryAfter time.Duration) *refusal {
 	return &refusal{http.StatusServiceUnavailable, reasonEvacuated, retryAfter}
 }
+
+// countRefused counts a refusal if it is an evacuatedRefusal.
+func (relay *Relay) countRefused(refused *refusal) *refusal {
+	if refused != nil && refused.reason == reasonEvacuated {
+		relay.metrics.increment("refused-evacuated")
+	}
+	return refused
+}
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -197,16 +197,13 @@
 	proxyRequest.awaitStartup(func() bool { return relay.store.config() != nil && relay.configCaughtUp() })
 	config := relay.store.config()
 	if config == nil {
-		return &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryAfterUnready}
+		return unconfiguredRefusal()
 	}
 	confirmed := relay.configConfirmed()
 	path, _, _ := strings.Cut(proxyRequest.request.RequestURI, "?")
 	route, ok := config.Match(hostOnly(proxyRequest.request.Host), path)
 	if !ok {
-		if !confirmed {
-			return &refusal{http.StatusServiceUnavailable, "the configuration may be out of date", retryAfterUnready}
-		}
-		return &refusal{http.StatusNotFound, "no route matches", 0}
+		return noRouteRefusal(confirmed)
 	}
 	proxyRequest.route = route
 	proxyRequest.deadline = proxyRequest.started.Add(proxyRequest.timeout())
@@ -217,7 +214,7 @@
 	}
 	proxyRequest.service, ok = config.Service(route.PickService(rand.Float64()))
 	if !ok {
-		return &refusal{http.StatusServiceUnavailable, "the route names no known service", retryAfterFull}
+		return noServiceRefusal()
 	}
 	if refused := proxyRequest.readBody(); refused != nil {
 		return refused
@@ -232,15 +229,42 @@
 // authenticate finds the organisation. It trusts no key if the configuration was not
 // confirmed recently, as the configuration may lack a withdrawal of the key.
 func (proxyRequest *proxyRequest) authenticate(config *routes.Table, confirmed bool) *refusal {
+	organisation, _ := config.Authenticate(proxyRequest.info.Key)
+	if refused := keyRefusal(confirmed, organisation); refused != nil {
+		return refused
+	}
+	proxyRequest.organisation = organisation
+	return nil
+}
+
+func unconfiguredRefusal() *refusal {
+	return &refusal{http.StatusServiceUnavailable, "no configuration is known yet", retryAfterUnready}
+}
+
+// noRouteRefusal returns the refusal of a request that no route matches in a configuration
+// that is confirmed or not.
+func noRouteRefusal(confirmed bool) *refusal {
 	if !confirmed {
-		return &refusal{http.StatusServiceUnavailable, "keys cannot be checked while the configuration is not confirmed", retryAfterUnready}
+		return &refusal{http.StatusServiceUnavailable, "the configuration may be out of date", retryAfterUnready}
 	}
-	organisation, ok := config.Authenticate(proxyRequest.info.Key)
-	if !ok {
+	return &refusal{http.StatusNotFound, "no route matches", 0}
+}
+
+// keyRefusal returns the refusal of a request whose key belongs to an organisation, which is
+// nil if the key is not known, or nil.
+func keyRefusal(confirmed bool, organisation *routes.Organisation) *refusal {
+	switch {
+	case !confirmed:
+		return &refusal{http.StatusServiceUnavailable, "keys cannot be checked while the configuration is not confirmed", retryAfterUnready}
+	case organisation == nil:
 		return &refusal{http.StatusUnauthorized, "the key is not known", 0}
+	default:
+		return nil
 	}
-	proxyRequest.organisation = organisation
-	return nil
+}
+
+func noServiceRefusal() *refusal {
+	return &refusal{http.StatusServiceUnavailable, "the route names no known service", retryAfterFull}
 }
 
 // timeout returns how long the caller may be kept waiting.
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -217,6 +217,7 @@
 	probes := http.NewServeMux()
 	probes.HandleFunc(config.ReadyPath, relay.serveReady)
 	relay.metricsServer = metric.NewServer("relay", relay.setGauges)
+	relay.metricsServer.Handler = relay.withExplain(relay.metricsServer.Handler)
 	relay.probeServer = &http.Server{Handler: probes, ReadHeaderTimeout: probeTimeout}
 	return relay
 }
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -205,7 +205,7 @@
 			return choice, nil
 		}
 		if refused := proxyRequest.waitRefusal(ctx, choice, time.Since(began)); refused != nil {
-			return choice, refused
+			return choice, proxyRequest.relay.countRefused(refused)
 		}
 		recheck := recheckInterval
 		switch choice.Result {
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -207,7 +207,7 @@
 	requirements := proxyRequest.requirements()
 	if proxyRequest.service.Name != proxyRequest.origin.Service || !proxyRequest.relay.picker.CanResume(requirements) {
 		if proxyRequest.service.Name == proxyRequest.origin.Service && proxyRequest.relay.picker.AllEvacuated(requirements) {
-			return proxyRequest.relay.evacuatedRefusal(0)
+			return proxyRequest.relay.countRefused(evacuatedRefusal(0))
 		}
 		return &refusal{http.StatusServiceUnavailable, reasonOriginGone, 0}
 	}
--- a/internal/daemon/relay/urgency.go
+++ b/internal/daemon/relay/urgency.go
@@ -65,6 +65,15 @@
 // engine than can be admitted before its caller gives up, or nil. It is asked for once,
 // before the request begins to wait, so that none is refused for later ones.
 func (proxyRequest *proxyRequest) backlogRefusal() *refusal {
+	refused := proxyRequest.checkBacklog()
+	if refused != nil {
+		proxyRequest.relay.metrics.increment("refused-for-backlog")
+	}
+	return refused
+}
+
+// checkBacklog is backlogRefusal without a count.
+func (proxyRequest *proxyRequest) checkBacklog() *refusal {
 	if proxyRequest.service.Engine == nil || proxyRequest.resumes() {
 		return nil
 	}
@@ -73,7 +82,6 @@
 	if !known || remaining <= 0 || wait <= remaining {
 		return nil
 	}
-	proxyRequest.relay.metrics.increment("refused-for-backlog")
 	return &refusal{http.StatusServiceUnavailable, "more waits at every engine than its caller's time admits", backlogRetryAfter(wait - remaining)}
 }
 
--- a/internal/daemon/relay/waitlimits.go
+++ b/internal/daemon/relay/waitlimits.go
@@ -80,7 +80,7 @@
 	}
 	switch {
 	case choice.Result == picker.Evacuated:
-		return proxyRequest.relay.evacuatedRefusal(maxRetryAfter)
+		return evacuatedRefusal(maxRetryAfter)
 	case choice.Result == picker.NoUpstream && choice.RetryAfter > proxyRequest.backoffLimit():
 		// Another instance may serve the request sooner.
 		return &refusal{http.StatusServiceUnavailable, "the upstreams take nothing for a time", min(choice.RetryAfter, maxRetryAfter)}
