Reserve for urgent classes by what they ask for

The reserve of an organisation's rate followed from what its more urgent classes had spent. When nothing of a class was served, nothing was reserved for it, and requests of less urgent classes that cost less kept the bucket below what it needed, for good.

A refused request now counts as spending of its class, once by its identity, and does not count again when it is served. The message's field is the same, so the other relays reserve for it too. The bound of half the burst remains.

--- a/internal/flow/bucket/class.go
+++ b/internal/flow/bucket/class.go
@@ -20,7 +20,8 @@
 	return class != Unclassified && class <= other/urgencyFactor
 }
 
-// classUse is what this instance has spent on a class of an organisation's requests.
+// classUse is what this instance was asked for by a class of an organisation's requests,
+// with the refused ones counted once.
 type classUse struct {
 	spent float64
 	rate  spendingRate
@@ -43,7 +44,7 @@
 	return found
 }
 
-// spend records that units are spent on a class, or given back if they are negative.
+// spend records that units are asked for by a class, or given back if they are negative.
 func (bucket *bucket) spend(class Class, units float64) {
 	if class == Unclassified {
 		return
@@ -53,7 +54,7 @@
 	use.rate.add(units)
 }
 
-// classSpent returns what this instance has spent by class.
+// classSpent returns what this instance was asked for by class.
 func (bucket *bucket) classSpent() map[Class]float64 {
 	spent := make(map[Class]float64, len(bucket.classes))
 	for class, use := range bucket.classes {
@@ -87,7 +88,7 @@
 	return rates[class]
 }
 
-// urgentRate returns how fast all instances spend on classes that are more urgent than
+// urgentRate returns how fast all instances are asked by classes that are more urgent than
 // the given one. A silent peer spends from the fraction that is reserved for it.
 func (limiter *Limiter) urgentRate(organisation string, bucket *bucket, class Class) float64 {
 	now, sum := time.Now(), 0.0
--- a/internal/flow/bucket/peers.go
+++ b/internal/flow/bucket/peers.go
@@ -20,7 +20,7 @@
 	// level of each bucket, by organisation.
 	Spent  map[string]float64
 	Levels map[string]float64
-	// ClassSpent is the part of Spent that is known by class.
+	// ClassSpent is what the instance was asked for since its start, by class.
 	ClassSpent map[string]map[Class]float64
 }
 
--- a/internal/flow/bucket/reserve.go
+++ b/internal/flow/bucket/reserve.go
@@ -65,8 +65,9 @@
 	bucket.level -= request.Cost
 	bucket.spent += request.Cost
 	bucket.rate.add(request.Cost)
-	bucket.spend(request.Class, request.Cost)
-	bucket.recordServed(request, limiter.refused)
+	if !bucket.recordServed(request, limiter.refused) {
+		bucket.spend(request.Class, request.Cost)
+	}
 	bucket.stagger = limiter.random.Float64()
 	return Denial{}, true
 }
@@ -107,22 +108,29 @@
 	if limiter.refused.add(request.Identity) {
 		use.refused.add(request.Cost)
 		use.size(request.Cost).asked.add(1)
+		if request.Identity != 0 {
+			// Counting only what is served would reserve nothing for a class of which
+			// nothing is served.
+			bucket.spend(request.Class, request.Cost)
+		}
 	}
 	denial.Spread = seconds(use.refused.at(time.Now()) * averagingTime.Seconds() / available)
 	return denial
 }
 
-// recordServed records that a request was let through. A repeat of a denied one has been
-// counted as asked.
-func (bucket *bucket) recordServed(request Request, refused *recentSet) {
+// recordServed records that a request was let through, and reports whether it repeats a
+// denied one, which has been counted as asked.
+func (bucket *bucket) recordServed(request Request, refused *recentSet) (repeats bool) {
 	if request.Class == Unclassified {
-		return
+		return false
 	}
 	size := bucket.class(request.Class).size(request.Cost)
-	if !refused.remove(request.Identity) {
+	repeats = refused.remove(request.Identity)
+	if !repeats {
 		size.asked.add(1)
 	}
 	size.served.add(1)
+	return repeats
 }
 
 // countedRate returns the part of an organisation's rate that this instance counts on.
