--- a/internal/flow/bucket/bucket.go
+++ b/internal/flow/bucket/bucket.go
@@ -104,7 +104,7 @@
 	spent    float64
 	rate     spendingRate
 	filledAt time.Time
-	// classes holds what this instance has spent on requests that have a class.
+	// classes holds what this instance was asked for by requests that have a class.
 	classes map[Class]*classUse
 	// stagger is by which part of its range this instance's next request of a class that
 	// can wait is staggered.
--- a/internal/flow/bucket/class.go
+++ b/internal/flow/bucket/class.go
@@ -31,7 +31,7 @@
 	sizes map[int]*sizeUse
 }
 
-// class returns what was spent on a class.
+// class returns what was asked for by a class.
 func (bucket *bucket) class(class Class) *classUse {
 	found, ok := bucket.classes[class]
 	if !ok {
