Log sends for callers that have left, and how late a departure is noticed

Logs said when a relay noticed that a caller had left, but neither when the caller had closed its connection nor that a request was sent afterwards, so that a late send could not be told from a late arrival.

--- a/internal/daemon/relay/callerconn.go
+++ b/internal/daemon/relay/callerconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -62,3 +63,31 @@
 	}
 	_ = conn.Close()
 }
+
+// peerClosed are the events of a socket whose peer has closed the connection or its own
+// direction of it. They show also while received bytes are unread.
+const peerClosed = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
+// connClosed reports whether the peer of a connection has closed it, by what the kernel has
+// received. It returns false for a connection that is nil or no socket.
+func connClosed(conn net.Conn) bool {
+	closed := false
+	controlSocket(conn, func(fd int) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		count, err := unix.Poll(polled, 0)
+		closed = err == nil && count > 0 && polled[0].Revents&peerClosed != 0
+	})
+	return closed
+}
+
+// sinceReceived returns how long ago the kernel received the last bytes on a connection, or
+// 0 if that cannot be learnt.
+func sinceReceived(conn net.Conn) time.Duration {
+	var since time.Duration
+	controlSocket(conn, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return since
+}
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -20,11 +20,20 @@
 	counters   = metric.Map("relay")
 	firstEvent = metric.NewHistogram()
 	answerTime = metric.NewHistogram()
+	// timerDelay is how late a periodic task begins: how short of processor the instance is.
+	timerDelay = metric.NewHistogram()
+	// requestDelay is how long requests wait until they are read, and departureDelay how long
+	// at most after a caller has left that is noticed.
+	requestDelay   = metric.NewHistogram()
+	departureDelay = metric.NewHistogram()
 )
 
 func init() {
 	counters.Set("first-event", firstEvent)
 	counters.Set("answer-time", answerTime)
+	counters.Set("timer-delay", timerDelay)
+	counters.Set("request-delay", requestDelay)
+	counters.Set("departure-delay", departureDelay)
 }
 
 func (*metrics) increment(name string) { counters.Add(name, 1) }
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -64,7 +64,9 @@
 	info    RequestInfo
 	started time.Time
 	// readAt is when the whole request was read.
-	readAt   time.Time
+	readAt time.Time
+	// unread is how long the request had been received when it was read.
+	unread   time.Duration
 	deadline time.Time
 
 	route        *routes.Route
@@ -163,6 +165,9 @@
 // serve handles a caller's request.
 func (relay *Relay) serve(writer http.ResponseWriter, request *http.Request) {
 	proxyRequest := &proxyRequest{relay: relay, writer: writer, request: request, info: relay.config.Protocol.ParseRequest(request), started: time.Now()}
+	proxyRequest.unread = sinceReceived(callerConn(request.Context()))
+	requestDelay.Observe(proxyRequest.unread)
+	defer relay.departures.begin(proxyRequest)()
 	relay.metrics.running.Add(1)
 	defer relay.metrics.running.Add(-1)
 	if relay.stopping() {
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -129,6 +129,7 @@
 	activeSends    *activeSends
 	// callerWrites holds the writes to callers, to end those to callers that do not read.
 	callerWrites *callerWrites
+	departures   *callerDepartures
 	// origins holds which software began streams.
 	origins         *origins
 	incarnationAsks *incarnationAsks
@@ -186,6 +187,7 @@
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
 		callerWrites:    newCallerWrites(stall.Config{Limit: cmp.Or(config.BodyMemory, buffer.DefaultLimit) / slowCallersPart}),
+		departures:      newCallerDepartures(),
 		origins:         newOrigins(),
 		incarnationAsks: &incarnationAsks{askedAt: make(map[string]time.Time)},
 		buffers:         buffer.New(buffer.Config{Limit: config.BodyMemory}),
@@ -299,7 +301,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case due := <-ticker.C:
+			timerDelay.Observe(time.Since(due))
+			relay.departures.check()
 			relay.endStalled()
 			relay.config.Pool.CloseExpired()
 			if removed := relay.store.instances.RemoveExpired(); len(removed) > 0 {
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -110,7 +112,10 @@
 		panic(http.ErrAbortHandler)
 	case proxyRequest.request.Context().Err() != nil:
 		proxyRequest.relay.metrics.increment("caller-left")
-		proxyRequest.log("relay: caller disconnected")
+		sincePresent := time.Since(proxyRequest.relay.departures.presentAt(proxyRequest))
+		departureDelay.Observe(sincePresent)
+		proxyRequest.log("relay: caller disconnected", zap.Duration("since-present", sincePresent), zap.Duration("unread", proxyRequest.unread),
+			zap.Stringer("stage", proxyRequest.stage))
 		panic(http.ErrAbortHandler)
 	case proxyRequest.headersSent:
 		proxyRequest.relay.metrics.increment("stream-cut")
