Send nothing once the context of a request has ended

Callers saw requests answered 504 or left unanswered that were sent to an upstream after their time had run out, and upstreams worked for callers that had left. Cause: Pool.Do looked at the context only while it opened a connection. On an idle one it wrote the request, and a second goroutine reset the connection when it came to run.

Do now asks once it has a connection, directly before the write, and keeps the connection for another request. Request.Confirm lets the caller of Do refuse at the same place; the relay needs that next.

TestContextEndedBefore fails without the check in 3 of 3 cases and passes 3 of 3 times with it.

--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -88,6 +88,20 @@
 	Body [][]byte
 	// HasBody makes an empty Body a body with Content-Length 0.
 	HasBody bool
+	// Confirm is called directly before the request is written, unless it is nil. If it
+	// returns an error, the request is not sent.
+	Confirm func() error
+}
+
+// confirm returns an error if the request must not be sent any more.
+func (request Request) confirm(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	if request.Confirm != nil {
+		return request.Confirm()
+	}
+	return nil
 }
 
 // Response is the response of an upstream. The caller must read Body to its end
@@ -213,13 +227,17 @@
 }
 
 // Do sends a request and reads the head of its response. Its errors are of class
-// NotSent or Broken. If ctx ends before the body is read to its end, the
-// connection is aborted.
+// NotSent or Broken. If ctx has ended once there is a connection, nothing is sent. If it
+// ends before the body is read to its end, the connection is aborted.
 func (pool *Pool) Do(ctx context.Context, address string, request Request) (*Response, error) {
 	conn, err := pool.acquire(ctx, address, request.ID)
 	if err != nil {
 		return nil, NotSent.Wrap(err)
 	}
+	if err := request.confirm(ctx); err != nil {
+		pool.putBack(address, conn)
+		return nil, NotSent.Wrap(err)
+	}
 	stop := context.AfterFunc(ctx, conn.abort)
 	writeResult := make(chan error, 1)
 	go func() { writeResult <- writeRequest(conn, request) }()
--- a/internal/link/http1/http1_test.go
+++ b/internal/link/http1/http1_test.go
@@ -330,3 +330,62 @@
 	}()
 	return listener.Addr().String()
 }
+
+// TestContextEndedBefore guards against a request that is sent on an idle connection although
+// its context has ended, for instance as its caller has left (GONE).
+func TestContextEndedBefore(t *testing.T) {
+	const rounds = 50
+	refused := errors.New("refused")
+	tests := []struct {
+		name    string
+		context func() (context.Context, context.CancelFunc)
+		confirm func() error
+	}{
+		{"cancelled", func() (context.Context, context.CancelFunc) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			return ctx, cancel
+		}, nil},
+		{"deadline passed", func() (context.Context, context.CancelFunc) {
+			return context.WithDeadline(context.Background(), time.Now().Add(-time.Second))
+		}, nil},
+		{"not confirmed", func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), 100*time.Millisecond)
+		}, func() error { return refused }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var received atomic.Int64
+			address := serveRaw(t, func(conn net.Conn) {
+				for reader := bufio.NewReader(conn); ; received.Add(1) {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+				}
+			})
+			pool := New(Config{})
+			defer pool.Close()
+			for range rounds {
+				if err := pool.Open(context.Background(), address); err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := test.context()
+				response, err := pool.Do(ctx, address, Request{Method: "GET", Target: "/x", Host: "a.example", Confirm: test.confirm})
+				cancel()
+				if err == nil {
+					_ = response.Body.Close()
+				}
+				if !NotSent.Has(err) {
+					t.Fatalf("error %v, want one of class NotSent", err)
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+			if got := received.Load(); got > 0 {
+				t.Errorf("%d of %d requests were sent, want none", got, rounds)
+			}
+			if opened, _ := pool.Stats(); opened != rounds {
+				t.Errorf("%d connections opened, want %d", opened, rounds)
+			}
+		})
+	}
+}
--- a/internal/link/http1/pool.go
+++ b/internal/link/http1/pool.go
@@ -48,15 +48,20 @@
 	pool.mutex.Lock()
 	pool.opened++
 	pool.mutex.Unlock()
-	opened := &conn{Conn: netConn, headRemaining: -1, openedAt: time.Now()}
+	opened := &conn{Conn: netConn, headRemaining: -1, openedAt: time.Now(), expiresAt: time.Now().Add(pool.config.IdleTimeout)}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
 }
 
-// putIdle keeps a connection for reuse, or closes it if the pool holds enough idle
-// connections for the address.
+// putIdle keeps a connection for reuse until an idle timeout has passed.
 func (pool *Pool) putIdle(address string, conn *conn, idleTimeout time.Duration) {
 	conn.expiresAt = time.Now().Add(idleTimeout)
+	pool.putBack(address, conn)
+}
+
+// putBack keeps a connection for reuse until it expires, or closes it if the pool holds
+// enough idle connections for the address.
+func (pool *Pool) putBack(address string, conn *conn) {
 	pool.mutex.Lock()
 	list := pool.idle[address]
 	kept := len(list) < pool.config.MaxIdle
