Ask the kernel whether a caller is there before its request is sent, and while it runs

What callers and operators saw: upstreams got requests up to 0.6 s after their callers had left, and went on with work for callers that had left.

Cause: a departure was known only through the background read of package net/http, which ends the request's context. On a relay that is short of processor the send of a request and that read are due at the same time, and whoever runs first decides. If bytes follow the request, the read ends with the first of them and the departure is never seen.

Change: the state of the caller's connection is asked (poll, POLLRDHUP, which shows a close behind unread bytes too) before the organisation is charged, before a grant is used, and directly before the first byte is written to the upstream. A departure ends the request's context, whoever sees it first. A caller that closes its sending side while it waits counts as gone, as before.

--- a/internal/daemon/relay/callerconn.go
+++ b/internal/daemon/relay/callerconn.go
@@ -91,3 +91,9 @@
 	})
 	return since
 }
+
+// socketOf returns the descriptor of a connection, and false if it has none.
+func socketOf(conn net.Conn) (socket int32, ok bool) {
+	controlSocket(conn, func(fd int) { socket, ok = int32(fd), true })
+	return socket, ok
+}
--- a/internal/daemon/relay/departure.go
+++ b/internal/daemon/relay/departure.go
@@ -1,48 +1,84 @@
 package relay
 
 import (
+	"context"
+	"errors"
+	"net"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
-// callerDepartures knows the callers of the running requests, to learn of their departure.
-type callerDepartures struct {
-	mutex   sync.Mutex
-	callers map[*proxyRequest]*caller
-}
+// The server learns that a caller has left by a read in the background. It learns it late if
+// the instance is short of processor, and never if bytes follow the request. Hence nothing is
+// decided on the server's word alone: the kernel is asked before each send and from time to
+// time while a request runs.
+
+// errCallerLeft is the cause with which a request's context ends when its caller has closed
+// the connection.
+var errCallerLeft = errors.New("the caller has left")
 
 // caller is the caller of a running request.
 type caller struct {
+	conn  net.Conn
+	leave context.CancelCauseFunc
 	// presentAt is when the connection was last seen open.
 	presentAt time.Time
 }
 
+// callerDepartures knows the callers of the running requests. Its methods may be called
+// concurrently.
+type callerDepartures struct {
+	mutex   sync.Mutex
+	callers map[*proxyRequest]*caller
+}
+
 func newCallerDepartures() *callerDepartures {
 	return &callerDepartures{callers: make(map[*proxyRequest]*caller)}
 }
 
-// begin records that a request runs, and returns a function that records its end.
-func (callerDepartures *callerDepartures) begin(request *proxyRequest) (end func()) {
+// begin records that a request runs. leave ends its context.
+func (callerDepartures *callerDepartures) begin(request *proxyRequest, leave context.CancelCauseFunc) {
 	callerDepartures.mutex.Lock()
 	defer callerDepartures.mutex.Unlock()
-	callerDepartures.callers[request] = &caller{presentAt: request.started}
-	return func() {
-		callerDepartures.mutex.Lock()
-		defer callerDepartures.mutex.Unlock()
-		delete(callerDepartures.callers, request)
-	}
+	callerDepartures.callers[request] = &caller{conn: callerConn(request.request.Context()), leave: leave, presentAt: request.started}
+}
+
+// end records that a request has ended.
+func (callerDepartures *callerDepartures) end(request *proxyRequest) {
+	callerDepartures.mutex.Lock()
+	defer callerDepartures.mutex.Unlock()
+	delete(callerDepartures.callers, request)
 }
 
-// check looks at the connections of all callers.
+// check looks at the connections of all callers, and ends the contexts of the requests whose
+// callers have left.
 func (callerDepartures *callerDepartures) check() {
 	callerDepartures.mutex.Lock()
 	defer callerDepartures.mutex.Unlock()
-	for request, caller := range callerDepartures.callers {
-		if !connClosed(callerConn(request.request.Context())) {
-			caller.presentAt = time.Now()
+	callers := make([]*caller, 0, len(callerDepartures.callers))
+	polled := make([]unix.PollFd, 0, len(callerDepartures.callers))
+	for _, caller := range callerDepartures.callers {
+		if fd, ok := socketOf(caller.conn); ok {
+			callers, polled = append(callers, caller), append(polled, unix.PollFd{Fd: fd, Events: unix.POLLRDHUP})
+		}
+	}
+	if len(polled) == 0 {
+		return
+	}
+	if _, err := unix.Poll(polled, 0); err != nil {
+		return
+	}
+	now := time.Now()
+	for i, caller := range callers {
+		// The number may belong to another socket meanwhile, so a departure is confirmed.
+		if polled[i].Revents&peerClosed != 0 && connClosed(caller.conn) {
+			caller.leave(errCallerLeft)
+			continue
 		}
+		caller.presentAt = now
 	}
 }
 
@@ -56,11 +92,32 @@
 	return request.started
 }
 
-// recordSentFor records whether the caller has left when its request is sent.
-func (proxyRequest *proxyRequest) recordSentFor() {
-	if connClosed(callerConn(proxyRequest.request.Context())) {
-		proxyRequest.relay.metrics.increment("sent-for-callers-left")
-		proxyRequest.log("relay: request sent although its caller has left", zap.Duration("since-present", time.Since(proxyRequest.relay.departures.presentAt(proxyRequest))),
-			zap.Duration("unread", proxyRequest.unread), zap.Bool("noticed", proxyRequest.request.Context().Err() != nil))
+// confirmCaller asks the kernel whether the caller is still there. It returns an error and
+// ends the request's context if not.
+func (proxyRequest *proxyRequest) confirmCaller() error {
+	ctx := proxyRequest.request.Context()
+	if ctx.Err() == nil && connClosed(callerConn(ctx)) {
+		proxyRequest.relay.metrics.increment("callers-left-unnoticed")
+		proxyRequest.leave(errCallerLeft)
+	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
 	}
+	return nil
+}
+
+// maySend reports whether the request may still be sent: its time has not run out, and its
+// caller is there.
+func (proxyRequest *proxyRequest) maySend(ctx context.Context) bool {
+	return ctx.Err() == nil && proxyRequest.confirmCaller() == nil
+}
+
+// recordDeparture records that the request ends as its caller has left.
+func (proxyRequest *proxyRequest) recordDeparture() {
+	relay := proxyRequest.relay
+	sincePresent := time.Since(relay.departures.presentAt(proxyRequest))
+	relay.metrics.increment("caller-left")
+	departureDelay.Observe(sincePresent)
+	proxyRequest.log("relay: caller disconnected", zap.Duration("since-present", sincePresent), zap.Duration("unread", proxyRequest.unread),
+		zap.Stringer("stage", proxyRequest.stage))
 }
--- /dev/null
+++ b/internal/daemon/relay/departure_test.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jacinthfront.dev/jacinthfront/internal/link/http1"
+	"jacinthfront.dev/jacinthfront/internal/state/fleet"
+	"jacinthfront.dev/jacinthfront/internal/state/routes"
+)
+
+// connPair returns the two ends of a connection.
+func connPair(t *testing.T) (caller, accepted *net.TCPConn) {
+	t.Helper()
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	caller, err = net.DialTCP("tcp", nil, listener.Addr().(*net.TCPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if accepted, err = listener.AcceptTCP(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = caller.Close()
+		_ = accepted.Close()
+	})
+	return caller, accepted
+}
+
+// callerActions are what a caller may do between its request and the send of that.
+var callerActions = []struct {
+	name string
+	act  func(caller *net.TCPConn)
+	left bool
+}{
+	{"waits", func(*net.TCPConn) {}, false},
+	{"sends its next request", func(caller *net.TCPConn) { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n") }, false},
+	{"leaves", func(caller *net.TCPConn) { _ = caller.Close() }, true},
+	{"leaves with bytes behind its request", func(caller *net.TCPConn) {
+		_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
+		_ = caller.Close()
+	}, true},
+	{"leaves with a reset", func(caller *net.TCPConn) {
+		_ = caller.SetLinger(0)
+		_ = caller.Close()
+	}, true},
+}
+
+// TestSendAfterDeparture guards against a request that is sent to an upstream although its
+// caller has closed its connection, if the server has not noticed that yet (GONE).
+func TestSendAfterDeparture(t *testing.T) {
+	for _, test := range callerActions {
+		t.Run(test.name, func(t *testing.T) {
+			var received atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+			defer server.Close()
+			upstream := fleet.Upstream{ID: "i-1", Service: "counter", Address: strings.TrimPrefix(server.URL, "http://"), StartedAt: 1000}
+			relay := newListedRelay(upstream)
+			relay.config.Protocol, relay.config.Pool = namelessProtocol{}, http1.New(http1.Config{})
+			defer relay.config.Pool.Close()
+			caller, accepted := connPair(t)
+			// The context does not end: the server has not noticed the departure.
+			ctx := context.WithValue(t.Context(), callerConnKey{}, net.Conn(accepted))
+			proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
+			defer proxyRequest.end()
+			proxyRequest.route, proxyRequest.service = &routes.Route{MaxAttempts: 2}, &routes.Service{}
+			proxyRequest.body, proxyRequest.deadline = relay.buffers.NewBuffer("a"), time.Now().Add(time.Minute)
+			test.act(caller)
+			time.Sleep(10 * time.Millisecond)
+			proxyRequest.send(proxyRequest.request.Context(), upstream)
+			if got := received.Load() > 0; got == test.left {
+				t.Errorf("the upstream received the request: %v, its caller had left: %v", got, test.left)
+			}
+			if ended := proxyRequest.request.Context().Err() != nil; ended != test.left {
+				t.Errorf("the request was given up: %v, its caller had left: %v", ended, test.left)
+			}
+		})
+	}
+}
+
+// TestDepartureDuringWork guards against a request that an upstream works on although its
+// caller has closed its connection, if the server does not notice that (GONE).
+func TestDepartureDuringWork(t *testing.T) {
+	for _, test := range callerActions {
+		t.Run(test.name, func(t *testing.T) {
+			relay := newListedRelay()
+			relay.config.Protocol = namelessProtocol{}
+			caller, accepted := connPair(t)
+			ctx := context.WithValue(t.Context(), callerConnKey{}, net.Conn(accepted))
+			proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
+			defer proxyRequest.end()
+			test.act(caller)
+			time.Sleep(10 * time.Millisecond)
+			relay.departures.check()
+			if ended := proxyRequest.request.Context().Err() != nil; ended != test.left {
+				t.Errorf("the request was given up: %v, its caller had left: %v", ended, test.left)
+			}
+		})
+	}
+}
+
+// namelessProtocol adds nothing to requests. Responses are sealed and name no request.
+type namelessProtocol struct{ plainProtocol }
+
+func (namelessProtocol) ParseRequest(*http.Request) RequestInfo { return RequestInfo{} }
+
+func (namelessProtocol) UpstreamHeader(request *http.Request, _ ForwardInfo) http.Header {
+	return request.Header.Clone()
+}
+
+func (namelessProtocol) ParseResponse(int, http.Header) ResponseInfo {
+	return ResponseInfo{Sealed: true, Load: -1}
+}
--- a/internal/daemon/relay/foreign.go
+++ b/internal/daemon/relay/foreign.go
@@ -21,7 +21,6 @@
 // http1.Response.Next.
 func (proxyRequest *proxyRequest) exchange(ctx context.Context, upstream fleet.Upstream) (*http1.Response, ResponseInfo, error) {
 	relay := proxyRequest.relay
-	proxyRequest.recordSentFor()
 	response, err := relay.config.Pool.Do(ctx, upstream.Address, proxyRequest.upstreamRequest(upstream))
 	for err == nil {
 		info := relay.config.Protocol.ParseResponse(response.Status, response.Header)
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -61,6 +61,8 @@
 	relay   *Relay
 	writer  http.ResponseWriter
 	request *http.Request
+	// leave ends the context of request.
+	leave   context.CancelCauseFunc
 	info    RequestInfo
 	started time.Time
 	// readAt is when the whole request was read.
@@ -162,23 +164,40 @@
 	passedOn bool
 }
 
-// serve handles a caller's request.
-func (relay *Relay) serve(writer http.ResponseWriter, request *http.Request) {
-	proxyRequest := &proxyRequest{relay: relay, writer: writer, request: request, info: relay.config.Protocol.ParseRequest(request), started: time.Now()}
-	proxyRequest.unread = sinceReceived(callerConn(request.Context()))
+// newProxyRequest returns a request of a caller. Its context ends when the caller leaves, and
+// at the latest with end.
+func newProxyRequest(relay *Relay, writer http.ResponseWriter, request *http.Request) *proxyRequest {
+	ctx, leave := context.WithCancelCause(request.Context())
+	proxyRequest := &proxyRequest{
+		relay: relay, writer: writer, request: request.WithContext(ctx), leave: leave, info: relay.config.Protocol.ParseRequest(request),
+		started: time.Now(), unread: sinceReceived(callerConn(ctx)),
+	}
 	requestDelay.Observe(proxyRequest.unread)
-	defer relay.departures.begin(proxyRequest)()
+	relay.departures.begin(proxyRequest, leave)
 	relay.metrics.running.Add(1)
-	defer relay.metrics.running.Add(-1)
+	return proxyRequest
+}
+
+// end ends what newProxyRequest began, and gives back the memory of the bodies.
+func (proxyRequest *proxyRequest) end() {
+	proxyRequest.relay.metrics.running.Add(-1)
+	proxyRequest.relay.departures.end(proxyRequest)
+	proxyRequest.leave(nil)
+	proxyRequest.releaseBodies()
+}
+
+// serve handles a caller's request.
+func (relay *Relay) serve(writer http.ResponseWriter, request *http.Request) {
+	proxyRequest := newProxyRequest(relay, writer, request)
+	defer proxyRequest.end()
 	if relay.stopping() {
 		writer.Header().Set("Connection", "close")
 	}
-	defer proxyRequest.releaseBodies()
 	if refused := proxyRequest.admit(); refused != nil {
 		proxyRequest.refuse(*refused)
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), proxyRequest.deadline)
+	ctx, cancel := context.WithDeadline(proxyRequest.request.Context(), proxyRequest.deadline)
 	defer cancel()
 	ctx, done := relay.withStop(ctx)
 	defer done()
@@ -228,9 +247,18 @@
 	if refused := proxyRequest.poisonRefusal(); refused != nil {
 		return refused
 	}
+	if proxyRequest.confirmCaller() != nil {
+		proxyRequest.abandon()
+	}
 	return proxyRequest.charge()
 }
 
+// abandon ends a request whose caller has left.
+func (proxyRequest *proxyRequest) abandon() {
+	proxyRequest.recordDeparture()
+	panic(http.ErrAbortHandler)
+}
+
 // authenticate finds the organisation. It trusts no key if the configuration was not
 // confirmed recently, as the configuration may lack a withdrawal of the key.
 func (proxyRequest *proxyRequest) authenticate(config *routes.Table, confirmed bool) *refusal {
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -111,12 +109,7 @@
 		proxyRequest.log("relay: response ended for its caller")
 		panic(http.ErrAbortHandler)
 	case proxyRequest.request.Context().Err() != nil:
-		proxyRequest.relay.metrics.increment("caller-left")
-		sincePresent := time.Since(proxyRequest.relay.departures.presentAt(proxyRequest))
-		departureDelay.Observe(sincePresent)
-		proxyRequest.log("relay: caller disconnected", zap.Duration("since-present", sincePresent), zap.Duration("unread", proxyRequest.unread),
-			zap.Stringer("stage", proxyRequest.stage))
-		panic(http.ErrAbortHandler)
+		proxyRequest.abandon()
 	case proxyRequest.headersSent:
 		proxyRequest.relay.metrics.increment("stream-cut")
 		proxyRequest.log("relay: response aborted", logs.ErrorField(ctx.Err()))
@@ -195,7 +188,7 @@
 		}
 		choice := waitingRequest.choose()
 		proxyRequest.recordWait(choice)
-		if grant, ok := waitingRequest.admitted(choice); ok {
+		if grant, ok := waitingRequest.admitted(choice); ok && proxyRequest.maySend(ctx) {
 			if !proxyRequest.relay.permits.take(choice.Upstream, grant != 0) {
 				// Another request has used the permit since the choice.
 				continue
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -124,6 +124,7 @@
 		Header:  proxyRequest.relay.config.Protocol.UpstreamHeader(proxyRequest.request, info),
 		Body:    proxyRequest.body.Chunks(),
 		HasBody: proxyRequest.request.ContentLength != 0 || proxyRequest.request.Method == http.MethodPost,
+		Confirm: proxyRequest.confirmCaller,
 	}
 }
 
