Don't take a response for whole that ended before its request was written

Callers got a part of an answer as a complete one: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a socket reports its reset once. The goroutine that writes the request got it, and the read that followed saw a plain end, which ends a response that has neither a length nor chunks. What the write had seen was only looked at to decide whether the connection may be reused.

At the end of such a response the body now waits for the end of the write, and fails unless all was written. Responses with a length or chunks are not affected, nor is an upstream that ends its answer early and reads on. Refusals without a length are not read to their end, as nothing is gained from that.

--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -190,8 +190,10 @@
 	proxyRequest.relay.metrics.increment("turned-away-" + strconv.Itoa(response.Status))
 	proxyRequest.log("relay: upstream did not run the request", zap.Int("status", response.Status),
 		zap.Bool("reused", response.Reused), zap.String("address", upstream.Address))
-	// The rest of the body is short; reading it lets the connection be reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes))
+	if !response.Unframed {
+		// The rest of the body is short; reading it lets the connection be reused.
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes))
+	}
 	return outcomeNotRun
 }
 
--- a/internal/link/http1/body.go
+++ b/internal/link/http1/body.go
@@ -1,6 +1,8 @@
 package http1
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,14 +29,39 @@
 	skipped int
 	// stop ends the watch of the request's context. It returns false if the
 	// context has already ended.
-	stop        func() bool
-	writeResult chan error
-	once        sync.Once
+	stop    func() bool
+	written *requestWrite
+	once    sync.Once
+}
+
+// errUnsentRequest means that a response without a length ended before its request was
+// written. A reset of the connection is reported once, to the write or to the read, so the
+// read alone does not tell whether the response is whole.
+var errUnsentRequest = errors.New("the connection ended before the request was written")
+
+// requestWrite is the writing of a request.
+type requestWrite struct {
+	// done is closed at the end of the write, and err is then its error.
+	done chan struct{}
+	err  error
+}
+
+// startWrite begins to write a request.
+func startWrite(writer io.Writer, request Request) *requestWrite {
+	write := &requestWrite{done: make(chan struct{})}
+	go func() {
+		defer close(write.done)
+		write.err = writeRequest(writer, request)
+	}()
+	return write
 }
 
 // Read implements io.Reader.
 func (body *body) Read(buffer []byte) (int, error) {
 	n, err := body.response.Body.Read(buffer)
+	if err == io.EOF && body.endsWithConnection() {
+		err = body.checkSent()
+	}
 	switch {
 	case err == io.EOF:
 		body.once.Do(body.release)
@@ -44,6 +71,22 @@
 	return n, err
 }
 
+// endsWithConnection reports whether nothing but the end of the connection ends the body.
+func (body *body) endsWithConnection() bool {
+	return isUnframed(body.response) && body.response.Body != http.NoBody
+}
+
+// checkSent returns io.EOF if the whole request was written, which it waits for: the upstream
+// may read on after the end of its response. If it does not, the request's context ends the
+// wait.
+func (body *body) checkSent() error {
+	<-body.written.done
+	if body.written.err != nil {
+		return fmt.Errorf("%w: %w", errUnsentRequest, body.written.err)
+	}
+	return io.EOF
+}
+
 func (body *body) abort() {
 	body.stop()
 	body.conn.abort()
@@ -71,8 +114,8 @@
 	timer := time.NewTimer(writeTimeout)
 	defer timer.Stop()
 	select {
-	case err := <-body.writeResult:
-		return err == nil
+	case <-body.written.done:
+		return body.written.err == nil
 	case <-timer.C:
 		return false
 	}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -239,8 +239,7 @@
 		return nil, NotSent.Wrap(err)
 	}
 	stop := context.AfterFunc(ctx, conn.abort)
-	writeResult := make(chan error, 1)
-	go func() { writeResult <- writeRequest(conn, request) }()
+	written := startWrite(conn, request)
 	// The caller of Do closes the body.
 	response, err := conn.readResponse(request.Method) //nolint:bodyclose
 	if err != nil {
@@ -250,7 +249,7 @@
 	}
 	body := &body{
 		pool: pool, address: address, conn: conn, requestID: request.ID, method: request.Method,
-		response: response, stop: stop, writeResult: writeResult,
+		response: response, stop: stop, written: written,
 	}
 	return body.newResponse(), nil
 }
