--- a/internal/link/engine/exchange.go
+++ b/internal/link/engine/exchange.go
@@ -64,6 +64,7 @@
 	}
 	var waitingForConn, reused atomic.Bool
 	var latest atomic.Pointer[connUse]
+	written := newRequestWrite()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { waitingForConn.Store(true) },
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -71,6 +72,7 @@
 			reused.Store(info.Reused)
 			latest.Store(client.connUses.begin(info))
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.end(info.Err) },
 	})
 	request, err := http.NewRequestWithContext(ctx, method, client.url+path, singleUse{bytes.NewReader(body)})
 	if err != nil {
@@ -92,6 +94,7 @@
 		}
 		return nil, transportFault(ctx, err, executionAfterFailure(&waitingForConn))
 	}
+	written.check(ctx, response)
 	if status := response.StatusCode; status < http.StatusOK || status > maxStatus {
 		use.closeAfter(response)
 		_ = response.Body.Close()
