--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -15,7 +13,6 @@
 
 	"go.uber.org/zap"
 
-	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
 	"jacinthfront.dev/jacinthfront/internal/flow/buffer"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
@@ -27,8 +24,6 @@
 )
 
 const (
-	// maxBodyBytes limits the body of a request, and of a response that is not a stream.
-	maxBodyBytes = 8 << 20
 	// defaultTimeout applies to requests whose callers do not say how long they wait.
 	defaultTimeout = 60 * time.Second
 	// retryAfterUnready is sent with refusals of an instance that cannot serve yet.
@@ -204,15 +199,6 @@
 	proxyRequest.run(ctx)
 }
 
-// releaseBodies gives back the memory of the bodies that the request holds.
-func (proxyRequest *proxyRequest) releaseBodies() {
-	for _, body := range []*buffer.Buffer{proxyRequest.body, proxyRequest.failureBody} {
-		if body != nil {
-			body.Release()
-		}
-	}
-}
-
 // admit checks, reads and charges the request. It returns a refusal if the request
 // may not be served.
 func (proxyRequest *proxyRequest) admit() *refusal {
@@ -312,44 +298,6 @@
 	return timeout
 }
 
-// readBody reads the body of the request.
-func (proxyRequest *proxyRequest) readBody() *refusal {
-	proxyRequest.body = proxyRequest.relay.buffers.NewBuffer("organisation " + proxyRequest.organisationName())
-	hasher := proxyRequest.newIdentityHasher()
-	defer func() { proxyRequest.identity = hasher.identity() }()
-	if proxyRequest.request.Body == nil || proxyRequest.request.ContentLength == 0 {
-		return nil
-	}
-	// The body may arrive too slowly to end before the caller's deadline.
-	control := http.NewResponseController(proxyRequest.writer)
-	if err := control.SetReadDeadline(proxyRequest.deadline); err != nil {
-		proxyRequest.relay.config.Logger.Debug("relay: failed to set the read deadline", logs.ErrorField(err))
-	}
-	err := proxyRequest.body.Fill(hasher.tee(proxyRequest.request.Body), maxBodyBytes)
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &refusal{http.StatusRequestTimeout, "the body did not come in time", retryAfterUnready}
-	case errors.Is(err, buffer.ErrFull):
-		proxyRequest.closeConnection()
-		return &refusal{http.StatusServiceUnavailable, "the memory for bodies is used up", retryAfterFull}
-	case errors.Is(err, buffer.ErrLarge):
-		proxyRequest.closeConnection()
-		return &refusal{http.StatusRequestEntityTooLarge, "the body is too large", 0}
-	case err != nil:
-		return &refusal{http.StatusBadRequest, "the body cannot be read", 0}
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		proxyRequest.relay.config.Logger.Debug("relay: failed to clear the read deadline", logs.ErrorField(err))
-	}
-	return nil
-}
-
-// closeConnection closes the caller's connection after the response, as the rest of the
-// request is not read.
-func (proxyRequest *proxyRequest) closeConnection() {
-	proxyRequest.writer.Header().Set("Connection", "close")
-}
-
 // awaitStartup waits until ready returns true, at most for startupWait after the
 // start of the instance.
 func (proxyRequest *proxyRequest) awaitStartup(ready func() bool) {
