Ask once for callers that were just seen

A request that waited for nothing asked the kernel four times for its caller. It asks once now: a caller that was seen within 10 ms counts as present.

--- a/internal/daemon/relay/callerconn.go
+++ b/internal/daemon/relay/callerconn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -80,18 +79,6 @@
 	return closed
 }
 
-// sinceReceived returns how long ago the kernel received the last bytes on a connection, or
-// 0 if that cannot be learnt.
-func sinceReceived(conn net.Conn) time.Duration {
-	var since time.Duration
-	controlSocket(conn, func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
-	return since
-}
-
 // socketOf returns the descriptor of a connection, and false if it has none.
 func socketOf(conn net.Conn) (socket int32, ok bool) {
 	controlSocket(conn, func(fd int) { socket, ok = int32(fd), true })
--- a/internal/daemon/relay/departure.go
+++ b/internal/daemon/relay/departure.go
@@ -16,6 +16,10 @@
 // decided on the server's word alone: the kernel is asked before each send and from time to
 // time while a request runs.
 
+// confirmInterval is how long a caller counts as present once it was seen, so that the checks
+// of a request that waits for nothing cost one call.
+const confirmInterval = 10 * time.Millisecond
+
 // errCallerLeft is the cause with which a request's context ends when its caller has closed
 // the connection.
 var errCallerLeft = errors.New("the caller has left")
@@ -92,13 +96,15 @@
 	return request.started
 }
 
-// confirmCaller asks the kernel whether the caller is still there. It returns an error and
-// ends the request's context if not.
+// confirmCaller asks the kernel whether the caller is still there, unless it was seen within
+// confirmInterval. It returns an error and ends the request's context if not.
 func (proxyRequest *proxyRequest) confirmCaller() error {
-	ctx := proxyRequest.request.Context()
-	if ctx.Err() == nil && connClosed(callerConn(ctx)) {
-		proxyRequest.relay.metrics.increment("callers-left-unnoticed")
-		proxyRequest.leave(errCallerLeft)
+	ctx, now := proxyRequest.request.Context(), time.Now()
+	if ctx.Err() == nil && now.Sub(proxyRequest.presentAt) >= confirmInterval {
+		if proxyRequest.presentAt = now; connClosed(callerConn(ctx)) {
+			proxyRequest.relay.metrics.increment("callers-left-unnoticed")
+			proxyRequest.leave(errCallerLeft)
+		}
 	}
 	if ctx.Err() != nil {
 		return context.Cause(ctx)
@@ -118,6 +124,5 @@
 	sincePresent := time.Since(relay.departures.presentAt(proxyRequest))
 	relay.metrics.increment("caller-left")
 	departureDelay.Observe(sincePresent)
-	proxyRequest.log("relay: caller disconnected", zap.Duration("since-present", sincePresent), zap.Duration("unread", proxyRequest.unread),
-		zap.Stringer("stage", proxyRequest.stage))
+	proxyRequest.log("relay: caller disconnected", zap.Duration("since-present", sincePresent), zap.Stringer("stage", proxyRequest.stage))
 }
--- a/internal/daemon/relay/metrics.go
+++ b/internal/daemon/relay/metrics.go
@@ -22,9 +22,7 @@
 	answerTime = metric.NewHistogram()
 	// timerDelay is how late a periodic task begins: how short of processor the instance is.
 	timerDelay = metric.NewHistogram()
-	// requestDelay is how long requests wait until they are read, and departureDelay how long
-	// at most after a caller has left that is noticed.
-	requestDelay   = metric.NewHistogram()
+	// departureDelay is how long at most after a caller has left that is noticed.
 	departureDelay = metric.NewHistogram()
 )
 
@@ -32,7 +30,6 @@
 	counters.Set("first-event", firstEvent)
 	counters.Set("answer-time", answerTime)
 	counters.Set("timer-delay", timerDelay)
-	counters.Set("request-delay", requestDelay)
 	counters.Set("departure-delay", departureDelay)
 }
 
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -62,9 +62,9 @@
 	started time.Time
 	// readAt is when the whole request was read.
 	readAt time.Time
-	// unread is how long the request had been received when it was read.
-	unread   time.Duration
-	deadline time.Time
+	// presentAt is when the caller was last seen.
+	presentAt time.Time
+	deadline  time.Time
 
 	route        *routes.Route
 	organisation *routes.Organisation
@@ -165,9 +165,8 @@
 	ctx, leave := context.WithCancelCause(request.Context())
 	proxyRequest := &proxyRequest{
 		relay: relay, writer: writer, request: request.WithContext(ctx), leave: leave, info: relay.config.Protocol.ParseRequest(request),
-		started: time.Now(), unread: sinceReceived(callerConn(ctx)),
+		started: time.Now(),
 	}
-	requestDelay.Observe(proxyRequest.unread)
 	relay.departures.begin(proxyRequest, leave)
 	relay.metrics.running.Add(1)
 	return proxyRequest
--- a/internal/link/engine/earlyend.go
+++ b/internal/link/engine/earlyend.go
@@ -49,7 +49,7 @@
 // Read implements io.Reader.
 func (body *unframedBody) Read(buffer []byte) (int, error) {
 	n, err := body.ReadCloser.Read(buffer)
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	select {
--- a/internal/link/http1/body.go
+++ b/internal/link/http1/body.go
@@ -59,11 +59,11 @@
 // Read implements io.Reader.
 func (body *body) Read(buffer []byte) (int, error) {
 	n, err := body.response.Body.Read(buffer)
-	if err == io.EOF && body.endsWithConnection() {
+	if errors.Is(err, io.EOF) && body.endsWithConnection() {
 		err = body.checkSent()
 	}
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		body.once.Do(body.release)
 	case err != nil:
 		body.once.Do(body.abort)
