Move the watch for departing callers to internal/link/depart

Entry instances of the first set-up learn of departures in the same way as relays and need the same questions to the kernel. What relays do doesn't change. TestLeft takes over the cases of TestDepartureDuringWork, and asks both ways to learn of a departure.

--- a/internal/daemon/relay/callerwrites.go
+++ b/internal/daemon/relay/callerwrites.go
@@ -11,6 +11,7 @@
 
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/stall"
+	"jacinthfront.dev/jacinthfront/internal/link/depart"
 )
 
 const (
@@ -56,7 +57,7 @@
 // that records its end.
 func (callerWrites *callerWrites) begin(request *proxyRequest, held int64) (end func()) {
 	now := time.Now()
-	write := &callerWrite{request: request, conn: callerConn(request.request.Context()), held: held, begun: now, readAt: now}
+	write := &callerWrite{request: request, conn: depart.Conn(request.request.Context()), held: held, begun: now, readAt: now}
 	callerWrites.mutex.Lock()
 	defer callerWrites.mutex.Unlock()
 	callerWrites.writes[write] = true
--- a/internal/daemon/relay/departure_test.go
+++ b/internal/daemon/relay/departure_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 	"testing"
 	"time"
 
+	"jacinthfront.dev/jacinthfront/internal/link/depart"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
@@ -38,29 +38,27 @@
 	return caller, accepted
 }
 
-// callerActions are what a caller may do between its request and the send of that.
-var callerActions = []struct {
-	name string
-	act  func(caller *net.TCPConn)
-	left bool
-}{
-	{"waits", func(*net.TCPConn) {}, false},
-	{"sends its next request", func(caller *net.TCPConn) { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n") }, false},
-	{"leaves", func(caller *net.TCPConn) { _ = caller.Close() }, true},
-	{"leaves with bytes behind its request", func(caller *net.TCPConn) {
-		_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
-		_ = caller.Close()
-	}, true},
-	{"leaves with a reset", func(caller *net.TCPConn) {
-		_ = caller.SetLinger(0)
-		_ = caller.Close()
-	}, true},
-}
-
 // TestSendAfterDeparture guards against a request that is sent to an upstream although its
 // caller has closed its connection, if the server has not noticed that yet (GONE).
 func TestSendAfterDeparture(t *testing.T) {
-	for _, test := range callerActions {
+	tests := []struct {
+		name string
+		act  func(caller *net.TCPConn)
+		left bool
+	}{
+		{"waits", func(*net.TCPConn) {}, false},
+		{"sends its next request", func(caller *net.TCPConn) { _, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n") }, false},
+		{"leaves", func(caller *net.TCPConn) { _ = caller.Close() }, true},
+		{"leaves with bytes behind its request", func(caller *net.TCPConn) {
+			_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\n\r\n")
+			_ = caller.Close()
+		}, true},
+		{"leaves with a reset", func(caller *net.TCPConn) {
+			_ = caller.SetLinger(0)
+			_ = caller.Close()
+		}, true},
+	}
+	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var received atomic.Int64
 			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
@@ -71,7 +69,7 @@
 			defer relay.config.Pool.Close()
 			caller, accepted := connPair(t)
 			// The context does not end: the server has not noticed the departure.
-			ctx := context.WithValue(t.Context(), callerConnKey{}, net.Conn(accepted))
+			ctx := depart.WithConn(t.Context(), accepted)
 			proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
 			defer proxyRequest.end()
 			proxyRequest.route, proxyRequest.service = &routes.Route{MaxAttempts: 2}, &routes.Service{}
@@ -89,27 +87,6 @@
 	}
 }
 
-// TestDepartureDuringWork guards against a request that an upstream works on although its
-// caller has closed its connection, if the server does not notice that (GONE).
-func TestDepartureDuringWork(t *testing.T) {
-	for _, test := range callerActions {
-		t.Run(test.name, func(t *testing.T) {
-			relay := newListedRelay()
-			relay.config.Protocol = namelessProtocol{}
-			caller, accepted := connPair(t)
-			ctx := context.WithValue(t.Context(), callerConnKey{}, net.Conn(accepted))
-			proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
-			defer proxyRequest.end()
-			test.act(caller)
-			time.Sleep(10 * time.Millisecond)
-			relay.departures.check()
-			if ended := proxyRequest.request.Context().Err() != nil; ended != test.left {
-				t.Errorf("the request was given up: %v, its caller had left: %v", ended, test.left)
-			}
-		})
-	}
-}
-
 // namelessProtocol adds nothing to requests. Responses are sealed and name no request.
 type namelessProtocol struct{ plainProtocol }
 
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -19,6 +19,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/order"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
+	"jacinthfront.dev/jacinthfront/internal/link/depart"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
@@ -56,15 +57,12 @@
 	relay   *Relay
 	writer  http.ResponseWriter
 	request *http.Request
-	// leave ends the context of request.
-	leave   context.CancelCauseFunc
+	caller  *depart.Caller
 	info    RequestInfo
 	started time.Time
 	// readAt is when the whole request was read.
-	readAt time.Time
-	// presentAt is when the caller was last seen.
-	presentAt time.Time
-	deadline  time.Time
+	readAt   time.Time
+	deadline time.Time
 
 	route        *routes.Route
 	organisation *routes.Organisation
@@ -162,21 +160,18 @@
 // newProxyRequest returns a request of a caller. Its context ends when the caller leaves, and
 // at the latest with end.
 func newProxyRequest(relay *Relay, writer http.ResponseWriter, request *http.Request) *proxyRequest {
-	ctx, leave := context.WithCancelCause(request.Context())
-	proxyRequest := &proxyRequest{
-		relay: relay, writer: writer, request: request.WithContext(ctx), leave: leave, info: relay.config.Protocol.ParseRequest(request),
+	ctx, caller := relay.callers.Begin(request.Context())
+	relay.metrics.running.Add(1)
+	return &proxyRequest{
+		relay: relay, writer: writer, request: request.WithContext(ctx), caller: caller, info: relay.config.Protocol.ParseRequest(request),
 		started: time.Now(),
 	}
-	relay.departures.begin(proxyRequest, leave)
-	relay.metrics.running.Add(1)
-	return proxyRequest
 }
 
 // end ends what newProxyRequest began, and gives back the memory of the bodies.
 func (proxyRequest *proxyRequest) end() {
 	proxyRequest.relay.metrics.running.Add(-1)
-	proxyRequest.relay.departures.end(proxyRequest)
-	proxyRequest.leave(nil)
+	proxyRequest.caller.End()
 	proxyRequest.releaseBodies()
 }
 
@@ -238,12 +233,6 @@
 	return proxyRequest.charge()
 }
 
-// abandon ends a request whose caller has left.
-func (proxyRequest *proxyRequest) abandon() {
-	proxyRequest.recordDeparture()
-	panic(http.ErrAbortHandler)
-}
-
 // authenticate finds the organisation. It trusts no key if the configuration was not
 // confirmed recently, as the configuration may lack a withdrawal of the key.
 func (proxyRequest *proxyRequest) authenticate(config *routes.Table, confirmed bool) *refusal {
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -28,6 +28,7 @@
 	"jacinthfront.dev/jacinthfront/internal/flow/picker"
 	"jacinthfront.dev/jacinthfront/internal/flow/poison"
 	"jacinthfront.dev/jacinthfront/internal/flow/stall"
+	"jacinthfront.dev/jacinthfront/internal/link/depart"
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
 	"jacinthfront.dev/jacinthfront/internal/link/http1"
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -129,7 +130,8 @@
 	activeSends    *activeSends
 	// callerWrites holds the writes to callers, to end those to callers that do not read.
 	callerWrites *callerWrites
-	departures   *callerDepartures
+	// callers watches for callers that leave.
+	callers *depart.Watch
 	// origins holds which software began streams.
 	origins         *origins
 	incarnationAsks *incarnationAsks
@@ -187,7 +189,7 @@
 		idleConnections: newIdleConnections(),
 		activeSends:     newActiveSends(),
 		callerWrites:    newCallerWrites(stall.Config{Limit: cmp.Or(config.BodyMemory, buffer.DefaultLimit) / slowCallersPart}),
-		departures:      newCallerDepartures(),
+		callers:         depart.New(),
 		origins:         newOrigins(),
 		incarnationAsks: &incarnationAsks{askedAt: make(map[string]time.Time)},
 		buffers:         buffer.New(buffer.Config{Limit: config.BodyMemory}),
@@ -303,7 +305,7 @@
 			return
 		case due := <-ticker.C:
 			timerDelay.Observe(time.Since(due))
-			relay.departures.check()
+			relay.callers.Check()
 			relay.endStalled()
 			relay.config.Pool.CloseExpired()
 			if removed := relay.store.instances.RemoveExpired(); len(removed) > 0 {
