Ask the kernel for callers in entry instances too

The same cause as at relays: an entry instance works on for a caller that has closed its connection if bytes follow the request, and a side process gets an attempt although its caller has left before. TestCallerGoneBehindBytes fails without the watch in the two cases with bytes behind the request (nothing was cancelled within 0.5 s), and passes with it.

--- a/internal/daemon/entry/attempt.go
+++ b/internal/daemon/entry/attempt.go
@@ -70,6 +70,10 @@
 		return attempt.unreachableResult()
 	}
 	defer conn.Release()
+	if attempt.job.exchange.caller.Confirm() != nil {
+		attempt.count("callers-gone")
+		return result{outcome: refused, fault: fault.New(fault.Cancelled, fault.NotRun, "the caller has gone")}
+	}
 	stream, err := wirepb.NewDRPCSideClient(conn).Run(ctx, attempt.job.request(ctx, attempt.number, attempt.incarnation))
 	if err != nil {
 		return attempt.interruptedResult()
--- a/internal/daemon/entry/entry.go
+++ b/internal/daemon/entry/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/link/depart"
 )
 
 // drainAnswerMargin is how long before the end of a planned stop the requests that arrived
@@ -29,6 +30,8 @@
 	background sync.WaitGroup
 	// drained is closed when Drain has ended.
 	drained chan struct{}
+	// callers watches for callers that leave.
+	callers *depart.Watch
 }
 
 // New returns an Entry.
@@ -36,7 +39,7 @@
 	if err := config.setDefaults(); err != nil {
 		return nil, err
 	}
-	entry := &Entry{config: config, services: newServiceTable(&config), history: newHistory(historySize), drained: make(chan struct{})}
+	entry := &Entry{config: config, services: newServiceTable(&config), history: newHistory(historySize), drained: make(chan struct{}), callers: depart.New()}
 	handler, err := entry.handler()
 	if err != nil {
 		return nil, err
@@ -46,6 +49,7 @@
 		ReadHeaderTimeout: config.Limits.HeaderTimeout,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    config.Limits.MaxHeaderBytes,
+		ConnContext:       depart.WithConn,
 	}
 	entry.services.update()
 	return entry, nil
@@ -56,6 +60,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go entry.services.run(ctx, entry.config.RefreshInterval)
+	go entry.callers.Run(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = entry.server.Close() })
 	defer stop()
 	err := entry.server.Serve(listener)
--- a/internal/daemon/entry/exchange.go
+++ b/internal/daemon/entry/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/kataras/iris/v12"
 
 	"jacinthfront.dev/jacinthfront/internal/base/fault"
+	"jacinthfront.dev/jacinthfront/internal/link/depart"
 	"jacinthfront.dev/jacinthfront/internal/state/conf"
 )
 
@@ -31,6 +32,7 @@
 	writer    http.ResponseWriter
 	rawWriter http.ResponseWriter
 	request   *http.Request
+	caller    *depart.Caller
 	id        string
 	arrived   time.Time
 	config    *conf.Config
@@ -46,22 +48,29 @@
 	idHasUpstream bool
 }
 
+// newExchange returns an exchange. Its request's context ends when the caller leaves, and at
+// the latest when end is called.
 func newExchange(entry *Entry, ctx iris.Context) *exchange {
 	control := http.NewResponseController(ctx.ResponseWriter().Naive())
 	// The deadline also bounds the time in which net/http reads the rest of a body
 	// that is refused unread.
 	_ = control.SetReadDeadline(time.Now().Add(entry.config.Limits.BodyTimeout))
+	requestCtx, caller := entry.callers.Begin(ctx.Request().Context())
 	return &exchange{
 		entry:     entry,
 		writer:    ctx.ResponseWriter(),
 		rawWriter: ctx.ResponseWriter().Naive(),
-		request:   ctx.Request(),
+		request:   ctx.Request().WithContext(requestCtx),
+		caller:    caller,
 		id:        entry.config.NewRequestID(),
 		arrived:   time.Now(),
 		config:    entry.config.ConfigSource.Current(),
 	}
 }
 
+// end ends what newExchange began.
+func (exchange *exchange) end() { exchange.caller.End() }
+
 // writeHeader sends the status line and the headers that every response carries.
 func (exchange *exchange) writeHeader(status int, mediaType string) {
 	if exchange.headerSent {
--- a/internal/daemon/entry/failure_test.go
+++ b/internal/daemon/entry/failure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -195,3 +197,45 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestCallerGoneBehindBytes guards against work that continues after its caller has
+// disconnected, if bytes that follow the request keep the server from seeing that (GONE).
+func TestCallerGoneBehindBytes(t *testing.T) {
+	const workTime, cancelTimeout = 2 * time.Second, 500 * time.Millisecond
+	tests := []struct {
+		name, behind string
+	}{
+		{"nothing behind", ""},
+		{"a part of a request behind", "POST /v1"},
+		{"a request behind", "GET /v1/models HTTP/1.1\r\nHost: entry\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			harness := newHarness(t)
+			harness.setScripts(runScript(eventSender.started, chunks(0, "a"), sleep(workTime)))
+			harness.start()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = harness.entry.Serve(t.Context(), listener) }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			request := harness.request(t.Context(), http.MethodPost, "/v1/completions", ashKey, `{"model":"oak","prompt":"hi","stream":true}`)
+			if err := request.Write(conn); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(conn, test.behind)
+			time.Sleep(100 * time.Millisecond)
+			_ = conn.Close()
+			time.Sleep(cancelTimeout)
+			if runs, cancels := harness.received(); len(runs) != 1 || len(cancels) != 1 {
+				t.Errorf("%d attempts, %d cancelled %v after the caller left, want 1 and 1", len(runs), len(cancels), cancelTimeout)
+			}
+			_ = harness.entry.server.Close()
+		})
+	}
+}
--- a/internal/daemon/entry/http.go
+++ b/internal/daemon/entry/http.go
@@ -41,6 +41,7 @@
 func (entry *Entry) wrap(serve handlerFunc) iris.Handler {
 	return func(ctx iris.Context) {
 		exchange := newExchange(entry, ctx)
+		defer exchange.end()
 		if fault := exchange.checkAndServe(serve); fault != nil {
 			exchange.writeFault(fault)
 		}
