Have whichever goroutine runs look for departed callers, and reset at once

Cause: the check every 100 ms runs in a goroutine of its own, and the reset of the upstream's connection in another one, which the end of a context starts. A goroutine that becomes runnable waits for all that are runnable already, which takes seconds on such a relay.

Change: a request that is read, an event that arrives and a request that waits each make the check that is due, by themselves; and the goroutine that learns of a departure resets the connection to the upstream itself.

--- a/internal/daemon/relay/departure_test.go
+++ b/internal/daemon/relay/departure_test.go
@@ -99,3 +99,44 @@
 func (namelessProtocol) ParseResponse(int, http.Header) ResponseInfo {
 	return ResponseInfo{Sealed: true, Load: -1}
 }
+
+// TestDepartureNoticedByOthers guards against an upstream that works on for a caller who has
+// left until a periodic task comes to run, which takes long on an instance that is short of
+// processor (GONE): another request that is read meanwhile must end the work.
+func TestDepartureNoticedByOthers(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		defer close(ended)
+		close(began)
+		<-request.Context().Done()
+	}))
+	defer server.Close()
+	upstream := fleet.Upstream{ID: "i-1", Service: "counter", Address: strings.TrimPrefix(server.URL, "http://"), StartedAt: 1000}
+	relay := newListedRelay(upstream)
+	relay.config.Protocol, relay.config.Pool = namelessProtocol{}, http1.New(http1.Config{})
+	defer relay.config.Pool.Close()
+	caller, accepted := connPair(t)
+	request := httptest.NewRequestWithContext(depart.WithConn(t.Context(), accepted), http.MethodPost, "/", nil)
+	proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), request)
+	defer proxyRequest.end()
+	proxyRequest.route, proxyRequest.service = &routes.Route{MaxAttempts: 2}, &routes.Service{}
+	proxyRequest.body, proxyRequest.deadline = relay.buffers.NewBuffer("a"), time.Now().Add(time.Minute)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		proxyRequest.send(proxyRequest.request.Context(), upstream)
+	}()
+	<-began
+	_ = caller.Close()
+	time.Sleep(depart.CheckInterval + 10*time.Millisecond)
+	newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)).end()
+	if proxyRequest.request.Context().Err() == nil {
+		t.Fatal("the departure was not noticed")
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the upstream works on")
+	}
+	<-sent
+}
--- a/internal/daemon/relay/proxyrequest.go
+++ b/internal/daemon/relay/proxyrequest.go
@@ -160,6 +160,7 @@
 // newProxyRequest returns a request of a caller. Its context ends when the caller leaves, and
 // at the latest with end.
 func newProxyRequest(relay *Relay, writer http.ResponseWriter, request *http.Request) *proxyRequest {
+	relay.callers.CheckDue()
 	ctx, caller := relay.callers.Begin(request.Context())
 	relay.metrics.running.Add(1)
 	return &proxyRequest{
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -305,7 +305,7 @@
 			return
 		case due := <-ticker.C:
 			timerDelay.Observe(time.Since(due))
-			relay.callers.Check()
+			relay.callers.CheckDue()
 			relay.endStalled()
 			relay.config.Pool.CloseExpired()
 			if removed := relay.store.instances.RemoveExpired(); len(removed) > 0 {
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -176,6 +176,7 @@
 		proxyRequest.joinPermitQueue(waitingRequest.number)
 	}
 	for {
+		proxyRequest.relay.callers.CheckDue()
 		changed := proxyRequest.relay.stateChanged.next()
 		if refused := proxyRequest.stopRefusal(); refused != nil {
 			return picker.Choice{}, refused
--- a/internal/daemon/relay/send.go
+++ b/internal/daemon/relay/send.go
@@ -125,6 +125,7 @@
 		Body:    proxyRequest.body.Chunks(),
 		HasBody: proxyRequest.request.ContentLength != 0 || proxyRequest.request.Method == http.MethodPost,
 		Confirm: proxyRequest.confirmCaller,
+		OnLeave: proxyRequest.caller.OnLeave,
 	}
 }
 
--- a/internal/daemon/relay/stream.go
+++ b/internal/daemon/relay/stream.go
@@ -158,6 +158,7 @@
 
 // recordArrival records when an event arrived, to measure the engine's speed.
 func (proxyRequest *proxyRequest) recordArrival(upstream fleet.Upstream, last *time.Time) {
+	proxyRequest.relay.callers.CheckDue()
 	now := time.Now()
 	proxyRequest.stage = stageEvent
 	if goal := proxyRequest.route.EventGapGoal; goal > 0 && !last.IsZero() && now.Sub(*last) > goal {
--- a/internal/link/depart/depart.go
+++ b/internal/link/depart/depart.go
@@ -5,6 +5,11 @@
 // request. So nothing should rest on it alone: Caller.Confirm asks the kernel, and Watch asks
 // from time to time for all callers at once. A caller has left once it has closed its side of
 // the connection, also if it still reads.
+//
+// A goroutine that becomes runnable waits for all others that are, which takes seconds in a
+// process that is short of processor. So whichever goroutine runs makes the check that is due
+// (Watch.CheckDue), and ends by itself what runs for the callers that have left
+// (Caller.OnLeave).
 package depart
 
 import (
@@ -12,6 +17,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,8 +37,10 @@
 
 // Watch knows the callers of the running requests. Its methods may be called concurrently.
 type Watch struct {
-	mutex   sync.Mutex
-	callers map[*Caller]bool
+	// checkedAt is when the last check began, in Unix nanoseconds.
+	checkedAt atomic.Int64
+	mutex     sync.Mutex
+	callers   map[*Caller]bool
 }
 
 // Caller is the caller of a running request. Its methods may be called concurrently.
@@ -46,8 +54,13 @@
 	// seenAt is when the connection was last seen open, and confirmedAt when Confirm last
 	// asked for it.
 	seenAt, confirmedAt time.Time
+	// onLeave is the call to make when the caller leaves, nil if there is none.
+	onLeave *onLeaveCall
 }
 
+// onLeaveCall is the function of a call of OnLeave.
+type onLeaveCall struct{ leave func() }
+
 // New returns a Watch without callers.
 func New() *Watch { return &Watch{callers: make(map[*Caller]bool)} }
 
@@ -72,14 +85,30 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			watch.Check()
+			watch.CheckDue()
 		}
 	}
 }
 
-// Check looks at the connections of all callers, and ends the contexts of those that have
-// left.
+// CheckDue checks the callers if CheckInterval has passed since the last check. It may be
+// called often.
+func (watch *Watch) CheckDue() {
+	last, now := watch.checkedAt.Load(), time.Now().UnixNano()
+	if now-last >= int64(CheckInterval) && watch.checkedAt.CompareAndSwap(last, now) {
+		watch.Check()
+	}
+}
+
+// Check looks at the connections of all callers. It ends the contexts of those that have left,
+// and calls their functions of OnLeave.
 func (watch *Watch) Check() {
+	for _, caller := range watch.findLeft() {
+		caller.end(ErrLeft)
+	}
+}
+
+// findLeft returns the callers that have left.
+func (watch *Watch) findLeft() (left []*Caller) {
 	watch.mutex.Lock()
 	defer watch.mutex.Unlock()
 	callers := make([]*Caller, 0, len(watch.callers))
@@ -90,27 +119,28 @@
 		})
 	}
 	if len(polled) == 0 {
-		return
+		return nil
 	}
 	if _, err := unix.Poll(polled, 0); err != nil {
-		return
+		return nil
 	}
 	now := time.Now()
 	for i, caller := range callers {
 		// The number may belong to another socket meanwhile, so a departure is confirmed.
 		if polled[i].Revents&peerClosed != 0 && closed(caller.conn) {
-			caller.leave(ErrLeft)
+			left = append(left, caller)
 			continue
 		}
 		caller.recordSeen(now)
 	}
+	return left
 }
 
 // Confirm returns an error if the caller has left or the request's context has ended. It asks
 // the kernel, unless it did so just before, and ends the context if the caller has left.
 func (caller *Caller) Confirm() error {
 	if caller.ctx.Err() == nil && caller.confirmDue(time.Now()) && closed(caller.conn) {
-		caller.leave(ErrLeft)
+		caller.end(ErrLeft)
 	}
 	if caller.ctx.Err() != nil {
 		return context.Cause(caller.ctx)
@@ -118,6 +148,37 @@
 	return nil
 }
 
+// OnLeave has a function called, by the goroutine that learns it, if the caller leaves. It
+// replaces the function of an earlier call. stop withdraws it, and returns false if it was
+// called or another one has replaced it.
+func (caller *Caller) OnLeave(leave func()) (stop func() bool) {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	call := &onLeaveCall{leave}
+	caller.onLeave = call
+	return func() bool {
+		caller.mutex.Lock()
+		defer caller.mutex.Unlock()
+		if caller.onLeave != call {
+			return false
+		}
+		caller.onLeave = nil
+		return true
+	}
+}
+
+// end ends what runs for a caller that has left.
+func (caller *Caller) end(cause error) {
+	caller.mutex.Lock()
+	call := caller.onLeave
+	caller.onLeave = nil
+	caller.mutex.Unlock()
+	caller.leave(cause)
+	if call != nil {
+		call.leave()
+	}
+}
+
 // Unseen returns how long ago at most the caller left, if it has.
 func (caller *Caller) Unseen() time.Duration {
 	caller.mutex.Lock()
--- a/internal/link/depart/depart_test.go
+++ b/internal/link/depart/depart_test.go
@@ -56,7 +56,7 @@
 		ask  func(watch *Watch, caller *Caller)
 	}{
 		{"confirm", func(_ *Watch, caller *Caller) { _ = caller.Confirm() }},
-		{"check", func(watch *Watch, _ *Caller) { watch.Check() }},
+		{"check", func(watch *Watch, _ *Caller) { watch.CheckDue() }},
 	}
 	for _, test := range tests {
 		for _, ask := range asks {
@@ -66,6 +66,9 @@
 				ctx, caller := watch.Begin(WithConn(context.Background(), accepted))
 				_, other := connPair(t)
 				otherCtx, otherCaller := watch.Begin(WithConn(context.Background(), other))
+				called, otherCalled := 0, 0
+				stop := caller.OnLeave(func() { called++ })
+				otherStop := otherCaller.OnLeave(func() { otherCalled++ })
 				test.act(conn)
 				time.Sleep(10 * time.Millisecond)
 				ask.ask(watch, caller)
@@ -78,6 +81,10 @@
 				if otherCtx.Err() != nil {
 					t.Error("the context of another caller ended")
 				}
+				left := test.want != nil
+				if called > 0 != left || stop() == left || otherCalled > 0 || !otherStop() {
+					t.Errorf("called %d times, and %d times for another caller, want it once for one that left", called, otherCalled)
+				}
 				caller.End()
 				otherCaller.End()
 				if len(watch.callers) > 0 {
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -91,6 +91,24 @@
 	// Confirm is called directly before the request is written, unless it is nil. If it
 	// returns an error, the request is not sent.
 	Confirm func() error
+	// OnLeave has a function called when the request is given up, at once and not by another
+	// goroutine, as the end of its context may have. It may be nil. stop withdraws the
+	// function, and returns false if it was called.
+	OnLeave func(abort func()) (stop func() bool)
+}
+
+// abortWith has abort called when ctx ends or the request is given up, until stop is called.
+// stop returns false if abort was called.
+func (request Request) abortWith(ctx context.Context, abort func()) (stop func() bool) {
+	stopContext := context.AfterFunc(ctx, abort)
+	if request.OnLeave == nil {
+		return stopContext
+	}
+	stopLeave := request.OnLeave(abort)
+	return func() bool {
+		left := !stopLeave()
+		return stopContext() && !left
+	}
 }
 
 // confirm returns an error if the request must not be sent any more.
@@ -238,7 +256,7 @@
 		pool.putBack(address, conn)
 		return nil, NotSent.Wrap(err)
 	}
-	stop := context.AfterFunc(ctx, conn.abort)
+	stop := request.abortWith(ctx, conn.abort)
 	written := startWrite(conn, request)
 	// The caller of Do closes the body.
 	response, err := conn.readResponse(request.Method) //nolint:bodyclose
