Don't let a step of the time of day suspend the checks for departures

The check that is due was found by Unix time, so that after a step backwards none was due until the time was reached again. It is found by the monotonic clock now. Found by reading the change.

--- a/internal/link/depart/depart.go
+++ b/internal/link/depart/depart.go
@@ -37,7 +37,9 @@
 
 // Watch knows the callers of the running requests. Its methods may be called concurrently.
 type Watch struct {
-	// checkedAt is when the last check began, in Unix nanoseconds.
+	start time.Time
+	// checkedAt is how long after start the last check began, in nanoseconds. The time of day
+	// may step.
 	checkedAt atomic.Int64
 	mutex     sync.Mutex
 	callers   map[*Caller]bool
@@ -62,7 +64,7 @@
 type onLeaveCall struct{ leave func() }
 
 // New returns a Watch without callers.
-func New() *Watch { return &Watch{callers: make(map[*Caller]bool)} }
+func New() *Watch { return &Watch{start: time.Now(), callers: make(map[*Caller]bool)} }
 
 // Begin records that a request runs whose context is ctx, and returns a context that ends when
 // the caller leaves. The request must call End when it has ended. The caller's connection is
@@ -93,8 +95,8 @@
 // CheckDue checks the callers if CheckInterval has passed since the last check. It may be
 // called often.
 func (watch *Watch) CheckDue() {
-	last, now := watch.checkedAt.Load(), time.Now().UnixNano()
-	if now-last >= int64(CheckInterval) && watch.checkedAt.CompareAndSwap(last, now) {
+	last, now := watch.checkedAt.Load(), time.Since(watch.start).Nanoseconds()
+	if now-last >= CheckInterval.Nanoseconds() && watch.checkedAt.CompareAndSwap(last, now) {
 		watch.Check()
 	}
 }
--- a/internal/link/depart/depart_test.go
+++ b/internal/link/depart/depart_test.go
@@ -56,7 +56,10 @@
 		ask  func(watch *Watch, caller *Caller)
 	}{
 		{"confirm", func(_ *Watch, caller *Caller) { _ = caller.Confirm() }},
-		{"check", func(watch *Watch, _ *Caller) { watch.CheckDue() }},
+		{"check", func(watch *Watch, _ *Caller) {
+			time.Sleep(CheckInterval)
+			watch.CheckDue()
+		}},
 	}
 	for _, test := range tests {
 		for _, ask := range asks {
