Name the end of a request and the departure of its caller apart

Caller had End for a request that has ended and end for a caller that has left, and Check stood beside CheckDue with no other caller. The set-up of two tests stood twice. Found on reading the change; behaviour and assertions are the same, and TestDepartureNoticedByOthers still fails without the check by other requests.

--- a/internal/daemon/relay/departure_test.go
+++ b/internal/daemon/relay/departure_test.go
@@ -38,6 +38,27 @@
 	return caller, accepted
 }
 
+// newSendableRequest returns a request that may be sent to a server as its upstream, and the
+// caller's end of its connection. Its context does not end by itself, as that of a request
+// whose server has not noticed that the caller has left. The server is closed with the test.
+func newSendableRequest(t *testing.T, server *httptest.Server) (caller *net.TCPConn, request *proxyRequest, upstream fleet.Upstream) {
+	t.Helper()
+	upstream = fleet.Upstream{ID: "i-1", Service: "counter", Address: strings.TrimPrefix(server.URL, "http://"), StartedAt: 1000}
+	relay := newListedRelay(upstream)
+	relay.config.Protocol, relay.config.Pool = namelessProtocol{}, http1.New(http1.Config{})
+	caller, accepted := connPair(t)
+	ctx := depart.WithConn(t.Context(), accepted)
+	request = newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
+	request.route, request.service = &routes.Route{MaxAttempts: 2}, &routes.Service{}
+	request.body, request.deadline = relay.buffers.NewBuffer("a"), time.Now().Add(time.Minute)
+	t.Cleanup(func() {
+		request.end()
+		relay.config.Pool.Close()
+		server.Close()
+	})
+	return caller, request, upstream
+}
+
 // TestSendAfterDeparture guards against a request that is sent to an upstream although its
 // caller has closed its connection, if the server has not noticed that yet (GONE).
 func TestSendAfterDeparture(t *testing.T) {
@@ -62,18 +83,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var received atomic.Int64
 			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
-			defer server.Close()
-			upstream := fleet.Upstream{ID: "i-1", Service: "counter", Address: strings.TrimPrefix(server.URL, "http://"), StartedAt: 1000}
-			relay := newListedRelay(upstream)
-			relay.config.Protocol, relay.config.Pool = namelessProtocol{}, http1.New(http1.Config{})
-			defer relay.config.Pool.Close()
-			caller, accepted := connPair(t)
-			// The context does not end: the server has not noticed the departure.
-			ctx := depart.WithConn(t.Context(), accepted)
-			proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/", nil))
-			defer proxyRequest.end()
-			proxyRequest.route, proxyRequest.service = &routes.Route{MaxAttempts: 2}, &routes.Service{}
-			proxyRequest.body, proxyRequest.deadline = relay.buffers.NewBuffer("a"), time.Now().Add(time.Minute)
+			caller, proxyRequest, upstream := newSendableRequest(t, server)
 			test.act(caller)
 			time.Sleep(10 * time.Millisecond)
 			proxyRequest.send(proxyRequest.request.Context(), upstream)
@@ -110,17 +120,7 @@
 		close(began)
 		<-request.Context().Done()
 	}))
-	defer server.Close()
-	upstream := fleet.Upstream{ID: "i-1", Service: "counter", Address: strings.TrimPrefix(server.URL, "http://"), StartedAt: 1000}
-	relay := newListedRelay(upstream)
-	relay.config.Protocol, relay.config.Pool = namelessProtocol{}, http1.New(http1.Config{})
-	defer relay.config.Pool.Close()
-	caller, accepted := connPair(t)
-	request := httptest.NewRequestWithContext(depart.WithConn(t.Context(), accepted), http.MethodPost, "/", nil)
-	proxyRequest := newProxyRequest(relay, httptest.NewRecorder(), request)
-	defer proxyRequest.end()
-	proxyRequest.route, proxyRequest.service = &routes.Route{MaxAttempts: 2}, &routes.Service{}
-	proxyRequest.body, proxyRequest.deadline = relay.buffers.NewBuffer("a"), time.Now().Add(time.Minute)
+	caller, proxyRequest, upstream := newSendableRequest(t, server)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
@@ -129,7 +129,7 @@
 	<-began
 	_ = caller.Close()
 	time.Sleep(depart.CheckInterval + 10*time.Millisecond)
-	newProxyRequest(relay, httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)).end()
+	newProxyRequest(proxyRequest.relay, httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", nil)).end()
 	if proxyRequest.request.Context().Err() == nil {
 		t.Fatal("the departure was not noticed")
 	}
--- a/internal/link/depart/depart.go
+++ b/internal/link/depart/depart.go
@@ -92,20 +92,15 @@
 	}
 }
 
-// CheckDue checks the callers if CheckInterval has passed since the last check. It may be
-// called often.
+// CheckDue looks at the connections of all callers if CheckInterval has passed since the last
+// check. It ends the contexts of those that have left, and calls their functions of OnLeave. It
+// may be called often.
 func (watch *Watch) CheckDue() {
 	last, now := watch.checkedAt.Load(), time.Since(watch.start).Nanoseconds()
 	if now-last >= CheckInterval.Nanoseconds() && watch.checkedAt.CompareAndSwap(last, now) {
-		watch.Check()
-	}
-}
-
-// Check looks at the connections of all callers. It ends the contexts of those that have left,
-// and calls their functions of OnLeave.
-func (watch *Watch) Check() {
-	for _, caller := range watch.findLeft() {
-		caller.end(ErrLeft)
+		for _, caller := range watch.findLeft() {
+			caller.recordLeft()
+		}
 	}
 }
 
@@ -142,7 +137,7 @@
 // the kernel, unless it did so just before, and ends the context if the caller has left.
 func (caller *Caller) Confirm() error {
 	if caller.ctx.Err() == nil && caller.confirmDue(time.Now()) && closed(caller.conn) {
-		caller.end(ErrLeft)
+		caller.recordLeft()
 	}
 	if caller.ctx.Err() != nil {
 		return context.Cause(caller.ctx)
@@ -169,13 +164,13 @@
 	}
 }
 
-// end ends what runs for a caller that has left.
-func (caller *Caller) end(cause error) {
+// recordLeft ends what runs for a caller that has left.
+func (caller *Caller) recordLeft() {
 	caller.mutex.Lock()
 	call := caller.onLeave
 	caller.onLeave = nil
 	caller.mutex.Unlock()
-	caller.leave(cause)
+	caller.leave(ErrLeft)
 	if call != nil {
 		call.leave()
 	}
--- a/internal/link/http1/http1.go
+++ b/internal/link/http1/http1.go
@@ -91,13 +91,13 @@
 	// Confirm is called directly before the request is written, unless it is nil. If it
 	// returns an error, the request is not sent.
 	Confirm func() error
-	// OnLeave has a function called when the request is given up, at once and not by another
-	// goroutine, as the end of its context may have. It may be nil. stop withdraws the
-	// function, and returns false if it was called.
+	// OnLeave registers a function that aborts the exchange when the request's caller leaves.
+	// Unlike the end of the context, which starts a goroutine, it has the function called at
+	// once. It may be nil. stop withdraws the function, and returns false if it was called.
 	OnLeave func(abort func()) (stop func() bool)
 }
 
-// abortWith has abort called when ctx ends or the request is given up, until stop is called.
+// abortWith has abort called when ctx ends or the caller leaves, until stop is called.
 // stop returns false if abort was called.
 func (request Request) abortWith(ctx context.Context, abort func()) (stop func() bool) {
 	stopContext := context.AfterFunc(ctx, abort)
