review: case 10, a runner's 503 is passed on for an order that has run

Cause: the relay passes on a sealed failure whatever its status promises. Nothing outside review/ changes.

--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -240,6 +240,21 @@
 	})
 }
 
+// plainConfig returns a configuration with one plain service, counter, and a route to it.
+func plainConfig(route map[string]any) map[string]any {
+	config := engineConfig(0, nil)
+	order := map[string]any{
+		"name": "order", "host": host, "path_prefix": "/order/", "route_type": "unsafe", "service": "counter",
+		"timeout_ms": 1500, "target_latency_ms": 100, "priority": 2, "max_attempts": 2,
+	}
+	for name, value := range route {
+		order[name] = value
+	}
+	config["routes"] = []any{order}
+	config["services"] = []any{map[string]any{"name": "counter", "max_connections": 110, "health_path": "/healthz"}}
+	return config
+}
+
 // engineConfig returns a configuration with one service of engines, advisor, and a route of
 // streams to it.
 func engineConfig(places int, route map[string]any) map[string]any {
@@ -276,7 +291,12 @@
 
 // call sends a request to a relay and reads the answer to its end.
 func (bed *bed) call(relay *relay, method, path, id string, headers map[string]string) reply {
-	request, err := http.NewRequest(method, "http://"+relay.callers+path, strings.NewReader("prompt"))
+	return bed.callBody(relay, method, path, id, "prompt", headers)
+}
+
+// callBody is call with a body.
+func (bed *bed) callBody(relay *relay, method, path, id, body string, headers map[string]string) reply {
+	request, err := http.NewRequest(method, "http://"+relay.callers+path, strings.NewReader(body))
 	check(err)
 	request.Host = host
 	request.Header.Set(headerAttempt, id)
@@ -290,8 +310,8 @@
 		return reply{cut: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header.Get(headerSeal), string(body), response.Header, err}
+	text, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header.Get(headerSeal), string(text), response.Header, err}
 }
 
 // usedPorts holds the ports that were chosen.
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -57,6 +57,9 @@
 	prefill time.Duration
 	// work is how long a plain request runs.
 	work time.Duration
+	// Of plain requests, each failEvery-th fails after its work, with failStatus and the
+	// runner's seal; none if failEvery is 0.
+	failEvery, failStatus int
 	// unframed means that streams have neither a length nor chunks, and end with their
 	// connection.
 	unframed bool
@@ -72,6 +75,8 @@
 	sequence int
 	fence    int64
 	active   int
+	// ran counts the plain requests that ran.
+	ran int
 	// leaving means that the runner leaves, which all its answers say.
 	leaving bool
 }
@@ -91,6 +96,8 @@
 	flags.DurationVar(&runner.interval, "interval", 0, "time between two events")
 	flags.DurationVar(&runner.prefill, "prefill", 0, "time before a stream begins")
 	flags.DurationVar(&runner.work, "work", 0, "time of a plain request")
+	flags.IntVar(&runner.failEvery, "fail-every", 0, "each such plain request fails after its work")
+	flags.IntVar(&runner.failStatus, "fail-status", 0, "status of these failures")
 	flags.BoolVar(&runner.unframed, "unframed", false, "streams end with their connection")
 	flags.DurationVar(&runner.leaveAfter, "leave-after", 0, "time from SIGUSR1, on which the runner begins to leave, to its exit")
 	flags.Int64Var(&runner.born, "born", runner.born, "start, in Unix milliseconds")
@@ -270,14 +277,28 @@
 	writer.Header().Set(headerSeal, "seal-"+runner.id)
 	if !runner.engine {
 		time.Sleep(runner.work)
+		if runner.fails() {
+			runner.say("ran %s, and fails with %d: %s", id, runner.failStatus, body)
+			writer.WriteHeader(runner.failStatus)
+			_, _ = io.WriteString(writer, "the order was booked, but its receipt failed")
+			return
+		}
 		text := fmt.Sprintf("%s %s by %s: %d bytes", request.Method, id, runner.id, len(body))
-		runner.say("ends %s", id)
+		runner.say("ran %s: %s", id, body)
 		_, _ = io.WriteString(writer, text)
 		return
 	}
 	runner.stream(writer, request, id)
 }
 
+// fails reports whether the next plain request fails after its work.
+func (runner *runner) fails() bool {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.ran++
+	return runner.failEvery > 0 && runner.ran%runner.failEvery == 0
+}
+
 func (runner *runner) countActive(change int) {
 	runner.mutex.Lock()
 	defer runner.mutex.Unlock()
