--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -27,6 +27,8 @@
 	key     = "key-1"
 	// readyTimeout is how long a relay may take until it is ready.
 	readyTimeout = 10 * time.Second
+	// heartbeat is the time between two status reports of a runner.
+	heartbeat = 1200 * time.Millisecond
 )
 
 // Exit codes of a script.
@@ -47,6 +49,8 @@
 	mutex     sync.Mutex
 	record    *os.File
 	processes []*process
+	// listed holds the start of the runner that an entry of the store is of, by its id.
+	listed map[string]int64
 }
 
 // process is a process that the script started.
@@ -54,6 +58,8 @@
 	name    string
 	command *exec.Cmd
 	ended   chan struct{}
+	// unlisted is closed when a runner no longer writes its entry.
+	unlisted chan struct{}
 }
 
 // newBed returns a deployment without processes. What happens is written to a file.
@@ -62,7 +68,7 @@
 	check(err)
 	record, err := os.Create(recordPath)
 	check(err)
-	bed := &bed{folder: folder, start: time.Now(), peerPort: freePort(), store: newStore(), record: record}
+	bed := &bed{folder: folder, start: time.Now(), peerPort: freePort(), store: newStore(), record: record, listed: make(map[string]int64)}
 	bed.storeAddr = bed.store.serve()
 	return bed
 }
@@ -97,7 +103,7 @@
 	check(err)
 	command.Stderr = command.Stdout
 	check(command.Start())
-	process := &process{name: name, command: command, ended: make(chan struct{})}
+	process := &process{name: name, command: command, ended: make(chan struct{}), unlisted: make(chan struct{})}
 	bed.mutex.Lock()
 	bed.processes = append(bed.processes, process)
 	bed.mutex.Unlock()
@@ -223,23 +229,53 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	bed.list(spec, born, "ready")
+	bed.note("entry servers/%s: ready, born %d", spec.id, born)
+	bed.list(spec, born, 0)
+	go bed.keepListed(process, spec, born)
 	return process
 }
 
 // list writes a runner's entry.
-func (bed *bed) list(spec runnerSpec, born int64, state string) {
+func (bed *bed) list(spec runnerSpec, born int64, sequence int) {
 	address := spec.listed
 	if address == "" {
 		address = spec.address
 	}
-	bed.note("entry servers/%s: %s, born %d", spec.id, state, born)
+	bed.mutex.Lock()
+	defer bed.mutex.Unlock()
+	bed.listed[spec.id] = born
 	bed.store.put(topicServers, spec.id, map[string]any{
 		"service": spec.service, "address": address, "zone": "hall-a", "version": "v1", "slots": spec.slots,
-		"state": state, "cold_remaining_ms": 0, "sequence": 0, "born": born,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "born": born,
 	})
 }
 
+// keepListed writes a runner's entry once every heartbeat. Three heartbeats after the runner's
+// end the entry is removed, unless the runner has started again under its id.
+func (bed *bed) keepListed(process *process, spec runnerSpec, born int64) {
+	for sequence := 1; ; sequence++ {
+		select {
+		case <-time.After(heartbeat):
+			bed.list(spec, born, sequence)
+		case <-process.unlisted:
+			return
+		case <-process.ended:
+			time.Sleep(3 * heartbeat)
+			bed.unlist(spec, born)
+			return
+		}
+	}
+}
+
+// unlist removes the entry of a runner that started at a time.
+func (bed *bed) unlist(spec runnerSpec, born int64) {
+	bed.mutex.Lock()
+	defer bed.mutex.Unlock()
+	if bed.listed[spec.id] == born {
+		bed.store.drop(topicServers, spec.id)
+	}
+}
+
 // plainConfig returns a configuration with one plain service, counter, and a route to it.
 func plainConfig(route map[string]any) map[string]any {
 	config := engineConfig(0, nil)
@@ -291,12 +327,7 @@
 
 // call sends a request to a relay and reads the answer to its end.
 func (bed *bed) call(relay *relay, method, path, id string, headers map[string]string) reply {
-	return bed.callBody(relay, method, path, id, "prompt", headers)
-}
-
-// callBody is call with a body.
-func (bed *bed) callBody(relay *relay, method, path, id, body string, headers map[string]string) reply {
-	request, err := http.NewRequest(method, "http://"+relay.callers+path, strings.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+relay.callers+path, strings.NewReader("prompt"))
 	check(err)
 	request.Host = host
 	request.Header.Set(headerAttempt, id)
--- a/review/standin-2/leaving.go
+++ b/review/standin-2/leaving.go
@@ -64,6 +64,7 @@
 	time.Sleep(2 * time.Second)
 	if trouble {
 		bed.note("i-engine-0 leaves: its entry is removed, and it serves on for %v", leaveAfter)
+		close(leaving.unlisted)
 		leaving.signal(syscall.SIGUSR1)
 		bed.store.drop(topicServers, left.id)
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,8 +23,8 @@
 		runLateOrder(newBed(os.Args[2]), trouble)
 	case "leaving":
 		runLeaving(newBed(os.Args[2]), trouble)
-	case "failed-order":
-		runFailedOrder(newBed(os.Args[2]), trouble)
+	case "cut-receipt":
+		runCutReceipt(newBed(os.Args[2]), trouble)
 	default:
 		fmt.Fprintln(os.Stderr, "no such script:", os.Args[1])
 		os.Exit(exitNotRun)
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -57,10 +57,7 @@
 	prefill time.Duration
 	// work is how long a plain request runs.
 	work time.Duration
-	// Of plain requests, each failEvery-th fails after its work, with failStatus and the
-	// runner's seal; none if failEvery is 0.
-	failEvery, failStatus int
-	// unframed means that streams have neither a length nor chunks, and end with their
+	// unframed means that answers have neither a length nor chunks, and end with their
 	// connection.
 	unframed bool
 	// leaveAfter is how long the runner serves on once it has begun to leave.
@@ -75,8 +72,6 @@
 	sequence int
 	fence    int64
 	active   int
-	// ran counts the plain requests that ran.
-	ran int
 	// leaving means that the runner leaves, which all its answers say.
 	leaving bool
 }
@@ -96,9 +91,7 @@
 	flags.DurationVar(&runner.interval, "interval", 0, "time between two events")
 	flags.DurationVar(&runner.prefill, "prefill", 0, "time before a stream begins")
 	flags.DurationVar(&runner.work, "work", 0, "time of a plain request")
-	flags.IntVar(&runner.failEvery, "fail-every", 0, "each such plain request fails after its work")
-	flags.IntVar(&runner.failStatus, "fail-status", 0, "status of these failures")
-	flags.BoolVar(&runner.unframed, "unframed", false, "streams end with their connection")
+	flags.BoolVar(&runner.unframed, "unframed", false, "answers end with their connection")
 	flags.DurationVar(&runner.leaveAfter, "leave-after", 0, "time from SIGUSR1, on which the runner begins to leave, to its exit")
 	flags.Int64Var(&runner.born, "born", runner.born, "start, in Unix milliseconds")
 	check(flags.Parse(arguments))
@@ -261,8 +254,7 @@
 
 // run runs a request.
 func (runner *runner) run(writer http.ResponseWriter, request *http.Request) {
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
 	id := request.Header.Get(headerAttempt)
@@ -276,27 +268,53 @@
 	runner.say("runs %s %s %s", id, request.Method, request.RequestURI)
 	writer.Header().Set(headerSeal, "seal-"+runner.id)
 	if !runner.engine {
-		time.Sleep(runner.work)
-		if runner.fails() {
-			runner.say("ran %s, and fails with %d: %s", id, runner.failStatus, body)
-			writer.WriteHeader(runner.failStatus)
-			_, _ = io.WriteString(writer, "the order was booked, but its receipt failed")
-			return
-		}
-		text := fmt.Sprintf("%s %s by %s: %d bytes", request.Method, id, runner.id, len(body))
-		runner.say("ran %s: %s", id, body)
-		_, _ = io.WriteString(writer, text)
+		runner.plain(writer, id)
 		return
 	}
 	runner.stream(writer, request, id)
 }
 
-// fails reports whether the next plain request fails after its work.
-func (runner *runner) fails() bool {
-	runner.mutex.Lock()
-	defer runner.mutex.Unlock()
-	runner.ran++
-	return runner.failEvery > 0 && runner.ran%runner.failEvery == 0
+// plainText returns the answer to a plain request.
+func plainText(id string) string { return strings.Repeat("receipt of "+id+"\n", 40) }
+
+// plain answers a plain request: the first half as soon as it has begun, the rest when it is
+// done.
+func (runner *runner) plain(writer http.ResponseWriter, id string) {
+	send := func(text string) {
+		_, _ = io.WriteString(writer, text)
+		_ = http.NewResponseController(writer).Flush()
+	}
+	if runner.unframed {
+		conn, err := hijack(writer)
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		send = func(text string) { _, _ = io.WriteString(conn, text) }
+	}
+	text := plainText(id)
+	send(text[:len(text)/2])
+	time.Sleep(runner.work)
+	send(text[len(text)/2:])
+	runner.say("ran %s", id)
+}
+
+// hijack returns the connection of a request once it has written the head of an answer that
+// ends with it.
+func hijack(writer http.ResponseWriter) (net.Conn, error) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	head := "HTTP/1.1 200 OK\r\n"
+	for name := range writer.Header() {
+		head += name + ": " + writer.Header().Get(name) + "\r\n"
+	}
+	if _, err := io.WriteString(conn, head+"Connection: close\r\n\r\n"); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
 }
 
 func (runner *runner) countActive(change int) {
@@ -317,19 +335,11 @@
 		return err == nil && request.Context().Err() == nil
 	}
 	if runner.unframed {
-		conn, buffered, err := http.NewResponseController(writer).Hijack()
+		conn, err := hijack(writer)
 		if err != nil {
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		_ = buffered.Flush()
-		head := "HTTP/1.1 200 OK\r\n"
-		for name := range writer.Header() {
-			head += name + ": " + writer.Header().Get(name) + "\r\n"
-		}
-		if _, err := io.WriteString(conn, head+"Connection: close\r\n\r\n"); err != nil {
-			return
-		}
 		send = func(text string) bool {
 			_, err := io.WriteString(conn, text)
 			return err == nil
