--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # 9 start. Run it from anywhere, after the build line of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-2 ./review/standin-2
+CGO_ENABLED=0 go build -tags review -o target/review-2 ./review/standin-2
--- a/review/standin-2/bed.go
+++ b/review/standin-2/bed.go
@@ -68,7 +68,7 @@
 	check(err)
 	record, err := os.Create(recordPath)
 	check(err)
-	bed := &bed{folder: folder, start: time.Now(), peerPort: freePort(), store: newStore(), record: record, listed: make(map[string]int64)}
+	bed := &bed{folder: folder, start: time.Now(), peerPort: freePort("127.0.0.1"), store: newStore(), record: record, listed: make(map[string]int64)}
 	bed.storeAddr = bed.store.serve()
 	return bed
 }
@@ -348,20 +348,21 @@
 // usedPorts holds the ports that were chosen.
 var usedPorts sync.Map
 
-// freePort returns a port that is free at all addresses, for TCP and UDP, below the ports that
-// the operating system assigns.
-func freePort() int {
+// freePort returns a port that is free for TCP and UDP at a loopback IP, below the ports that the
+// operating system assigns.
+func freePort(ip string) int {
 	for range 1000 {
 		port := 12_000 + rand.IntN(20_000)
 		if _, taken := usedPorts.LoadOrStore(port, true); taken {
 			continue
 		}
-		packets, err := net.ListenPacket("udp", fmt.Sprintf("127.0.0.1:%d", port))
+		address := fmt.Sprintf("%s:%d", ip, port)
+		packets, err := net.ListenPacket("udp", address)
 		if err != nil {
 			continue
 		}
 		_ = packets.Close()
-		listener, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", port))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
@@ -371,7 +372,7 @@
 	panic("no port is free")
 }
 
-func freeAddress(ip string) string { return fmt.Sprintf("%s:%d", ip, freePort()) }
+func freeAddress(ip string) string { return fmt.Sprintf("%s:%d", ip, freePort(ip)) }
 
 // check ends the script if it cannot run.
 func check(err error) {
