Log the fencing token, where it comes from, and steps of the time of day

The logs named no token, so they could not tell these hypotheses apart:

The token of a new process is taken from a time of day that went back. 2. A token raised after a 412 is lost with the process. 3. Two processes order at one engine. 4. An order of the earlier process arrives late.

The loader now logs its token with source, time of day and uptime at the start, with each order and at each raise; loaders and relays log and count steps of the time of day.

--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"jacinthfront.dev/jacinthfront/internal/base/clock"
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/base/metric"
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
@@ -170,6 +171,7 @@
 // Run runs the loader until ctx ends or a part of it fails.
 func (loader *Loader) Run(ctx context.Context) error {
 	loader.config.Logger.Info("loader: started", zap.String("engine", loader.config.Address))
+	loader.logFencingToken("time-of-day")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return loader.config.Datagrams.Serve(ctx, loader.handleDatagram) })
 	group.Go(func() error { loader.runOrders(ctx); return nil })
@@ -181,6 +183,14 @@
 	return err
 }
 
+// logFencingToken logs the fencing token of this process and its source, with the two clocks
+// that it can be compared with.
+func (loader *Loader) logFencingToken(source string) {
+	uptime, err := clock.Uptime()
+	loader.config.Logger.Info("loader: fencing token chosen", zap.Int64("token", loader.fencingToken), zap.String("source", source),
+		zap.Time("time-of-day", time.Now()), zap.Duration("uptime", uptime), logs.ErrorField(err))
+}
+
 // serveMetrics serves metrics until ctx ends.
 func (loader *Loader) serveMetrics(ctx context.Context) error {
 	server := metric.NewServer("loader", loader.setGauges)
--- a/internal/daemon/loader/memory.go
+++ b/internal/daemon/loader/memory.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"jacinthfront.dev/jacinthfront/internal/base/clock"
 	"jacinthfront.dev/jacinthfront/internal/flow/retry"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
@@ -103,10 +104,11 @@
 }
 
 // watchStalls records when the process was stopped, until ctx ends: what entry instances
-// told meanwhile may be lost.
+// told meanwhile may be lost. It also logs steps of the time of day.
 func (loader *Loader) watchStalls(ctx context.Context) {
 	ticker := time.NewTicker(stallCheckPeriod)
 	defer ticker.Stop()
+	steps := clock.NewStepDetector()
 	for tickedAt := time.Now(); ; tickedAt = time.Now() {
 		select {
 		case <-ctx.Done():
@@ -116,6 +118,10 @@
 		if stalled := time.Since(tickedAt); stalled >= retry.StallTime {
 			loader.recordStall(stalled)
 		}
+		if step := steps.Check(); step != 0 {
+			counters.Add("clock-steps", 1)
+			loader.config.Logger.Warn("clock: time of day stepped", zap.Duration("by", step))
+		}
 	}
 }
 
--- a/internal/daemon/loader/orders.go
+++ b/internal/daemon/loader/orders.go
@@ -129,8 +129,9 @@
 	loader.mutex.Unlock()
 	began := time.Now()
 	err := loader.config.Engine.Order(ctx, upstream, order, loader.fencingToken)
+	sentToken := loader.fencingToken
 	if errors.Is(err, ErrFenced) {
-		loader.fencingToken = max(loader.fencingToken, time.Now().UnixMilli()) + fenceStep
+		loader.raiseFencingToken(max(loader.fencingToken, time.Now().UnixMilli()) + fenceStep)
 	}
 	counters.Add("orders-"+order.Operation.String(), 1)
 	if err != nil {
@@ -142,10 +143,19 @@
 	loader.config.Logger.Info(MessageOrder,
 		zap.String("operation", order.Operation.String()), zap.String("model", order.Model),
 		zap.String("adapter", order.Adapter.Name), zap.Uint32("version", order.Adapter.Version),
-		zap.Int64("sequence", order.Sequence), zap.Duration("took", time.Since(began)), logs.ErrorField(err))
+		zap.Int64("sequence", order.Sequence), zap.Int64("fencing-token", sentToken),
+		zap.Duration("took", time.Since(began)), logs.ErrorField(err))
 	return err == nil
 }
 
+// raiseFencingToken raises the fencing token after the engine has rejected it.
+func (loader *Loader) raiseFencingToken(token int64) {
+	counters.Add("fencing-token-raises", 1)
+	loader.config.Logger.Warn("loader: fencing token raised", zap.Int64("before", loader.fencingToken), zap.Int64("token", token),
+		zap.String("reason", "the engine has seen a higher one"))
+	loader.fencingToken = token
+}
+
 // logLoad logs and counts a completed load.
 func (loader *Loader) logLoad(load lora.CompletedLoad) {
 	counters.Add("adapters-arrived", 1)
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"jacinthfront.dev/jacinthfront/internal/base/clock"
 	"jacinthfront.dev/jacinthfront/internal/base/logs"
 	"jacinthfront.dev/jacinthfront/internal/flow/admit"
 	"jacinthfront.dev/jacinthfront/internal/flow/lora"
@@ -59,6 +60,7 @@
 	defer ticker.Stop()
 	lastSent := make(map[string]sentDemand)
 	var usageSentAt, queriedAt, memorySentAt time.Time
+	steps := clock.NewStepDetector()
 	for tickedAt := time.Now(); ; tickedAt = time.Now() {
 		select {
 		case <-ctx.Done():
@@ -70,6 +72,10 @@
 			relay.config.Logger.Warn("relay: process was stopped", zap.Duration("for", stalled))
 			relay.limiter.Stall()
 		}
+		if step := steps.Check(); step != 0 {
+			relay.metrics.increment("clock-steps")
+			relay.config.Logger.Warn("clock: time of day stepped", zap.Duration("by", step))
+		}
 		relay.retryBudget.tick()
 		relay.reportDemand(lastSent)
 		relay.exchangePermits()
