Begin loaders' serials and identities with random numbers

Seen by callers: after a loader started again while its time of day had stepped back, relays ignored its reports, whose serials were lower, until the last report of the process before was 1.5 s old (picker.DefaultReportTTL). Meanwhile they chose by that: adapters and load as of then. A relay that knew a loader by the same start did not tell it again which streams it held.

Cause: an order and an identity across restarts, both from a clock that can go back.

Change: the relay is the only judge of a serial, and names the last full one in each demand, before it is sent anything. So a loader raises its serials above each one that an entry instance names at the first contact. They begin random, so that two processes do not share one; identities are random too.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -77,6 +77,9 @@
 		return false
 	}
 	loader.entryStarts[entry] = start
+	// What it acknowledges may be of an earlier process, of whose states it ignores lower
+	// serials.
+	loader.serial = max(loader.serial, acknowledged+maxStatesPerFull)
 	loader.newEntry = true
 	delete(loader.entryStates, entry)
 	wake(loader.wakeOrders)
@@ -217,7 +220,7 @@
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	state := proto.CloneOf(brief)
-	state.Brief, state.Entries, state.LoaderStart = false, loader.nameEntries(entries), loader.startedAt
+	state.Brief, state.Entries, state.LoaderStart = false, loader.nameEntries(entries), loader.identity
 	if offset, ok := loader.tokens.Offset(); ok {
 		state.FencingOffset = codec.EncodeFencingOffset(fence.Offset{StartedAt: state.GetBorn(), Value: offset})
 	}
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -7,6 +7,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -53,6 +55,11 @@
 	// maxDelay and idlePeriod together are shorter than the time for which
 	// entry instances rely on a state, picker.DefaultReportTTL.
 	maxDelay = 700 * time.Millisecond
+	// maxFirstSerial is above the serials that a process begins with. It is far below those
+	// of loaders that began with the time of day in microseconds.
+	maxFirstSerial = 1 << 40
+	// maxStatesPerFull bounds the states that follow a full one before the next full one.
+	maxStatesPerFull = 4096
 )
 
 // Config configures a Loader.
@@ -101,7 +108,9 @@
 	unresponsive bool
 	// upstream is the engine's id as the entry instances know it.
 	upstream string
-	serial   uint64
+	// serial is that of the last state. It begins with a random number and is above those of
+	// earlier processes that entry instances know.
+	serial uint64
 	// fullSerial is the serial of the last full state, which was made at
 	// fullStateAt.
 	fullSerial  uint64
@@ -136,8 +145,9 @@
 	// list is how far any entry instance had read the instance list that has told of a
 	// stream.
 	list watch.Cursor
-	// startedAt is the start of this process in Unix microseconds.
-	startedAt int64
+	// identity tells this process from earlier ones. It is random, as the time of day may go
+	// back to what it was at the start of an earlier process.
+	identity int64
 
 	// listedStartedAt is the latest start of the engine that the entry
 	// instances know, in Unix milliseconds.
@@ -156,7 +166,6 @@
 
 // New returns a Loader that is not running yet.
 func New(config Config) *Loader {
-	now := time.Now()
 	if config.Uptime == nil {
 		config.Uptime = clock.Uptime
 	}
@@ -175,8 +184,8 @@
 		levels:          bucket.NewKeeper(),
 		origins:         origin.New(origin.Config{}),
 		tokens:          fence.NewIssuer(fence.Config{Checked: config.ChecksTokens}),
-		serial:          uint64(now.UnixMicro()),
-		startedAt:       now.UnixMicro(),
+		serial:          rand.Uint64N(maxFirstSerial),
+		identity:        1 + rand.Int64N(math.MaxInt64),
 	}
 }
 
--- a/internal/wire/codec/fence.go
+++ b/internal/wire/codec/fence.go
@@ -18,11 +18,22 @@
 	return fence.Offset{StartedAt: startedAt, Value: startedAt + *relative}, true
 }
 
-// serialsPerToken is the number of serials to a fencing token of loaders that tell no offset:
-// their serials began at their start in Unix microseconds, and their tokens with that in
-// milliseconds.
-const serialsPerToken = 1000
+const (
+	// serialsPerToken is the number of serials to a fencing token of loaders that tell no
+	// offset: their serials began at their start in Unix microseconds, and their tokens with
+	// that in milliseconds.
+	serialsPerToken = 1000
+	// minTimeSerial is the least serial of such a loader, of the year 2005. Other loaders
+	// begin far below it.
+	minTimeSerial = 1 << 50
+)
 
 // DecodeTokenOfSerial returns the highest fencing token that a loader which tells no offset
-// may have begun with, by the serial of one of its states.
-func DecodeTokenOfSerial(serial uint64) int64 { return int64(serial / serialsPerToken) }
+// may have begun with, by the serial of one of its states. It is 0 for a serial of a loader
+// that tells its offset.
+func DecodeTokenOfSerial(serial uint64) int64 {
+	if serial < minTimeSerial {
+		return 0
+	}
+	return int64(serial / serialsPerToken)
+}
