Compare when demands were sent only within one process

After a relay started again while its time of day had stepped back, loaders of engines with a cold rate ignored its demands as older than the last one, for up to the 0.5 s until they forget that; requests that wait there wait longer.

Cause: the time at which a demand was sent is of the relay's own clock, which begins with its time of day, and was compared across processes. Evidence: TestRequestsAfterStepBack gets no grant without the change. Change: a demand is stale only against one of the same process, which its start already tells.

--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -145,8 +145,9 @@
 type entry struct {
 	waiters map[uint64]*waiter
 	heardAt time.Time
-	// sentAt is ColdLimit.SentAt of its last message.
-	sentAt uint64
+	// sentAt and process are ColdLimit.SentAt and ColdLimit.Process of its last message.
+	sentAt  uint64
+	process int64
 }
 
 type waiter struct {
@@ -230,7 +231,8 @@
 		kept[request.ID] = newWaiter(name, request, now)
 	}
 	controller.cold.observe(name, engineConfig.Cold, kept, now)
-	known.waiters, known.heardAt, known.sentAt = kept, now, engineConfig.Cold.SentAt
+	known.waiters, known.heardAt = kept, now
+	known.sentAt, known.process = engineConfig.Cold.SentAt, engineConfig.Cold.Process
 }
 
 // newWaiter returns a waiter for a request that an entry instance names first. Demands name
--- a/internal/flow/admit/cold.go
+++ b/internal/flow/admit/cold.go
@@ -33,8 +33,9 @@
 	Rate      float64
 	Remaining time.Duration
 	// SentAt is when the entry instance sent its requests, in microseconds of its own
-	// clock.
-	SentAt uint64
+	// clock, and Process tells its processes apart, whose clocks differ.
+	SentAt  uint64
+	Process int64
 }
 
 // coldControl keeps the grants within a ColdLimit.
@@ -175,7 +176,7 @@
 	}
 }
 
-// stale reports whether requests are older than those that are known.
+// stale reports whether requests are older than those that are known, of the same process.
 func (entry *entry) stale(limit ColdLimit, now time.Time, timeout time.Duration) bool {
-	return limit.SentAt > 0 && limit.SentAt < entry.sentAt && now.Sub(entry.heardAt) <= timeout
+	return limit.SentAt > 0 && limit.SentAt < entry.sentAt && limit.Process == entry.process && now.Sub(entry.heardAt) <= timeout
 }
--- a/internal/flow/admit/cold_test.go
+++ b/internal/flow/admit/cold_test.go
@@ -141,6 +141,20 @@
 	})
 }
 
+// TestRequestsAfterStepBack guards against the requests of an entry instance that has started
+// again and are ignored as older ones, because its clock had stepped back.
+func TestRequestsAfterStepBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := newController()
+		time.Sleep(2 * time.Second)
+		controller.SetRequests("entry", EngineConfig{Cold: ColdLimit{PerSecond: 3, SentAt: 20, Process: 1}}, nil)
+		controller.SetRequests("entry", EngineConfig{Cold: ColdLimit{PerSecond: 3, SentAt: 10, Process: 2}}, requests(1))
+		if granted, _ := controller.Grant(); len(granted["entry"]) != 1 || controller.Answered("entry") != 10 {
+			t.Errorf("granted %v, answered %d; want one grant in answer to 10", granted, controller.Answered("entry"))
+		}
+	})
+}
+
 // TestStaleRequests guards against a demand that arrives late, replaces a newer one, and so
 // withdraws a request that still waits, whose grant then no longer counts.
 func TestStaleRequests(t *testing.T) {
--- a/internal/wire/codec/cold.go
+++ b/internal/wire/codec/cold.go
@@ -16,6 +16,7 @@
 	}
 	decoded := admit.ColdLimit{
 		PerSecond: int(min(limit.GetPerSecond(), math.MaxInt32)), Remaining: time.Duration(limit.GetRemainingMs()) * time.Millisecond, SentAt: demand.GetSentUs(),
+		Process: demand.GetStart(),
 	}
 	if rate := limit.GetColdRate(); rate > 0 && !math.IsInf(rate, 0) {
 		decoded.Rate = rate
