Tell runs of a relay apart by random identities

Relays were told apart by their start in nanoseconds of the time of day, which may come again after a step back. Two runs with one start would count as one: what the second spends would be taken for what the first had spent (rates, retry budget), loaders would not tell it what it forgot, and an answer to an ask of the first could confirm an incarnation for the second.

All these are identities, nothing orders by them: only their equality is asked. So they are random now, and stamps that others hand back begin with them. The tests that built a stamp from the start build it with Relay.stamp; their cases are the same.

--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -65,18 +65,18 @@
 		return
 	}
 	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_IncarnationAsk{IncarnationAsk: &wirepb.IncarnationAsk{
-		Entry: relay.config.DatagramAddress, Upstream: upstream.ID, AskedAt: relay.start.UnixNano() + now.Sub(relay.start).Nanoseconds(),
+		Entry: relay.config.DatagramAddress, Upstream: upstream.ID, AskedAt: relay.stamp(now),
 	}}}, relay.loaderAddress(upstream))
 }
 
 // handleIncarnationAnswer records which incarnation of an upstream ran after the ask. An
-// answer to an ask from before the start of this instance is ignored.
+// answer to an ask of an earlier run of this instance is ignored.
 func (relay *Relay) handleIncarnationAnswer(answer *wirepb.IncarnationAnswer) {
-	askedAfter := time.Duration(answer.GetAskedAt() - relay.start.UnixNano())
-	if askedAfter < 0 || askedAfter > time.Since(relay.start) {
+	askedAt, ok := relay.stampedAt(answer.GetAskedAt())
+	if !ok {
 		return
 	}
-	relay.picker.RecordIncarnation(answer.GetUpstream(), answer.GetBorn(), relay.start.Add(askedAfter))
+	relay.picker.RecordIncarnation(answer.GetUpstream(), answer.GetBorn(), askedAt)
 	relay.stateChanged.notify()
 }
 
--- a/internal/daemon/relay/incarnation_test.go
+++ b/internal/daemon/relay/incarnation_test.go
@@ -33,13 +33,13 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				spec := fleet.Upstream{ID: "i-1", Service: "advisor", StartedAt: 1000}
-				relay := &Relay{start: time.Now(), stateChanged: newBroadcast(), picker: picker.New(picker.Config{})}
+				relay := &Relay{process: newProcess(), stateChanged: newBroadcast(), picker: picker.New(picker.Config{})}
 				relay.picker.SetUpstreams([]fleet.Upstream{spec})
 				time.Sleep(time.Second)
 				openedAt := time.Now()
 				time.Sleep(time.Second)
 				relay.handleIncarnationAnswer(&wirepb.IncarnationAnswer{
-					Upstream: "i-1", Born: 1000, AskedAt: relay.start.Add(test.askedAfter).UnixNano(),
+					Upstream: "i-1", Born: 1000, AskedAt: relay.stamp(relay.start.Add(test.askedAfter)),
 				})
 				if diff := cmp.Diff(test.want, relay.picker.Identify(spec, openedAt)); diff != "" {
 					t.Errorf("identity (-want +got):\n%s", diff)
@@ -71,7 +71,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				first := fleet.Upstream{ID: "i-1", Service: "advisor", Address: "10.0.0.5:80", StartedAt: began, SoftwareVersion: "v1"}
 				relay := &Relay{
-					start: time.Now(), stateChanged: newBroadcast(), picker: picker.New(picker.Config{}), origins: newOrigins(),
+					process: newProcess(), stateChanged: newBroadcast(), picker: picker.New(picker.Config{}), origins: newOrigins(),
 					store: newStoreView(fleet.New(fleet.Config{}), zap.NewNop()), config: Config{DatagramPort: 7600},
 					// No ask is due.
 					incarnationAsks: &incarnationAsks{askedAt: map[string]time.Time{"i-1": time.Now().Add(time.Hour)}},
--- a/internal/daemon/relay/memory.go
+++ b/internal/daemon/relay/memory.go
@@ -54,7 +54,7 @@
 // memory returns what this instance knows of all, with levels of token buckets.
 func (relay *Relay) memory(levels []bucket.Level) *wirepb.Memory {
 	return &wirepb.Memory{
-		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), Retries: relay.retryBudget.encodePasts(),
+		Entry: relay.config.DatagramAddress, Start: relay.identity, Retries: relay.retryBudget.encodePasts(),
 		Poison: codec.EncodePoisonNews(poison.News{Evidence: relay.poison.AgainstBlocked(maxEvidencePerMemory)}),
 		Levels: codec.EncodeLevels(levels),
 	}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -122,7 +122,7 @@
 	// one observed.
 	usageUrgent  atomic.Bool
 	latencies    *latencies
-	start        time.Time
+	process
 	wake         chan struct{}
 	stateChanged *broadcast
 	// storeConfirmed is notified when what was read of the store is confirmed as current.
@@ -177,7 +177,7 @@
 		health:          &healthTracker{services: make(map[string]*health.Tracker)},
 		limiter:         bucket.New(bucket.Config{}),
 		peers:           newPeers(config.DatagramAddress, config.FailureDomain),
-		start:           time.Now(),
+		process:         newProcess(),
 		wake:            make(chan struct{}, 1),
 		stateChanged:    newBroadcast(),
 		storeConfirmed:  newBroadcast(),
@@ -208,7 +208,7 @@
 	relay.store = newStoreView(fleet.New(fleet.Config{}), config.Logger)
 	relay.bounds.Store(&config.Bounds)
 	relay.timing.Store(newTiming(config.Bounds))
-	relay.retryBudget = newRetryBudget(relay.retryLimits, relay.start, config.DatagramAddress)
+	relay.retryBudget = newRetryBudget(relay.retryLimits, relay.process, config.DatagramAddress)
 	relay.instanceWatcher = relay.newInstanceWatcher()
 	relay.configWatcher = relay.newConfigWatcher()
 	relay.callerServer = &http.Server{
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -164,7 +164,7 @@
 		lastSent[upstream.ID] = sentDemand{adapters: adapters, requests: requests, generation: generation, at: time.Now()}
 		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
 			Entry:            relay.config.DatagramAddress,
-			Start:            relay.start.UnixNano(),
+			Start:            relay.identity,
 			Model:            service.Engine.Models[0].Name,
 			AdapterSlots:     uint32(service.Engine.AdapterSlots),
 			Uses:             codec.EncodeAdapterUses(adapters),
--- a/internal/daemon/relay/retrybudget.go
+++ b/internal/daemon/relay/retrybudget.go
@@ -56,11 +56,11 @@
 	ledgers map[string]*retry.Ledger
 }
 
-func newRetryBudget(limits func() retry.Limits, start time.Time, address string) *retryBudget {
+func newRetryBudget(limits func() retry.Limits, process process, address string) *retryBudget {
 	return &retryBudget{
 		limits:    limits,
-		start:     start,
-		own:       retry.Incarnation{Instance: address, Start: start.UnixNano()},
+		start:     process.start,
+		own:       retry.Incarnation{Instance: address, Start: process.identity},
 		changes:   newUsageChanges(),
 		client:    permit.NewClient(permit.ClientConfig{PermitLifetime: retry.PermitLifetime}),
 		allocator: permit.NewAllocator(permit.AllocatorConfig{PermitLifetime: retry.PermitLifetime, StandingOnly: true}),
--- a/internal/daemon/relay/retrybudget_test.go
+++ b/internal/daemon/relay/retrybudget_test.go
@@ -16,7 +16,7 @@
 func TestPastsFitDatagram(t *testing.T) {
 	const services, incarnations, datagramBytes = 60, 16, 64 << 10
 	limits := retry.Limits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}
-	budget := newRetryBudget(func() retry.Limits { return limits }, time.Now().Add(-limits.Window), "10.0.0.1:7600")
+	budget := newRetryBudget(func() retry.Limits { return limits }, process{identity: 1, start: time.Now().Add(-limits.Window)}, "10.0.0.1:7600")
 	slots := make([]retry.Slot, limits.Window/retry.SlotTime)
 	for number := range slots {
 		slots[number] = retry.Slot{Requests: 200, Retries: 200}
--- a/internal/daemon/relay/start_test.go
+++ b/internal/daemon/relay/start_test.go
@@ -30,7 +30,7 @@
 					leave()
 				}
 				proxyRequest := &proxyRequest{
-					relay:    &Relay{start: time.Now()},
+					relay:    &Relay{process: newProcess()},
 					request:  httptest.NewRequest("POST", "/x", nil).WithContext(ctx),
 					deadline: time.Now().Add(test.timeout),
 				}
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -73,7 +73,7 @@
 func (relay *Relay) encodeUsage(usage bucket.Usage, kind reportKind) *wirepb.Usage {
 	full, recent := kind != partialReport, relay.usageChanges.recent()
 	encoded := &wirepb.Usage{
-		Entry: relay.config.DatagramAddress, Start: relay.start.UnixNano(), FailureDomain: relay.config.FailureDomain,
+		Entry: relay.config.DatagramAddress, Start: relay.identity, FailureDomain: relay.config.FailureDomain,
 		UptimeMs: usage.Uptime.Milliseconds(), Settled: usage.Initialised, Partial: !full,
 		Leaving: encodeDraining(relay.cordon.RecentlyDraining()), Limits: relay.permits.encodeLimits(full),
 		Poison: relay.encodePoison(full), Retries: relay.retryBudget.encodeUse(kind),
