Tell side processes apart by random incarnations

The incarnation of a side process was its start in milliseconds. If the time of day goes back to what it was at the start of an earlier one, the new process answers a Cancel for a request of that one with not-run, and the entry instance may send it a second time.

The incarnation is random now. The fencing token stays the time of day: the engine's first report raises it above that of every earlier process before anything is sent to the engine by it (TestSuccession), and engines that ignore tokens report none. The ids of quota shards' grants begin random for the same reason.

--- a/internal/daemon/side/fakes_test.go
+++ b/internal/daemon/side/fakes_test.go
@@ -466,7 +466,7 @@
 	}
 	config := Config{
 		UpstreamID: "up", ConfigSource: harness.configs, UpstreamClient: harness.fakeEngine, Limiter: harness.limiter, Log: harness.log,
-		DrainStatus: harness.drainStatus, Metrics: harness.metrics, Incarnation: 77,
+		DrainStatus: harness.drainStatus, Metrics: harness.metrics, Incarnation: 77, FencingToken: 77,
 	}
 	if change != nil {
 		change(&config)
--- a/internal/daemon/side/side.go
+++ b/internal/daemon/side/side.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -36,12 +37,16 @@
 	Metrics  Metrics
 	Logger   *zap.Logger
 
-	// Incarnation is the start time of this process in Unix milliseconds. It is
-	// also the first fencing token.
+	// Incarnation tells this process from others; by default it is random. Two
+	// processes with one incarnation would answer for each other's requests.
 	Incarnation uint64
-	Queue       fairq.Config
-	Slots       slots.Config
-	Attempts    dedup.AttemptsConfig
+	// FencingToken is the first fencing token, by default the time of day in Unix
+	// milliseconds. The engine's first report raises it above those of earlier
+	// processes.
+	FencingToken uint64
+	Queue        fairq.Config
+	Slots        slots.Config
+	Attempts     dedup.AttemptsConfig
 	// FirstComeFirstServed serves requests in the order of their arrival,
 	// regardless of organisation and class. It serves as a baseline for
 	// comparison.
@@ -67,6 +72,8 @@
 	defaultDrainTimeout    = 6 * time.Minute
 	defaultGrantLifetime   = 500 * time.Millisecond
 	defaultGrantMargin     = 100 * time.Millisecond
+	// maxIncarnation keeps random incarnations exact in JSON.
+	maxIncarnation = 1 << 52
 	// maxConfigWait bounds how long a request waits for a configuration version
 	// that its entry instance has and this process does not. A version is in
 	// force everywhere within 2 s at p99.
@@ -102,7 +109,8 @@
 	orDefault[Permits](&config.Permits, unlimitedPermits{})
 	orDefault[Metrics](&config.Metrics, noMetrics{})
 	orDefault(&config.Logger, zap.NewNop())
-	orDefault(&config.Incarnation, uint64(time.Now().UnixMilli()))
+	orDefault(&config.Incarnation, 1+rand.Uint64N(maxIncarnation))
+	orDefault(&config.FencingToken, uint64(time.Now().UnixMilli())) //nolint:forbidigo // The engine's first report corrects it.
 	orDefault(&config.MaxRunning, defaultMaxRunning)
 	orDefault(&config.ClaimPartitions, defaultClaimPartitions)
 	orDefault(&config.RequestTimeout, defaultRequestTimeout)
@@ -197,7 +205,7 @@
 		pollNow:          make(chan struct{}, 1),
 		superseded:       make(chan struct{}),
 		pauseDetector:    pauseDetector{lastTick: time.Now()},
-		fencingToken:     config.Incarnation,
+		fencingToken:     config.FencingToken,
 		background:       background,
 		cancelBackground: cancel,
 	}
--- a/internal/flow/quota/shard.go
+++ b/internal/flow/quota/shard.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	// maxIssuedGrants limits the memory of a shard to about 2 MiB. The oldest ended
 	// grants are dropped first; refunds of them credit nothing.
 	maxIssuedGrants = 1 << 16
+	// maxFirstID bounds the first id, so that ids do not overflow.
+	maxFirstID = 1 << 62
 	// maxBurst keeps a level in nano-tokens within an int64.
 	maxBurst conf.Tokens = 9_000_000_000
 )
@@ -104,7 +107,7 @@
 		grantTimeout: config.Lifetime + config.Margin,
 		// Ids differ between incarnations, so that this shard does not recognise
 		// grants issued by its predecessor.
-		firstID: uint64(config.Start.UnixNano()),
+		firstID: rand.Uint64N(maxFirstID),
 	}
 	shard.rate, shard.burst = nanoLimits(config.Rate, config.Burst)
 	return shard
