Forbid the Unix time of a moment but where a reason stands

The time of day may go back, so it must neither order anything across restarts nor tell processes apart.

Two intervals were measured by it: a relay's early reads of the instance list were suspended for as long as the time of day had stepped back, and a probe of a side process came early or late. Both use the steady clock.

--- a/internal/daemon/entry/attempt.go
+++ b/internal/daemon/entry/attempt.go
@@ -54,7 +54,9 @@
 	// outOfOrder keeps the chunks that arrived before a chunk with a lower index, by
 	// index.
 	outOfOrder map[int64][]byte
-	// lastEvent is the time of the last event, in nanoseconds of Unix time.
+	// sentAt is when the job was sent, and lastEvent how long after that the last event came,
+	// in nanoseconds.
+	sentAt    time.Time
 	lastEvent atomic.Int64
 }
 
@@ -79,7 +81,7 @@
 		return attempt.interruptedResult()
 	}
 	defer func() { _ = stream.Close() }()
-	attempt.lastEvent.Store(time.Now().UnixNano())
+	attempt.sentAt = time.Now()
 	go attempt.probeLiveness(ctx, cancel)
 	for {
 		event, err := stream.Recv()
@@ -88,7 +90,7 @@
 			result.unresponsive = errors.Is(context.Cause(ctx), errUnresponsive)
 			return result
 		}
-		attempt.lastEvent.Store(time.Now().UnixNano())
+		attempt.lastEvent.Store(int64(time.Since(attempt.sentAt)))
 		if result, ok := attempt.handleEvent(event); ok {
 			attempt.drainStream(stream, cancel)
 			return result
--- a/internal/daemon/entry/liveness.go
+++ b/internal/daemon/entry/liveness.go
@@ -31,7 +31,7 @@
 			return
 		case <-ticker.C:
 		}
-		if time.Since(time.Unix(0, attempt.lastEvent.Load())) < probeAfter {
+		if time.Since(attempt.sentAt)-time.Duration(attempt.lastEvent.Load()) < probeAfter {
 			continue
 		}
 		if !attempt.isAlive(ctx, timeout) && ctx.Err() == nil {
--- a/internal/daemon/entry/sink.go
+++ b/internal/daemon/entry/sink.go
@@ -77,7 +77,7 @@
 	return completion{
 		ID:      exchange.id,
 		Object:  object,
-		Created: exchange.arrived.Unix(),
+		Created: exchange.arrived.Unix(), //nolint:forbidigo // The chat API names the time of day.
 		Model:   modelName(exchange.adapter, exchange.version),
 		Choices: []choice{},
 	}
--- a/internal/daemon/relay/cold.go
+++ b/internal/daemon/relay/cold.go
@@ -119,7 +119,7 @@
 	return &wirepb.ColdLimit{
 		PerSecond: uint32(coldGrants(coldBound(service, *relay.bounds.Load()))), ColdRate: service.ColdRate,
 		RemainingMs: uint32(relay.permits.cold.Remaining(incarnationOf(upstream)).Milliseconds()),
-	}, uint64(relay.start.UnixMicro() + time.Since(relay.start).Microseconds())
+	}, uint64(relay.startMicro() + time.Since(relay.start).Microseconds())
 }
 
 // recordGrants records the grants in a loader's report. Those of a loader that bounds
@@ -129,7 +129,7 @@
 		relay.picker.RecordGrants(state.GetUpstream(), state.GetGranted())
 		return
 	}
-	askedAt := relay.start.Add(time.Duration(int64(state.GetAnsweredUs())-relay.start.UnixMicro()) * time.Microsecond)
+	askedAt := relay.start.Add(time.Duration(int64(state.GetAnsweredUs())-relay.startMicro()) * time.Microsecond)
 	until := askedAt.Add(admit.GrantLifetime)
 	if len(state.GetGranted()) > 0 && !time.Now().Before(until) {
 		relay.metrics.increment("cold-grants-expired")
--- a/internal/daemon/relay/process.go
+++ b/internal/daemon/relay/process.go
@@ -33,3 +33,10 @@
 	}
 	return process.start.Add(since), true
 }
+
+// startMicro returns the start in microseconds of the clock by which demands say when they
+// were sent. Loaders of earlier versions ignore demands that were sent before the last one,
+// also of an earlier run, so it is the time of day. Others compare it within one run only.
+func (process process) startMicro() int64 {
+	return process.start.UnixMicro() //nolint:forbidigo // See above.
+}
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -120,8 +120,8 @@
 	brokenResponses *brokenResponses
 	// usageUrgent means that the other entry instances must be told at once of what this
 	// one observed.
-	usageUrgent  atomic.Bool
-	latencies    *latencies
+	usageUrgent atomic.Bool
+	latencies   *latencies
 	process
 	wake         chan struct{}
 	stateChanged *broadcast
@@ -139,7 +139,7 @@
 	// buffers bounds the memory for bodies.
 	buffers *buffer.Pool
 	// instanceWatcher follows the instance list. earlyReadAt is when it was last
-	// woken before its next read was due, in Unix milliseconds.
+	// woken before its next read was due, in nanoseconds since the start.
 	instanceWatcher *watch.Watcher[Listing]
 	// listingFaults holds the fault that was last logged of each entry that names no
 	// upstream. It is used only by instanceWatcher.
@@ -199,6 +199,7 @@
 		stop:            newPlannedStop(),
 	}
 	relay.requestNumbers.Store(rand.Uint64())
+	relay.earlyReadAt.Store(-int64(minEarlyReadInterval))
 	relay.readerReport.queryNumber = rand.Uint64()
 	relay.permits = newPermits(&relay.metrics, relay.hearsMajority)
 	relay.picker = picker.New(picker.Config{
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -230,9 +230,9 @@
 // readInstancesSoon reads the instance list early, since an upstream does not
 // match its entry. Early reads are at least minEarlyReadInterval apart.
 func (relay *Relay) readInstancesSoon() {
-	now := time.Now().UnixMilli()
+	now := time.Since(relay.start)
 	last := relay.earlyReadAt.Load()
-	if now-last >= minEarlyReadInterval.Milliseconds() && relay.earlyReadAt.CompareAndSwap(last, now) {
+	if now-time.Duration(last) >= minEarlyReadInterval && relay.earlyReadAt.CompareAndSwap(last, int64(now)) {
 		relay.instanceWatcher.Wake()
 	}
 }
--- a/internal/daemon/syncer/server.go
+++ b/internal/daemon/syncer/server.go
@@ -37,7 +37,7 @@
 		ConfirmedAgeUs: ageToWire(syncer.freshness.age()),
 	}
 	if newest := syncer.log.snapshots.NewestComplete(); !newest.IsZero() {
-		response.SnapshotTimeUs = newest.UnixMicro()
+		response.SnapshotTimeUs = newest.UnixMicro() //nolint:forbidigo // It tells when to write the next snapshot, and orders none.
 	}
 	covered := syncer.history.covers(request.GetVersion())
 	if request.GetVersion() < response.Version && covered {
--- a/internal/flow/fence/fence.go
+++ b/internal/flow/fence/fence.go
@@ -49,6 +49,11 @@
 	Uptime time.Duration
 }
 
+// unixMilli returns the time of day in Unix milliseconds.
+func (moment Moment) unixMilli() int64 {
+	return moment.TimeOfDay.UnixMilli() //nolint:forbidigo // Offsets keep tokens rising when it goes back.
+}
+
 // Source is where a token comes from.
 type Source uint8
 
@@ -136,7 +141,7 @@
 
 // Refuse raises the token, since the engine has seen a higher one.
 func (issuer *Issuer) Refuse(now Moment) {
-	issuer.setToken(Refused, max(issuer.token, now.TimeOfDay.UnixMilli())+issuer.step.Milliseconds(), now)
+	issuer.setToken(Refused, max(issuer.token, now.unixMilli())+issuer.step.Milliseconds(), now)
 	issuer.step = min(2*issuer.step, maxRefusalStep)
 }
 
@@ -164,7 +169,7 @@
 // choose chooses the token.
 func (issuer *Issuer) choose(engine Engine, now Moment) {
 	issuer.startedAt = engine.StartedAt
-	timeOfDay := now.TimeOfDay.UnixMilli()
+	timeOfDay := now.unixMilli()
 	switch {
 	case issuer.learned.StartedAt == engine.StartedAt && issuer.learned.Value+now.Uptime.Milliseconds() > issuer.earlier:
 		issuer.setOffset(Inherited, issuer.learned.Value, now)
--- a/internal/flow/policy/router.go
+++ b/internal/flow/policy/router.go
@@ -90,11 +90,17 @@
 	router.mutex.Lock()
 	defer router.mutex.Unlock()
 	if index, ok := router.ring.Index(upstream); ok {
-		router.upstreams[index].applyReport(now.UnixNano(), &report)
+		router.upstreams[index].applyReport(nanoseconds(now), &report)
 		router.upstreams[index].evictionRate = router.evictionRate(now, &report)
 	}
 }
 
+// nanoseconds returns a time as the upstreams' states hold it. They only measure how long ago
+// something was: 0 is long ago.
+func nanoseconds(at time.Time) int64 {
+	return at.UnixNano() //nolint:forbidigo // See above; a step shortens or lengthens a wait once.
+}
+
 // evictionRate returns the fleet's request rate for the least popular loaded
 // adapter, which a load would evict. It is 0 while a slot has no adapter.
 func (router *Router) evictionRate(now time.Time, report *LoadReport) float32 {
@@ -153,15 +159,15 @@
 	}
 	state := &router.upstreams[index]
 	decision := Decision{Upstream: request.RequiredUpstream, Reason: Assigned, Incarnation: state.incarnation}
-	score, loaded := state.score(now.UnixNano(), &router.config, request)
+	score, loaded := state.score(nanoseconds(now), &router.config, request)
 	decision.candidates[0], decision.candidateCount = Candidate{request.RequiredUpstream, score, loaded}, 1
-	state.recordSend(now.UnixNano(), request)
+	state.recordSend(nanoseconds(now), request)
 	router.config.Health.TryProbe(request.RequiredUpstream)
 	return decision, true
 }
 
 func (router *Router) usable(now time.Time, index uint32, request *Request) bool {
-	return router.upstreams[index].usable(now.UnixNano(), request.Half) && router.config.Health.Usable(router.ring.ID(index))
+	return router.upstreams[index].usable(nanoseconds(now), request.Half) && router.config.Health.Usable(router.ring.ID(index))
 }
 
 // replicaCount counts the request and returns how many upstreams should serve
@@ -196,7 +202,7 @@
 	case tied:
 		decision.Reason = TwoChoices
 	}
-	router.upstreams[index].recordSend(search.now.UnixNano(), &search.request)
+	router.upstreams[index].recordSend(nanoseconds(search.now), &search.request)
 	router.config.Health.TryProbe(decision.Upstream)
 	if prefix := search.request.PrefixHash; prefix != 0 {
 		router.recentPrefixes[prefix%maxRecentPrefixes] = prefixChoice{prefix, index}
@@ -208,7 +214,7 @@
 // from 0, with its score.
 func (router *Router) scoreCandidate(search *search, rank int, index uint32) Candidate {
 	request := &search.request
-	score, loaded := router.upstreams[index].score(search.now.UnixNano(), &router.config, request)
+	score, loaded := router.upstreams[index].score(nanoseconds(search.now), &router.config, request)
 	if rank >= search.replicas {
 		score += router.config.Weights.Overflow
 	}
