Choose a safe token also beside an engine that tells no start

An engine whose start is absent or wrong by more than a minute before the start of its instance would have made the token of an unknown past too low: start + 1 min + uptime. Then the time of day has to do, with the same margin. A case of TestChoose fails without the change.

--- a/internal/flow/fence/fence.go
+++ b/internal/flow/fence/fence.go
@@ -180,12 +180,22 @@
 	case issuer.config.Checked:
 		issuer.setToken(Checked, timeOfDay, now)
 	default:
-		// The instance started before its engine, so the offset of a process whose time of
-		// day was right is at most the engine's start.
-		issuer.setOffset(UnknownPast, engine.StartedAt+maxClockError.Milliseconds(), now)
+		issuer.setOffset(UnknownPast, unknownOffset(engine, now), now)
 	}
 }
 
+// unknownOffset returns an offset above those that earlier processes can have used. The
+// instance started before its engine, so the offset of a process whose time of day was right
+// is at most the engine's start. An engine that seems to have started before the instance
+// tells no start; then the time of day has to do.
+func unknownOffset(engine Engine, now Moment) int64 {
+	bound, booted := maxClockError.Milliseconds(), now.unixMilli()-now.Uptime.Milliseconds()
+	if engine.StartedAt+bound < booted {
+		return booted + bound
+	}
+	return engine.StartedAt + bound
+}
+
 // setOffset sets the token by its offset.
 func (issuer *Issuer) setOffset(source Source, offset int64, now Moment) {
 	issuer.source, issuer.offset, issuer.token = source, offset, offset+now.Uptime.Milliseconds()
--- a/internal/flow/fence/fence_test.go
+++ b/internal/flow/fence/fence_test.go
@@ -34,6 +34,8 @@
 		name    string
 		checked bool
 		orders  int64
+		// engine is the engine's start, bornAt if it is 0.
+		engine  int64
 		learn   []Offset
 		earlier int64
 		now     Moment
@@ -57,6 +59,10 @@
 			name: "nobody knows the processes before", orders: 5,
 			now: at(11*second, -2*second), want: want{token(11*second) + bornAt - bootedAt + maxClockError.Milliseconds(), UnknownPast},
 		},
+		{
+			name: "nobody knows them, and the engine tells no start", orders: 5, engine: 1700,
+			now: at(11*second, 2*second), want: want{token(13*second) + maxClockError.Milliseconds(), UnknownPast},
+		},
 		{
 			name: "nobody knows them, but the engine refuses", checked: true, orders: 5,
 			now: at(11*second, -2*second), want: want{token(9 * second), Checked},
@@ -77,7 +83,11 @@
 				issuer.Learn(offset, test.now)
 			}
 			issuer.LearnToken(test.earlier)
-			got, chosen := issuer.Token(Engine{StartedAt: bornAt, Orders: test.orders}, test.now)
+			engine := Engine{StartedAt: bornAt, Orders: test.orders}
+			if test.engine != 0 {
+				engine.StartedAt = test.engine
+			}
+			got, chosen := issuer.Token(engine, test.now)
 			if diff := cmp.Diff(test.want, want{got, issuer.Source()}); diff != "" || !chosen {
 				t.Errorf("chosen %v, token (-want +got):\n%s", chosen, diff)
 			}
