Choose no token from an offset that nobody has told

Found on reading the change: beside an engine that tells no start, an offset of 0 counted as inherited, and the token was the uptime alone. TestNoStart fails without the change. Offsets are compared in one place (Offset.Higher), and a demand costs a system call only if it tells a new one.

--- a/internal/daemon/loader/fencing.go
+++ b/internal/daemon/loader/fencing.go
@@ -32,7 +32,7 @@
 	defer loader.mutex.Unlock()
 	loader.tokens.LearnToken(codec.DecodeTokenOfSerial(demand.GetFullSerial()))
 	offset, ok := codec.DecodeFencingOffset(demand.GetBorn(), demand.FencingOffset)
-	if ok && loader.tokens.Learn(offset, loader.moment()) {
+	if ok && !loader.tokens.Knows(offset) && loader.tokens.LearnOffset(offset, loader.moment()) {
 		loader.newOffset = true
 		loader.logTokenRaise("an entry instance has heard of a higher one")
 	}
--- a/internal/daemon/relay/fencing.go
+++ b/internal/daemon/relay/fencing.go
@@ -30,8 +30,7 @@
 	}
 	fencingOffsets.mutex.Lock()
 	defer fencingOffsets.mutex.Unlock()
-	known := fencingOffsets.offsets[state.GetUpstream()]
-	if offset.StartedAt > known.StartedAt || offset.StartedAt == known.StartedAt && offset.Value > known.Value {
+	if known, ok := fencingOffsets.offsets[state.GetUpstream()]; !ok || offset.Higher(known) {
 		fencingOffsets.offsets[state.GetUpstream()] = offset
 	}
 }
--- a/internal/flow/fence/fence.go
+++ b/internal/flow/fence/fence.go
@@ -34,6 +34,15 @@
 	Value     int64
 }
 
+// Higher reports whether an offset is for a later incarnation than another one, or higher for
+// the same.
+func (offset Offset) Higher(other Offset) bool {
+	if offset.StartedAt != other.StartedAt {
+		return offset.StartedAt > other.StartedAt
+	}
+	return offset.Value > other.Value
+}
+
 // Engine is what an engine reports of itself.
 type Engine struct {
 	// StartedAt is the start of its incarnation in Unix milliseconds.
@@ -101,23 +110,27 @@
 	// step is by how much the next refusal raises the token.
 	step time.Duration
 	// learned is the highest offset that was heard of for the latest incarnation that any
-	// was heard of for, and earlier the highest token of a process that tells no offset.
-	learned Offset
+	// was heard of for, nil if none was, and earlier the highest token of a process that tells
+	// no offset, 0 if none was heard of.
+	learned *Offset
 	earlier int64
 }
 
 // NewIssuer returns an Issuer that has chosen no token.
 func NewIssuer(config Config) *Issuer { return &Issuer{config: config, step: refusalStep} }
 
-// Learn records an offset that an earlier process has used. It reports whether that raises
-// the token.
-func (issuer *Issuer) Learn(offset Offset, now Moment) (raised bool) {
-	switch {
-	case offset.StartedAt < issuer.learned.StartedAt:
+// Knows reports whether LearnOffset would have no effect.
+func (issuer *Issuer) Knows(offset Offset) bool {
+	return issuer.learned != nil && !offset.Higher(*issuer.learned)
+}
+
+// LearnOffset records an offset that an earlier process has used. It reports whether that
+// raises the token.
+func (issuer *Issuer) LearnOffset(offset Offset, now Moment) (raised bool) {
+	if issuer.Knows(offset) {
 		return false
-	case offset.StartedAt > issuer.learned.StartedAt || offset.Value > issuer.learned.Value:
-		issuer.learned = offset
 	}
+	issuer.learned = &offset
 	if issuer.source == Unset || offset.StartedAt != issuer.startedAt || offset.Value <= issuer.offset {
 		return false
 	}
@@ -170,8 +183,9 @@
 func (issuer *Issuer) choose(engine Engine, now Moment) {
 	issuer.startedAt = engine.StartedAt
 	timeOfDay := now.unixMilli()
+	inherited := issuer.learned != nil && issuer.learned.StartedAt == engine.StartedAt
 	switch {
-	case issuer.learned.StartedAt == engine.StartedAt && issuer.learned.Value+now.Uptime.Milliseconds() > issuer.earlier:
+	case inherited && issuer.learned.Value+now.Uptime.Milliseconds() > issuer.earlier:
 		issuer.setOffset(Inherited, issuer.learned.Value, now)
 	case issuer.earlier > 0:
 		issuer.setToken(EarlierVersion, max(timeOfDay, issuer.earlier+1), now)
--- a/internal/flow/fence/fence_test.go
+++ b/internal/flow/fence/fence_test.go
@@ -80,7 +80,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			issuer := NewIssuer(Config{Checked: test.checked})
 			for _, offset := range test.learn {
-				issuer.Learn(offset, test.now)
+				issuer.LearnOffset(offset, test.now)
 			}
 			issuer.LearnToken(test.earlier)
 			engine := Engine{StartedAt: bornAt, Orders: test.orders}
@@ -98,6 +98,15 @@
 	}
 }
 
+// TestNoStart guards against a token that is the uptime alone beside an engine that tells no
+// start, as nothing was heard of it.
+func TestNoStart(t *testing.T) {
+	now := at(time.Second, 0)
+	if token, _ := NewIssuer(Config{}).Token(Engine{}, now); token != now.TimeOfDay.UnixMilli() {
+		t.Errorf("token %d for the first order, want the time of day, %d", token, now.TimeOfDay.UnixMilli())
+	}
+}
+
 // TestLearnLater guards against a process that keeps its token although it hears that an
 // earlier one has used a higher offset.
 func TestLearnLater(t *testing.T) {
@@ -114,7 +123,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			issuer, engine := NewIssuer(Config{}), Engine{StartedAt: bornAt}
 			before, _ := issuer.Token(engine, at(time.Second, 0))
-			if diff := cmp.Diff(test.want, issuer.Learn(test.offset, at(2*time.Second, 0))); diff != "" {
+			if diff := cmp.Diff(test.want, issuer.LearnOffset(test.offset, at(2*time.Second, 0))); diff != "" {
 				t.Errorf("raised (-want +got):\n%s", diff)
 			}
 			if after, _ := issuer.Token(engine, at(2*time.Second, 0)); (after > before) != test.want {
--- a/internal/flow/fence/model_test.go
+++ b/internal/flow/fence/model_test.go
@@ -87,7 +87,7 @@
 
 // hear has the process learn what a demand of an entry instance tells.
 func (process *modelProcess) hear(knowledge modelKnowledge, model *model) {
-	process.issuer.Learn(knowledge.offset, model.moment())
+	process.issuer.LearnOffset(knowledge.offset, model.moment())
 	process.issuer.LearnToken(knowledge.serial)
 	process.serial = max(process.serial, knowledge.serial+serialMargin)
 }
