--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -377,3 +377,95 @@
 	}
 	finish(exitHeld, "held: OPTIONS %s got %d", path, got.status)
 }
+
+// revokedKey: the store comes back from an earlier copy, which lacks the withdrawal of a key, while
+// all relays are killed and start again.
+func revokedKey() {
+	const key, kept = "i9n73hh2b9wu3fexd9dn", "n2ctnfzs989anu6wsjnb"
+	// Limits: the copy's age, how long the store is away, and how long relays are down.
+	const copyAge, awayFor, downFor, rewriteAfter = 8 * time.Second, 500 * time.Millisecond, 650 * time.Millisecond, 2 * time.Second
+	withKeys := func(version int, keys ...string) map[string]any {
+		made := config(8)
+		made["version"] = version
+		for _, route := range made["routes"].([]any) {
+			route.(map[string]any)["public"] = false
+		}
+		made["tenants"] = []any{map[string]any{"name": "hule930", "api_keys": keys, "priority": 1, "unit": "token_based", "uncached_tokens": 200, "rate_per_s": 62311, "burst": 62311}}
+		return made
+	}
+	running.store.put(topicOperator, "config", withKeys(7, key, kept))
+	engine := &runner{id: "i-7f3a91c2", service: "advisor", adapterSlots: 8, store: running.store, models: []string{modelName}}
+	engine.start("127.31.1.1:0")
+	counter := &runner{id: "i-c07a4411", service: "counter", store: running.store}
+	counter.start("127.31.1.3:0")
+	relays := []*process{running.startRelay("edge-hall-a-1", "127.31.0.1"), running.startRelay("edge-hall-a-2", "127.31.0.2")}
+	running.startLoader("side-hall-a-1", engine.address)
+	for _, relay := range relays {
+		relay.awaitReady()
+	}
+	time.Sleep(time.Second)
+	look := func(relay *process, with string) answer {
+		return ask(relay.callers, request{method: http.MethodGet, path: "/look/1", deadline: time.Second, header: map[string]string{"X-Api-Key": with}})
+	}
+	for _, relay := range relays {
+		if got := look(relay, key); got.status != http.StatusOK {
+			cannotRun("the key is not accepted before it is withdrawn: %v", got)
+		}
+	}
+	copied := running.store.copied()
+	copiedAt := time.Now()
+	note("store: a copy is made; configuration 7 is the newest in it")
+	time.Sleep(time.Second)
+	running.store.put(topicOperator, "config", withKeys(8, kept))
+	withdrawnAt := time.Now()
+	note("operator: configuration 8 takes the key %s away; acknowledged", key)
+	time.Sleep(time.Until(copiedAt.Add(copyAge)))
+	for _, relay := range relays {
+		got := look(relay, key)
+		note("client: with the withdrawn key at %s: %v", relay.name, got)
+		if got.status == http.StatusOK {
+			finish(exitBroken, "CONFIG broken before the disruption")
+		}
+	}
+	if trouble {
+		running.store.leave()
+		note("store: is away")
+		for _, relay := range relays {
+			relay.kill()
+		}
+		time.Sleep(awayFor)
+		running.store.restore(copied)
+		note("store: is back from the copy, %v old, Store-Era 1", time.Since(copiedAt).Round(100*time.Millisecond))
+		time.AfterFunc(rewriteAfter, func() {
+			note("operator: writes configuration 8 again")
+			running.store.put(topicOperator, "config", withKeys(8, kept))
+		})
+		time.Sleep(downFor - awayFor)
+		for _, relay := range relays {
+			relay.run(running.folder)
+		}
+	}
+	ran := 0
+	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		for _, relay := range relays {
+			got := look(relay, key)
+			if got.status != 0 {
+				note("client: with the withdrawn key at %s: %v", relay.name, got)
+			}
+			counter.mutex.Lock()
+			if counter.ran[got.id] > 0 {
+				ran++
+			}
+			counter.mutex.Unlock()
+		}
+	}
+	good := look(relays[0], kept)
+	note("client: with the other key at %s: %v", relays[0].name, good)
+	if ran > 0 {
+		finish(exitBroken, "CONFIG broken: %d requests with a key ran that was withdrawn %v before", ran, time.Since(withdrawnAt).Round(time.Second))
+	}
+	if good.status != http.StatusOK {
+		cannotRun("the other key is not accepted: %v", good)
+	}
+	finish(exitHeld, "held: no request with the withdrawn key ran")
+}
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -155,6 +155,13 @@
 	note("platform: started %s, %s of the deploy file", process.name, process.role)
 }
 
+// kill kills the process.
+func (process *process) kill() {
+	note("platform: kills %s", process.name)
+	_ = process.command.Process.Kill()
+	_ = process.command.Wait()
+}
+
 // startRelay starts a relay at an IP address.
 func (deployment *deployment) startRelay(name, ip string) *process {
 	return deployment.start("relay", name, deployment.fields(name, "edge", ip, ""))
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -33,6 +33,10 @@
 	topics map[string][]record
 	// changed is closed when a record is added, and replaced.
 	changed chan struct{}
+	// away means that the store turns all calls away. era counts how often it came back from an
+	// earlier copy.
+	away bool
+	era  int
 }
 
 func newStore() *store {
@@ -66,9 +70,45 @@
 	return store.topics[topic], store.changed
 }
 
+// copied returns a copy of the store's topics.
+func (store *store) copied() map[string][]record {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	copied := make(map[string][]record)
+	for topic, records := range store.topics {
+		copied[topic] = slices.Clone(records)
+	}
+	return copied
+}
+
+// leave makes the store turn all calls away.
+func (store *store) leave() {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.away = true
+}
+
+// restore brings the store back from a copy.
+func (store *store) restore(topics map[string][]record) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.away, store.topics = false, topics
+	store.era++
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
 // ServeHTTP implements http.Handler.
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
+	store.mutex.Lock()
+	away, era := store.away, store.era
+	store.mutex.Unlock()
+	writer.Header().Set("Store-Era", strconv.Itoa(era))
+	if away {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch request.URL.Path {
 	case "/api/log-newest":
 		store.newest(writer, query.Get("topic"))
