review: case 13, streams of a killed relay cannot be taken up

Seen: all loaders and one of two relays are killed at the same moment while two software versions serve. None of 24 streams that clients take up at the relay that lives goes on, and all new ones begin (news rule LOST). Cause: the origin of a stream is kept by the relay that forwards it and by loaders, and told to no other relay.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Plays the case once. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin-3 slow-reader review/13
+exec target/review-standin-3 taken-up review/13
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -24,6 +24,8 @@
 	headerExpected    = "X-Jacinthfront-Expected-Instance"
 	headerModel       = "X-Jacinthfront-Model"
 	headerLastEvent   = "Last-Event-Id"
+	headerResumes     = "Resumes"
+	headerRetryAfter  = "Retry-After"
 )
 
 // host is the host of all routes.
@@ -124,3 +126,11 @@
 		}
 	}
 }
+
+// refusal returns the text of an answer that is no success.
+func (answer answer) refusal() string {
+	if answer.status/100 == 2 {
+		return ""
+	}
+	return strings.TrimSpace(string(answer.body))
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -53,7 +53,7 @@
 
 func main() {
 	cases := map[string]func(){
-		"unread-cut": unreadCut, "revoked-key": revokedKey, "slow-reader": slowReader, "no-tenants": noTenants, "options-asterisk": optionsAsterisk,
+		"unread-cut": unreadCut, "revoked-key": revokedKey, "slow-reader": slowReader, "options-asterisk": optionsAsterisk, "taken-up": takenUp,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
