--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// slowReader: clients read a booking's answer slowly, but all the time.
+// slowReader plays clients that read a booking's answer slowly, but all the time.
 func slowReader() {
 	const clients, size, part, pause = 9, 1 << 20, 4 << 10, 100 * time.Millisecond
 	running.store.put(topicOperator, "config", config())
@@ -116,7 +116,7 @@
 	finish(exitHeld, "held: %d answers whole, %d cut", whole.Load(), cut.Load())
 }
 
-// optionsAsterisk: a request that no route matches.
+// optionsAsterisk plays a request that no route matches.
 func optionsAsterisk() {
 	running.store.put(topicOperator, "config", config())
 	counter := &runner{id: "i-c07a4411", service: "counter", store: running.store}
@@ -135,7 +135,7 @@
 	finish(exitHeld, "held: OPTIONS %s got %d", path, got.status)
 }
 
-// revokedKey: the store comes back from an earlier copy, which lacks the withdrawal of a key, while
+// revokedKey plays a store that comes back from an earlier copy, which lacks the withdrawal of a key, while
 // all relays are killed and start again.
 func revokedKey() {
 	const key, kept = "i9n73hh2b9wu3fexd9dn", "n2ctnfzs989anu6wsjnb"
@@ -225,7 +225,7 @@
 	finish(exitHeld, "held: no request with the withdrawn key ran")
 }
 
-// unreadCut: clients read streams slowly for a time, and their runner cuts off what remains unread.
+// unreadCut plays clients that read streams slowly for a time, whose runner cuts off what remains unread.
 func unreadCut() {
 	const events, gap, eventBytes, clients = 1500, 1, 1 << 10, 6
 	const part, pause, slowFor = 2 << 10, 100 * time.Millisecond, 9 * time.Second
@@ -308,7 +308,7 @@
 	return reader.conn.Read(buffer)
 }
 
-// takenUp: the loaders and one of two relays are killed at the same moment while two software
+// takenUp plays loaders and one of two relays that are killed at the same moment while two software
 // versions serve, and clients take the streams of that relay up at the other one.
 func takenUp() {
 	const events, gap, streams, tries = 60, 100, 24, 4
