--- a/internal/daemon/relay/instep.go
+++ b/internal/daemon/relay/instep.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"jacinthfront.dev/jacinthfront/internal/daemon/watch"
 )
 
@@ -24,6 +26,21 @@
 	retryAfterOutOfStep = 50 * time.Millisecond
 )
 
+// Why an instance is out of step, as its log and its metrics name it.
+const (
+	// causeLoadersSilent means that no loader that was asked for a stream has answered.
+	causeLoadersSilent = "loaders-silent"
+	// causeUpstreamsUnheard means that no loader is heard of the upstreams that may continue
+	// the stream.
+	causeUpstreamsUnheard = "upstreams-unheard"
+	// causeListUnconfirmed and causeStoreUnconfirmed mean that the store did not confirm the
+	// instance list, or the configuration with it, in time.
+	causeListUnconfirmed  = "list-unconfirmed"
+	causeStoreUnconfirmed = "store-unconfirmed"
+	// causeUpstreamRenewed means that an upstream runs at a version that is not listed yet.
+	causeUpstreamRenewed = "upstream-renewed"
+)
+
 // reasonOutOfStep is the reason of such refusals.
 const reasonOutOfStep = "the instance could not confirm in time which upstreams are listed"
 
@@ -35,6 +52,12 @@
 	return &refusal{http.StatusServiceUnavailable, reasonOutOfStep, retryAfterOutOfStep}
 }
 
+// recordOutOfStep records why this instance is out of step for the request.
+func (proxyRequest *proxyRequest) recordOutOfStep(cause string) {
+	proxyRequest.relay.metrics.increment("out-of-step-" + cause)
+	proxyRequest.log("relay: out of step", zap.String("cause", cause))
+}
+
 // confirmList makes sure that the instance list holds all that the store held at a time and
 // all that others had read, up to a place in it. It returns errOutOfStep if that cannot be
 // confirmed within confirmTimeout.
--- a/internal/daemon/relay/originlookup.go
+++ b/internal/daemon/relay/originlookup.go
@@ -83,8 +83,10 @@
 	record origin.Record
 	found  bool
 	// asked is the number of loaders that were asked, and silent that of those that had not
-	// answered when the lookup ended. Other instances do not count.
+	// answered when the lookup ended.
 	asked, silent int
+	// instancesAsked and instancesSilent are these numbers of other instances.
+	instancesAsked, instancesSilent int
 	// list is how far others had read the instance list when they began streams.
 	list watch.Cursor
 }
@@ -118,7 +120,7 @@
 	for _, address := range asked {
 		silent[address] = true
 	}
-	result := lookupResult{asked: loaders, silent: loaders}
+	result := lookupResult{asked: loaders, silent: loaders, instancesAsked: len(asked) - loaders, instancesSilent: len(asked) - loaders}
 	ask := &wirepb.Datagram{Body: &wirepb.Datagram_OriginAsk{OriginAsk: &wirepb.OriginAsk{Entry: relay.config.DatagramAddress, Keys: []uint64{uint64(key)}}}}
 	relay.sendDatagram(ask, asked...)
 	timeout, repeat := time.NewTimer(askTimeout), time.NewTimer(askRepeat)
@@ -134,6 +136,8 @@
 			result.add(answer)
 			if slices.Contains(asked[:loaders], answer.source) {
 				result.silent--
+			} else {
+				result.instancesSilent--
 			}
 		case <-repeat.C:
 			for address := range silent {
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -83,7 +83,12 @@
 	if refused := proxyRequest.resumeRefusal(); refused == nil || !proxyRequest.origin.Known() {
 		return refused
 	}
-	if proxyRequest.relay.picker.Unheard(proxyRequest.requirements()) || proxyRequest.relay.confirmList(ctx, proxyRequest.started, others) != nil {
+	if proxyRequest.relay.picker.Unheard(proxyRequest.requirements()) {
+		proxyRequest.recordOutOfStep(causeUpstreamsUnheard)
+		return outOfStepRefusal()
+	}
+	if proxyRequest.relay.confirmList(ctx, proxyRequest.started, others) != nil {
+		proxyRequest.recordOutOfStep(causeListUnconfirmed)
 		return outOfStepRefusal()
 	}
 	return proxyRequest.resumeRefusal()
@@ -115,11 +120,13 @@
 	relay := proxyRequest.relay
 	lookup := relay.askOrigin(ctx, proxyRequest.streamKey(), proxyRequest.route.ServiceNames())
 	proxyRequest.log("relay: loaders asked for the origin of a stream", zap.Bool("found", lookup.found), zap.Int("asked", lookup.asked), zap.Int("silent", lookup.silent),
+		zap.Int("instances-asked", lookup.instancesAsked), zap.Int("instances-silent", lookup.instancesSilent),
 		zap.Duration("list-age", elapsed(relay.instanceWatcher.Position().ConfirmedAt)))
 	switch {
 	case lookup.found:
 		return lookup.record.Origin, knownLoader, lookup.list
 	case lookup.unheard():
+		proxyRequest.recordOutOfStep(causeLoadersSilent)
 		return origin.Origin{}, knownOutOfStep, lookup.list
 	}
 	found, knownFrom = proxyRequest.soleOrigin(ctx, begunBy, lookup.list)
@@ -150,6 +157,7 @@
 func (proxyRequest *proxyRequest) soleOrigin(ctx context.Context, begunBy time.Time, others watch.Cursor) (sole origin.Origin, knownFrom string) {
 	relay := proxyRequest.relay
 	if relay.confirmStore(ctx, begunBy, others) != nil {
+		proxyRequest.recordOutOfStep(causeStoreUnconfirmed)
 		return origin.Origin{}, knownOutOfStep
 	}
 	services := proxyRequest.route.ServiceNames()
@@ -163,6 +171,7 @@
 		relay.recallSoftware(context.WithoutCancel(ctx))
 	}
 	if relay.picker.Renewed(services) {
+		proxyRequest.recordOutOfStep(causeUpstreamRenewed)
 		return origin.Origin{}, knownOutOfStep
 	}
 	if sole, ok := relay.origins.history.Sole(services, since); ok {
