relay: other entry instances keep copies of which software began a stream

Cause: which software began a stream was kept by the relay that forwards it and by loaders. When these end at once, nobody knows it, at any number of engines.

Change: up to three other entry instances, those that rank first for the stream, keep a copy. The next usage report brings it, so that it costs no datagram of its own; a stream whose relay ends before that is known to loaders only. With the copy an instance knows at once where the stream may go on, without a lookup.

--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -13,10 +13,18 @@
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
 
-// Loaders keep which software began a stream, as all entry instances may end at once. A
-// record is of use only while upstreams of its version serve, so the loaders beside these
-// keep it: those that rank first for the stream among the engines of its version. Those of
-// the other versions keep it too, for instances that do not know its version yet.
+// Which software began a stream must outlive the instance that forwards it. All processes of
+// one kind may end at once, so that processes of both kinds keep it, besides that instance.
+//
+// Loaders keep it, as all entry instances may end at once. A record is of use only while
+// upstreams of its version serve, so the loaders beside these keep it: those that rank first
+// for the stream among the engines of its version. Those of the other versions keep it too,
+// for instances that do not know its version yet. They are told before the first event is
+// forwarded.
+//
+// Other entry instances keep a copy, as all loaders may end at once together with the
+// instance that forwards the stream: those that rank first for the stream. They are told with
+// the next usage report.
 
 const (
 	// originHolders is the number of loaders of a version that keep the origin of a stream,
@@ -29,6 +37,10 @@
 	askedHolders = 4
 	// maxOriginsPerDatagram bounds the records of one datagram, to about 1 KiB.
 	maxOriginsPerDatagram = 32
+	// originCopies is the number of other entry instances that keep a copy of the origin of a
+	// stream. An instance that asks for it asks at least one more, as it counts the one that
+	// forwarded the stream among the others.
+	originCopies = maxAskedPeers - 1
 	// keepMargin is how much longer than the time of its request the origin of a stream is
 	// kept.
 	keepMargin = 5 * time.Second
@@ -47,10 +59,13 @@
 	loaderStarts map[string]int64
 	// lookups holds the running lookups of each stream.
 	lookups map[origin.Key][]*originLookup
+	// untold holds the records that the next usage report brings to other entry instances, by
+	// their addresses.
+	untold map[string][]origin.Record
 }
 
 func newOrigins() *origins {
-	return &origins{ledger: origin.New(origin.Config{}), history: origin.NewHistory(), loaderStarts: make(map[string]int64), lookups: make(map[origin.Key][]*originLookup)}
+	return &origins{ledger: origin.New(origin.Config{}), history: origin.NewHistory(), loaderStarts: make(map[string]int64), lookups: make(map[origin.Key][]*originLookup), untold: make(map[string][]origin.Record)}
 }
 
 // setGroups replaces the loaders beside the listed upstreams.
@@ -85,7 +100,8 @@
 	return origins.groups
 }
 
-// keepOrigin keeps the origin of a stream and tells the loaders that hold it.
+// keepOrigin keeps the origin of a stream and tells the loaders that hold it, and other entry
+// instances with the next usage report.
 func (relay *Relay) keepOrigin(record origin.Record) {
 	if record.Key == 0 || !record.Origin.Known() {
 		return
@@ -93,6 +109,57 @@
 	holders := relay.originHolders(record)
 	relay.origins.ledger.Record(record, holders)
 	relay.sendOrigins([]origin.Record{record}, holders...)
+	relay.origins.addUntold(record, copyHolders(record.Key, relay.peers.liveOthers()))
+}
+
+// addUntold has the next usage reports to entry instances bring a record.
+func (origins *origins) addUntold(record origin.Record, instances []string) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	for _, address := range instances {
+		origins.untold[address] = append(origins.untold[address], record)
+	}
+}
+
+// hasUntold reports whether a usage report has records to bring.
+func (origins *origins) hasUntold() bool {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	return len(origins.untold) > 0
+}
+
+// takeUntold returns the records that a usage report brings, by the addresses of their
+// receivers, and counts them as told.
+func (origins *origins) takeUntold() map[string][]origin.Record {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	untold := origins.untold
+	origins.untold = make(map[string][]origin.Record)
+	return untold
+}
+
+// copyHolders returns those of the other entry instances that keep a copy of the origin of a
+// stream.
+func copyHolders(key origin.Key, others []string) []string {
+	return rank.Top(key.String(), others, originCopies)
+}
+
+// keepCopies keeps copies of the origins of streams that other entry instances forward.
+func (relay *Relay) keepCopies(streams []*wirepb.StreamOrigin) {
+	for _, record := range codec.DecodeOrigins(streams) {
+		record.Lifetime = min(record.Lifetime, origin.HistoryRetention)
+		relay.origins.ledger.Record(record, nil)
+	}
+}
+
+// tellInstance tells an entry instance that has started, or was not heard for a time, of the
+// streams that this one forwards and the other one keeps copies of.
+func (relay *Relay) tellInstance(address string) {
+	others := relay.peers.liveOthers()
+	records := slices.DeleteFunc(relay.origins.ledger.Told(), func(record origin.Record) bool {
+		return !slices.Contains(copyHolders(record.Key, others), address)
+	})
+	relay.sendOrigins(records, address)
 }
 
 // sendOrigins sends records to loaders.
@@ -177,11 +244,17 @@
 	}
 }
 
-// recordLoaderStart tells a loader that has started again of the streams that it held.
+// recordLoaderStart tells a loader that has started again of the streams that it held. It
+// tells it also of those of which this instance keeps copies, as the instances that forward
+// them may have ended.
 func (relay *Relay) recordLoaderStart(loader string, start int64) {
-	if start != 0 && relay.origins.recordStart(loader, start) {
-		relay.sendOrigins(relay.origins.ledger.HeldBy(loader), loader)
+	if start == 0 || !relay.origins.recordStart(loader, start) {
+		return
 	}
+	copies := slices.DeleteFunc(relay.origins.ledger.Copies(), func(record origin.Record) bool {
+		return !slices.Contains(relay.originHolders(record), loader)
+	})
+	relay.sendOrigins(append(relay.origins.ledger.HeldBy(loader), copies...), loader)
 }
 
 // originHolders returns the addresses of the loaders that hold the origin of a stream: those
--- a/internal/daemon/relay/peers.go
+++ b/internal/daemon/relay/peers.go
@@ -58,18 +58,21 @@
 	return &peers{own: own, domain: domain, byAddress: make(map[string]*peer), failingTopics: make(map[string]bool)}
 }
 
-// recordReport records the sender of a usage report.
-func (peers *peers) recordReport(address, domain string, start int64, configVersion uint64) {
+// recordReport records the sender of a usage report. It reports whether the sender has
+// started since its last report, or was not live.
+func (peers *peers) recordReport(address, domain string, start int64, configVersion uint64) (returned bool) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	sender := peers.markSeen(address)
 	if sender == nil {
-		return
+		return false
 	}
+	returned = sender.start != start || !sender.live()
 	if sender.start != start {
 		sender.start, sender.fullReportsDue = start, initialFullReports
 	}
 	sender.lastHeard, sender.domain, sender.configVersion = time.Now(), domain, configVersion
+	return returned
 }
 
 // recordPastWanted records whether an entry instance wants to be told what all have sent.
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -82,7 +82,7 @@
 		relay.initialiseBuckets()
 		usage := relay.limiter.LocalUsage()
 		changed := relay.usageChanges.update(usage.Spent)
-		changed = relay.retryBudget.updateChanges() || changed
+		changed = relay.retryBudget.updateChanges() || relay.origins.hasUntold() || changed
 		if relay.usageUrgent.Swap(false) || time.Since(usageSentAt) >= maxUsageInterval || changed && time.Since(usageSentAt) >= usageInterval(relay.peers.count()) {
 			usageSentAt = time.Now()
 			relay.reportUsage(usage)
@@ -227,6 +227,8 @@
 		relay.handlePermitGrants(body.PermitGrants)
 	case *wirepb.Datagram_Memory:
 		relay.handleMemory(body.Memory)
+	case *wirepb.Datagram_StreamOrigins:
+		relay.keepCopies(body.StreamOrigins.GetStreams())
 	case *wirepb.Datagram_OriginAsk:
 		relay.handleOriginAsk(body.OriginAsk)
 	case *wirepb.Datagram_OriginAnswer:
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -97,6 +97,7 @@
 // How the origin of a stream is known, or why not.
 const (
 	knownOwn       = "own"
+	knownCopy      = "copy"
 	knownLoader    = "loader"
 	knownSole      = "sole-version"
 	knownNowhere   = "nowhere"
@@ -104,11 +105,14 @@
 )
 
 // findOrigin returns which software began the stream that the caller takes up, and how that
-// is known: from this instance, from a loader, or because no other version was listed while
-// the stream can have begun. list is how far others had read the instance list.
+// is known: from this instance, which forwards it or keeps a copy, from a loader or another
+// instance, or because no other version was listed while the stream can have begun. list is how far others had read the instance list.
 func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, knownFrom string, list watch.Cursor) {
 	relay, key := proxyRequest.relay, proxyRequest.streamKey()
 	if record, ok := relay.origins.ledger.Find(key); ok {
+		if relay.origins.ledger.IsCopy(key) {
+			return record.Origin, knownCopy, list
+		}
 		return record.Origin, knownOwn, list
 	}
 	return proxyRequest.lookUpOrigin(ctx, proxyRequest.started)
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/flow/bucket"
+	"jacinthfront.dev/jacinthfront/internal/flow/origin"
 	"jacinthfront.dev/jacinthfront/internal/wire/codec"
 	"jacinthfront.dev/jacinthfront/internal/wire/wirepb"
 )
@@ -51,7 +52,8 @@
 }
 
 // reportUsage reports this instance's usage to the other entry instances: partial
-// reports of what changed recently, and full ones from time to time.
+// reports of what changed recently, and full ones from time to time. A report also brings its
+// receiver the origins of streams of which that keeps copies.
 func (relay *Relay) reportUsage(usage bucket.Usage) {
 	heard, engines := relay.picker.CountReporting()
 	present, removed := relay.peers.expire(2*heard > engines)
@@ -64,11 +66,32 @@
 		kind := relay.peers.takeReport(address)
 		byKind[kind] = append(byKind[kind], address)
 	}
+	untold := relay.origins.takeUntold()
 	for kind, addresses := range byKind {
-		relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: relay.encodeUsage(usage, kind)}}, addresses...)
+		relay.sendUsage(relay.encodeUsage(usage, kind), addresses, untold)
 	}
 }
 
+// sendUsage sends a usage report, and with it to each receiver the origins of streams that it
+// has not been told.
+func (relay *Relay) sendUsage(report *wirepb.Usage, addresses []string, untold map[string][]origin.Record) {
+	datagram := &wirepb.Datagram{Body: &wirepb.Datagram_Usage{Usage: report}}
+	var others []string
+	for _, address := range addresses {
+		records := untold[address]
+		if len(records) == 0 {
+			others = append(others, address)
+			continue
+		}
+		brought := min(len(records), maxOriginsPerDatagram)
+		report.Streams = codec.EncodeOrigins(records[:brought])
+		relay.sendDatagram(datagram, address)
+		relay.sendOrigins(records[brought:], address)
+	}
+	report.Streams = nil
+	relay.sendDatagram(datagram, others...)
+}
+
 // encodeUsage encodes a usage report.
 func (relay *Relay) encodeUsage(usage bucket.Usage, kind reportKind) *wirepb.Usage {
 	full, recent := kind != partialReport, relay.usageChanges.recent()
@@ -111,7 +134,10 @@
 		}
 	}
 	relay.recordPeerEvacuations(report)
-	relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion())
+	if relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion()) {
+		relay.tellInstance(report.GetEntry())
+	}
+	relay.keepCopies(report.GetStreams())
 	relay.peers.recordPastWanted(report.GetEntry(), report.GetPastWanted())
 	if relay.peers.recordStoreState(report.GetEntry(), report.GetStoreFailing()) {
 		relay.queryReader()
--- a/internal/flow/origin/origin.go
+++ b/internal/flow/origin/origin.go
@@ -73,7 +73,8 @@
 type entry struct {
 	origin    Origin
 	expiresAt time.Time
-	// holders are the addresses that have been told of it.
+	// holders are the addresses that have been told of it. There are none if it is a copy of
+	// what another instance keeps.
 	holders []string
 }
 
@@ -83,8 +84,9 @@
 	return &Ledger{config: config, entries: make(map[Key]*entry)}
 }
 
-// Record keeps a record and the holders that have been told of it. A record of another
-// origin than the known one makes the stream's origin unknown: two requests had one id.
+// Record keeps a record and the holders that have been told of it, or a copy of a record
+// that others keep if there are none. A record of another origin than the known one makes the
+// stream's origin unknown: two requests had one id.
 func (ledger *Ledger) Record(record Record, holders []string) {
 	if record.Key == 0 || !record.Origin.Known() || record.Lifetime <= 0 {
 		return
@@ -104,7 +106,9 @@
 	if known.origin != record.Origin {
 		known.origin = Origin{}
 	}
-	known.holders = holders
+	if len(holders) > 0 {
+		known.holders = holders
+	}
 	if expiresAt := now.Add(record.Lifetime); expiresAt.After(known.expiresAt) {
 		known.expiresAt = expiresAt
 	}
@@ -133,15 +137,38 @@
 	return ledger.heldBy(func(other string) bool { return other == holder })
 }
 
+// Told returns the records that holders have been told of, ordered by key.
+func (ledger *Ledger) Told() []Record {
+	return ledger.heldBy(func(string) bool { return true })
+}
+
+// Copies returns the copies of records that others keep, ordered by key.
+func (ledger *Ledger) Copies() []Record {
+	return ledger.selected(func(known *entry) bool { return len(known.holders) == 0 })
+}
+
+// IsCopy reports whether the ledger has no more than a copy of the record of a stream.
+func (ledger *Ledger) IsCopy(key Key) bool {
+	ledger.mutex.Lock()
+	defer ledger.mutex.Unlock()
+	known, ok := ledger.entries[key]
+	return ok && len(known.holders) == 0
+}
+
 // heldBy returns the records of which a function selects a holder, ordered by key.
 func (ledger *Ledger) heldBy(selected func(holder string) bool) []Record {
+	return ledger.selected(func(known *entry) bool { return slices.ContainsFunc(known.holders, selected) })
+}
+
+// selected returns the records of known origin that a function selects, ordered by key.
+func (ledger *Ledger) selected(selects func(known *entry) bool) []Record {
 	now := time.Now()
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	ledger.prune(now)
 	var records []Record
 	for key, known := range ledger.entries {
-		if known.origin.Known() && slices.ContainsFunc(known.holders, selected) {
+		if known.origin.Known() && selects(known) {
 			records = append(records, Record{Key: key, Origin: known.origin, Lifetime: known.expiresAt.Sub(now)})
 		}
 	}
--- a/internal/flow/origin/origin_test.go
+++ b/internal/flow/origin/origin_test.go
@@ -96,6 +96,31 @@
 	}
 }
 
+// TestCopies guards against a copy that counts as a record of which holders were told, and
+// against one that makes the ledger forget them.
+func TestCopies(t *testing.T) {
+	ledger := New(Config{})
+	ledger.Record(Record{1, first, time.Hour}, []string{"a"})
+	ledger.Record(Record{1, first, time.Hour}, nil)
+	ledger.Record(Record{2, first, time.Hour}, nil)
+	ledger.Record(Record{3, first, time.Hour}, nil)
+	ledger.Record(Record{3, first, time.Hour}, []string{"a"})
+	ledger.Record(Record{4, first, time.Hour}, nil)
+	ledger.Record(Record{4, second, time.Hour}, nil)
+	keys := func(records []Record) (keys []Key) {
+		for _, record := range records {
+			keys = append(keys, record.Key)
+		}
+		return keys
+	}
+	if diff := cmp.Diff([][]Key{{1, 3}, {2}}, [][]Key{keys(ledger.Told()), keys(ledger.Copies())}); diff != "" {
+		t.Errorf("streams of which holders were told, and copies (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]bool{false, true, false}, []bool{ledger.IsCopy(1), ledger.IsCopy(2), ledger.IsCopy(5)}); diff != "" {
+		t.Errorf("copies (-want +got):\n%s", diff)
+	}
+}
+
 // TestSole guards against a version that counts as the only one although another one was
 // listed, or may have been, while the stream can have begun.
 func TestSole(t *testing.T) {
