relay: ask engines themselves which incarnation runs while their loaders are silent

Callers saw: with all loaders away or standing still for seconds, no stream could be taken up, also if one version alone served, while new streams began at the same engines.

Cause: a stream may go on only at an engine that is known to run the listed incarnation, and only its loader could say so. Without loaders the engines were passed over (silent), refused as unheard, or their events not forwarded, as nobody confirmed the connection.

Change: an engine whose loader does not report, or leaves asks unanswered for 100 ms, is asked itself, each one once in 100 ms at most and four at a time. Its report names the start of its incarnation, and the process that gives it ran after it was asked, as with the report that a loader answers from: what counts as confirmed is unchanged. An engine that has answered lately may continue streams although its loader is silent; an instance that reaches no engine refuses as before.

--- a/internal/daemon/relay/incarnation.go
+++ b/internal/daemon/relay/incarnation.go
@@ -15,14 +15,14 @@
 
 // An upstream may start again under its id at another software version. Until its loader or
 // the list shows that, a connection to it that was just opened may lead to either. So the
-// software that writes a stream is known once the loader has confirmed the incarnation after
-// the connection was opened.
+// software that writes a stream is known once the loader, or the engine itself, has confirmed
+// the incarnation after the connection was opened.
 
 const (
 	// incarnationAskInterval is the least time between two asks of a loader.
 	incarnationAskInterval = 30 * time.Millisecond
 	// identityTimeout is how long the first event of an answer that continues a stream waits
-	// for the answer of a loader.
+	// for the answer of a loader or the engine.
 	identityTimeout = picker.DefaultReportTTL
 	// beginTimeout is how long the first event of a stream waits for it. The later ones do
 	// not wait.
@@ -38,30 +38,65 @@
 type incarnationAsks struct {
 	mutex   sync.Mutex
 	askedAt map[string]time.Time
+	// unansweredSince holds the first ask that was not answered, of those that followed each
+	// other within a second.
+	unansweredSince map[string]time.Time
 }
 
 // due reports whether an upstream's loader may be asked now, and counts it as asked.
 func (asks *incarnationAsks) due(upstream string, now time.Time) bool {
 	asks.mutex.Lock()
 	defer asks.mutex.Unlock()
-	if now.Sub(asks.askedAt[upstream]) < incarnationAskInterval {
+	pause := now.Sub(asks.askedAt[upstream])
+	if pause < incarnationAskInterval {
 		return false
 	}
+	if _, unanswered := asks.unansweredSince[upstream]; !unanswered || pause > time.Second {
+		if asks.unansweredSince == nil {
+			asks.unansweredSince = make(map[string]time.Time)
+		}
+		asks.unansweredSince[upstream] = now
+	}
 	asks.askedAt[upstream] = now
 	return true
 }
 
+// recordAnswer records that an upstream's loader has answered.
+func (asks *incarnationAsks) recordAnswer(upstream string) {
+	asks.mutex.Lock()
+	defer asks.mutex.Unlock()
+	delete(asks.unansweredSince, upstream)
+}
+
+// unanswered returns for how long an upstream's loader has not answered.
+func (asks *incarnationAsks) unanswered(upstream string, now time.Time) time.Duration {
+	asks.mutex.Lock()
+	defer asks.mutex.Unlock()
+	since, ok := asks.unansweredSince[upstream]
+	if !ok {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // keep forgets the upstreams that a function does not select.
 func (asks *incarnationAsks) keep(listed func(upstream string) bool) {
 	asks.mutex.Lock()
 	defer asks.mutex.Unlock()
-	maps.DeleteFunc(asks.askedAt, func(upstream string, _ time.Time) bool { return !listed(upstream) })
+	gone := func(upstream string, _ time.Time) bool { return !listed(upstream) }
+	maps.DeleteFunc(asks.askedAt, gone)
+	maps.DeleteFunc(asks.unansweredSince, gone)
 }
 
-// askIncarnation asks an upstream's loader which incarnation runs.
-func (relay *Relay) askIncarnation(upstream fleet.Upstream) {
+// askIncarnation asks an upstream's loader which incarnation runs, and the upstream itself if
+// its loader does not report or answer.
+func (relay *Relay) askIncarnation(upstream fleet.Upstream, identity picker.Identity) {
 	now := time.Now()
-	if !relay.incarnationAsks.due(upstream.ID, now) {
+	due := relay.incarnationAsks.due(upstream.ID, now)
+	if identity == picker.Unreported || relay.incarnationAsks.unanswered(upstream.ID, now) >= loaderPatience {
+		relay.askEngine(upstream)
+	}
+	if !due {
 		return
 	}
 	relay.sendDatagram(&wirepb.Datagram{Body: &wirepb.Datagram_IncarnationAsk{IncarnationAsk: &wirepb.IncarnationAsk{
@@ -76,6 +111,7 @@
 	if !ok {
 		return
 	}
+	relay.incarnationAsks.recordAnswer(answer.GetUpstream())
 	relay.picker.RecordIncarnation(answer.GetUpstream(), answer.GetBorn(), askedAt)
 	relay.stateChanged.notify()
 }
@@ -93,7 +129,7 @@
 }
 
 // identify returns which incarnation of an upstream is at the other end of the connection
-// of the last response, and asks its loader if that is not known.
+// of the last response, and asks its loader or itself if that is not known.
 func (proxyRequest *proxyRequest) identify() picker.Identity {
 	return proxyRequest.identifyAt(proxyRequest.connection)
 }
@@ -104,8 +140,8 @@
 		return picker.Confirmed
 	}
 	identity := proxyRequest.relay.picker.Identify(connection.upstream, connection.openedAt)
-	if identity == picker.Unconfirmed {
-		proxyRequest.relay.askIncarnation(connection.upstream)
+	if identity == picker.Unconfirmed || identity == picker.Unreported {
+		proxyRequest.relay.askIncarnation(connection.upstream, identity)
 	}
 	return identity
 }
--- a/internal/daemon/relay/incarnation_test.go
+++ b/internal/daemon/relay/incarnation_test.go
@@ -33,7 +33,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				spec := fleet.Upstream{ID: "i-1", Service: "advisor", StartedAt: 1000}
-				relay := &Relay{process: newProcess(), stateChanged: newBroadcast(), picker: picker.New(picker.Config{})}
+				relay := &Relay{process: newProcess(), stateChanged: newBroadcast(), picker: picker.New(picker.Config{}), incarnationAsks: new(incarnationAsks)}
 				relay.picker.SetUpstreams([]fleet.Upstream{spec})
 				time.Sleep(time.Second)
 				openedAt := time.Now()
--- a/internal/daemon/relay/relay.go
+++ b/internal/daemon/relay/relay.go
@@ -60,8 +60,10 @@
 	DatagramAddress string
 	DatagramPort    uint16
 	Pool            *http1.Pool
-	Logger          *zap.Logger
-	Bounds          Bounds
+	// Engines asks engines whose loaders are silent. It may be nil.
+	Engines Engines
+	Logger  *zap.Logger
+	Bounds  Bounds
 	// BoundsUpdates delivers bounds that change at run time. It may be nil.
 	BoundsUpdates <-chan Bounds
 	// BodyMemory bounds the memory for the bodies of requests and responses, in bytes. 0
@@ -135,6 +137,7 @@
 	// origins holds which software began streams.
 	origins         *origins
 	incarnationAsks *incarnationAsks
+	engineAsks      *engineAsks
 	fencingOffsets  *fencingOffsets
 	// buffers bounds the memory for bodies.
 	buffers *buffer.Pool
@@ -193,6 +196,7 @@
 		callers:         depart.New(),
 		origins:         newOrigins(),
 		incarnationAsks: &incarnationAsks{askedAt: make(map[string]time.Time)},
+		engineAsks:      newEngineAsks(),
 		fencingOffsets:  newFencingOffsets(),
 		buffers:         buffer.New(buffer.Config{Limit: config.BodyMemory}),
 		listingFaults:   make(map[string]string),
--- a/internal/daemon/relay/run.go
+++ b/internal/daemon/relay/run.go
@@ -187,6 +187,9 @@
 		if refused := proxyRequest.resumeRefusal(); refused != nil {
 			return picker.Choice{}, refused
 		}
+		if proxyRequest.resumes() {
+			proxyRequest.relay.askSilentEngines(proxyRequest.requirements())
+		}
 		choice := waitingRequest.choose()
 		proxyRequest.recordWait(choice)
 		if grant, ok := waitingRequest.admitted(choice); ok && proxyRequest.maySend(ctx) {
--- a/internal/daemon/relay/storeview.go
+++ b/internal/daemon/relay/storeview.go
@@ -309,6 +309,7 @@
 	relay.picker.SetUpstreams(upstreams)
 	relay.observeOrigins(upstreams)
 	relay.incarnationAsks.keep(relay.store.instances.Contains)
+	relay.engineAsks.keep(relay.store.instances.Contains)
 	relay.fencingOffsets.keep(relay.store.instances.Contains)
 	relay.health.setUpstreams(upstreams)
 	relay.checkEvacuations()
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -83,6 +83,7 @@
 	if refused := proxyRequest.resumeRefusal(); refused == nil || !proxyRequest.origin.Known() {
 		return refused
 	}
+	proxyRequest.relay.awaitEngines(ctx, proxyRequest.requirements())
 	if proxyRequest.relay.picker.Unheard(proxyRequest.requirements()) {
 		proxyRequest.recordOutOfStep(causeUpstreamsUnheard)
 		return outOfStepRefusal()
@@ -148,6 +149,9 @@
 	if !proxyRequest.origin.Known() {
 		proxyRequest.origin, _, _ = proxyRequest.lookUpOrigin(ctx, brokeAt)
 	}
+	if proxyRequest.origin.Known() && proxyRequest.resumeRefusal() != nil {
+		proxyRequest.relay.awaitEngines(ctx, proxyRequest.requirements())
+	}
 	if proxyRequest.origin.Known() && proxyRequest.resumeRefusal() != nil {
 		// Without a confirmed list the stream ends.
 		_ = proxyRequest.relay.confirmList(ctx, brokeAt, watch.Cursor{})
--- a/internal/daemon/relay/unheard_test.go
+++ b/internal/daemon/relay/unheard_test.go
@@ -12,6 +12,15 @@
 	"jacinthfront.dev/jacinthfront/internal/state/routes"
 )
 
+// newBrokenStream returns a request whose stream of version v1 broke after an event.
+func newBrokenStream(relay *Relay) *proxyRequest {
+	return &proxyRequest{
+		relay: relay, info: RequestInfo{ID: "r-1"}, route: &routes.Route{Name: "r", Streaming: true, Resumable: true, ResponseGoal: 800 * time.Millisecond, MaxAttempts: 3},
+		request: httptest.NewRequest("POST", "/x", nil), service: &routes.Service{Name: "advisor", Engine: &routes.Engine{Slots: 8}}, started: time.Now(), readAt: time.Now(),
+		deadline: time.Now().Add(time.Minute), headersSent: true, continues: true, active: new(activeSend), origin: origin.Origin{Service: "advisor", Version: "v1"},
+	}
+}
+
 // TestResumeWithoutLoaders guards against a broken stream that is held until its deadline at an
 // instance that hears no loader, although its caller could take it up elsewhere.
 func TestResumeWithoutLoaders(t *testing.T) {
@@ -20,11 +29,7 @@
 		relay := newListedRelay(engine)
 		relay.picker.RecordReport("i-1", picker.Report{Serial: 1, StartedAt: 1000, ModelLoaded: true})
 		time.Sleep(10 * time.Second)
-		proxyRequest := &proxyRequest{
-			relay: relay, info: RequestInfo{ID: "r-1"}, route: &routes.Route{Name: "r", Streaming: true, Resumable: true, ResponseGoal: 800 * time.Millisecond, MaxAttempts: 3},
-			request: httptest.NewRequest("POST", "/x", nil), service: &routes.Service{Name: "advisor", Engine: &routes.Engine{Slots: 8}}, started: time.Now(), readAt: time.Now(),
-			deadline: time.Now().Add(time.Minute), headersSent: true, continues: true, active: new(activeSend), origin: origin.Origin{Service: "advisor", Version: "v1"},
-		}
+		proxyRequest := newBrokenStream(relay)
 		began := time.Now()
 		_, refused := proxyRequest.awaitUpstream(t.Context())
 		if waited := time.Since(began); refused == nil || waited > 3200*time.Millisecond {
--- a/internal/flow/picker/candidate.go
+++ b/internal/flow/picker/candidate.go
@@ -74,7 +74,7 @@
 		return Unreachable
 	case request.Engine && !upstream.reportedAt.IsZero() && !upstream.report.ModelLoaded:
 		return LoadingModel
-	case request.Engine && request.Resumed && picker.silent(upstream, now):
+	case request.Engine && request.Resumed && picker.silent(upstream, now) && !picker.answers(upstream, now):
 		// It may have started again at another software version.
 		return Silent
 	case picker.config.Health != nil && !picker.config.Health.Usable(request.Service, upstream.spec.ID):
--- a/internal/flow/picker/identity.go
+++ b/internal/flow/picker/identity.go
@@ -1,6 +1,8 @@
 package picker
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"jacinthfront.dev/jacinthfront/internal/state/fleet"
@@ -16,13 +18,14 @@
 	Confirmed
 	// Replaced means that a later one is known.
 	Replaced
-	// Unreported means that its loader does not report, so that none can be confirmed. The
-	// list alone does not tell: the engine may have started again since its entry was read.
+	// Unreported means that its loader does not report, so that only the engine itself can
+	// confirm it. The list alone does not tell: the engine may have started again since its
+	// entry was read.
 	Unreported
 )
 
 // RecordIncarnation records the start of the incarnation of an engine that ran at a time or
-// later, in Unix milliseconds, as its loader says.
+// later, in Unix milliseconds, as its loader or the engine itself says.
 func (picker *Picker) RecordIncarnation(id string, startedAt int64, at time.Time) {
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
@@ -69,6 +72,35 @@
 	return false
 }
 
+// SilentEngines returns engines that may continue a stream, whose loaders are silent, and of
+// which no incarnation was confirmed lately: a number of them at most, those that have the
+// adapter first, the others in random order.
+func (picker *Picker) SilentEngines(request Request, most int) []fleet.Upstream {
+	picker.mutex.Lock()
+	defer picker.mutex.Unlock()
+	now := time.Now()
+	var silent []*upstream
+	for _, upstream := range picker.services[request.Service] {
+		if picker.mayResume(upstream, request) && picker.silent(upstream, now) && !picker.answers(upstream, now) {
+			silent = append(silent, upstream)
+		}
+	}
+	rand.Shuffle(len(silent), func(i, j int) { silent[i], silent[j] = silent[j], silent[i] })
+	slices.SortStableFunc(silent, func(a, b *upstream) int {
+		return compareBool(b.hasAdapter(request.Adapter), a.hasAdapter(request.Adapter))
+	})
+	var specs []fleet.Upstream
+	for _, upstream := range silent[:min(most, len(silent))] {
+		specs = append(specs, upstream.spec)
+	}
+	return specs
+}
+
+// answers reports whether the listed incarnation of an engine was confirmed lately.
+func (picker *Picker) answers(upstream *upstream, now time.Time) bool {
+	return upstream.spec.StartedAt == upstream.confirmed && now.Sub(upstream.confirmedAt) < picker.config.ReportTTL
+}
+
 // silent reports whether the loader of a listed engine does not report.
 func (picker *Picker) silent(upstream *upstream, now time.Time) bool {
 	return !picker.reportIsRecent(upstream, now) && now.Sub(upstream.listedAt) > firstReportTimeout
--- a/internal/flow/picker/usable.go
+++ b/internal/flow/picker/usable.go
@@ -88,15 +88,15 @@
 }
 
 // CanResume reports whether an upstream may continue a stream, now or after a wait: one
-// that fits, was not tried, goes on serving, is not known to have ended, and whose loader, if
-// it is an engine, was heard lately.
+// that fits, was not tried, goes on serving, is not known to have ended, and, if it is an
+// engine, whose loader was heard lately or that was confirmed lately.
 func (picker *Picker) CanResume(request Request) bool {
 	now := time.Now()
 	return picker.resumable(request, func(upstream *upstream) bool { return !request.Engine || !upstream.unheard(now) })
 }
 
-// Unheard reports whether a stream cannot go on only because no loader is heard of the
-// upstreams that may continue it.
+// Unheard reports whether a stream cannot go on only because neither the upstreams that may
+// continue it nor their loaders are heard.
 func (picker *Picker) Unheard(request Request) bool {
 	now := time.Now()
 	return !picker.CanResume(request) && picker.resumable(request, func(upstream *upstream) bool { return upstream.unheard(now) })
@@ -107,15 +107,23 @@
 	picker.mutex.Lock()
 	defer picker.mutex.Unlock()
 	return slices.ContainsFunc(picker.services[request.Service], func(upstream *upstream) bool {
-		until, cordoned := picker.cordoned(upstream)
-		leaving := cordoned && until.IsZero() || upstream.draining() || picker.evacuated(upstream)
-		return request.fits(upstream.spec) && !leaving && !upstream.report.Unreachable && !slices.Contains(request.Exclude, upstream.spec.ID) && selected(upstream)
+		return picker.mayResume(upstream, request) && selected(upstream)
 	})
 }
 
-// unheard reports whether the loader of an engine has not been heard for firstReportTimeout.
+// mayResume reports whether an upstream may continue a stream, now or after a wait, if it is
+// heard.
+func (picker *Picker) mayResume(upstream *upstream, request Request) bool {
+	until, cordoned := picker.cordoned(upstream)
+	leaving := cordoned && until.IsZero() || upstream.draining() || picker.evacuated(upstream)
+	return request.fits(upstream.spec) && !leaving && !upstream.report.Unreachable && !slices.Contains(request.Exclude, upstream.spec.ID)
+}
+
+// unheard reports whether for firstReportTimeout the loader of an engine has not been heard
+// and the engine has not been confirmed.
 func (upstream *upstream) unheard(now time.Time) bool {
-	return now.Sub(upstream.listedAt) > firstReportTimeout && now.Sub(upstream.reportedAt) > firstReportTimeout
+	confirmed := upstream.confirmed == upstream.spec.StartedAt && now.Sub(upstream.confirmedAt) <= firstReportTimeout
+	return now.Sub(upstream.listedAt) > firstReportTimeout && now.Sub(upstream.reportedAt) > firstReportTimeout && !confirmed
 }
 
 // TakesRequests reports whether an upstream is known and takes requests, by what it said of
