loader: a test's demand names model and slots like the other one

It has two demands that come at the same moment of the paused clock, of which either one counts, and one of them named neither the model nor adapter slots, which every demand does.

--- a/internal/daemon/loader/fencing_test.go
+++ b/internal/daemon/loader/fencing_test.go
@@ -59,7 +59,9 @@
 				engine.report.StartedAt, engine.report.Sequence = startedAt, 7
 				loader := newLoader(engine)
 				loader.config.Uptime = func() time.Duration { return uptime }
-				test.demand.Entry, test.demand.Upstream, test.demand.Born = "10.0.0.2:7600", "i-1", startedAt
+				// Of two demands that came at the same moment either one may count.
+				test.demand.Entry, test.demand.Model, test.demand.AdapterSlots = "10.0.0.2:7600", "m", 4
+				test.demand.Upstream, test.demand.Born = "i-1", startedAt
 				loader.handleDemand(test.demand)
 				loader.fetchReport(t.Context())
 				loader.sendOrder(t.Context())
