loader: say nothing of the engine before it was asked

Cause: a loader began with as many missed reports as make an engine unreachable, and its first state, which a demand may bring about before the first report, said so. When all loaders had started at once, no engine seemed to serve.

Evidence: all 22 refusals are of one instance within 0.1 ms, 11 ms after the loaders had started again, with engines that went on all the while. TestFirstState fails before: a state names the engine unreachable that was not asked yet, and one that failed to answer once.

Change: a loader starts without missed reports, and sends no state until it has a report or the engine counts as unreachable by the usual number of failures.

--- a/internal/daemon/loader/exchange.go
+++ b/internal/daemon/loader/exchange.go
@@ -187,7 +187,8 @@
 	loader.mutex.Lock()
 	defer loader.mutex.Unlock()
 	report := loader.report
-	if loader.upstream == "" || report.StartedAt == 0 && loader.missedReports == 0 {
+	if loader.upstream == "" || report.StartedAt == 0 && !loader.unreachable() {
+		// Nothing is known of the engine yet.
 		return nil
 	}
 	loader.serial++
--- a/internal/daemon/loader/loader.go
+++ b/internal/daemon/loader/loader.go
@@ -175,7 +175,6 @@
 		admission:       admit.New(admit.Config{}),
 		wakeOrders:      make(chan struct{}, 1),
 		wakeGrants:      make(chan struct{}, 1),
-		missedReports:   unreachableAfter,
 		incarnationAsks: make(map[incarnationAsker]int64),
 		entryStarts:     make(map[string]int64),
 		entryStates:     make(map[string]entryState),
--- a/internal/daemon/loader/states_test.go
+++ b/internal/daemon/loader/states_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
 	"jacinthfront.dev/jacinthfront/internal/link/dgram"
@@ -55,6 +56,46 @@
 	}
 }
 
+// TestFirstState guards against a loader that has just started and says that its engine is
+// unreachable before it has asked it. When all loaders had started at once, streams that
+// waited to be taken up were refused for good, as no engine of their version seemed to serve.
+func TestFirstState(t *testing.T) {
+	tests := []struct {
+		name string
+		// failed is the number of reports that fail before the state is sent, and report
+		// whether one succeeds after that.
+		failed int
+		report bool
+		// sent means that a state is sent, and unreachable that it names the engine so.
+		sent, unreachable bool
+	}{
+		{name: "engine not asked yet"},
+		{name: "engine did not answer once", failed: 1},
+		{name: "engine does not answer", failed: unreachableAfter, sent: true, unreachable: true},
+		{name: "engine answers", report: true, sent: true},
+		{name: "engine answers after a failure", failed: 1, report: true, sent: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engine := &engine{report: healthyReport(), err: context.DeadlineExceeded}
+			loader := newLoader(engine)
+			loader.handleDatagram("", &wirepb.Datagram{Body: &wirepb.Datagram_Demand{Demand: &wirepb.Demand{
+				Entry: "127.0.0.9:1", Start: 1, Model: "m", Upstream: "i-1", Born: 1000,
+			}}})
+			for range test.failed {
+				loader.fetchReport(t.Context())
+			}
+			if engine.err = nil; test.report {
+				loader.fetchReport(t.Context())
+			}
+			state := loader.newState(true, nil)
+			if diff := cmp.Diff([]bool{test.sent, test.unreachable}, []bool{state != nil, state.GetUnreachable()}); diff != "" {
+				t.Errorf("state sent, engine unreachable (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestReachableAgain guards against an engine that entry instances pass over for up to half a
 // second after it has answered again: they refused requests as "no upstream is ready"
 // (TestCutHeads beside load).
