--- a/internal/daemon/relay/instep.go
+++ b/internal/daemon/relay/instep.go
@@ -30,8 +30,8 @@
 const (
 	// causeLoadersSilent means that no loader that was asked for a stream has answered.
 	causeLoadersSilent = "loaders-silent"
-	// causeUpstreamsUnheard means that no loader is heard of the upstreams that may continue
-	// the stream.
+	// causeUpstreamsUnheard means that neither the upstreams that may continue the stream nor
+	// their loaders are heard.
 	causeUpstreamsUnheard = "upstreams-unheard"
 	// causeListUnconfirmed and causeStoreUnconfirmed mean that the store did not confirm the
 	// instance list, or the configuration with it, in time.
--- a/internal/daemon/relay/takeup.go
+++ b/internal/daemon/relay/takeup.go
@@ -107,7 +107,8 @@
 
 // findOrigin returns which software began the stream that the caller takes up, and how that
 // is known: from this instance, which forwards it or keeps a copy, from a loader or another
-// instance, or because no other version was listed while the stream can have begun. list is how far others had read the instance list.
+// instance, or because no other version was listed while the stream can have begun. list is
+// how far others had read the instance list.
 func (proxyRequest *proxyRequest) findOrigin(ctx context.Context) (found origin.Origin, knownFrom string, list watch.Cursor) {
 	relay, key := proxyRequest.relay, proxyRequest.streamKey()
 	if record, ok := relay.origins.ledger.Find(key); ok {
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -88,8 +88,10 @@
 		relay.sendDatagram(datagram, address)
 		relay.sendOrigins(records[brought:], address)
 	}
-	report.Streams = nil
-	relay.sendDatagram(datagram, others...)
+	if len(others) > 0 {
+		report.Streams = nil
+		relay.sendDatagram(datagram, others...)
+	}
 }
 
 // encodeUsage encodes a usage report.
