--- a/internal/daemon/relay/origincopies_test.go
+++ b/internal/daemon/relay/origincopies_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net"
 	"strconv"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"jacinthfront.dev/jacinthfront/internal/base/setup"
 	"jacinthfront.dev/jacinthfront/internal/flow/origin"
@@ -123,3 +125,32 @@
 		})
 	}
 }
+
+// BenchmarkOriginCopies measures what the copies of a stream's origin cost among a number of
+// entry instances: its choice of their holders, and the receipt at one of them.
+func BenchmarkOriginCopies(b *testing.B) {
+	began := origin.Record{Key: 7, Origin: origin.Origin{Service: "advisor", Version: "v1"}, Lifetime: time.Minute}
+	for _, instances := range []int{4, 30, 300} {
+		relay := New(Config{ReadyPath: "/ready", Logger: zap.NewNop()})
+		for number := range instances - 1 {
+			relay.peers.recordReport(fmt.Sprintf("10.0.%d.%d:7600", number/250, number%250+1), "hall-a", 1, 1)
+		}
+		for _, peer := range relay.peers.byAddress {
+			// It is live as long as the benchmark runs.
+			peer.lastHeard = time.Now().Add(time.Hour)
+		}
+		b.Run(fmt.Sprintf("choice/instances=%d", instances), func(b *testing.B) {
+			for range b.N {
+				began.Key++
+				copyHolders(began.Key, relay.peers.liveOthers())
+			}
+		})
+	}
+	relay, encoded := New(Config{ReadyPath: "/ready", Logger: zap.NewNop()}), codec.EncodeOrigins([]origin.Record{began})
+	b.Run("receipt", func(b *testing.B) {
+		b.ReportMetric(float64(proto.Size(&wirepb.Usage{Streams: encoded})), "bytes/record")
+		for range b.N {
+			relay.keepCopies(encoded)
+		}
+	})
+}
