relay: choose the holders of a stream once for all that have returned

A relay chose the loaders that hold each of its copies anew for each loader that had started, and the holders of copies for each relay: among 117 loaders that return at once that would be 117 choices for each of some hundred records, at 10 to 20 us each (worked out). It now tells those that have returned with the next report, and chooses once for each record. TestOriginCopies as before.

--- a/internal/daemon/relay/origincopies_test.go
+++ b/internal/daemon/relay/origincopies_test.go
@@ -118,7 +118,9 @@
 			relay.origins.setGroups(relay.groupLoaders([]fleet.Upstream{{ID: "i-1", Service: "advisor", Address: "127.0.0.1:1", SoftwareVersion: "v1"}}))
 			report(relay, other, 1)
 			relay.recordLoaderStart(loader.address, 1)
+			relay.tellReturned()
 			test.tell(relay, other, loader)
+			relay.tellReturned()
 			if diff := cmp.Diff([]origin.Origin{test.want, test.wantLoader}, []origin.Origin{other.next(), loader.next()}); diff != "" {
 				t.Errorf("told to the other instance and the loader (-want +got):\n%s", diff)
 			}
--- a/internal/daemon/relay/origins.go
+++ b/internal/daemon/relay/origins.go
@@ -62,10 +62,13 @@
 	// untold holds the records that the next usage report brings to other entry instances, by
 	// their addresses.
 	untold map[string][]origin.Record
+	// returned holds the addresses of loaders and entry instances that have started again, and
+	// of instances that were not heard for a time, which tellReturned tells.
+	returned map[string]bool
 }
 
 func newOrigins() *origins {
-	return &origins{ledger: origin.New(origin.Config{}), history: origin.NewHistory(), loaderStarts: make(map[string]int64), lookups: make(map[origin.Key][]*originLookup), untold: make(map[string][]origin.Record)}
+	return &origins{ledger: origin.New(origin.Config{}), history: origin.NewHistory(), loaderStarts: make(map[string]int64), lookups: make(map[origin.Key][]*originLookup), untold: make(map[string][]origin.Record), returned: make(map[string]bool)}
 }
 
 // setGroups replaces the loaders beside the listed upstreams.
@@ -152,14 +155,55 @@
 	}
 }
 
-// tellInstance tells an entry instance that has started, or was not heard for a time, of the
-// streams that this one forwards and the other one keeps copies of.
-func (relay *Relay) tellInstance(address string) {
+// addReturned has a loader or an entry instance told of the streams that it holds.
+func (origins *origins) addReturned(address string) {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	origins.returned[address] = true
+}
+
+// takeReturned returns the loaders and entry instances to tell, and counts them as told.
+func (origins *origins) takeReturned() map[string]bool {
+	origins.mutex.Lock()
+	defer origins.mutex.Unlock()
+	if len(origins.returned) == 0 {
+		return nil
+	}
+	returned := origins.returned
+	origins.returned = make(map[string]bool)
+	return returned
+}
+
+// tellReturned tells loaders and entry instances that have returned of the streams that they
+// hold: loaders also of those of which this instance keeps copies, as the instances that
+// forward them may have ended. It is called at intervals, as many may return at once and the
+// holders of each stream are chosen once for all of them.
+func (relay *Relay) tellReturned() {
+	returned := relay.origins.takeReturned()
+	if returned == nil {
+		return
+	}
+	records := make(map[string][]origin.Record)
+	tell := func(record origin.Record, holders []string) {
+		for _, holder := range holders {
+			if returned[holder] {
+				records[holder] = append(records[holder], record)
+			}
+		}
+	}
+	for address := range returned {
+		records[address] = relay.origins.ledger.HeldBy(address)
+	}
 	others := relay.peers.liveOthers()
-	records := slices.DeleteFunc(relay.origins.ledger.Told(), func(record origin.Record) bool {
-		return !slices.Contains(copyHolders(record.Key, others), address)
-	})
-	relay.sendOrigins(records, address)
+	for _, record := range relay.origins.ledger.Told() {
+		tell(record, copyHolders(record.Key, others))
+	}
+	for _, record := range relay.origins.ledger.Copies() {
+		tell(record, relay.originHolders(record))
+	}
+	for address, held := range records {
+		relay.sendOrigins(held, address)
+	}
 }
 
 // sendOrigins sends records to loaders.
@@ -244,17 +288,11 @@
 	}
 }
 
-// recordLoaderStart tells a loader that has started again of the streams that it held. It
-// tells it also of those of which this instance keeps copies, as the instances that forward
-// them may have ended.
+// recordLoaderStart has a loader that has started again told of the streams that it held.
 func (relay *Relay) recordLoaderStart(loader string, start int64) {
-	if start == 0 || !relay.origins.recordStart(loader, start) {
-		return
+	if start != 0 && relay.origins.recordStart(loader, start) {
+		relay.origins.addReturned(loader)
 	}
-	copies := slices.DeleteFunc(relay.origins.ledger.Copies(), func(record origin.Record) bool {
-		return !slices.Contains(relay.originHolders(record), loader)
-	})
-	relay.sendOrigins(append(relay.origins.ledger.HeldBy(loader), copies...), loader)
 }
 
 // originHolders returns the addresses of the loaders that hold the origin of a stream: those
--- a/internal/daemon/relay/reports.go
+++ b/internal/daemon/relay/reports.go
@@ -80,6 +80,7 @@
 		relay.reportDemand(lastSent)
 		relay.exchangePermits()
 		relay.initialiseBuckets()
+		relay.tellReturned()
 		usage := relay.limiter.LocalUsage()
 		changed := relay.usageChanges.update(usage.Spent)
 		changed = relay.retryBudget.updateChanges() || relay.origins.hasUntold() || changed
--- a/internal/daemon/relay/usage.go
+++ b/internal/daemon/relay/usage.go
@@ -137,7 +137,7 @@
 	}
 	relay.recordPeerEvacuations(report)
 	if relay.peers.recordReport(report.GetEntry(), report.GetFailureDomain(), report.GetStart(), report.GetConfigVersion()) {
-		relay.tellInstance(report.GetEntry())
+		relay.origins.addReturned(report.GetEntry())
 	}
 	relay.keepCopies(report.GetStreams())
 	relay.peers.recordPastWanted(report.GetEntry(), report.GetPastWanted())
